Add design page, workspace, error table and shared model

Cause: the work of several people needs one page with interfaces and one set of shared types before it starts. Conclusion: the crates can now be written in parallel.

--- /dev/null
+++ b/components/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in upstream, load generator, demo and measurements.
--- /dev/null
+++ b/components/calls/src/lib.rs
@@ -0,0 +1,1 @@
+//! Call state machines: attempts, records, key claims and crash suspects.
--- /dev/null
+++ b/components/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/components/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, log, snapshots and replica identities.
--- /dev/null
+++ b/components/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Plug-ins of the control replica: replica, operator and keeper.
--- /dev/null
+++ b/components/errors/src/lib.rs
@@ -0,0 +1,5 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+mod kind;
+
+pub use kind::{ErrorKind, Outcome, Row};
--- /dev/null
+++ b/components/kernel/src/lib.rs
@@ -0,0 +1,1 @@
+//! Plug-in registry, shared tables, clock and stop order.
--- /dev/null
+++ b/components/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, token buckets and retry budgets.
--- /dev/null
+++ b/components/members/src/lib.rs
@@ -0,0 +1,1 @@
+//! Gossip membership and failure detection.
--- /dev/null
+++ b/components/model/src/lib.rs
@@ -0,0 +1,15 @@
+//! Names, ids and the records that every part of the system shares.
+
+mod ids;
+mod load;
+mod names;
+mod profile;
+mod upstream;
+
+pub use ids::{AttemptId, CallId, NodeId, Revision};
+pub use load::LoadSignal;
+pub use names::{AvailabilityZone, HostName, NameError, ProfileName, ServiceName, UpstreamName};
+pub use profile::{
+    FieldError, Hedge, Measure, Priority, Profile, ProfileFileError, ZonePreference,
+};
+pub use upstream::{Rule, Upstream, UpstreamState};
--- /dev/null
+++ b/components/model/src/names.rs
@@ -0,0 +1,118 @@
+//! Checked names on shared immutable strings.
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use std::{borrow::Borrow, fmt, sync::Arc};
+
+/// Longest name in bytes; one DNS label, so that a service fits the first label of `Host`.
+const MAX_NAME_BYTES: usize = 63;
+
+/// A name that breaks the naming rule.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display(
+    "{what} {value:?} is not allowed; use 1 to 63 characters of a-z, 0-9, '-', '_' and '.', \
+     starting with a letter or digit"
+))]
+pub struct NameError {
+    /// Kind of name, for the message.
+    pub what: &'static str,
+    /// The rejected text.
+    pub value: String,
+}
+
+fn is_allowed(text: &str) -> bool {
+    let first_is_alphanumeric = text
+        .bytes()
+        .next()
+        .is_some_and(|b| b.is_ascii_lowercase() || b.is_ascii_digit());
+    first_is_alphanumeric
+        && text.len() <= MAX_NAME_BYTES
+        && text
+            .bytes()
+            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-_.".contains(&b))
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks `text` against the naming rule.
+            pub fn parse(text: impl AsRef<str>) -> Result<Self, NameError> {
+                let text = text.as_ref();
+                if !is_allowed(text) {
+                    return Err(NameError { what: $what, value: text.to_owned() });
+                }
+                Ok(Self(Arc::from(text)))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                Self::parse(text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                Self::parse(text)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A service, as callers name it.
+    ServiceName,
+    "service name"
+);
+name_type!(
+    /// A profile, as operators name it.
+    ProfileName,
+    "profile name"
+);
+name_type!(
+    /// An availability zone, from the settings of a process.
+    AvailabilityZone,
+    "availability zone"
+);
+name_type!(
+    /// A host, from the settings of a process.
+    HostName,
+    "host name"
+);
+name_type!(
+    /// One instance of a service, as it announces itself.
+    UpstreamName,
+    "instance name"
+);
--- /dev/null
+++ b/components/registry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The profile state machine that the replicated log drives.
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry's choice of upstream.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Flags, environment variables and log set-up.
--- /dev/null
+++ b/components/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Log and snapshot files with checksums and recovery.
--- /dev/null
+++ b/src/bin/gyard.rs
@@ -0,0 +1,3 @@
+//! Thin entry point.
+
+fn main() {}
