Add settings: flags, variables, checks and log set-up

Cause: every process must refuse a bad setting at its start, with the flag, the value and what is allowed. Change: settings crate with node and control settings, mesh key reading that never prints the key, text and JSON logs. Conclusion: binaries can be built on it.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,1 +1,11 @@
-//! Flags, environment variables and log set-up.
+//! Settings from flags and `GYARD_*` variables, their checks, and log set-up.
+
+mod control;
+mod logs;
+mod node;
+mod source;
+
+pub use control::{ControlFlags, ControlSettings};
+pub use logs::{LogFormat, LogSettings, init_logs};
+pub use node::{EmbeddedControl, NodeFlags, NodeSettings};
+pub use source::{MeshKey, SettingError, Source};
--- /dev/null
+++ b/components/settings/src/logs.rs
@@ -0,0 +1,96 @@
+//! Log set-up: text for people, JSON for programs, both on standard error.
+
+use crate::source::{SettingError, Source};
+use log::{LevelFilter, Record};
+use std::{fmt::Arguments, io, time::SystemTime};
+
+/// Shape of a log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// `TIME LEVEL part: message`.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl std::str::FromStr for LogFormat {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "text" => Ok(LogFormat::Text),
+            "json" => Ok(LogFormat::Json),
+            _ => Err(()),
+        }
+    }
+}
+
+/// Level and shape of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Lines below this level are dropped.
+    pub level: LevelFilter,
+    /// Shape of a line.
+    pub format: LogFormat,
+}
+
+impl LogSettings {
+    pub(crate) fn read<E: Fn(&str) -> Option<String>>(
+        source: &Source<E>,
+        level: Option<&str>,
+        format: Option<&str>,
+    ) -> Result<Self, SettingError> {
+        let level = source
+            .optional("log-level", level, "off, error, warn, info, debug or trace")?
+            .unwrap_or(LevelFilter::Info);
+        let format = source
+            .optional("log-format", format, "text or json")?
+            .unwrap_or(LogFormat::Text);
+        Ok(LogSettings { level, format })
+    }
+}
+
+/// Starts logging to standard error. A second call in the same process has no effect.
+pub fn init_logs(settings: LogSettings) {
+    let format = settings.format;
+    let dispatch = fern::Dispatch::new()
+        .level(settings.level)
+        .format(move |out, message, record| {
+            let line = format_line(format, unix_ms(), message, record);
+            out.finish(format_args!("{line}"));
+        })
+        .chain(io::stderr());
+    // An error means that a logger is already installed, as in tests and the demo.
+    let _ = dispatch.apply();
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
+
+fn format_line(format: LogFormat, time_ms: u64, message: &Arguments, record: &Record) -> String {
+    let text = message.to_string();
+    match format {
+        LogFormat::Text => {
+            format!(
+                "{}.{:03} {:5} {text}",
+                time_ms / 1000,
+                time_ms % 1000,
+                record.level()
+            )
+        }
+        LogFormat::Json => {
+            let (part, message) = text.split_once(": ").unwrap_or(("", &text));
+            serde_json::json!({
+                "time_ms": time_ms,
+                "level": record.level().as_str().to_lowercase(),
+                "part": part,
+                "message": message,
+            })
+            .to_string()
+        }
+    }
+}
--- /dev/null
+++ b/components/settings/src/node.rs
@@ -0,0 +1,351 @@
+//! Settings of `gyard-node`.
+
+use crate::{
+    logs::LogSettings,
+    source::{MeshKey, SettingError, Source, invalid},
+};
+use gumdrop::Options;
+use model::{AvailabilityZone, HostName, ServiceName};
+use std::{net::SocketAddr, path::PathBuf};
+
+/// Default limit of a request or response body.
+const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
+/// Highest limit of a request or response body.
+const MAX_BODY_BYTES: u64 = 64 << 20;
+/// Default limit of caller connections.
+const DEFAULT_MAX_CONNECTIONS: u64 = 1024;
+/// Default budget of probe messages per second of one node.
+const DEFAULT_PROBE_BUDGET_PER_S: u64 = 200;
+/// Default budget of probe bytes per second of one node.
+const DEFAULT_PROBE_BUDGET_BYTES_PER_S: u64 = 20_000;
+/// Default time that a stopping node waits for calls in flight.
+const DEFAULT_STOP_TIMEOUT_MS: u64 = 30_000;
+/// Default lease of an announced instance.
+const DEFAULT_LEASE_MS: u64 = 3_000;
+
+const ADDRESS: &str = "IP:PORT";
+const NAME: &str = "1 to 63 characters of a-z, 0-9, '-', '_' and '.'";
+
+/// Flags of `gyard-node`; each has a variable `GYARD_<FLAG>`.
+#[derive(Clone, Debug, Default, Options)]
+pub struct NodeFlags {
+    /// Print the usage.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Print the version.
+    #[options(no_short, help = "print the version")]
+    pub version: bool,
+    /// Address for callers.
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "listen address for callers, HTTP/1.1"
+    )]
+    pub call_listen: Option<String>,
+    /// Address for other processes of the system.
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "listen address for other nodes, TCP and UDP"
+    )]
+    pub mesh_listen: Option<String>,
+    /// Address for the local instance and for operators' probes.
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "listen address for the local instance"
+    )]
+    pub platform_listen: Option<String>,
+    /// Availability zone of the host.
+    #[options(no_short, meta = "NAME", help = "availability zone of this host")]
+    pub zone: Option<String>,
+    /// Region of the host.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "region of this host (default: default)"
+    )]
+    pub region: Option<String>,
+    /// Mesh addresses of the control replicas.
+    #[options(
+        no_short,
+        meta = "IP:PORT,...",
+        help = "mesh addresses of the control replicas"
+    )]
+    pub control: Option<String>,
+    /// Mesh addresses of first contacts.
+    #[options(
+        no_short,
+        meta = "IP:PORT,...",
+        help = "mesh addresses of first contacts"
+    )]
+    pub peers: Option<String>,
+    /// Name of the host.
+    #[options(no_short, meta = "NAME", help = "name of this host")]
+    pub host_name: Option<String>,
+    /// Lowest level that is logged.
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        help = "off, error, warn, info, debug or trace"
+    )]
+    pub log_level: Option<String>,
+    /// Shape of log lines.
+    #[options(no_short, meta = "FORMAT", help = "text or json")]
+    pub log_format: Option<String>,
+    /// Share of routing decisions that are logged.
+    #[options(
+        no_short,
+        meta = "PERCENT",
+        help = "share of routing decisions to log; refusals and retries always (default: 100)"
+    )]
+    pub decision_log_percent: Option<String>,
+    /// File with the key of the deployment.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "file with the mesh key of the deployment"
+    )]
+    pub mesh_key_file: Option<String>,
+    /// Limit of a body.
+    #[options(no_short, meta = "BYTES", help = "largest request or response body")]
+    pub max_body_bytes: Option<String>,
+    /// Limit of caller connections.
+    #[options(no_short, meta = "N", help = "most caller connections")]
+    pub max_connections: Option<String>,
+    /// Budget of probe messages.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "most probe messages per second of this node"
+    )]
+    pub probe_budget_per_s: Option<String>,
+    /// Budget of probe bytes.
+    #[options(
+        no_short,
+        meta = "BYTES",
+        help = "most probe bytes per second of this node"
+    )]
+    pub probe_budget_bytes_per_s: Option<String>,
+    /// Lease of the announced instance.
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "lease of the local instance's announcement"
+    )]
+    pub lease_ms: Option<String>,
+    /// Longest wait for calls in flight at a stop.
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "longest wait for calls in flight at a stop"
+    )]
+    pub stop_timeout_ms: Option<String>,
+    /// Data directory of a control replica inside this node.
+    #[options(
+        no_short,
+        meta = "DIR",
+        help = "run a control replica in this node, with this data"
+    )]
+    pub control_data_dir: Option<String>,
+    /// Operator address of the control replica inside this node.
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "operator address of the embedded replica"
+    )]
+    pub control_operator_listen: Option<String>,
+    /// Number of the control replica inside this node.
+    #[options(no_short, meta = "N", help = "number of the embedded replica")]
+    pub control_replica: Option<String>,
+}
+
+/// A control replica that runs inside a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EmbeddedControl {
+    /// Data directory.
+    pub data_dir: PathBuf,
+    /// Address for operators.
+    pub operator_listen: SocketAddr,
+    /// Number of the replica in the group.
+    pub replica: u32,
+    /// Token that operators must send.
+    pub operator_token: Option<String>,
+}
+
+/// Checked settings of a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Address for callers.
+    pub call_listen: SocketAddr,
+    /// Address for other processes of the system.
+    pub mesh_listen: SocketAddr,
+    /// Address for the local instance and for operators' probes.
+    pub platform_listen: SocketAddr,
+    /// Availability zone of the host.
+    pub availability_zone: AvailabilityZone,
+    /// Region of the host.
+    pub region: ServiceName,
+    /// Name of the host.
+    pub host: HostName,
+    /// Mesh addresses of the control replicas.
+    pub control: Vec<SocketAddr>,
+    /// Mesh addresses of first contacts.
+    pub peers: Vec<SocketAddr>,
+    /// Key of the deployment.
+    pub mesh_key: MeshKey,
+    /// Log level and shape.
+    pub logs: LogSettings,
+    /// Share of routing decisions that are logged, in percent.
+    pub decision_log_percent: u8,
+    /// Largest request or response body.
+    pub max_body_bytes: usize,
+    /// Most caller connections.
+    pub max_connections: usize,
+    /// Most probe messages per second.
+    pub probe_budget_per_s: u32,
+    /// Most probe bytes per second.
+    pub probe_budget_bytes_per_s: u32,
+    /// Lease of the announced instance.
+    pub lease_ms: u64,
+    /// Longest wait for calls in flight at a stop.
+    pub stop_timeout_ms: u64,
+    /// Control replica inside this node.
+    pub control_replica: Option<EmbeddedControl>,
+}
+
+impl NodeSettings {
+    /// Checks flags and variables.
+    pub fn read<E: Fn(&str) -> Option<String>>(
+        flags: &NodeFlags,
+        source: &Source<E>,
+    ) -> Result<Self, SettingError> {
+        let mesh_listen = source.required("mesh-listen", flags.mesh_listen.as_deref(), ADDRESS)?;
+        let number = |flag, value: &Option<String>, default, min, max| {
+            source.number(flag, value.as_deref(), default, min, max)
+        };
+        Ok(NodeSettings {
+            call_listen: source.required("call-listen", flags.call_listen.as_deref(), ADDRESS)?,
+            mesh_listen,
+            platform_listen: source.required(
+                "platform-listen",
+                flags.platform_listen.as_deref(),
+                ADDRESS,
+            )?,
+            availability_zone: source.required("zone", flags.zone.as_deref(), NAME)?,
+            region: source
+                .optional("region", flags.region.as_deref(), NAME)?
+                .unwrap_or_else(default_region),
+            host: source
+                .optional("host-name", flags.host_name.as_deref(), NAME)?
+                .unwrap_or_else(|| default_host(mesh_listen)),
+            control: source.addresses("control", flags.control.as_deref())?,
+            peers: source.addresses("peers", flags.peers.as_deref())?,
+            mesh_key: source.mesh_key(flags.mesh_key_file.as_deref(), mesh_listen)?,
+            logs: LogSettings::read(
+                source,
+                flags.log_level.as_deref(),
+                flags.log_format.as_deref(),
+            )?,
+            decision_log_percent: number(
+                "decision-log-percent",
+                &flags.decision_log_percent,
+                100,
+                0,
+                100,
+            )? as u8,
+            max_body_bytes: number(
+                "max-body-bytes",
+                &flags.max_body_bytes,
+                DEFAULT_MAX_BODY_BYTES,
+                1,
+                MAX_BODY_BYTES,
+            )? as usize,
+            max_connections: number(
+                "max-connections",
+                &flags.max_connections,
+                DEFAULT_MAX_CONNECTIONS,
+                1,
+                100_000,
+            )? as usize,
+            probe_budget_per_s: number(
+                "probe-budget-per-s",
+                &flags.probe_budget_per_s,
+                DEFAULT_PROBE_BUDGET_PER_S,
+                0,
+                100_000,
+            )? as u32,
+            probe_budget_bytes_per_s: number(
+                "probe-budget-bytes-per-s",
+                &flags.probe_budget_bytes_per_s,
+                DEFAULT_PROBE_BUDGET_BYTES_PER_S,
+                0,
+                10_000_000,
+            )? as u32,
+            lease_ms: number("lease-ms", &flags.lease_ms, DEFAULT_LEASE_MS, 500, 60_000)?,
+            stop_timeout_ms: number(
+                "stop-timeout-ms",
+                &flags.stop_timeout_ms,
+                DEFAULT_STOP_TIMEOUT_MS,
+                0,
+                3_600_000,
+            )?,
+            control_replica: read_embedded_control(flags, source)?,
+        })
+    }
+}
+
+fn read_embedded_control<E: Fn(&str) -> Option<String>>(
+    flags: &NodeFlags,
+    source: &Source<E>,
+) -> Result<Option<EmbeddedControl>, SettingError> {
+    let Some(data_dir) = source.text("control-data-dir", flags.control_data_dir.as_deref()) else {
+        return Ok(None);
+    };
+    Ok(Some(EmbeddedControl {
+        data_dir: PathBuf::from(data_dir),
+        operator_listen: source.required(
+            "control-operator-listen",
+            flags.control_operator_listen.as_deref(),
+            ADDRESS,
+        )?,
+        replica: source.required(
+            "control-replica",
+            flags.control_replica.as_deref(),
+            "the replica's number",
+        )?,
+        operator_token: source.text("operator-token", None),
+    }))
+}
+
+fn default_region() -> ServiceName {
+    ServiceName::parse("default").expect("the default region is a valid name")
+}
+
+/// A host name from the mesh address, for hosts whose settings name none.
+fn default_host(mesh_listen: SocketAddr) -> HostName {
+    let text = mesh_listen.to_string().replace([':', '[', ']'], "-");
+    HostName::parse(text.trim_matches('-')).unwrap_or_else(|_| {
+        HostName::parse(format!("port-{}", mesh_listen.port())).expect("a valid name")
+    })
+}
+
+/// Rejects a control replica without an address list, which could never form a group.
+pub(crate) fn check_group(replica: u32, group: &[SocketAddr]) -> Result<(), SettingError> {
+    if group.len() != 3 && group.len() != 5 && group.len() != 1 {
+        let text: Vec<String> = group.iter().map(ToString::to_string).collect();
+        return Err(invalid(
+            "group",
+            &text.join(","),
+            "the mesh addresses of 1, 3 or 5 replicas",
+        ));
+    }
+    if replica == 0 || replica as usize > group.len() {
+        return Err(invalid(
+            "replica",
+            &replica.to_string(),
+            "1 to the number of addresses in --group",
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/components/settings/src/source.rs
@@ -0,0 +1,202 @@
+//! Reads one setting from its flag or variable and names both in errors.
+
+use snafu::Snafu;
+use std::{fmt, fs, net::SocketAddr, path::Path, str::FromStr};
+
+/// Bytes of the deployment's mesh key.
+const MESH_KEY_BYTES: usize = 32;
+/// Shortest text of a mesh key, so that a typed word is refused.
+const MIN_MESH_KEY_CHARS: usize = 16;
+
+/// A setting that is missing or has a value that is not allowed.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum SettingError {
+    /// The setting has no default and was not given.
+    #[snafu(display("--{flag} (or {variable}) is required; allowed: {allowed}"))]
+    Missing {
+        /// Name of the flag, without dashes.
+        flag: String,
+        /// Name of the environment variable.
+        variable: String,
+        /// Description of the allowed values.
+        allowed: String,
+    },
+    /// The value is not allowed.
+    #[snafu(display("--{flag} (or {variable}) is {value:?}; allowed: {allowed}"))]
+    Invalid {
+        /// Name of the flag, without dashes.
+        flag: String,
+        /// Name of the environment variable.
+        variable: String,
+        /// The rejected value.
+        value: String,
+        /// Description of the allowed values.
+        allowed: String,
+    },
+    /// The file that a setting names cannot be read.
+    #[snafu(display("--{flag}: {path} can't be read: {reason}"))]
+    Unreadable {
+        /// Name of the flag, without dashes.
+        flag: String,
+        /// Path of the file.
+        path: String,
+        /// Error of the operating system.
+        reason: String,
+    },
+}
+
+/// Key of the deployment; processes with other keys are refused.
+#[derive(Clone, PartialEq, Eq)]
+pub struct MeshKey(pub [u8; MESH_KEY_BYTES]);
+
+impl fmt::Debug for MeshKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("MeshKey(hidden)")
+    }
+}
+
+/// Looks up settings: the flag first, then the variable `GYARD_<FLAG>`.
+pub struct Source<E> {
+    env: E,
+}
+
+impl<E: Fn(&str) -> Option<String>> Source<E> {
+    /// Uses `env` to look up variables; tests hand in a closure of their own.
+    pub fn new(env: E) -> Self {
+        Source { env }
+    }
+
+    /// The text of a setting, if it was given.
+    pub fn text(&self, flag: &str, value: Option<&str>) -> Option<String> {
+        match value {
+            Some(text) => Some(text.to_owned()),
+            None => (self.env)(&variable(flag)).filter(|text| !text.is_empty()),
+        }
+    }
+
+    /// A setting that must be given.
+    pub fn required<T: FromStr>(
+        &self,
+        flag: &str,
+        value: Option<&str>,
+        allowed: &str,
+    ) -> Result<T, SettingError> {
+        match self.optional(flag, value, allowed)? {
+            Some(parsed) => Ok(parsed),
+            None => Err(SettingError::Missing {
+                flag: flag.to_owned(),
+                variable: variable(flag),
+                allowed: allowed.to_owned(),
+            }),
+        }
+    }
+
+    /// A setting without a default that may be left out.
+    pub fn optional<T: FromStr>(
+        &self,
+        flag: &str,
+        value: Option<&str>,
+        allowed: &str,
+    ) -> Result<Option<T>, SettingError> {
+        let Some(text) = self.text(flag, value) else {
+            return Ok(None);
+        };
+        match text.parse() {
+            Ok(parsed) => Ok(Some(parsed)),
+            Err(_) => Err(invalid(flag, &text, allowed)),
+        }
+    }
+
+    /// A whole number within bounds, with a default.
+    pub fn number(
+        &self,
+        flag: &str,
+        value: Option<&str>,
+        default: u64,
+        min: u64,
+        max: u64,
+    ) -> Result<u64, SettingError> {
+        let allowed = format!("a whole number from {min} to {max}");
+        let number = self.optional(flag, value, &allowed)?.unwrap_or(default);
+        if (min..=max).contains(&number) {
+            return Ok(number);
+        }
+        Err(invalid(flag, &number.to_string(), &allowed))
+    }
+
+    /// A list of addresses separated by commas; empty if not given.
+    pub fn addresses(
+        &self,
+        flag: &str,
+        value: Option<&str>,
+    ) -> Result<Vec<SocketAddr>, SettingError> {
+        let Some(text) = self.text(flag, value) else {
+            return Ok(Vec::new());
+        };
+        text.split(',')
+            .map(|part| part.trim().parse())
+            .collect::<Result<_, _>>()
+            .map_err(|_| invalid(flag, &text, "IP:PORT, several separated by commas"))
+    }
+
+    /// The mesh key from a file or from `GYARD_MESH_KEY`. A mesh on loopback may go without.
+    pub fn mesh_key(
+        &self,
+        file: Option<&str>,
+        mesh_listen: SocketAddr,
+    ) -> Result<MeshKey, SettingError> {
+        let text = match self.text("mesh-key-file", file) {
+            Some(path) => read_key_file(Path::new(&path))?,
+            None => match (self.env)("GYARD_MESH_KEY") {
+                Some(text) => text,
+                None if mesh_listen.ip().is_loopback() => return Ok(MeshKey([0; MESH_KEY_BYTES])),
+                None => {
+                    return Err(SettingError::Missing {
+                        flag: "mesh-key-file".to_owned(),
+                        variable: "GYARD_MESH_KEY".to_owned(),
+                        allowed: "16 or more characters, the same on all processes".to_owned(),
+                    });
+                }
+            },
+        };
+        parse_key(text.trim())
+    }
+}
+
+/// The environment variable of a flag.
+fn variable(flag: &str) -> String {
+    format!("GYARD_{}", flag.replace('-', "_").to_uppercase())
+}
+
+pub(crate) fn invalid(flag: &str, value: &str, allowed: &str) -> SettingError {
+    SettingError::Invalid {
+        flag: flag.to_owned(),
+        variable: variable(flag),
+        value: value.to_owned(),
+        allowed: allowed.to_owned(),
+    }
+}
+
+fn read_key_file(path: &Path) -> Result<String, SettingError> {
+    fs::read_to_string(path).map_err(|error| SettingError::Unreadable {
+        flag: "mesh-key-file".to_owned(),
+        path: path.display().to_string(),
+        reason: error.to_string(),
+    })
+}
+
+/// Derives the key from its text; the text itself never appears in an error.
+fn parse_key(text: &str) -> Result<MeshKey, SettingError> {
+    if text.chars().count() < MIN_MESH_KEY_CHARS {
+        return Err(SettingError::Invalid {
+            flag: "mesh-key-file".to_owned(),
+            variable: "GYARD_MESH_KEY".to_owned(),
+            value: "(hidden)".to_owned(),
+            allowed: "16 or more characters, the same on all processes".to_owned(),
+        });
+    }
+    Ok(MeshKey(blake3::derive_key(
+        "geraniumyard mesh key v1",
+        text.as_bytes(),
+    )))
+}
