--- /dev/null
+++ b/components/limits/src/admission.rs
@@ -0,0 +1,325 @@
+//! Owner-side admission: slots, a queue by priority and early refusal.
+
+use errors::ErrorKind;
+use model::{AttemptId, LoadSignal, Priority, UpstreamState};
+use std::collections::VecDeque;
+
+/// Weight of one finished call in the service time estimate, as a divisor.
+const SERVICE_WEIGHT_DIVISOR: i64 = 8;
+/// Number of priorities, each with a queue of its own.
+const PRIORITIES: usize = 3;
+
+/// Limits of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionConfig {
+    /// Calls that the upstream can run at once.
+    pub slots: u32,
+    /// Most calls waiting, whatever their tickets allow.
+    pub queue_limit: u32,
+}
+
+/// An attempt that asks for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Ticket {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Priority in the queue.
+    pub priority: Priority,
+    /// The call's deadline; nothing starts at or after it.
+    pub deadline_us: u64,
+    /// Latest start; an attempt that still waits then is refused so that the entry can move it.
+    /// The deadline, or later, if the attempt may wait as long as it can.
+    pub start_by_us: u64,
+    /// Expected service time, or 0 to use the owner's own estimate.
+    pub expected_us: u64,
+    /// Most calls waiting for this one to join them; 0 starts at once or not at all.
+    pub queue_limit: u32,
+}
+
+/// Answer to a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// Has a slot; run it now.
+    Start,
+    /// Waits; a later step decides.
+    Queued,
+    /// Waits in place of another attempt of lower priority, which is refused as `QueueFull`.
+    QueuedInstead(AttemptId),
+    /// Was not run and won't be.
+    Refused(ErrorKind),
+}
+
+/// Decision on an attempt that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Run it now.
+    Start(AttemptId),
+    /// It was not run and won't be.
+    Refuse(AttemptId, ErrorKind),
+}
+
+/// What a cancellation found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelEffect {
+    /// It waited and is removed; it never starts.
+    NotStarted,
+    /// It holds a slot until `finished` is called.
+    Running,
+    /// It is neither waiting nor running.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    attempt: AttemptId,
+    started_us: u64,
+}
+
+/// Slots and queue of one upstream.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    config: AdmissionConfig,
+    state: UpstreamState,
+    running: Vec<Running>,
+    waiting: [VecDeque<Ticket>; PRIORITIES],
+    service_us: i64,
+    sequence: u64,
+}
+
+impl Admission {
+    /// An idle upstream that accepts calls.
+    pub fn new(config: AdmissionConfig) -> Self {
+        Admission {
+            config,
+            state: UpstreamState::Serving,
+            running: Vec::with_capacity(config.slots as usize),
+            waiting: Default::default(),
+            service_us: 0,
+            sequence: 0,
+        }
+    }
+
+    /// Starts, queues or refuses an attempt.
+    pub fn offer(&mut self, now_us: u64, ticket: Ticket) -> Offer {
+        if !self.state.accepts_calls() {
+            return Offer::Refused(ErrorKind::Stopping);
+        }
+        if now_us >= ticket.deadline_us {
+            return Offer::Refused(ErrorKind::DeadlineExpired);
+        }
+        if self.has_free_slot() && self.queued() == 0 {
+            self.run(now_us, ticket.attempt);
+            return Offer::Start;
+        }
+        if !self.can_finish(now_us + self.expected_wait_us(ticket.priority), &ticket) {
+            return Offer::Refused(ErrorKind::Overloaded);
+        }
+        if self.queued() < ticket.queue_limit.min(self.config.queue_limit) {
+            self.waiting[rank(ticket.priority)].push_back(ticket);
+            return Offer::Queued;
+        }
+        if ticket.queue_limit == 0 {
+            return Offer::Refused(ErrorKind::QueueFull);
+        }
+        let Some(shed) = self.shed_below(ticket.priority) else {
+            return Offer::Refused(ErrorKind::QueueFull);
+        };
+        self.waiting[rank(ticket.priority)].push_back(ticket);
+        Offer::QueuedInstead(shed)
+    }
+
+    /// Frees the attempt's slot and hands it on.
+    ///
+    /// A failed call passes its whole deadline as service time, so that the load signal keeps
+    /// entries away from an upstream that fails fast.
+    pub fn finished(&mut self, now_us: u64, attempt: AttemptId, service_time_us: u64) -> Vec<Step> {
+        let Some(index) = self.running.iter().position(|r| r.attempt == attempt) else {
+            return Vec::new();
+        };
+        self.running.swap_remove(index);
+        self.learn(service_time_us);
+        self.fill(now_us)
+    }
+
+    /// Frees the slot of an attempt whose run says nothing about the service time, such as a
+    /// cancelled one.
+    pub fn released(&mut self, now_us: u64, attempt: AttemptId) -> Vec<Step> {
+        self.running.retain(|r| r.attempt != attempt);
+        self.fill(now_us)
+    }
+
+    /// Removes the attempt if it waits.
+    pub fn cancel(&mut self, attempt: AttemptId) -> CancelEffect {
+        for queue in &mut self.waiting {
+            if let Some(index) = queue.iter().position(|t| t.attempt == attempt) {
+                queue.remove(index);
+                return CancelEffect::NotStarted;
+            }
+        }
+        if self.running.iter().any(|r| r.attempt == attempt) {
+            return CancelEffect::Running;
+        }
+        CancelEffect::Unknown
+    }
+
+    /// Refuses each waiting attempt that can't start or finish in time any more.
+    pub fn expire(&mut self, now_us: u64) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for queue in &mut self.waiting {
+            queue.retain(|ticket| match lateness(now_us, ticket) {
+                Some(kind) => {
+                    steps.push(Step::Refuse(ticket.attempt, kind));
+                    false
+                }
+                None => true,
+            });
+        }
+        steps
+    }
+
+    /// Follows the upstream's state; one that takes no new calls refuses the waiting ones.
+    pub fn set_state(&mut self, state: UpstreamState) -> Vec<Step> {
+        self.state = state;
+        if state.accepts_calls() {
+            return Vec::new();
+        }
+        self.waiting
+            .iter_mut()
+            .flat_map(|queue| queue.drain(..))
+            .map(|ticket| Step::Refuse(ticket.attempt, ErrorKind::Stopping))
+            .collect()
+    }
+
+    /// Follows a change of the announced slots.
+    pub fn set_slots(&mut self, now_us: u64, slots: u32) -> Vec<Step> {
+        self.config.slots = slots;
+        self.fill(now_us)
+    }
+
+    /// The load to attach to a message, with a new sequence number.
+    pub fn signal(&mut self, now_us: u64) -> LoadSignal {
+        self.sequence += 1;
+        LoadSignal {
+            in_flight: self.in_flight(),
+            queued: self.queued(),
+            slots: self.config.slots,
+            service_time_us: u32::try_from(self.visible_service_us(now_us)).unwrap_or(u32::MAX),
+            sequence: self.sequence,
+        }
+    }
+
+    /// The next time at which `expire` has something to do.
+    pub fn next_deadline_us(&self) -> Option<u64> {
+        self.waiting
+            .iter()
+            .flatten()
+            .map(|ticket| ticket.deadline_us.min(ticket.start_by_us))
+            .min()
+    }
+
+    /// Calls running at the upstream.
+    pub fn in_flight(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Calls waiting.
+    pub fn queued(&self) -> u32 {
+        let waiting: usize = self.waiting.iter().map(VecDeque::len).sum();
+        u32::try_from(waiting).unwrap_or(u32::MAX)
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.in_flight() < self.config.slots
+    }
+
+    fn run(&mut self, now_us: u64, attempt: AttemptId) {
+        self.running.push(Running {
+            attempt,
+            started_us: now_us,
+        });
+    }
+
+    fn fill(&mut self, now_us: u64) -> Vec<Step> {
+        let mut steps = Vec::new();
+        while self.has_free_slot() {
+            let Some(ticket) = self.waiting.iter_mut().find_map(VecDeque::pop_front) else {
+                break;
+            };
+            let refusal = lateness(now_us, &ticket)
+                .or_else(|| (!self.can_finish(now_us, &ticket)).then_some(ErrorKind::Overloaded));
+            steps.push(match refusal {
+                Some(kind) => Step::Refuse(ticket.attempt, kind),
+                None => {
+                    self.run(now_us, ticket.attempt);
+                    Step::Start(ticket.attempt)
+                }
+            });
+        }
+        steps
+    }
+
+    fn can_finish(&self, start_us: u64, ticket: &Ticket) -> bool {
+        let service_us = match ticket.expected_us {
+            0 => self.service_us.unsigned_abs(),
+            expected_us => expected_us,
+        };
+        start_us <= ticket.start_by_us && start_us + service_us <= ticket.deadline_us
+    }
+
+    fn expected_wait_us(&self, priority: Priority) -> u64 {
+        let ahead: usize = self.waiting[..=rank(priority)]
+            .iter()
+            .map(VecDeque::len)
+            .sum();
+        let slots = u64::from(self.config.slots.max(1));
+        (ahead as u64 + 1) * self.service_us.unsigned_abs() / slots
+    }
+
+    fn shed_below(&mut self, priority: Priority) -> Option<AttemptId> {
+        self.waiting[rank(priority) + 1..]
+            .iter_mut()
+            .rev()
+            .find_map(VecDeque::pop_back)
+            .map(|ticket| ticket.attempt)
+    }
+
+    fn learn(&mut self, service_time_us: u64) {
+        let sample = i64::try_from(service_time_us).unwrap_or(i64::MAX / 2);
+        if self.service_us == 0 {
+            self.service_us = sample;
+            return;
+        }
+        self.service_us += (sample - self.service_us) / SERVICE_WEIGHT_DIVISOR;
+    }
+
+    /// The estimate raised by running calls that are already older than it, because finished
+    /// calls show a slow-down only after the first slow call is over.
+    fn visible_service_us(&self, now_us: u64) -> u64 {
+        let service_us = self.service_us.unsigned_abs();
+        let overdue_us: u64 = self
+            .running
+            .iter()
+            .map(|r| {
+                now_us
+                    .saturating_sub(r.started_us)
+                    .saturating_sub(service_us)
+            })
+            .sum();
+        service_us + overdue_us / self.running.len().max(1) as u64
+    }
+}
+
+fn rank(priority: Priority) -> usize {
+    match priority {
+        Priority::High => 0,
+        Priority::Normal => 1,
+        Priority::Low => 2,
+    }
+}
+
+fn lateness(now_us: u64, ticket: &Ticket) -> Option<ErrorKind> {
+    if now_us >= ticket.deadline_us {
+        return Some(ErrorKind::DeadlineExpired);
+    }
+    (now_us >= ticket.start_by_us).then_some(ErrorKind::Overloaded)
+}
--- /dev/null
+++ b/components/routing/src/router.rs
@@ -0,0 +1,245 @@
+//! The router of one service.
+
+use crate::{
+    Candidate, Choice, Finish, Reason, RouteRequest, RouterConfig, UpstreamKey,
+    latency::RecentLatency, member::Member, probes::ProbeBudget,
+};
+use errors::ErrorKind;
+use model::{LoadSignal, Upstream, UpstreamName};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slotmap::SlotMap;
+
+/// Highest share of the upstreams that are ejected at once, as a divisor.
+const EJECTED_DIVISOR: usize = 2;
+/// Spread of the random factor that separates near-equal candidates, so that entries with the
+/// same view don't all choose the same upstream.
+const JITTER: f64 = 0.05;
+/// Time after which an unanswered probe no longer blocks the next one, in microseconds.
+const PROBE_TIMEOUT_US: u64 = 1_000_000;
+
+/// Chooses upstreams of one service and learns from how attempts end.
+#[derive(Clone, Debug)]
+pub struct Router {
+    members: SlotMap<UpstreamKey, Member>,
+    probes: ProbeBudget,
+    latency: RecentLatency,
+    rng: Pcg64Mcg,
+    candidates: Vec<Candidate>,
+}
+
+impl Router {
+    /// A router without upstreams; `seed` separates the random choices of different entries.
+    pub fn new(config: RouterConfig, seed: u64) -> Self {
+        Router {
+            members: SlotMap::with_key(),
+            probes: ProbeBudget::new(config.probe_budget_per_s),
+            latency: RecentLatency::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            candidates: Vec::new(),
+        }
+    }
+
+    /// Adds an upstream or follows its changes; a restarted one starts a new ramp.
+    pub fn upsert(&mut self, now_us: u64, upstream: &Upstream) -> UpstreamKey {
+        let Some(key) = self.key(&upstream.name) else {
+            return self.members.insert(Member::new(now_us, upstream));
+        };
+        if self.members[key].is_replaced_by(upstream) {
+            self.members.remove(key);
+            return self.members.insert(Member::new(now_us, upstream));
+        }
+        self.members[key].upstream = upstream.clone();
+        key
+    }
+
+    /// Forgets an upstream; later results of its attempts are ignored.
+    pub fn remove(&mut self, name: &UpstreamName) {
+        if let Some(key) = self.key(name) {
+            self.members.remove(key);
+        }
+    }
+
+    /// The key of a named upstream.
+    pub fn key(&self, name: &UpstreamName) -> Option<UpstreamKey> {
+        self.members
+            .iter()
+            .find(|(_, member)| member.upstream.name == *name)
+            .map(|(key, _)| key)
+    }
+
+    /// The upstream behind a key.
+    pub fn upstream(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.members.get(key).map(|member| &member.upstream)
+    }
+
+    /// Chooses an upstream for one attempt; `sent` must follow if the attempt is sent.
+    pub fn choose(&mut self, now_us: u64, request: &RouteRequest) -> Result<Choice, ErrorKind> {
+        self.probes.earn(request.measure);
+        self.weigh(now_us, request);
+        if let Some(trial) = self.trial(now_us, request) {
+            return Ok(trial);
+        }
+        let has_healthy = self.candidates.iter().any(|candidate| !candidate.ejected);
+        let best = self
+            .candidates
+            .iter()
+            .filter(|candidate| !candidate.ejected || !has_healthy)
+            .min_by_key(|candidate| candidate.expected_us)
+            .ok_or(ErrorKind::NoUpstream)?;
+        let reason = match (has_healthy, self.candidates.len()) {
+            (false, _) => Reason::Fallback,
+            (true, 1) => Reason::Only,
+            (true, _) => Reason::Expected,
+        };
+        Ok(Choice {
+            upstream: best.upstream,
+            reason,
+        })
+    }
+
+    /// The candidates of the last choice, for the decision log.
+    pub fn candidates(&self) -> &[Candidate] {
+        &self.candidates
+    }
+
+    /// Records that an attempt went out.
+    pub fn sent(&mut self, _now_us: u64, key: UpstreamKey) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.outstanding += 1;
+        }
+    }
+
+    /// Records how an attempt ended, with the load signal of the response or refusal.
+    pub fn finished(
+        &mut self,
+        now_us: u64,
+        key: UpstreamKey,
+        finish: Finish,
+        latency_us: u64,
+        signal: Option<LoadSignal>,
+    ) {
+        let may_eject = self.may_eject();
+        let Some(member) = self.members.get_mut(key) else {
+            return;
+        };
+        member.finished(finish, latency_us);
+        member.ejection.finished(now_us, finish, may_eject);
+        if let Some(signal) = signal {
+            member.observe(now_us, signal);
+        }
+        if finish == Finish::Ok {
+            self.latency.record(latency_us);
+        }
+    }
+
+    /// Takes in a signal that cost no message, such as that of the owner in this process.
+    pub fn observe(&mut self, now_us: u64, key: UpstreamKey, signal: LoadSignal) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.observe(now_us, signal);
+        }
+    }
+
+    /// The upstreams to probe now; call it after each choice.
+    pub fn probe_due(&mut self, now_us: u64) -> Vec<UpstreamKey> {
+        let mut due = Vec::new();
+        while let Some(key) = self.stalest(now_us) {
+            if !self.probes.try_probe(now_us) {
+                break;
+            }
+            self.members[key].probe_sent_us = Some(now_us);
+            due.push(key);
+        }
+        due
+    }
+
+    /// Records the reply to a probe.
+    pub fn probe_reply(
+        &mut self,
+        now_us: u64,
+        key: UpstreamKey,
+        signal: LoadSignal,
+        _round_trip_us: u64,
+    ) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.probe_sent_us = None;
+            member.observe(now_us, signal);
+        }
+    }
+
+    /// Records that a probe got no reply.
+    pub fn probe_lost(&mut self, _now_us: u64, key: UpstreamKey) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.probe_sent_us = None;
+        }
+    }
+
+    /// Quantile of the recent latency of successful attempts, for hedging.
+    pub fn latency_quantile_us(&self, percent: u8) -> Option<u64> {
+        self.latency.quantile_us(percent)
+    }
+
+    fn weigh(&mut self, now_us: u64, request: &RouteRequest) {
+        let average_others = average(self.members.values().filter_map(Member::others));
+        let average_service_us = average(self.members.values().filter_map(Member::service_us));
+        self.candidates.clear();
+        for (key, member) in &self.members {
+            if request.exclude.contains(&key) || !member.upstream.state.accepts_calls() {
+                continue;
+            }
+            let load = member.load(now_us, average_others);
+            let expected_us = member.expected_us(now_us, load, average_service_us);
+            let jitter = 1.0 + JITTER * self.rng.random::<f64>();
+            self.candidates.push(Candidate {
+                upstream: key,
+                expected_us: (expected_us * jitter) as u32,
+                load: load as f32,
+                ejected: member.ejection.is_ejected(),
+            });
+        }
+    }
+
+    fn trial(&mut self, now_us: u64, request: &RouteRequest) -> Option<Choice> {
+        let key = self
+            .candidates
+            .iter()
+            .map(|candidate| candidate.upstream)
+            .find(|&key| {
+                self.members[key]
+                    .ejection
+                    .wants_trial(now_us, request.idempotent)
+            })?;
+        self.members[key].ejection.trial_started();
+        Some(Choice {
+            upstream: key,
+            reason: Reason::Trial,
+        })
+    }
+
+    fn may_eject(&self) -> bool {
+        let ejected = self
+            .members
+            .values()
+            .filter(|m| m.ejection.is_ejected())
+            .count();
+        (ejected + 1) * EJECTED_DIVISOR <= self.members.len()
+    }
+
+    fn stalest(&self, now_us: u64) -> Option<UpstreamKey> {
+        self.members
+            .iter()
+            .filter(|(_, member)| member.upstream.state.accepts_calls())
+            .filter(|(_, member)| {
+                member
+                    .probe_sent_us
+                    .is_none_or(|sent| now_us >= sent + PROBE_TIMEOUT_US)
+            })
+            .min_by_key(|(_, member)| member.seen_us())
+            .map(|(key, _)| key)
+    }
+}
+
+fn average(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    if count > 0.0 { sum / count } else { 0.0 }
+}
