Add HTTP/1.1 messages, server loop and pooled client

Cause: the node needs a caller-facing server that can notice a closed caller and a client that tells "not sent" from "may have run".

Change: components/http with the interface of docs/design.md section 4.10.

--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -1,1 +1,20 @@
 //! HTTP/1.1 messages, the caller-facing server loop and the pooled client.
+
+mod body;
+mod cancel;
+mod head;
+mod headers;
+mod message;
+mod pool;
+mod server;
+mod watch;
+mod wire;
+
+pub use body::{BodyDecoder, Framing};
+pub use cancel::CancelToken;
+pub use head::{HeadError, RequestHead, ResponseHead, parse_request_head, parse_response_head};
+pub use headers::{Headers, strip_hop_by_hop};
+pub use message::{Request, Response, error_response};
+pub use pool::{CallError, Pool, PoolConfig};
+pub use server::{HttpError, Server, ServerConfig, serve};
+pub use watch::CallerWatch;
--- /dev/null
+++ b/components/http/src/message.rs
@@ -0,0 +1,191 @@
+//! Whole messages and how they are written.
+
+use crate::Headers;
+use errors::ErrorKind;
+use std::{io::Write, net::SocketAddr};
+
+/// A request, buffered whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Method, in the letter case in which it was sent.
+    pub method: String,
+    /// Path and query, or absolute form.
+    pub target: String,
+    /// Header fields.
+    pub headers: Headers,
+    /// Body without transfer coding.
+    pub body: Vec<u8>,
+    /// Address of the sender.
+    pub peer: SocketAddr,
+}
+
+/// A response, buffered whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// Status code.
+    pub status: u16,
+    /// Reason phrase; may be empty.
+    pub reason: String,
+    /// Header fields.
+    pub headers: Headers,
+    /// Body without transfer coding.
+    pub body: Vec<u8>,
+}
+
+impl Response {
+    /// A response without headers, with the usual reason phrase of the status.
+    pub fn new(status: u16, body: impl Into<Vec<u8>>) -> Self {
+        Response {
+            status,
+            reason: reason(status).to_owned(),
+            headers: Headers::new(),
+            body: body.into(),
+        }
+    }
+
+    /// Adds a header field.
+    #[must_use]
+    pub fn with_header(mut self, name: impl Into<String>, value: impl Into<String>) -> Self {
+        self.headers.append(name, value);
+        self
+    }
+}
+
+/// The answer to a request that the system itself refuses or fails.
+pub fn error_response(kind: ErrorKind) -> Response {
+    let row = kind.row();
+    let body = format!(
+        "{{\"error\":\"{}\",\"outcome\":\"{}\",\"message\":\"{}\",\"advice\":\"{}\"}}\n",
+        row.code,
+        row.outcome.header_value(),
+        row.message,
+        row.advice
+    );
+    Response::new(row.status, body)
+        .with_header("content-type", "application/json")
+        .with_header("x-gyard-outcome", row.outcome.header_value())
+}
+
+/// Whether responses of that status have no body.
+pub(crate) fn bodiless(status: u16) -> bool {
+    matches!(status, 100..=199 | 204 | 304)
+}
+
+/// Writes head and body of a response into `out`, which is cleared first.
+pub(crate) fn encode_response(out: &mut Vec<u8>, response: &Response, head: bool, close: bool) {
+    out.clear();
+    let status = response.status;
+    let reason = if is_clean(&response.reason) {
+        response.reason.as_str()
+    } else {
+        ""
+    };
+    out.reserve(256 + response.body.len());
+    write_text(out, format_args!("HTTP/1.1 {status} {reason}\r\n"));
+    // The length of the body that was left out is the handler's to declare.
+    let keeps_length = head || status == 304;
+    encode_fields(out, &response.headers, |name| {
+        name.eq_ignore_ascii_case("transfer-encoding")
+            || name.eq_ignore_ascii_case("connection")
+            || (!keeps_length && name.eq_ignore_ascii_case("content-length"))
+    });
+    if !keeps_length && !bodiless(status) {
+        write_text(
+            out,
+            format_args!("content-length: {}\r\n", response.body.len()),
+        );
+    }
+    if close {
+        out.extend_from_slice(b"connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    if !head && !bodiless(status) {
+        out.extend_from_slice(&response.body);
+    }
+}
+
+/// Writes head and body of a request into `out`; false if method or target can't be sent.
+pub(crate) fn encode_request(out: &mut Vec<u8>, request: &Request, host: SocketAddr) -> bool {
+    out.clear();
+    if !is_word(&request.method) || !is_word(&request.target) {
+        return false;
+    }
+    out.reserve(256 + request.body.len());
+    write_text(
+        out,
+        format_args!("{} {} HTTP/1.1\r\n", request.method, request.target),
+    );
+    if !request.headers.contains("host") {
+        write_text(out, format_args!("host: {host}\r\n"));
+    }
+    // The body follows at once, so the receiver must not wait for `expect`.
+    encode_fields(out, &request.headers, |name| {
+        name.eq_ignore_ascii_case("transfer-encoding")
+            || name.eq_ignore_ascii_case("content-length")
+            || name.eq_ignore_ascii_case("expect")
+    });
+    let has_body = !request.body.is_empty();
+    if has_body || matches!(request.method.as_str(), "POST" | "PUT" | "PATCH") {
+        write_text(
+            out,
+            format_args!("content-length: {}\r\n", request.body.len()),
+        );
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&request.body);
+    true
+}
+
+/// Fields with control characters are left out: they could end the head early.
+fn encode_fields(out: &mut Vec<u8>, headers: &Headers, left_out: impl Fn(&str) -> bool) {
+    for (name, value) in headers.iter() {
+        if left_out(name) || !is_word(name) || !is_clean(value) {
+            continue;
+        }
+        out.extend_from_slice(name.as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(value.as_bytes());
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+fn is_word(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|b| b > b' ' && b != 0x7f)
+}
+
+fn is_clean(text: &str) -> bool {
+    text.bytes().all(|b| (b >= b' ' && b != 0x7f) || b == b'\t')
+}
+
+fn write_text(out: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
+    // Writing to a vector can't fail.
+    let _ = out.write_fmt(text);
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        426 => "Upgrade Required",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        499 => "Client Closed Request",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        507 => "Insufficient Storage",
+        _ => "",
+    }
+}
--- /dev/null
+++ b/components/http/src/server.rs
@@ -0,0 +1,497 @@
+//! Server loop with one thread per connection.
+
+use crate::{
+    BodyDecoder, CallerWatch, Framing, HeadError, Request, RequestHead, Response, error_response,
+    message::encode_response,
+    parse_request_head,
+    watch::{Peeked, peek},
+    wire::{Inbox, is_timeout},
+};
+use errors::ErrorKind;
+use snafu::{ResultExt, Snafu};
+use std::{
+    collections::HashMap,
+    io::{self, Read, Write},
+    net::{IpAddr, Ipv4Addr, Ipv6Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread::{Builder, JoinHandle},
+    time::{Duration, Instant},
+};
+
+/// Stack of a connection thread in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+/// Most connections that are answered with a refusal at the same time.
+const MAX_REFUSING: usize = 32;
+/// Longest wait for a refused caller to read its answer.
+const LINGER: Duration = Duration::from_secs(1);
+/// Pause of the accept loop when the process is out of descriptors or threads.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The server could not be started.
+#[derive(Debug, Snafu)]
+pub enum HttpError {
+    /// The listener has no address.
+    #[snafu(display("the listener's address can't be read: {source}"))]
+    Listener {
+        /// Cause.
+        source: io::Error,
+    },
+    /// The accept thread could not be started.
+    #[snafu(display("the accept thread can't be started: {source}"))]
+    Thread {
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Limits of a server.
+#[derive(Clone, Debug)]
+pub struct ServerConfig {
+    /// Most connections served at once; more are answered with `TooManyConnections`.
+    pub max_connections: usize,
+    /// Most bytes of a request head.
+    pub max_head_bytes: usize,
+    /// Most bytes of a request body.
+    pub max_body_bytes: usize,
+    /// Longest wait for the first byte of the next request.
+    pub idle_timeout_ms: u64,
+    /// Longest time for a whole head, then for a whole body, and for writing a response.
+    pub read_timeout_ms: u64,
+    /// How long idle connections stay usable after `stop`, so that requests on their way arrive.
+    pub stop_grace_ms: u64,
+    /// Name of the threads.
+    pub thread_name: String,
+}
+
+impl Default for ServerConfig {
+    fn default() -> Self {
+        ServerConfig {
+            max_connections: 1_024,
+            max_head_bytes: 16 * 1024,
+            max_body_bytes: 1024 * 1024,
+            idle_timeout_ms: 60_000,
+            read_timeout_ms: 10_000,
+            stop_grace_ms: 200,
+            thread_name: "http".to_owned(),
+        }
+    }
+}
+
+type Handler = dyn Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync;
+
+struct Connection {
+    stream: Arc<TcpStream>,
+    busy: Arc<AtomicBool>,
+}
+
+struct Shared {
+    config: ServerConfig,
+    handler: Box<Handler>,
+    stopping: AtomicBool,
+    refusing: AtomicUsize,
+    connections: Mutex<HashMap<u64, Connection>>,
+    changed: Condvar,
+}
+
+impl Shared {
+    fn connections(&self) -> MutexGuard<'_, HashMap<u64, Connection>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+}
+
+/// A running server; dropping it stops it.
+pub struct Server {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    accepting: Mutex<Option<JoinHandle<()>>>,
+}
+
+/// Serves the listener until `Server::stop`.
+pub fn serve(
+    listener: TcpListener,
+    config: ServerConfig,
+    handler: impl Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync + 'static,
+) -> Result<Server, HttpError> {
+    let address = listener.local_addr().context(ListenerSnafu)?;
+    let name = config.thread_name.clone();
+    let shared = Arc::new(Shared {
+        config,
+        handler: Box::new(handler),
+        stopping: AtomicBool::new(false),
+        refusing: AtomicUsize::new(0),
+        connections: Mutex::new(HashMap::new()),
+        changed: Condvar::new(),
+    });
+    let accepting = Builder::new()
+        .name(name)
+        .stack_size(STACK_BYTES)
+        .spawn({
+            let shared = Arc::clone(&shared);
+            move || accept_all(&listener, &shared)
+        })
+        .context(ThreadSnafu)?;
+    Ok(Server {
+        shared,
+        address,
+        accepting: Mutex::new(Some(accepting)),
+    })
+}
+
+impl Server {
+    /// Address that is listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections served now.
+    pub fn connections(&self) -> usize {
+        self.shared.connections().len()
+    }
+
+    /// Stops accepting, finishes and answers the requests in progress, closes idle connections.
+    ///
+    /// Returns when all connections are closed.
+    pub fn stop(&self) {
+        self.stop_accepting();
+        let grace = Instant::now() + Duration::from_millis(self.shared.config.stop_grace_ms);
+        self.wait_until_closed(Some(grace));
+        for connection in self.shared.connections().values() {
+            if !connection.busy.load(Ordering::Acquire) {
+                // Wakes the thread that waits for a request; bytes that arrived are still read.
+                let _ = connection.stream.shutdown(Shutdown::Read);
+            }
+        }
+        self.wait_until_closed(None);
+    }
+
+    /// Closes the listener and all connections at once, with requests in progress cut off.
+    pub fn abort(&self) {
+        self.stop_accepting();
+        for connection in self.shared.connections().values() {
+            let _ = connection.stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn stop_accepting(&self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        let mut accepting = self
+            .accepting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(thread) = accepting.take() {
+            wake(self.address);
+            // The thread returns nothing and a panic in it has been printed.
+            let _ = thread.join();
+        }
+    }
+
+    fn wait_until_closed(&self, until: Option<Instant>) {
+        let mut connections = self.shared.connections();
+        while !connections.is_empty() {
+            let wait = match until {
+                None => Duration::from_secs(1),
+                Some(until) => until.saturating_duration_since(Instant::now()),
+            };
+            if wait.is_zero() {
+                return;
+            }
+            connections = self
+                .shared
+                .changed
+                .wait_timeout(connections, wait)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Ends a blocked `accept` by connecting to the listener.
+fn wake(address: SocketAddr) {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) if ip.is_unspecified() => IpAddr::V4(Ipv4Addr::LOCALHOST),
+        IpAddr::V6(ip) if ip.is_unspecified() => IpAddr::V6(Ipv6Addr::LOCALHOST),
+        ip => ip,
+    };
+    // A full backlog makes this fail, and then `accept` returns anyway.
+    let _ = TcpStream::connect_timeout(&SocketAddr::new(ip, address.port()), LINGER);
+}
+
+fn accept_all(listener: &TcpListener, shared: &Arc<Shared>) {
+    let mut next = 0;
+    loop {
+        match listener.accept() {
+            Ok((stream, peer)) => {
+                next += 1;
+                admit(shared, stream, peer, next);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock && shared.is_stopping() => {
+                return;
+            }
+            Err(error) => {
+                if !is_transient(&error) {
+                    log::warn!("http: a connection can't be accepted: {error}");
+                    std::thread::sleep(ACCEPT_PAUSE);
+                }
+            }
+        }
+        // Callers that connected before the stop are still served.
+        if shared.is_stopping() && listener.set_nonblocking(true).is_err() {
+            return;
+        }
+    }
+}
+
+fn is_transient(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted
+    )
+}
+
+fn admit(shared: &Arc<Shared>, stream: TcpStream, peer: SocketAddr, id: u64) {
+    if stream.set_nonblocking(false).is_err() || stream.set_nodelay(true).is_err() {
+        return;
+    }
+    if shared.connections().len() >= shared.config.max_connections {
+        refuse_connection(shared, stream);
+        return;
+    }
+    let stream = Arc::new(stream);
+    let busy = Arc::new(AtomicBool::new(false));
+    let connection = Connection {
+        stream: Arc::clone(&stream),
+        busy: Arc::clone(&busy),
+    };
+    shared.connections().insert(id, connection);
+    let spawned = Builder::new()
+        .name(shared.config.thread_name.clone())
+        .stack_size(STACK_BYTES)
+        .spawn({
+            let shared = Arc::clone(shared);
+            move || {
+                let _entry = Entry {
+                    shared: &shared,
+                    id,
+                };
+                converse(&shared, &stream, peer, &busy);
+            }
+        });
+    if let Err(error) = spawned {
+        log::warn!("http: a connection thread can't be started: {error}");
+        shared.connections().remove(&id);
+    }
+}
+
+/// Removes a connection from the table, also when its handler panics.
+struct Entry<'a> {
+    shared: &'a Shared,
+    id: u64,
+}
+
+impl Drop for Entry<'_> {
+    fn drop(&mut self) {
+        self.shared.connections().remove(&self.id);
+        self.shared.changed.notify_all();
+    }
+}
+
+fn refuse_connection(shared: &Arc<Shared>, stream: TcpStream) {
+    if shared.refusing.fetch_add(1, Ordering::AcqRel) >= MAX_REFUSING {
+        shared.refusing.fetch_sub(1, Ordering::AcqRel);
+        return;
+    }
+    let spawned = Builder::new().stack_size(STACK_BYTES).spawn({
+        let shared = Arc::clone(shared);
+        move || {
+            let mut out = Vec::new();
+            answer_error(&stream, &mut out, ErrorKind::TooManyConnections);
+            shared.refusing.fetch_sub(1, Ordering::AcqRel);
+        }
+    });
+    if spawned.is_err() {
+        shared.refusing.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Answers and closes. Closing with unread bytes would reset the connection before the caller has
+/// read the answer, so the rest of the request is read first.
+fn answer_error(stream: &TcpStream, out: &mut Vec<u8>, kind: ErrorKind) {
+    encode_response(out, &error_response(kind), false, true);
+    if stream.set_write_timeout(Some(LINGER)).is_err() || (&mut &*stream).write_all(out).is_err() {
+        return;
+    }
+    let _ = stream.shutdown(Shutdown::Write);
+    let until = Instant::now() + LINGER;
+    let mut scrap = [0; 4096];
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
+            return;
+        }
+        match (&mut &*stream).read(&mut scrap) {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Why a connection ends without another request.
+enum End {
+    Closed,
+    Refused(ErrorKind),
+}
+
+impl From<HeadError> for End {
+    fn from(error: HeadError) -> Self {
+        End::Refused(error.into())
+    }
+}
+
+fn converse(shared: &Shared, stream: &TcpStream, peer: SocketAddr, busy: &AtomicBool) {
+    let write_timeout = Duration::from_millis(shared.config.read_timeout_ms.max(1));
+    if stream.set_write_timeout(Some(write_timeout)).is_err() {
+        return;
+    }
+    let mut inbox = Inbox::default();
+    let mut out = Vec::new();
+    loop {
+        let (request, keep_alive) = match read_request(shared, stream, peer, &mut inbox, busy) {
+            Ok(read) => read,
+            Err(End::Closed) => return,
+            Err(End::Refused(kind)) => {
+                answer_error(stream, &mut out, kind);
+                return;
+            }
+        };
+        let is_head = request.method == "HEAD";
+        let response = (shared.handler)(request, &CallerWatch::new(stream));
+        let close = !keep_alive
+            || shared.is_stopping()
+            || response.headers.has_token("connection", "close");
+        encode_response(&mut out, &response, is_head, close);
+        if (&mut &*stream).write_all(&out).is_err() {
+            return;
+        }
+        if close {
+            // Unread bytes at closing would reset the connection and could destroy the response.
+            let _ = stream.shutdown(Shutdown::Write);
+            drain(stream, peek(stream));
+            return;
+        }
+        busy.store(false, Ordering::Release);
+    }
+}
+
+/// Reads what the caller sends until it closes, for a limited time.
+fn drain(stream: &TcpStream, peeked: Peeked) {
+    if peeked == Peeked::Closed || stream.set_read_timeout(Some(LINGER)).is_err() {
+        return;
+    }
+    let until = Instant::now() + LINGER;
+    let mut scrap = [0; 4096];
+    while Instant::now() < until {
+        match (&mut &*stream).read(&mut scrap) {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
+
+fn read_request(
+    shared: &Shared,
+    stream: &TcpStream,
+    peer: SocketAddr,
+    inbox: &mut Inbox,
+    busy: &AtomicBool,
+) -> Result<(Request, bool), End> {
+    let config = &shared.config;
+    let head = read_head(config, stream, inbox, busy)?;
+    if head.framing != Framing::Empty && inbox.unread().is_empty() {
+        expect_continue(stream, &head)?;
+    }
+    let mut decoder = BodyDecoder::new(head.framing, config.max_body_bytes);
+    let mut until = None;
+    loop {
+        let used = decoder.push(inbox.unread())?;
+        inbox.consume(used);
+        if decoder.is_complete() {
+            break;
+        }
+        let until = *until.get_or_insert_with(|| deadline(config));
+        match inbox.fill_until(stream, until) {
+            Ok(0) | Err(_) => return Err(End::Closed),
+            Ok(_) => {}
+        }
+    }
+    let request = Request {
+        method: head.method,
+        target: head.target,
+        headers: head.headers,
+        body: decoder.into_body(),
+        peer,
+    };
+    Ok((request, head.keep_alive))
+}
+
+fn deadline(config: &ServerConfig) -> Instant {
+    Instant::now() + Duration::from_millis(config.read_timeout_ms)
+}
+
+/// The idle timeout holds until the first byte; from there the whole head has one deadline.
+fn read_head(
+    config: &ServerConfig,
+    stream: &TcpStream,
+    inbox: &mut Inbox,
+    busy: &AtomicBool,
+) -> Result<RequestHead, End> {
+    let mut until = None;
+    loop {
+        if !inbox.unread().is_empty() {
+            busy.store(true, Ordering::Release);
+            let limits = (config.max_head_bytes, config.max_body_bytes);
+            if let Some(head) = parse_request_head(inbox.unread(), limits.0, limits.1)? {
+                inbox.consume(head.length);
+                return Ok(head);
+            }
+            until.get_or_insert_with(|| deadline(config));
+        }
+        let read = match until {
+            None => inbox.fill(stream, Duration::from_millis(config.idle_timeout_ms.max(1))),
+            Some(until) => inbox.fill_until(stream, until),
+        };
+        match read {
+            Ok(0) => return Err(End::Closed),
+            Ok(_) => {}
+            Err(error) => {
+                if until.is_some() && is_timeout(&error) {
+                    log::debug!("http: a request head was not complete in time");
+                }
+                return Err(End::Closed);
+            }
+        }
+    }
+}
+
+fn expect_continue(stream: &TcpStream, head: &RequestHead) -> Result<(), End> {
+    if !head.headers.has_token("expect", "100-continue") {
+        return Ok(());
+    }
+    (&mut &*stream)
+        .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+        .map_err(|_| End::Closed)
+}
