--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-in upstream, load generator, demo and measurements.
+
+pub mod policy;
--- /dev/null
+++ b/components/bench/src/policy/report.rs
@@ -0,0 +1,384 @@
+//! Tables, targets and JSON of the policy measurement.
+
+use super::{Plan, Policy, Settings, sim::Outcome};
+use model::Measure;
+use serde::Serialize;
+use std::{collections::BTreeMap, fmt};
+
+/// Highest p99 as a share of random's and of two choices by reported load.
+const P99_OF_BASELINE: f64 = 0.5;
+/// Highest p99.9 as a share of the best baseline's.
+const P999_OF_BEST: f64 = 0.6;
+/// Highest p99 at `ORACLE_LOAD` as a multiple of the oracle's.
+const P99_OF_ORACLE: f64 = 1.25;
+/// Load in percent at which the oracle comparison applies.
+const ORACLE_LOAD: u32 = 75;
+/// Most measuring messages per call in the economical and the fast setting.
+const MESSAGES_PER_CALL: [(Policy, f64); 2] = [
+    (Policy::Ours(Measure::Economical), 0.1),
+    (Policy::Ours(Measure::Fast), 1.0),
+];
+
+/// Figures of one run, or the median or worst of several.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Figures {
+    /// Median latency in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile in milliseconds.
+    pub p99_ms: f64,
+    /// 99.9th percentile in milliseconds.
+    pub p999_ms: f64,
+    /// Calls that failed or timed out, in percent.
+    pub error_percent: f64,
+    /// Attempts after a refusal or failure, in percent of the calls.
+    pub retry_percent: f64,
+    /// Hedges in percent of the calls.
+    pub hedge_percent: f64,
+    /// Measuring messages per call.
+    pub messages_per_call: f64,
+    /// Most measuring messages of one entry in any one second.
+    pub peak_messages: f64,
+}
+
+/// One policy in one scenario at one load.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// Deployment.
+    pub scenario: &'static str,
+    /// Load in percent of all slots.
+    pub load: u32,
+    /// Policy.
+    pub policy: &'static str,
+    /// Median over the seeds, of each figure on its own.
+    pub median: Figures,
+    /// Worst over the seeds, of each figure on its own.
+    pub worst: Figures,
+}
+
+/// A target and what was measured; ratios are taken per seed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Target {
+    /// Deployment.
+    pub scenario: &'static str,
+    /// Load in percent of all slots.
+    pub load: u32,
+    /// Policy.
+    pub policy: &'static str,
+    /// What is compared.
+    pub what: String,
+    /// Highest value allowed.
+    pub limit: f64,
+    /// Median over the seeds.
+    pub median: f64,
+    /// Worst over the seeds.
+    pub worst: f64,
+}
+
+impl Target {
+    fn is_met(value: f64, limit: f64) -> &'static str {
+        if value <= limit { "met" } else { "MISSED" }
+    }
+}
+
+/// Result of the whole measurement.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Seeds.
+    pub seeds: Vec<u64>,
+    /// Simulated seconds per run.
+    pub seconds: u32,
+    /// Measuring messages that an entry may send in any one second.
+    pub probe_budget_per_s: u32,
+    /// All rows.
+    pub rows: Vec<Row>,
+    /// All targets.
+    pub targets: Vec<Target>,
+}
+
+impl Report {
+    /// The report as one JSON object.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string_pretty(self).expect("plain numbers and strings")
+    }
+}
+
+impl Outcome {
+    /// Replaces the sorted latencies by their figures.
+    pub(crate) fn summarise(mut self) -> Outcome {
+        let quantile = |q: f64| {
+            let last = self.latencies_us.len().saturating_sub(1);
+            let index = (self.latencies_us.len() as f64 * q).ceil() as usize;
+            f64::from(self.latencies_us[index.saturating_sub(1).min(last)]) / 1_000.0
+        };
+        let calls = self.latencies_us.len().max(1) as f64;
+        self.figures = Figures {
+            p50_ms: quantile(0.5),
+            p99_ms: quantile(0.99),
+            p999_ms: quantile(0.999),
+            error_percent: self.errors as f64 * 100.0 / calls,
+            retry_percent: self.retries as f64 * 100.0 / calls,
+            hedge_percent: self.hedges as f64 * 100.0 / calls,
+            messages_per_call: self.messages as f64 / calls,
+            peak_messages: self.peak_messages as f64,
+        };
+        self.latencies_us = Vec::new();
+        self
+    }
+}
+
+pub(crate) fn build(
+    plan: &Plan,
+    settings: &Settings,
+    results: &BTreeMap<(usize, usize, usize), Vec<Outcome>>,
+) -> Report {
+    let mut rows = Vec::new();
+    let mut targets = Vec::new();
+    for (s, scenario) in plan.scenarios.iter().enumerate() {
+        for (l, &load) in plan.loads.iter().enumerate() {
+            let seeds: Vec<&Vec<Outcome>> = (0..plan.seeds.len())
+                .map(|seed| &results[&(s, l, seed)])
+                .collect();
+            for (p, policy) in plan.policies.iter().enumerate() {
+                let figures: Vec<Figures> = seeds.iter().map(|seed| seed[p].figures).collect();
+                rows.push(Row {
+                    scenario: scenario.name,
+                    load,
+                    policy: policy.name(),
+                    median: combine(&figures, median),
+                    worst: combine(&figures, worst),
+                });
+            }
+            let cell = Cell {
+                scenario: scenario.name,
+                load,
+                plan,
+                seeds,
+            };
+            targets.extend(cell.targets(settings));
+        }
+    }
+    Report {
+        seeds: plan.seeds.clone(),
+        seconds: plan.seconds,
+        probe_budget_per_s: settings.probe_budget_per_s,
+        rows,
+        targets,
+    }
+}
+
+/// All seeds and policies of one scenario and load.
+struct Cell<'a> {
+    scenario: &'static str,
+    load: u32,
+    plan: &'a Plan,
+    seeds: Vec<&'a Vec<Outcome>>,
+}
+
+impl Cell<'_> {
+    fn targets(&self, settings: &Settings) -> Vec<Target> {
+        let mut targets = Vec::new();
+        for &ours in self.plan.policies.iter().filter(|p| p.is_ours()) {
+            for base in [Policy::Random, Policy::TwoReported] {
+                let what = format!("p99 / {}", base.name());
+                targets.extend(self.ratio(ours, what, P99_OF_BASELINE, &[base], |f| f.p99_ms));
+            }
+            let baselines: Vec<Policy> = self
+                .plan
+                .policies
+                .iter()
+                .copied()
+                .filter(|p| p.is_baseline())
+                .collect();
+            let what = "p99.9 / best baseline".to_owned();
+            targets.extend(self.ratio(ours, what, P999_OF_BEST, &baselines, |f| f.p999_ms));
+            if self.load == ORACLE_LOAD {
+                let what = "p99 / oracle".to_owned();
+                let oracle = [Policy::Oracle];
+                targets.extend(self.ratio(ours, what, P99_OF_ORACLE, &oracle, |f| f.p99_ms));
+            }
+            for (policy, limit) in MESSAGES_PER_CALL {
+                if policy == ours {
+                    let values = self.values(ours, |f| f.messages_per_call);
+                    targets.push(self.target(ours, "messages per call", limit, &values));
+                }
+            }
+            let budget = f64::from(settings.probe_budget_per_s);
+            let values = self.values(ours, |f| f.peak_messages);
+            targets.push(self.target(ours, "most messages in 1 s", budget, &values));
+        }
+        targets
+    }
+
+    fn values(&self, policy: Policy, figure: impl Fn(&Figures) -> f64) -> Vec<f64> {
+        let position = self.plan.policies.iter().position(|p| *p == policy);
+        position.map_or(Vec::new(), |p| {
+            self.seeds
+                .iter()
+                .map(|seed| figure(&seed[p].figures))
+                .collect()
+        })
+    }
+
+    /// The figure of `ours` over the lowest of `bases`, per seed.
+    fn ratio(
+        &self,
+        ours: Policy,
+        what: String,
+        limit: f64,
+        bases: &[Policy],
+        figure: impl Fn(&Figures) -> f64,
+    ) -> Option<Target> {
+        let mut lowest = vec![f64::MAX; self.seeds.len()];
+        for &base in bases {
+            let values = self.values(base, &figure);
+            if values.is_empty() {
+                return None;
+            }
+            for (low, value) in lowest.iter_mut().zip(values) {
+                *low = low.min(value);
+            }
+        }
+        if bases.is_empty() {
+            return None;
+        }
+        let ratios: Vec<f64> = self
+            .values(ours, &figure)
+            .iter()
+            .zip(&lowest)
+            .map(|(a, b)| a / b)
+            .collect();
+        Some(self.target(ours, what, limit, &ratios))
+    }
+
+    fn target(&self, ours: Policy, what: impl Into<String>, limit: f64, values: &[f64]) -> Target {
+        Target {
+            scenario: self.scenario,
+            load: self.load,
+            policy: ours.name(),
+            what: what.into(),
+            limit,
+            median: median(values),
+            worst: worst(values),
+        }
+    }
+}
+
+fn combine(figures: &[Figures], reduce: impl Fn(&[f64]) -> f64) -> Figures {
+    let of =
+        |figure: fn(&Figures) -> f64| reduce(&figures.iter().map(figure).collect::<Vec<f64>>());
+    Figures {
+        p50_ms: of(|f| f.p50_ms),
+        p99_ms: of(|f| f.p99_ms),
+        p999_ms: of(|f| f.p999_ms),
+        error_percent: of(|f| f.error_percent),
+        retry_percent: of(|f| f.retry_percent),
+        hedge_percent: of(|f| f.hedge_percent),
+        messages_per_call: of(|f| f.messages_per_call),
+        peak_messages: of(|f| f.peak_messages),
+    }
+}
+
+/// The median; of an even number of values the mean of the two middle ones.
+fn median(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_unstable_by(f64::total_cmp);
+    let middle = sorted.len() / 2;
+    match sorted.len() {
+        0 => 0.0,
+        n if n % 2 == 1 => sorted[middle],
+        _ => f64::midpoint(sorted[middle - 1], sorted[middle]),
+    }
+}
+
+fn worst(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "seeds {:?}, {} s each, probe budget {} messages/s per entry; \
+             median over seeds | worst seed",
+            self.seeds, self.seconds, self.probe_budget_per_s
+        )?;
+        let mut group = ("", 0);
+        for row in &self.rows {
+            if group != (row.scenario, row.load) {
+                group = (row.scenario, row.load);
+                writeln!(f, "\n{} at {} %", row.scenario, row.load)?;
+                writeln!(
+                    f,
+                    "{:<18}{:>8}{:>8}{:>8}{:>7}{:>7}{:>7}{:>7}{:>6} |{:>8}{:>8}{:>8}{:>7}{:>7}{:>6}",
+                    "policy",
+                    "p50",
+                    "p99",
+                    "p99.9",
+                    "err%",
+                    "retr%",
+                    "hedg%",
+                    "msg/c",
+                    "peak",
+                    "p50",
+                    "p99",
+                    "p99.9",
+                    "err%",
+                    "msg/c",
+                    "peak"
+                )?;
+            }
+            let (m, w) = (&row.median, &row.worst);
+            writeln!(
+                f,
+                "{:<18}{:>8.1}{:>8.1}{:>8.1}{:>7.2}{:>7.2}{:>7.2}{:>7.3}{:>6.0} \
+                 |{:>8.1}{:>8.1}{:>8.1}{:>7.2}{:>7.3}{:>6.0}",
+                row.policy,
+                m.p50_ms,
+                m.p99_ms,
+                m.p999_ms,
+                m.error_percent,
+                m.retry_percent,
+                m.hedge_percent,
+                m.messages_per_call,
+                m.peak_messages,
+                w.p50_ms,
+                w.p99_ms,
+                w.p999_ms,
+                w.error_percent,
+                w.messages_per_call,
+                w.peak_messages
+            )?;
+        }
+        writeln!(f, "\ntargets (median over seeds, worst seed)")?;
+        for t in &self.targets {
+            writeln!(
+                f,
+                "{:<13}{:>3} % {:<16} {:<24} limit {:>7.2}  median {:>7.3} {:<6}  worst {:>7.3} {}",
+                t.scenario,
+                t.load,
+                t.policy,
+                t.what,
+                t.limit,
+                t.median,
+                Target::is_met(t.median, t.limit),
+                t.worst,
+                Target::is_met(t.worst, t.limit)
+            )?;
+        }
+        self.write_summary(f)
+    }
+}
+
+impl Report {
+    fn write_summary(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let missed =
+            |value: fn(&Target) -> f64| self.targets.iter().filter(|t| value(t) > t.limit).count();
+        writeln!(
+            f,
+            "\n{} targets: {} missed in the median, {} missed in the worst seed",
+            self.targets.len(),
+            missed(|t| t.median),
+            missed(|t| t.worst)
+        )
+    }
+}
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -217,6 +217,11 @@
             .min()
     }
 
+    /// Calls that the upstream can run at once.
+    pub fn slots(&self) -> u32 {
+        self.config.slots
+    }
+
     /// Calls running at the upstream.
     pub fn in_flight(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
--- a/components/limits/src/retry.rs
+++ b/components/limits/src/retry.rs
@@ -30,6 +30,11 @@
         self.saved = (self.saved + self.percent).min(MAX_SAVED_RETRIES * UNITS_PER_RETRY);
     }
 
+    /// Retries saved up, not counting the constant rate.
+    pub fn saved(&self) -> u32 {
+        self.saved / UNITS_PER_RETRY
+    }
+
     /// Takes one retry from the budget.
     pub fn try_retry(&mut self, now_us: u64) -> bool {
         if self.saved >= UNITS_PER_RETRY {
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -52,6 +52,9 @@
     pub upstream: UpstreamKey,
     /// Why it was chosen.
     pub reason: Reason,
+    /// Wait at the owner after which the call does better elsewhere; `None` if it should wait
+    /// as long as its deadline allows.
+    pub patience_us: Option<u64>,
 }
 
 /// An upstream that a choice weighed, for the decision log.
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -95,6 +95,7 @@
         Ok(Choice {
             upstream: best.upstream,
             reason,
+            patience_us: None,
         })
     }
 
@@ -213,6 +214,7 @@
         Some(Choice {
             upstream: key,
             reason: Reason::Trial,
+            patience_us: None,
         })
     }
 
