--- /dev/null
+++ b/components/calls/src/budget.rs
@@ -0,0 +1,38 @@
+//! Share of calls that may be hedged.
+
+/// Most unused hedges that are saved up, so that a quiet period can't pay for a burst of hedges.
+const MAX_SAVED_HEDGES: u32 = 10;
+
+/// One hedge in the unit of the balance.
+const HEDGE_COST: u32 = 100;
+
+/// Allows hedges up to a percentage of the calls, plus a short burst.
+#[derive(Clone, Debug)]
+pub struct HedgeBudget {
+    percent: u32,
+    balance: u32,
+}
+
+impl HedgeBudget {
+    /// A budget without savings; `max_percent` is capped at 100.
+    pub fn new(max_percent: u8) -> Self {
+        HedgeBudget {
+            percent: u32::from(max_percent.min(100)),
+            balance: 0,
+        }
+    }
+
+    /// Counts one call that could be hedged.
+    pub fn on_call(&mut self) {
+        self.balance = (self.balance + self.percent).min(MAX_SAVED_HEDGES * HEDGE_COST);
+    }
+
+    /// Takes one hedge from the budget if there is one.
+    pub fn try_hedge(&mut self) -> bool {
+        if self.balance < HEDGE_COST {
+            return false;
+        }
+        self.balance -= HEDGE_COST;
+        true
+    }
+}
