Add gossip membership and failure detection

Change: the members crate with join, direct and indirect probes, suspicion, refutation, leave, dissemination of upstream records, shared reports, revisions on each datagram and synchronisation by digest; model::Region. Conclusion: the interface is complete and meant to stay; larger groups, partitions and traffic are not measured yet.

--- /dev/null
+++ b/components/members/src/budget.rs
@@ -0,0 +1,43 @@
+//! Byte budget for gossip and synchronisation.
+
+/// Bytes that may be sent at once after a quiet time. A new node's whole region of 270 records
+/// takes about 50 kB, which the peers that serve it share.
+const BURST_BYTES: i64 = 48_000;
+
+/// Token bucket in bytes. It may go below zero by one datagram.
+#[derive(Debug)]
+pub(crate) struct Budget {
+    rate_per_s: u32,
+    tokens: i64,
+    /// Fraction of a byte earned so far, in millionths.
+    remainder: u64,
+    refilled_us: u64,
+}
+
+impl Budget {
+    pub(crate) fn new(rate_per_s: u32) -> Self {
+        Budget {
+            rate_per_s,
+            tokens: BURST_BYTES,
+            remainder: 0,
+            refilled_us: 0,
+        }
+    }
+
+    pub(crate) fn refill(&mut self, now_us: u64) {
+        let elapsed_us = now_us.saturating_sub(self.refilled_us).min(60_000_000);
+        self.refilled_us = self.refilled_us.max(now_us);
+        let earned = elapsed_us * u64::from(self.rate_per_s) + self.remainder;
+        self.remainder = earned % 1_000_000;
+        let bytes = i64::try_from(earned / 1_000_000).unwrap_or(BURST_BYTES);
+        self.tokens = (self.tokens + bytes).min(BURST_BYTES);
+    }
+
+    pub(crate) fn has_tokens(&self) -> bool {
+        self.tokens > 0
+    }
+
+    pub(crate) fn spend(&mut self, bytes: usize) {
+        self.tokens -= i64::try_from(bytes).unwrap_or(0);
+    }
+}
--- /dev/null
+++ b/components/members/src/config.rs
@@ -0,0 +1,65 @@
+//! Settings of the gossip of one node.
+
+use model::{AvailabilityZone, Region};
+use std::net::SocketAddr;
+
+/// Time between two probes of one node, in milliseconds.
+const DEFAULT_PERIOD_MS: u32 = 1_000;
+/// Peers that each gossip round reaches.
+const DEFAULT_FAN_OUT: u8 = 3;
+/// Budget for gossip and synchronisation in bytes per second, headers included. Probes and their
+/// replies are outside it; they take below 600 bytes per second.
+const DEFAULT_BYTES_PER_S: u32 = 1_500;
+
+/// Where a node is, whom it contacts first, and how often it sends.
+#[derive(Clone, Debug)]
+pub struct MemberConfig {
+    pub(crate) availability_zone: AvailabilityZone,
+    pub(crate) region: Region,
+    pub(crate) contacts: Vec<SocketAddr>,
+    pub(crate) period_us: u64,
+    pub(crate) fan_out: usize,
+    pub(crate) bytes_per_s: u32,
+}
+
+impl MemberConfig {
+    /// Default settings for a node in `availability_zone` of `region`.
+    pub fn new(availability_zone: AvailabilityZone, region: Region) -> Self {
+        MemberConfig {
+            availability_zone,
+            region,
+            contacts: Vec::new(),
+            period_us: u64::from(DEFAULT_PERIOD_MS) * 1_000,
+            fan_out: usize::from(DEFAULT_FAN_OUT),
+            bytes_per_s: DEFAULT_BYTES_PER_S,
+        }
+    }
+
+    /// Mesh addresses of processes that may know other members; tried until they are members.
+    #[must_use]
+    pub fn contacts(mut self, contacts: impl IntoIterator<Item = SocketAddr>) -> Self {
+        self.contacts = contacts.into_iter().collect();
+        self
+    }
+
+    /// Time between two probes; the probe and suspicion timeouts scale with it.
+    #[must_use]
+    pub fn period_ms(mut self, period_ms: u32) -> Self {
+        self.period_us = u64::from(period_ms.max(1)) * 1_000;
+        self
+    }
+
+    /// Peers that each gossip round reaches.
+    #[must_use]
+    pub fn fan_out(mut self, fan_out: u8) -> Self {
+        self.fan_out = usize::from(fan_out.max(1));
+        self
+    }
+
+    /// Budget for gossip and synchronisation in bytes per second.
+    #[must_use]
+    pub fn bytes_per_s(mut self, bytes_per_s: u32) -> Self {
+        self.bytes_per_s = bytes_per_s.max(1);
+        self
+    }
+}
--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -1,1 +1,24 @@
 //! Gossip membership and failure detection.
+//!
+//! `Members` is a state machine: the caller passes the time, datagrams and local changes in and
+//! carries out the returned actions. It should call `Members::tick` every `TICK_MS`.
+
+mod budget;
+mod config;
+mod extras;
+mod info;
+mod members;
+mod parts;
+mod probes;
+mod rumors;
+mod size;
+mod spread;
+mod sync;
+mod table;
+mod views;
+mod wire;
+
+pub use config::MemberConfig;
+pub use info::{MAX_EXTRA_BYTES, MemberAction, MemberError, MemberState, NodeInfo};
+pub use members::{Members, TICK_MS};
+pub use wire::{Datagram, MAX_DATAGRAM_BYTES};
--- /dev/null
+++ b/components/members/src/size.rs
@@ -0,0 +1,118 @@
+//! Encoded sizes in bytes under `postcard`, which this crate doesn't depend on.
+
+use crate::wire::{Body, Datagram, Entry, Extra, Notice, Record, UpstreamRecord};
+use model::Rule;
+use std::net::SocketAddr;
+
+/// Largest encoded socket address: variant, IPv6 octets, port.
+const MAX_ADDRESS_BYTES: usize = 20;
+
+/// Largest encoded page entry.
+pub(crate) const MAX_ENTRY_BYTES: usize = MAX_ADDRESS_BYTES + 10 + 5;
+
+pub(crate) fn varint(value: u64) -> usize {
+    let bits = 64 - value.max(1).leading_zeros() as usize;
+    bits.div_ceil(7)
+}
+
+fn text(value: &str) -> usize {
+    varint(value.len() as u64) + value.len()
+}
+
+fn address(value: SocketAddr) -> usize {
+    let octets = if value.is_ipv4() { 4 } else { 16 };
+    1 + octets + varint(value.port().into())
+}
+
+/// Size of a page without its entries.
+pub(crate) const BARE_PAGE_BYTES: usize = 6 + 2 * (1 + MAX_ADDRESS_BYTES) + 2;
+
+pub(crate) fn entry(value: &Entry) -> usize {
+    address(value.node.mesh) + varint(value.node.incarnation) + varint(value.sequence.into())
+}
+
+pub(crate) fn notice(value: &Notice) -> usize {
+    // The claim takes one byte, and a suspicion names its accuser.
+    let node = address(value.node.mesh) + varint(value.node.incarnation);
+    node + varint(value.sequence.into()) + 1 + MAX_ADDRESS_BYTES
+}
+
+pub(crate) fn extra(value: &Extra) -> usize {
+    varint(value.id) + varint(value.ttl_ms.into()) + 1 + value.bytes.len()
+}
+
+pub(crate) fn rule(value: &Rule) -> usize {
+    1 + value.method.as_deref().map_or(0, text)
+        + text(&value.path_prefix)
+        + text(value.profile.as_str())
+}
+
+/// Size of an upstream without its rules; their count takes up to 3 bytes.
+pub(crate) fn bare_upstream(value: &UpstreamRecord) -> usize {
+    text(value.name.as_str())
+        + text(value.service.as_str())
+        + address(value.address)
+        + varint(value.slots.into())
+        + varint(value.connections.into())
+        + 1
+        + varint(value.announced_ms)
+        + text(value.default_profile.as_str())
+        + 3
+        + varint(value.version)
+}
+
+/// Size of a record without its upstreams.
+pub(crate) fn bare_record(value: &Record) -> usize {
+    address(value.node.mesh)
+        + varint(value.node.incarnation)
+        + varint(value.sequence.into())
+        + text(value.region.as_str())
+        + text(value.zone.as_str())
+        + text(value.host.as_str())
+        + 2
+        + 2
+}
+
+pub(crate) fn record(value: &Record) -> usize {
+    let upstreams: usize = value
+        .upstreams
+        .iter()
+        .map(|upstream| bare_upstream(upstream) + upstream.rules.iter().map(rule).sum::<usize>())
+        .sum();
+    bare_record(value) + upstreams
+}
+
+fn body(value: &Body) -> usize {
+    1 + match value {
+        Body::Gossip | Body::Equal | Body::Repair => 0,
+        Body::Ping { nonce } | Body::Ack { nonce } | Body::Nack { nonce } => {
+            varint((*nonce).into())
+        }
+        Body::PingRequest { nonce, target } => varint((*nonce).into()) + address(*target),
+        Body::Summary { zones } => {
+            let pairs = zones
+                .iter()
+                .map(|(key, hash)| varint((*key).into()) + varint((*hash).into()));
+            2 + pairs.sum::<usize>()
+        }
+        Body::Page { entries, .. } => BARE_PAGE_BYTES + entries.iter().map(entry).sum::<usize>(),
+        Body::NextPage { .. } => 5 + 1 + MAX_ADDRESS_BYTES,
+        Body::Missing { entries } => 2 + entries.iter().map(entry).sum::<usize>(),
+        Body::Want { members } => 2 + members.iter().copied().map(address).sum::<usize>(),
+    }
+}
+
+/// Upper bound of the encoded size.
+pub(crate) fn datagram(value: &Datagram) -> usize {
+    let header = varint(value.incarnation)
+        + varint(value.sequence.into())
+        + varint(value.revision.term)
+        + varint(value.revision.number);
+    // Each of the three lists has a count of up to 2 bytes.
+    header
+        + body(&value.body)
+        + 6
+        + value.notices.iter().map(notice).sum::<usize>()
+        + value.records.iter().map(record).sum::<usize>()
+        + value.extras.iter().map(extra).sum::<usize>()
+}
--- /dev/null
+++ b/components/members/src/table.rs
@@ -0,0 +1,466 @@
+//! Members known to this node and the rules that decide between two claims about one of them.
+
+use crate::{
+    info::{MemberAction, MemberState, NodeInfo},
+    wire::{Claim, Entry, Notice},
+};
+use model::{AvailabilityZone, NodeId, Region, Revision, ServiceName, UpstreamName};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+/// How long a dead record is kept: longer than the hour for which regions may be partitioned, so
+/// that the records a partitioned region still holds can't revive the member.
+const DEAD_RETENTION_US: u64 = 3 * 3_600 * 1_000_000;
+/// Most dead records; 250 restarts a day and the loss of an availability zone leave below 300.
+const MAX_DEAD: usize = 4_096;
+
+/// 64-bit FNV-1a followed by an avalanche step, the same on all hosts.
+pub(crate) fn stable_hash(bytes: impl IntoIterator<Item = u8>) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in bytes {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 33)
+}
+
+fn address_bytes(address: SocketAddr) -> Vec<u8> {
+    let mut bytes = match address {
+        SocketAddr::V4(v4) => v4.ip().octets().to_vec(),
+        SocketAddr::V6(v6) => v6.ip().octets().to_vec(),
+    };
+    bytes.extend(address.port().to_be_bytes());
+    bytes
+}
+
+pub(crate) fn node_hash(node: NodeId) -> u64 {
+    stable_hash(
+        address_bytes(node.mesh)
+            .into_iter()
+            .chain(node.incarnation.to_be_bytes()),
+    )
+}
+
+fn entry_hash(node: NodeId, sequence: u32) -> u32 {
+    (node_hash(node) ^ stable_hash(sequence.to_be_bytes())) as u32
+}
+
+/// Key of an availability zone; zones of two regions may have one name.
+pub(crate) fn zone_key(region: &Region, zone: &AvailabilityZone) -> u32 {
+    let region = region.as_str().bytes();
+    stable_hash(region.chain([0]).chain(zone.as_str().bytes())) as u32
+}
+
+/// A live member.
+#[derive(Debug)]
+pub(crate) struct Member {
+    /// As the member announced it.
+    announced: Arc<NodeInfo>,
+    /// Without the upstreams whose names a newer incarnation took over.
+    pub(crate) info: Arc<NodeInfo>,
+    pub(crate) sequence: u32,
+    pub(crate) zone_key: u32,
+}
+
+/// A member that failed or left.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Dead {
+    pub(crate) incarnation: u64,
+    pub(crate) sequence: u32,
+    pub(crate) has_left: bool,
+    since_us: u64,
+}
+
+/// Digest of one availability zone.
+#[derive(Debug, Default)]
+pub(crate) struct Zone {
+    pub(crate) hash: u32,
+    pub(crate) members: BTreeSet<SocketAddr>,
+}
+
+/// Result of merging a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Merge {
+    /// The table changed.
+    Newer,
+    /// The table knew this already.
+    Known,
+    /// The table knows better.
+    Stale,
+    /// The claim refers to a record that the table lacks.
+    Missing,
+}
+
+type UpstreamId = (ServiceName, UpstreamName);
+
+/// All known members; the local one is among them.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    live: BTreeMap<SocketAddr, Member>,
+    dead: BTreeMap<SocketAddr, Dead>,
+    zones: BTreeMap<u32, Zone>,
+    names: BTreeMap<UpstreamId, BTreeSet<SocketAddr>>,
+    /// Whether the set of live members or their standing changed since the last look.
+    pub(crate) is_dirty: bool,
+}
+
+impl Table {
+    pub(crate) fn get(&self, address: SocketAddr) -> Option<&Member> {
+        self.live.get(&address)
+    }
+
+    pub(crate) fn live(&self) -> impl Iterator<Item = &Member> {
+        self.live.values()
+    }
+
+    pub(crate) fn zones(&self) -> &BTreeMap<u32, Zone> {
+        &self.zones
+    }
+
+    /// Addresses of failed members, which may be alive beyond a partition.
+    pub(crate) fn failed(&self) -> impl Iterator<Item = SocketAddr> {
+        self.dead
+            .iter()
+            .filter(|(_, dead)| !dead.has_left)
+            .map(|(address, _)| *address)
+    }
+
+    pub(crate) fn entry(&self, address: SocketAddr) -> Option<Entry> {
+        self.live.get(&address).map(|member| Entry {
+            node: member.info.node,
+            sequence: member.sequence,
+        })
+    }
+
+    /// What this table claims about a member that failed or left.
+    pub(crate) fn dead_notice(&self, address: SocketAddr) -> Option<Notice> {
+        self.dead.get(&address).map(|dead| Notice {
+            node: NodeId {
+                mesh: address,
+                incarnation: dead.incarnation,
+            },
+            sequence: dead.sequence,
+            claim: if dead.has_left {
+                Claim::Left
+            } else {
+                Claim::Failed
+            },
+        })
+    }
+
+    /// Compares an entry of another table with this one.
+    pub(crate) fn compare(&self, entry: &Entry) -> Merge {
+        let offered = (entry.node.incarnation, entry.sequence);
+        if let Some(member) = self.live.get(&entry.node.mesh) {
+            let held = (member.info.node.incarnation, member.sequence);
+            return match offered.cmp(&held) {
+                std::cmp::Ordering::Greater => Merge::Missing,
+                std::cmp::Ordering::Equal => Merge::Known,
+                std::cmp::Ordering::Less => Merge::Stale,
+            };
+        }
+        match self.dead.get(&entry.node.mesh) {
+            Some(dead) if !dead.admits(offered.0, offered.1) => Merge::Stale,
+            _ => Merge::Missing,
+        }
+    }
+
+    /// Merges a whole record of a member.
+    pub(crate) fn merge_record(
+        &mut self,
+        info: NodeInfo,
+        sequence: u32,
+        actions: &mut Vec<MemberAction>,
+    ) -> Merge {
+        let entry = Entry {
+            node: info.node,
+            sequence,
+        };
+        let verdict = self.compare(&entry);
+        if verdict != Merge::Missing {
+            return verdict;
+        }
+        self.dead.remove(&info.node.mesh);
+        let previous = self.remove(info.node.mesh);
+        let dropped = previous
+            .as_ref()
+            .map(|old| upstream_ids(&old.announced))
+            .unwrap_or_default();
+        let is_known = match previous {
+            Some(member) if member.info.node.incarnation < info.node.incarnation => {
+                actions.push(MemberAction::Failed(with_state(
+                    &member.info,
+                    MemberState::Failed,
+                )));
+                false
+            }
+            Some(_) => true,
+            None => false,
+        };
+        let address = info.node.mesh;
+        let mut changed = self.insert(info, sequence);
+        changed.extend(self.show(&dropped));
+        let shown = self.live[&address].info.clone();
+        actions.push(if is_known {
+            MemberAction::Changed(shown)
+        } else {
+            MemberAction::Joined(shown)
+        });
+        self.push_changed(changed, address, actions);
+        Merge::Newer
+    }
+
+    /// Merges the claim that a live member is suspect, at the sequence held here.
+    pub(crate) fn suspect(&mut self, address: SocketAddr, actions: &mut Vec<MemberAction>) -> bool {
+        let Some(member) = self.live.get_mut(&address) else {
+            return false;
+        };
+        if member.info.state == MemberState::Suspect {
+            return false;
+        }
+        member.announced = with_state(&member.announced, MemberState::Suspect);
+        member.info = with_state(&member.info, MemberState::Suspect);
+        actions.push(MemberAction::Changed(Arc::clone(&member.info)));
+        self.is_dirty = true;
+        true
+    }
+
+    /// Merges the claim that a member failed or left.
+    pub(crate) fn merge_dead(
+        &mut self,
+        now_us: u64,
+        notice: &Notice,
+        actions: &mut Vec<MemberAction>,
+    ) -> Merge {
+        let address = notice.node.mesh;
+        let claim = Dead {
+            incarnation: notice.node.incarnation,
+            sequence: notice.sequence,
+            has_left: notice.claim == Claim::Left,
+            since_us: now_us,
+        };
+        if let Some(member) = self.live.get(&address) {
+            if claim.admits(member.info.node.incarnation, member.sequence) {
+                return Merge::Stale;
+            }
+            self.bury(address, claim, actions);
+            return Merge::Newer;
+        }
+        let held = self.dead.get(&address);
+        if held.is_some_and(|held| held.rank() >= claim.rank()) {
+            return Merge::Known;
+        }
+        let is_first = held.is_none();
+        self.dead.insert(address, claim);
+        self.trim_dead();
+        // A member that was never known here needs no further spreading.
+        if is_first { Merge::Known } else { Merge::Newer }
+    }
+
+    fn bury(&mut self, address: SocketAddr, dead: Dead, actions: &mut Vec<MemberAction>) {
+        let Some(member) = self.remove(address) else {
+            return;
+        };
+        self.dead.insert(address, dead);
+        self.trim_dead();
+        actions.push(if dead.has_left {
+            MemberAction::Left(with_state(&member.info, MemberState::Left))
+        } else {
+            MemberAction::Failed(with_state(&member.info, MemberState::Failed))
+        });
+        let names = upstream_ids(&member.announced);
+        let changed = self.show(&names);
+        self.push_changed(changed, address, actions);
+    }
+
+    fn trim_dead(&mut self) {
+        while self.dead.len() > MAX_DEAD {
+            let oldest = self.dead.iter().min_by_key(|(_, dead)| dead.since_us);
+            let Some(address) = oldest.map(|(address, _)| *address) else {
+                return;
+            };
+            self.dead.remove(&address);
+        }
+    }
+
+    /// Forgets dead records after their retention.
+    pub(crate) fn expire_dead(&mut self, now_us: u64) {
+        self.dead
+            .retain(|_, dead| now_us.saturating_sub(dead.since_us) < DEAD_RETENTION_US);
+    }
+
+    /// Notes the revision that a member's datagram carried.
+    pub(crate) fn set_revision(&mut self, address: SocketAddr, revision: Revision) {
+        let Some(member) = self.live.get_mut(&address) else {
+            return;
+        };
+        if member.info.revision < revision {
+            Arc::make_mut(&mut member.info).revision = revision;
+            Arc::make_mut(&mut member.announced).revision = revision;
+        }
+    }
+
+    /// Replaces the record of the local member, which no other claim may override.
+    pub(crate) fn set_local(
+        &mut self,
+        info: NodeInfo,
+        sequence: u32,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let address = info.node.mesh;
+        self.dead.remove(&address);
+        let names = self.remove(address).map(|old| upstream_ids(&old.announced));
+        let mut changed = self.insert(info, sequence);
+        changed.extend(self.show(&names.unwrap_or_default()));
+        self.push_changed(changed, address, actions);
+    }
+
+    /// Removes the local member when it leaves.
+    pub(crate) fn leave_local(&mut self, now_us: u64, notice: &Notice) {
+        let dead = Dead {
+            incarnation: notice.node.incarnation,
+            sequence: notice.sequence,
+            has_left: true,
+            since_us: now_us,
+        };
+        self.bury(notice.node.mesh, dead, &mut Vec::new());
+    }
+
+    fn insert(&mut self, info: NodeInfo, sequence: u32) -> BTreeSet<SocketAddr> {
+        let address = info.node.mesh;
+        let key = zone_key(&info.region, &info.zone);
+        let zone = self.zones.entry(key).or_default();
+        zone.hash ^= entry_hash(info.node, sequence);
+        zone.members.insert(address);
+        let names = upstream_ids(&info);
+        for name in &names {
+            self.names.entry(name.clone()).or_default().insert(address);
+        }
+        let announced = Arc::new(info);
+        let member = Member {
+            info: Arc::clone(&announced),
+            announced,
+            sequence,
+            zone_key: key,
+        };
+        self.live.insert(address, member);
+        self.is_dirty = true;
+        self.show(&names)
+    }
+
+    fn remove(&mut self, address: SocketAddr) -> Option<Member> {
+        let member = self.live.remove(&address)?;
+        if let Some(zone) = self.zones.get_mut(&member.zone_key) {
+            zone.hash ^= entry_hash(member.info.node, member.sequence);
+            zone.members.remove(&address);
+            if zone.members.is_empty() {
+                self.zones.remove(&member.zone_key);
+            }
+        }
+        for name in upstream_ids(&member.announced) {
+            if let Some(owners) = self.names.get_mut(&name) {
+                owners.remove(&address);
+                if owners.is_empty() {
+                    self.names.remove(&name);
+                }
+            }
+        }
+        self.is_dirty = true;
+        Some(member)
+    }
+
+    /// Whether another live member with a newer incarnation announces the same name.
+    fn is_superseded(&self, address: SocketAddr, name: &UpstreamId) -> bool {
+        let Some(owners) = self.names.get(name).filter(|owners| owners.len() > 1) else {
+            return false;
+        };
+        let rank = |owner: SocketAddr| {
+            let member = &self.live[&owner];
+            (member.info.node.incarnation, owner)
+        };
+        owners.iter().any(|owner| rank(*owner) > rank(address))
+    }
+
+    /// Recomputes what is shown of all members that announce one of `names`.
+    fn show(&mut self, names: &[UpstreamId]) -> BTreeSet<SocketAddr> {
+        let owners: BTreeSet<SocketAddr> = names
+            .iter()
+            .filter_map(|name| self.names.get(name))
+            .flatten()
+            .copied()
+            .collect();
+        let mut changed = BTreeSet::new();
+        for owner in owners {
+            let announced = &self.live[&owner].announced;
+            let is_hidden = |info: &NodeInfo| {
+                upstream_ids(info)
+                    .iter()
+                    .any(|name| self.is_superseded(owner, name))
+            };
+            let shown = if is_hidden(announced) {
+                let mut info = NodeInfo::clone(announced);
+                info.upstreams.retain(|upstream| {
+                    !self.is_superseded(owner, &(upstream.service.clone(), upstream.name.clone()))
+                });
+                Arc::new(info)
+            } else {
+                Arc::clone(announced)
+            };
+            if let Some(member) = self.live.get_mut(&owner)
+                && member.info != shown
+            {
+                member.info = shown;
+                changed.insert(owner);
+            }
+        }
+        changed
+    }
+
+    fn push_changed(
+        &self,
+        changed: BTreeSet<SocketAddr>,
+        except: SocketAddr,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let others = changed.into_iter().filter(|address| *address != except);
+        for member in others.filter_map(|address| self.live.get(&address)) {
+            actions.push(MemberAction::Changed(Arc::clone(&member.info)));
+        }
+    }
+
+    /// The record as the member announced it.
+    pub(crate) fn announced(&self, address: SocketAddr) -> Option<(&NodeInfo, u32)> {
+        self.live
+            .get(&address)
+            .map(|member| (member.announced.as_ref(), member.sequence))
+    }
+}
+
+impl Dead {
+    /// Whether a record of this incarnation and sequence is newer than the death.
+    pub(crate) fn admits(self, incarnation: u64, sequence: u32) -> bool {
+        incarnation > self.incarnation
+            || (incarnation == self.incarnation && !self.has_left && sequence > self.sequence)
+    }
+
+    fn rank(self) -> (u64, bool, u32) {
+        (self.incarnation, self.has_left, self.sequence)
+    }
+}
+
+fn with_state(info: &NodeInfo, state: MemberState) -> Arc<NodeInfo> {
+    Arc::new(NodeInfo {
+        state,
+        ..info.clone()
+    })
+}
+
+fn upstream_ids(info: &NodeInfo) -> Vec<UpstreamId> {
+    info.upstreams
+        .iter()
+        .map(|upstream| (upstream.service.clone(), upstream.name.clone()))
+        .collect()
+}
--- /dev/null
+++ b/components/members/src/views.rs
@@ -0,0 +1,87 @@
+//! Lists derived from the table: peers of the own region, ring order and gateways.
+
+use crate::{
+    info::MemberState,
+    table::{Table, node_hash},
+};
+use model::{AvailabilityZone, NodeId, Region};
+use std::{collections::BTreeMap, net::SocketAddr};
+
+/// Members of a region that exchange digests and changed records with other regions. Three, so
+/// that the loss of one host or its slowness doesn't delay a drain in other regions.
+const GATEWAYS: usize = 3;
+
+/// Members of another region.
+#[derive(Debug, Default)]
+pub(crate) struct RemoteRegion {
+    pub(crate) gateways: Vec<SocketAddr>,
+    pub(crate) members: Vec<SocketAddr>,
+}
+
+/// Derived lists; the local member is in none of them.
+#[derive(Debug, Default)]
+pub(crate) struct Views {
+    /// Members of the own region.
+    pub(crate) peers: Vec<SocketAddr>,
+    /// Members of the own availability zone.
+    pub(crate) zone_peers: Vec<SocketAddr>,
+    /// Members of the own region that are not suspect, in ring order from the local one on.
+    pub(crate) successors: Vec<SocketAddr>,
+    pub(crate) remote: BTreeMap<Region, RemoteRegion>,
+    /// Whether the local member is a gateway of its region.
+    pub(crate) is_gateway: bool,
+}
+
+/// The `GATEWAYS` members with the lowest hash.
+fn gateways(members: &mut [(u64, SocketAddr)]) -> Vec<SocketAddr> {
+    members.sort_unstable();
+    members
+        .iter()
+        .take(GATEWAYS)
+        .map(|(_, address)| *address)
+        .collect()
+}
+
+pub(crate) fn build(
+    table: &Table,
+    local: NodeId,
+    zone: &AvailabilityZone,
+    region: &Region,
+) -> Views {
+    let mut views = Views::default();
+    let mut ring = Vec::new();
+    let mut own = vec![(node_hash(local), local.mesh)];
+    let mut remote: BTreeMap<Region, Vec<(u64, SocketAddr)>> = BTreeMap::new();
+    for member in table
+        .live()
+        .filter(|member| member.info.node.mesh != local.mesh)
+    {
+        let info = &member.info;
+        let ranked = (node_hash(info.node), info.node.mesh);
+        if info.region != *region {
+            remote.entry(info.region.clone()).or_default().push(ranked);
+            continue;
+        }
+        own.push(ranked);
+        views.peers.push(info.node.mesh);
+        if info.zone == *zone {
+            views.zone_peers.push(info.node.mesh);
+        }
+        if info.state == MemberState::Alive {
+            ring.push(ranked);
+        }
+    }
+    ring.sort_unstable();
+    let start = ring.partition_point(|ranked| *ranked < (node_hash(local), local.mesh));
+    ring.rotate_left(start);
+    views.successors = ring.into_iter().map(|(_, address)| address).collect();
+    views.is_gateway = gateways(&mut own).contains(&local.mesh);
+    for (region, mut members) in remote {
+        let gateways = gateways(&mut members);
+        let members = members.into_iter().map(|(_, address)| address).collect();
+        views
+            .remote
+            .insert(region, RemoteRegion { gateways, members });
+    }
+    views
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -8,7 +8,9 @@
 
 pub use ids::{AttemptId, CallId, NodeId, Revision};
 pub use load::LoadSignal;
-pub use names::{AvailabilityZone, HostName, NameError, ProfileName, ServiceName, UpstreamName};
+pub use names::{
+    AvailabilityZone, HostName, NameError, ProfileName, Region, ServiceName, UpstreamName,
+};
 pub use profile::{
     FieldError, Hedge, Measure, Priority, Profile, ProfileFileError, ZonePreference,
 };
--- a/components/model/src/names.rs
+++ b/components/model/src/names.rs
@@ -106,6 +106,11 @@
     AvailabilityZone,
     "availability zone"
 );
+name_type!(
+    /// A region, from the settings of a process; it holds one or more availability zones.
+    Region,
+    "region"
+);
 name_type!(
     /// A host, from the settings of a process.
     HostName,
