Add transport between the system's own processes

Cause: nodes and control replicas need one authenticated transport with liveness, which tells "not sent" from "may have arrived".

Change: components/mesh with the interface of docs/design.md section 4.9.

Conclusion: interface ready for kernel and node; fault and property tests follow.

--- /dev/null
+++ b/components/mesh/src/frame.rs
@@ -0,0 +1,241 @@
+//! Envelopes on a connection: sequence number, authentication tag, fragments.
+
+use crate::Channel;
+use snafu::Snafu;
+use std::collections::HashMap;
+use subtle::ConstantTimeEq;
+
+/// Bytes before the payload: length, sequence number, kind, channel, message id, tag.
+pub const HEADER_BYTES: usize = TAG_START + TAG_BYTES;
+/// Most payload bytes of one envelope; longer messages are sent in fragments.
+pub const MAX_FRAGMENT_BYTES: usize = 64 * 1024;
+
+const TAG_START: usize = 22;
+const TAG_BYTES: usize = 16;
+/// Set in the kind if more fragments of the message follow.
+const MORE: u8 = 0x80;
+
+/// What an envelope is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// Message without reply.
+    OneWay,
+    /// Message that expects a reply with the same id.
+    Request,
+    /// Reply.
+    Reply,
+    /// Tells that the request with this id gets no reply.
+    NoReply,
+    /// Asks for a pong.
+    Ping,
+    /// Answers a ping.
+    Pong,
+}
+
+const KINDS: [Kind; 6] = [
+    Kind::OneWay,
+    Kind::Request,
+    Kind::Reply,
+    Kind::NoReply,
+    Kind::Ping,
+    Kind::Pong,
+];
+
+/// An envelope that ends its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum FrameError {
+    /// Over the size limit, alone or with the other fragments of its message.
+    #[snafu(display("an envelope or message is over the size limit"))]
+    TooLarge,
+    /// Replayed, lost or out of order.
+    #[snafu(display("an envelope has the wrong sequence number"))]
+    OutOfSequence,
+    /// Not from the peer, or altered.
+    #[snafu(display("an envelope failed its authentication check"))]
+    BadTag,
+    /// Kind or channel has no meaning in this version.
+    #[snafu(display("an envelope has an unknown kind or channel"))]
+    Unknown,
+}
+
+/// An envelope that passed all checks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame {
+    /// What it is for.
+    pub kind: Kind,
+    /// Channel of the message.
+    pub channel: Channel,
+    /// Message id, unique per kind and direction.
+    pub id: u64,
+    /// Whether more fragments follow.
+    pub more: bool,
+    /// Payload or fragment of it.
+    pub payload: Vec<u8>,
+}
+
+/// Writes envelopes of one direction.
+#[derive(Debug)]
+pub struct Sealer {
+    key: [u8; 32],
+    sequence: u64,
+}
+
+impl Sealer {
+    /// Starts at sequence number 0.
+    pub fn new(key: [u8; 32]) -> Self {
+        Sealer { key, sequence: 0 }
+    }
+
+    /// Appends one envelope; `payload` is at most `MAX_FRAGMENT_BYTES` long.
+    pub fn seal(
+        &mut self,
+        out: &mut Vec<u8>,
+        kind: Kind,
+        channel: Channel,
+        id: u64,
+        payload: &[u8],
+        more: bool,
+    ) {
+        let start = out.len();
+        out.reserve(HEADER_BYTES + payload.len());
+        out.extend_from_slice(&(payload.len() as u32).to_be_bytes());
+        out.extend_from_slice(&self.sequence.to_be_bytes());
+        out.push(kind as u8 | if more { MORE } else { 0 });
+        out.push(channel as u8);
+        out.extend_from_slice(&id.to_be_bytes());
+        let tag = tag(&self.key, &out[start..start + TAG_START], payload);
+        out.extend_from_slice(&tag);
+        out.extend_from_slice(payload);
+        self.sequence += 1;
+    }
+}
+
+/// Checks envelopes of one direction.
+#[derive(Debug)]
+pub struct Opener {
+    key: [u8; 32],
+    sequence: u64,
+}
+
+impl Opener {
+    /// Expects sequence number 0 first.
+    pub fn new(key: [u8; 32]) -> Self {
+        Opener { key, sequence: 0 }
+    }
+
+    /// Opens the envelope at the start of `bytes` and tells its length; `None` if it is incomplete.
+    pub fn open(&mut self, bytes: &[u8]) -> Result<Option<(Frame, usize)>, FrameError> {
+        let Some(header) = bytes.first_chunk::<HEADER_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32_at(header, 0) as usize;
+        if length > MAX_FRAGMENT_BYTES {
+            return Err(FrameError::TooLarge);
+        }
+        if u64_at(header, 4) != self.sequence {
+            return Err(FrameError::OutOfSequence);
+        }
+        let Some(payload) = bytes.get(HEADER_BYTES..HEADER_BYTES + length) else {
+            return Ok(None);
+        };
+        let expected = tag(&self.key, &header[..TAG_START], payload);
+        if !bool::from(expected.ct_eq(&header[TAG_START..])) {
+            return Err(FrameError::BadTag);
+        }
+        let kind = KINDS.get(usize::from(header[12] & !MORE)).copied();
+        let (Some(kind), Some(channel)) = (kind, Channel::from_wire(header[13])) else {
+            return Err(FrameError::Unknown);
+        };
+        self.sequence += 1;
+        let frame = Frame {
+            kind,
+            channel,
+            id: u64_at(header, 14),
+            more: header[12] & MORE != 0,
+            payload: payload.to_vec(),
+        };
+        Ok(Some((frame, HEADER_BYTES + length)))
+    }
+}
+
+/// Joins fragments into messages.
+#[derive(Debug)]
+pub struct Assembler {
+    partial: HashMap<(Kind, u64), Vec<u8>>,
+    held_bytes: usize,
+    max_message_bytes: usize,
+    max_held_bytes: usize,
+}
+
+impl Assembler {
+    /// Limits one message, and all unfinished messages together.
+    pub fn new(max_message_bytes: usize, max_held_bytes: usize) -> Self {
+        Assembler {
+            partial: HashMap::new(),
+            held_bytes: 0,
+            max_message_bytes,
+            max_held_bytes,
+        }
+    }
+
+    /// Bytes of unfinished messages.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// Takes an envelope and returns the message if it is whole now.
+    pub fn push(&mut self, frame: Frame) -> Result<Option<Frame>, FrameError> {
+        if !frame.more && self.partial.is_empty() {
+            return Ok(Some(frame));
+        }
+        let key = (frame.kind, frame.id);
+        if !frame.more && !self.partial.contains_key(&key) {
+            return Ok(Some(frame));
+        }
+        if frame.payload.is_empty() {
+            // Empty fragments would hold table entries without counting as bytes.
+            return Err(FrameError::Unknown);
+        }
+        let held = self.held_bytes + frame.payload.len();
+        let message = self.partial.entry(key).or_default();
+        if held > self.max_held_bytes
+            || message.len() + frame.payload.len() > self.max_message_bytes
+        {
+            return Err(FrameError::TooLarge);
+        }
+        message.extend_from_slice(&frame.payload);
+        self.held_bytes = held;
+        if frame.more {
+            return Ok(None);
+        }
+        let payload = self.partial.remove(&key).unwrap_or_default();
+        self.held_bytes -= payload.len();
+        Ok(Some(Frame { payload, ..frame }))
+    }
+}
+
+fn tag(key: &[u8; 32], header: &[u8], payload: &[u8]) -> [u8; TAG_BYTES] {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    hasher.update(header);
+    hasher.update(payload);
+    truncated(&hasher.finalize())
+}
+
+/// The first 128 bits of a keyed hash.
+pub(crate) fn truncated(hash: &blake3::Hash) -> [u8; TAG_BYTES] {
+    let mut tag = [0; TAG_BYTES];
+    tag.copy_from_slice(&hash.as_bytes()[..TAG_BYTES]);
+    tag
+}
+
+fn u32_at(bytes: &[u8; HEADER_BYTES], at: usize) -> u32 {
+    bytes[at..at + 4]
+        .iter()
+        .fold(0, |value, &byte| value << 8 | u32::from(byte))
+}
+
+fn u64_at(bytes: &[u8; HEADER_BYTES], at: usize) -> u64 {
+    bytes[at..at + 8]
+        .iter()
+        .fold(0, |value, &byte| value << 8 | u64::from(byte))
+}
--- a/components/mesh/src/lib.rs
+++ b/components/mesh/src/lib.rs
@@ -1,1 +1,31 @@
 //! Transport between the system's own processes over TCP and UDP.
+//!
+//! Each process dials its peers for what it sends; replies come back on the same connection. The
+//! sending thread writes to the socket itself. The reader thread of a connection runs handlers and
+//! reply callbacks, so these must not block.
+
+mod builder;
+mod channel;
+mod datagram;
+mod error;
+mod frame;
+mod handshake;
+mod link;
+mod outbox;
+mod peer;
+mod stats;
+mod timer;
+mod transport;
+
+pub use builder::{Limits, MeshBuilder};
+pub use channel::Channel;
+pub use datagram::MAX_DATAGRAM_PAYLOAD_BYTES;
+pub use error::{MeshError, RequestError, SendError};
+pub use frame::{
+    Assembler, Frame, FrameError, HEADER_BYTES, Kind, MAX_FRAGMENT_BYTES, Opener, Sealer,
+};
+pub use stats::{ChannelStats, Stats};
+pub use transport::{Inbound, Mesh, ReplyTo};
+
+/// Payload of a message.
+pub type Bytes = Vec<u8>;
