--- a/components/calls/src/claims.rs
+++ b/components/calls/src/claims.rs
@@ -1,14 +1,21 @@
 //! The keeper's table of idempotency keys.
 
-use crate::{Fingerprint, Key};
+use crate::{Fingerprint, Key, ROUND_MAX_US};
 use model::{AttemptId, NodeId};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+};
 
 /// Longest deadline of a keyed call in milliseconds. With the life of the call records it stays
-/// below the retention of claims, so a claim outlives every trace of the call that it protects.
+/// below the retention of claims, so a claim outlives the call that it protects.
 pub const MAX_KEYED_CALL_MS: u64 = 540_000;
 
+/// How long a restarted keeper waits before it copies claims: a round that counts a grant of its
+/// earlier run has ended by then at every entry, and the other grants are in the copies.
+const COPY_WAIT_US: u64 = 2 * ROUND_MAX_US;
+
 /// An attempt that may run under a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Holder {
@@ -29,7 +36,7 @@
     pub attempt: AttemptId,
     /// The owner that the attempt will be sent to.
     pub owner: NodeId,
-    /// Attempts that their owners confirmed as not started and never to be started.
+    /// Attempts that are confirmed as not started and never to be started.
     pub over: Vec<AttemptId>,
 }
 
@@ -56,10 +63,8 @@
 pub struct CopiedClaim {
     /// Hash of service and idempotency key.
     pub key: Key,
-    /// Hash of the request.
-    pub fingerprint: Fingerprint,
-    /// Attempts that may run under the key.
-    pub holders: Vec<Holder>,
+    /// Attempts that may run under the key, each with the hash of its request.
+    pub holders: Vec<(Holder, Fingerprint)>,
     /// Rest of the retention; a duration, because keepers share no clock.
     pub remaining_us: u64,
 }
@@ -67,8 +72,10 @@
 /// One page of a keeper's table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimCopy {
-    /// Whether the sender knew all its claims; a warming keeper does not.
+    /// Whether the sender knows all its claims; a warming keeper does not.
     pub complete: bool,
+    /// Key after which this page starts; `None` on the first page.
+    pub after: Option<Key>,
     /// Key to pass to the next `export`; `None` after the last page.
     pub next: Option<Key>,
     /// The claims.
@@ -100,81 +107,170 @@
         ClaimConfig {
             keepers: 3,
             retention_ms: 600_000,
-            max_claims: 1_000_000,
+            max_claims: 500_000,
         }
     }
 }
 
+/// An attempt that may run under a key, with the request that it stands for.
+type Tenant = (Holder, Fingerprint);
+
+/// One key. A second tenant is rare: it appears if copies of two keepers name different ones.
+#[derive(Debug)]
+struct Held {
+    tenant: Tenant,
+    others: Vec<Tenant>,
+    expires_us: u64,
+}
+
+impl Held {
+    fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        std::iter::once(&self.tenant).chain(&self.others)
+    }
+
+    /// The tenant that keeps `claim` from being granted, if any.
+    fn blocking(&self, claim: &Claim) -> Option<&Tenant> {
+        self.tenants().find(|(holder, fingerprint)| {
+            let is_settled =
+                holder.attempt == claim.attempt || claim.over.contains(&holder.attempt);
+            !is_settled || *fingerprint != claim.fingerprint
+        })
+    }
+}
+
+/// Progress of the copies that a restarted keeper needs.
+#[derive(Debug)]
+struct Warming {
+    copy_from_us: u64,
+    until_us: u64,
+    /// Keepers copied in full.
+    copied: BTreeSet<usize>,
+    /// Next page expected of each keeper.
+    pages: BTreeMap<usize, Option<Key>>,
+}
+
 /// Claims of one keeper.
 #[derive(Debug)]
 pub struct ClaimTable {
     config: ClaimConfig,
-    claims: HashMap<Key, CopiedClaim>,
+    /// Ordered, so that copies can be taken in pages.
+    claims: BTreeMap<Key, Held>,
+    expiry: BTreeSet<(u64, Key)>,
+    warming: Option<Warming>,
 }
 
 impl ClaimTable {
     /// An empty table; after `ClaimStart::Restarted` it replies `Warming` until it has copies.
-    pub fn new(_now_us: u64, config: ClaimConfig, _start: ClaimStart) -> Self {
+    pub fn new(now_us: u64, config: ClaimConfig, start: ClaimStart) -> Self {
+        let warming = (start == ClaimStart::Restarted).then(|| Warming {
+            copy_from_us: now_us + COPY_WAIT_US,
+            until_us: now_us + config.retention_ms * 1_000,
+            copied: BTreeSet::new(),
+            pages: BTreeMap::new(),
+        });
         ClaimTable {
             config,
-            claims: HashMap::new(),
+            claims: BTreeMap::new(),
+            expiry: BTreeSet::new(),
+            warming,
         }
     }
 
-    /// Grants or refuses a claim.
-    pub fn claim(&mut self, _now_us: u64, claim: &Claim) -> ClaimReply {
-        if self.claims.len() >= self.config.max_claims {
-            return ClaimReply::Full;
+    /// Grants or refuses a claim. It is granted if the key is free, or if every holder is the same
+    /// attempt or listed in `over`.
+    pub fn claim(&mut self, now_us: u64, claim: &Claim) -> ClaimReply {
+        self.purge(now_us);
+        if self.is_warming(now_us) {
+            return ClaimReply::Warming;
+        }
+        match self.claims.get(&claim.key) {
+            Some(held) => {
+                if let Some(&(holder, fingerprint)) = held.blocking(claim) {
+                    return ClaimReply::Held {
+                        holder,
+                        fingerprint,
+                    };
+                }
+            }
+            None if self.claims.len() >= self.config.max_claims => return ClaimReply::Full,
+            None => {}
         }
         let holder = Holder {
             attempt: claim.attempt,
             owner: claim.owner,
         };
-        let entry = self.claims.entry(claim.key).or_insert_with(|| CopiedClaim {
-            key: claim.key,
-            fingerprint: claim.fingerprint,
-            holders: Vec::new(),
-            remaining_us: 0,
-        });
-        entry.holders.retain(|h| !claim.over.contains(&h.attempt));
-        match entry.holders.first() {
-            Some(held) if *held != holder => ClaimReply::Held {
-                holder: *held,
-                fingerprint: entry.fingerprint,
-            },
-            _ => {
-                entry.holders = vec![holder];
-                ClaimReply::Granted
-            }
-        }
+        let held = Held {
+            tenant: (holder, claim.fingerprint),
+            others: Vec::new(),
+            expires_us: now_us + self.config.retention_ms * 1_000,
+        };
+        self.put(claim.key, held);
+        ClaimReply::Granted
     }
 
-    /// One page of the table for a restarted keeper, from `from` on.
-    pub fn export(&mut self, _now_us: u64, _from: Option<Key>, _max: usize) -> ClaimCopy {
+    /// One page of at most `max` claims for a restarted keeper, after the key `after`.
+    pub fn export(&mut self, now_us: u64, after: Option<Key>, max: usize) -> ClaimCopy {
+        self.purge(now_us);
+        let complete = !self.is_warming(now_us);
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let claims: Vec<CopiedClaim> = self
+            .claims
+            .range((start, Bound::Unbounded))
+            .take(max.max(1))
+            .map(|(key, held)| CopiedClaim {
+                key: *key,
+                holders: held.tenants().copied().collect(),
+                remaining_us: held.expires_us.saturating_sub(now_us),
+            })
+            .collect();
+        let is_last = claims.len() < max.max(1);
         ClaimCopy {
-            complete: true,
-            next: None,
-            claims: self.claims.values().cloned().collect(),
+            complete,
+            after,
+            next: claims.last().filter(|_| !is_last).map(|c| c.key),
+            claims,
         }
     }
 
-    /// Takes over one page from the keeper with index `from`; pages must come in order.
-    pub fn import(&mut self, _now_us: u64, _from: usize, copy: &ClaimCopy) {
+    /// Takes over one page that was requested at `requested_us` from the keeper with index `from`.
+    /// A page that was requested before `copy_from_us` or comes out of order is merged but does
+    /// not count as part of a complete copy.
+    pub fn import(&mut self, now_us: u64, requested_us: u64, from: usize, copy: &ClaimCopy) {
+        self.purge(now_us);
         for claim in &copy.claims {
-            self.claims
-                .entry(claim.key)
-                .or_insert_with(|| claim.clone());
+            self.merge(now_us, claim);
+        }
+        let needed = (self.config.keepers.saturating_sub(1)) / 2 + 1;
+        let Some(warming) = &mut self.warming else {
+            return;
+        };
+        if requested_us < warming.copy_from_us || !copy.complete {
+            return;
+        }
+        if copy.after.is_some() && warming.pages.get(&from) != Some(&copy.after) {
+            return;
+        }
+        warming.pages.insert(from, copy.next);
+        if copy.next.is_none() {
+            warming.copied.insert(from);
+        }
+        if warming.copied.len() >= needed {
+            self.warming = None;
         }
     }
 
-    /// Whether the table still replies `Warming`.
-    pub fn is_warming(&mut self, _now_us: u64) -> bool {
-        false
+    /// Whether the table still replies `Warming`. It ends with the copies of a majority of the
+    /// other keepers, or when every claim of the earlier run has expired.
+    pub fn is_warming(&mut self, now_us: u64) -> bool {
+        if self.warming.as_ref().is_some_and(|w| now_us >= w.until_us) {
+            self.warming = None;
+        }
+        self.warming.is_some()
     }
 
-    /// When a warming table may ask the other keepers for copies.
-    pub fn copy_from_us(&self) -> u64 {
-        0
+    /// When a warming table may ask the other keepers for copies; `None` if it is not warming.
+    pub fn copy_from_us(&self) -> Option<u64> {
+        self.warming.as_ref().map(|w| w.copy_from_us)
     }
 
     /// Number of claims.
@@ -186,4 +282,48 @@
     pub fn is_empty(&self) -> bool {
         self.claims.is_empty()
     }
+
+    /// Adds the holders of a copied claim. Holders that the copies disagree on are all kept:
+    /// dropping one of them could drop the only trace of an attempt that ran.
+    fn merge(&mut self, now_us: u64, copied: &CopiedClaim) {
+        let mut expires_us = now_us + copied.remaining_us;
+        let mut tenants: Vec<Tenant> = Vec::new();
+        if let Some(held) = self.claims.get(&copied.key) {
+            expires_us = expires_us.max(held.expires_us);
+            tenants.extend(held.tenants());
+        }
+        for tenant in &copied.holders {
+            if !tenants.contains(tenant) {
+                tenants.push(*tenant);
+            }
+        }
+        if tenants.is_empty() {
+            return;
+        }
+        let tenant = tenants.remove(0);
+        let held = Held {
+            tenant,
+            others: tenants,
+            expires_us,
+        };
+        self.put(copied.key, held);
+    }
+
+    fn put(&mut self, key: Key, held: Held) {
+        let expires_us = held.expires_us;
+        if let Some(old) = self.claims.insert(key, held) {
+            self.expiry.remove(&(old.expires_us, key));
+        }
+        self.expiry.insert((expires_us, key));
+    }
+
+    fn purge(&mut self, now_us: u64) {
+        while let Some(&(expires_us, key)) = self.expiry.first() {
+            if expires_us > now_us {
+                return;
+            }
+            self.expiry.pop_first();
+            self.claims.remove(&key);
+        }
+    }
 }
--- a/components/calls/src/entry.rs
+++ b/components/calls/src/entry.rs
@@ -1,7 +1,7 @@
 //! The entry's call state machine: attempts, hedges, fates and the flow of a keyed call.
 
-use crate::{Fate, Holder};
-use errors::ErrorKind;
+use crate::{Fate, Holder, MAX_KEYED_CALL_MS};
+use errors::{ErrorKind, Outcome};
 use model::{AttemptId, CallId};
 use std::sync::Arc;
 
@@ -9,6 +9,21 @@
 /// few round trips between availability zones, short against any useful deadline.
 pub const DEADLINE_GRACE_US: u64 = 100_000;
 
+/// Delay before an owner is asked again for a fate.
+const FATE_BACKOFF_US: u64 = 20_000;
+
+/// Longest delay between two questions: short against the silence limit of a connection (750 ms).
+const MAX_BACKOFF_US: u64 = 320_000;
+
+/// Delay before the holder of a key is asked for: a few round trips between availability zones.
+const HOLDER_DELAY_US: u64 = 10_000;
+
+/// Range of the jitter of `HOLDER_DELAY_US`.
+const HOLDER_JITTER_US: u64 = 10_000;
+
+/// Most attempts listed in a claim: own attempts (at most 10) and holders of lost races.
+const MAX_OVER: usize = 24;
+
 /// What the state machine must know of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallSpec {
@@ -111,66 +126,633 @@
     Fail(ErrorKind),
 }
 
-/// One call at its entry.
+/// What the entry knows of one of its attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Waits for the keepers.
+    Claiming,
+    /// Another attempt holds the key; its owner is asked at `due_us`.
+    HolderWait { holder: Holder, due_us: u64 },
+    /// The holder's owner has been asked.
+    HolderAsked(Holder),
+    /// May be running.
+    Sent,
+    /// The connection was lost and the owner has been asked.
+    Asked,
+    /// As `Asked`; the owner is asked again at the time.
+    AskLater(u64),
+    /// The deadline has passed and the owner has been asked to cancel.
+    Cancelling { lost: bool },
+    /// Did not and will not run.
+    NotRun,
+    /// May have run; no answer is expected any more.
+    Ended,
+}
+
+impl State {
+    /// Whether an owner may be running the attempt and may still answer.
+    fn is_out(self) -> bool {
+        matches!(
+            self,
+            State::Sent | State::Asked | State::AskLater(_) | State::Cancelling { .. }
+        )
+    }
+
+    fn is_open(self) -> bool {
+        !matches!(self, State::NotRun | State::Ended)
+    }
+
+    /// Time of the next own step, if any.
+    fn due_us(self) -> Option<u64> {
+        match self {
+            State::HolderWait { due_us, .. } | State::AskLater(due_us) => Some(due_us),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Attempt<U> {
+    upstream: U,
+    state: State,
+    /// Questions about its fate, or about holders of its key, for the backoff.
+    asks: u32,
+}
+
+/// The question that the call waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pending {
+    None,
+    Route,
+    RetryBudget,
+    HedgeBudget,
+}
+
+/// One call at its entry. The caller performs the actions and must reply to each `Route`, `Claim`,
+/// `Send`, `AskFate`, `AskHolder` and budget question with one of their events.
 #[derive(Debug)]
 pub struct EntryCall<U> {
     spec: CallSpec,
-    upstreams: Vec<U>,
+    attempts: Vec<Attempt<U>>,
+    pending: Pending,
+    /// Attempts under the key that are known never to start.
+    over: Vec<AttemptId>,
+    /// First failure of an attempt that may have run; from then on the outcome is unknown.
+    maybe_ran: Option<ErrorKind>,
+    last_refusal: ErrorKind,
+    crashed: bool,
+    ran_after_crash: bool,
+    hedge_due_us: Option<u64>,
+    overdue: bool,
+    wake_us: Option<u64>,
     done: bool,
+    actions: Vec<Action<U>>,
 }
 
 impl<U: Copy + Eq> EntryCall<U> {
     /// A call that has not begun.
     pub fn new(spec: CallSpec) -> Self {
+        let spec = CallSpec {
+            keyed: spec.keyed && !spec.idempotent,
+            ..spec
+        };
         EntryCall {
             spec,
-            upstreams: Vec::new(),
+            attempts: Vec::new(),
+            pending: Pending::None,
+            over: Vec::new(),
+            maybe_ran: None,
+            last_refusal: ErrorKind::NoUpstream,
+            crashed: false,
+            ran_after_crash: false,
+            hedge_due_us: None,
+            overdue: false,
+            wake_us: None,
             done: false,
+            actions: Vec::new(),
         }
     }
 
-    /// Begins the call.
-    pub fn start(&mut self, _now_us: u64) -> Vec<Action<U>> {
-        let exclude = self.upstreams.clone();
-        vec![
-            Action::WakeAt(self.spec.deadline_us),
-            Action::Route { exclude },
-        ]
+    /// Begins the call. A keyed call gets at most `MAX_KEYED_CALL_MS`.
+    pub fn start(&mut self, now_us: u64) -> Vec<Action<U>> {
+        if self.spec.keyed {
+            let limit_us = now_us + MAX_KEYED_CALL_MS * 1_000;
+            self.spec.deadline_us = self.spec.deadline_us.min(limit_us);
+        }
+        if now_us < self.spec.deadline_us {
+            self.route();
+        }
+        self.finish_event(now_us)
     }
 
     /// Takes an event. Late and duplicate events have no effect.
-    pub fn on_event(&mut self, _now_us: u64, event: Event<U>) -> Vec<Action<U>> {
+    pub fn on_event(&mut self, now_us: u64, event: Event<U>) -> Vec<Action<U>> {
         if self.done {
             return Vec::new();
         }
+        self.handle(now_us, event);
+        self.finish_event(now_us)
+    }
+
+    /// Whether the call has ended. After `CallerGone` it ends without a last action.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Deadline of the call, after the limit for keyed calls.
+    pub fn deadline_us(&self) -> u64 {
+        self.spec.deadline_us
+    }
+
+    fn handle(&mut self, now_us: u64, event: Event<U>) {
         match event {
-            Event::Routed(upstream) => self.send(upstream),
-            Event::Answered(attempt, answer) => self.end(Action::Deliver(attempt, answer)),
-            Event::Refused(_, kind) | Event::Failed(_, kind) | Event::NoRoute(kind) => {
-                self.end(Action::Fail(kind))
+            Event::Routed(upstream) => self.on_routed(now_us, upstream),
+            Event::NoRoute(kind) => self.on_no_route(kind),
+            Event::Claimed(attempt) => self.on_claimed(now_us, attempt),
+            Event::ClaimHeld(attempt, holder) => self.on_held(now_us, attempt, holder),
+            Event::ClaimFailed(attempt, kind) => self.on_claim_failed(attempt, kind),
+            Event::SendFailed(attempt) => {
+                self.on_refused(now_us, attempt, ErrorKind::UpstreamRefused);
             }
-            Event::Tick => self.end(Action::Fail(ErrorKind::DeadlinePassed)),
-            _ => Vec::new(),
+            Event::Answered(attempt, answer) => self.on_answered(attempt, answer),
+            Event::Refused(attempt, kind) | Event::Failed(attempt, kind) => {
+                self.on_ended(now_us, attempt, kind);
+            }
+            Event::ConnectionLost(attempt) => self.on_connection_lost(now_us, attempt),
+            Event::Fate(attempt, fate) => self.on_fate(now_us, attempt, fate),
+            Event::FateUnavailable(attempt) => self.on_fate_unavailable(now_us, attempt),
+            Event::HolderFate(holder, fate) => self.on_holder_fate(holder, fate),
+            Event::HolderUnavailable(holder) => self.on_holder_unavailable(now_us, holder),
+            Event::RetryAllowed(allowed) => self.on_retry_allowed(allowed),
+            Event::HedgeAllowed(allowed) => self.on_hedge_allowed(now_us, allowed),
+            Event::Tick => {}
+            Event::CallerGone => self.on_caller_gone(),
         }
     }
 
-    /// Whether the call has ended.
-    pub fn is_done(&self) -> bool {
-        self.done
+    fn finish_event(&mut self, now_us: u64) -> Vec<Action<U>> {
+        if !self.done {
+            self.on_time(now_us);
+        }
+        if !self.done {
+            self.set_wake();
+        }
+        std::mem::take(&mut self.actions)
     }
 
-    fn send(&mut self, upstream: U) -> Vec<Action<U>> {
-        let number = u16::try_from(self.upstreams.len()).unwrap_or(u16::MAX);
-        self.upstreams.push(upstream);
-        let attempt = AttemptId {
-            call: self.spec.call,
-            attempt: number,
+    // Routing and sending.
+
+    fn route(&mut self) {
+        self.pending = Pending::Route;
+        let mut exclude: Vec<U> = Vec::new();
+        for attempt in &self.attempts {
+            if !exclude.contains(&attempt.upstream) {
+                exclude.push(attempt.upstream);
+            }
+        }
+        self.actions.push(Action::Route { exclude });
+    }
+
+    fn on_routed(&mut self, now_us: u64, upstream: U) {
+        if self.pending != Pending::Route || now_us >= self.spec.deadline_us {
+            return;
+        }
+        self.pending = Pending::None;
+        let index = self.attempts.len();
+        self.attempts.push(Attempt {
+            upstream,
+            state: State::Claiming,
+            asks: 0,
+        });
+        if self.spec.keyed {
+            self.claim(index);
+        } else {
+            self.send(now_us, index);
+        }
+    }
+
+    fn on_no_route(&mut self, kind: ErrorKind) {
+        if self.pending != Pending::Route {
+            return;
+        }
+        self.pending = Pending::None;
+        if !self.has_open() {
+            self.fail(kind);
+        }
+    }
+
+    fn send(&mut self, now_us: u64, index: usize) {
+        if index == 0 && self.spec.idempotent && !self.spec.suspected {
+            self.hedge_due_us = self.spec.hedge_after_us.map(|after_us| now_us + after_us);
+        }
+        let attempt = self.id(index);
+        let upstream = self.attempts[index].upstream;
+        self.attempts[index].state = State::Sent;
+        self.actions.push(Action::Send { attempt, upstream });
+    }
+
+    // Keys.
+
+    fn claim(&mut self, index: usize) {
+        if self.over.len() > MAX_OVER {
+            self.attempts[index].state = State::NotRun;
+            self.fail(ErrorKind::KeyUnconfirmed);
+            return;
+        }
+        self.attempts[index].state = State::Claiming;
+        self.actions.push(Action::Claim {
+            attempt: self.id(index),
+            upstream: self.attempts[index].upstream,
+            over: self.over.clone(),
+        });
+    }
+
+    fn on_claimed(&mut self, now_us: u64, attempt: AttemptId) {
+        let Some(index) = self.index_in(attempt, |s| s == State::Claiming) else {
+            return;
+        };
+        if now_us < self.spec.deadline_us {
+            self.send(now_us, index);
+        }
+    }
+
+    fn on_held(&mut self, now_us: u64, attempt: AttemptId, holder: Holder) {
+        let Some(index) = self.index_in(attempt, |s| s == State::Claiming) else {
+            return;
+        };
+        self.wait_for_holder(now_us, index, holder);
+    }
+
+    /// Gives the holder's message time to reach its owner before the question, which would
+    /// otherwise stop it. The jitter keeps two entries from stopping each other again and again.
+    fn wait_for_holder(&mut self, now_us: u64, index: usize, holder: Holder) {
+        let call = self.spec.call;
+        let jitter_us = call.origin.wrapping_add(call.sequence) % HOLDER_JITTER_US;
+        let due_us = now_us + backoff_us(HOLDER_DELAY_US + jitter_us, self.attempts[index].asks);
+        self.attempts[index].asks += 1;
+        self.attempts[index].state = State::HolderWait { holder, due_us };
+    }
+
+    fn on_claim_failed(&mut self, attempt: AttemptId, kind: ErrorKind) {
+        if let Some(index) = self.index_in(attempt, |s| s == State::Claiming) {
+            self.attempts[index].state = State::NotRun;
+            self.fail(kind);
+        }
+    }
+
+    fn asked_about(&self, holder: AttemptId) -> Option<(usize, Holder)> {
+        self.attempts
+            .iter()
+            .enumerate()
+            .find_map(|(index, attempt)| match attempt.state {
+                State::HolderAsked(h) if h.attempt == holder => Some((index, h)),
+                _ => None,
+            })
+    }
+
+    fn on_holder_fate(&mut self, holder: AttemptId, fate: Fate) {
+        let Some((index, _)) = self.asked_about(holder) else {
+            return;
         };
-        vec![Action::Send { attempt, upstream }]
+        if fate == Fate::NotStarted {
+            self.over.push(holder);
+            self.claim(index);
+            return;
+        }
+        self.attempts[index].state = State::NotRun;
+        match fate {
+            Fate::Answered(answer) => self.deliver(holder, answer),
+            Fate::Running => self.fail(ErrorKind::KeyInProgress),
+            _ => self.fail(ErrorKind::KeyOutcomeUnknown),
+        }
+    }
+
+    fn on_holder_unavailable(&mut self, now_us: u64, holder: AttemptId) {
+        if let Some((index, holder)) = self.asked_about(holder) {
+            self.wait_for_holder(now_us, index, holder);
+        }
+    }
+
+    // Ends of attempts.
+
+    fn on_answered(&mut self, attempt: AttemptId, answer: Arc<[u8]>) {
+        // A lost attempt of an idempotent call may still answer and is welcome.
+        if self
+            .index_in(attempt, |s| s.is_out() || s == State::Ended)
+            .is_some()
+        {
+            self.deliver(attempt, answer);
+        }
     }
 
-    fn end(&mut self, action: Action<U>) -> Vec<Action<U>> {
+    /// The kind decides: the owner answers for whether the attempt has run.
+    fn on_ended(&mut self, now_us: u64, attempt: AttemptId, kind: ErrorKind) {
+        match kind.row().outcome {
+            Outcome::NotRun => self.on_refused(now_us, attempt, kind),
+            Outcome::Unknown => self.on_failed(now_us, attempt, kind),
+        }
+    }
+
+    fn on_refused(&mut self, now_us: u64, attempt: AttemptId, kind: ErrorKind) {
+        let Some(index) = self.index_in(attempt, State::is_out) else {
+            return;
+        };
+        self.attempts[index].state = State::NotRun;
+        self.over.push(attempt);
+        self.last_refusal = kind;
+        if self.has_open() || self.overdue {
+            return;
+        }
+        if is_final(kind) {
+            self.fail(kind);
+        } else {
+            self.retry(now_us);
+        }
+    }
+
+    fn on_failed(&mut self, now_us: u64, attempt: AttemptId, kind: ErrorKind) {
+        let Some(index) = self.index_in(attempt, State::is_out) else {
+            return;
+        };
+        self.attempts[index].state = State::Ended;
+        self.maybe_ran.get_or_insert(kind);
+        self.ran_after_crash |= self.crashed;
+        self.crashed |= kind == ErrorKind::UpstreamLost;
+        if !self.spec.idempotent {
+            self.fail(kind);
+        } else if !self.overdue {
+            self.retry(now_us);
+        }
+    }
+
+    fn on_connection_lost(&mut self, now_us: u64, attempt: AttemptId) {
+        if let Some(index) = self.index_in(attempt, |s| s == State::Cancelling { lost: false }) {
+            self.attempts[index].state = State::Cancelling { lost: true };
+            return;
+        }
+        let Some(index) = self.index_in(attempt, |s| s == State::Sent) else {
+            return;
+        };
+        if self.spec.idempotent {
+            self.on_failed(now_us, attempt, ErrorKind::OwnerLost);
+            return;
+        }
+        if now_us < self.spec.deadline_us {
+            self.attempts[index].state = State::Asked;
+            self.actions.push(Action::AskFate(attempt));
+        }
+    }
+
+    fn on_fate(&mut self, now_us: u64, attempt: AttemptId, fate: Fate) {
+        let Some(index) = self.index_in(attempt, State::is_out) else {
+            return;
+        };
+        let state = self.attempts[index].state;
+        match fate {
+            Fate::NotStarted => self.on_refused(now_us, attempt, ErrorKind::UpstreamRefused),
+            Fate::Answered(answer) => self.deliver(attempt, answer),
+            Fate::Failed(kind) => self.on_failed(now_us, attempt, kind),
+            Fate::Forgotten => self.on_failed(now_us, attempt, ErrorKind::OwnerLost),
+            Fate::Running if state == State::Asked => self.ask_later(now_us, index),
+            Fate::Running if matches!(state, State::Cancelling { .. }) => {
+                self.on_failed(now_us, attempt, ErrorKind::DeadlinePassed);
+            }
+            Fate::Running => {}
+        }
+    }
+
+    fn on_fate_unavailable(&mut self, now_us: u64, attempt: AttemptId) {
+        if let Some(index) = self.index_in(attempt, |s| s == State::Asked) {
+            self.ask_later(now_us, index);
+        }
+    }
+
+    fn ask_later(&mut self, now_us: u64, index: usize) {
+        let due_us = now_us + backoff_us(FATE_BACKOFF_US, self.attempts[index].asks);
+        self.attempts[index].asks += 1;
+        self.attempts[index].state = State::AskLater(due_us);
+    }
+
+    // Retries and hedges.
+
+    fn retry(&mut self, now_us: u64) {
+        if self.has_open() || self.pending != Pending::None || now_us >= self.spec.deadline_us {
+            return;
+        }
+        if !self.may_try_again() {
+            self.fail(self.last_refusal);
+            return;
+        }
+        self.pending = Pending::RetryBudget;
+        self.actions.push(Action::AskRetryBudget);
+    }
+
+    /// After a crash, and for a suspect, at most one more attempt runs: a poison request must not
+    /// reach every upstream by retries.
+    fn may_try_again(&self) -> bool {
+        let may_have_run = self.maybe_ran.is_some();
+        self.attempts.len() < usize::from(self.spec.attempts)
+            && !self.ran_after_crash
+            && !(self.spec.suspected && may_have_run)
+    }
+
+    fn on_retry_allowed(&mut self, allowed: bool) {
+        if self.pending != Pending::RetryBudget {
+            return;
+        }
+        self.pending = Pending::None;
+        if allowed {
+            self.route();
+        } else {
+            self.fail(ErrorKind::RetryBudgetSpent);
+        }
+    }
+
+    fn on_hedge_allowed(&mut self, now_us: u64, allowed: bool) {
+        if self.pending != Pending::HedgeBudget {
+            return;
+        }
+        self.pending = Pending::None;
+        if allowed && self.may_try_again() && !self.crashed {
+            self.route();
+        } else {
+            self.retry(now_us);
+        }
+    }
+
+    // Time.
+
+    fn on_time(&mut self, now_us: u64) {
+        if now_us >= self.spec.deadline_us {
+            self.on_deadline(now_us);
+            return;
+        }
+        for index in 0..self.attempts.len() {
+            match self.attempts[index].state {
+                State::AskLater(due_us) if due_us <= now_us => {
+                    self.attempts[index].state = State::Asked;
+                    self.actions.push(Action::AskFate(self.id(index)));
+                }
+                State::HolderWait { holder, due_us } if due_us <= now_us => {
+                    self.attempts[index].state = State::HolderAsked(holder);
+                    self.actions.push(Action::AskHolder(holder));
+                }
+                _ => {}
+            }
+        }
+        if self.hedge_due_us.is_some_and(|due_us| due_us <= now_us) {
+            self.hedge_due_us = None;
+            self.hedge();
+        }
+    }
+
+    fn hedge(&mut self) {
+        let is_waiting = self.pending == Pending::None && self.has_open();
+        if is_waiting && !self.crashed && self.may_try_again() {
+            self.pending = Pending::HedgeBudget;
+            self.actions.push(Action::AskHedgeBudget);
+        }
+    }
+
+    fn on_deadline(&mut self, now_us: u64) {
+        if !self.overdue {
+            self.overdue = true;
+            self.pending = Pending::None;
+            self.cancel_at_deadline();
+        }
+        if self.done {
+            return;
+        }
+        let is_lost = |a: &Attempt<U>| a.state == State::Cancelling { lost: true };
+        if !self.has_open() {
+            self.fail(if self.maybe_ran.is_some() {
+                ErrorKind::DeadlinePassed
+            } else {
+                ErrorKind::DeadlineExpired
+            });
+        } else if now_us >= self.spec.deadline_us + DEADLINE_GRACE_US {
+            let kind = if self.attempts.iter().any(is_lost) {
+                ErrorKind::OwnerLost
+            } else {
+                ErrorKind::DeadlinePassed
+            };
+            self.maybe_ran.get_or_insert(kind);
+            self.fail(kind);
+        }
+    }
+
+    fn cancel_at_deadline(&mut self) {
+        for index in 0..self.attempts.len() {
+            let state = self.attempts[index].state;
+            match state {
+                State::Claiming => self.attempts[index].state = State::NotRun,
+                State::HolderWait { .. } | State::HolderAsked(_) => {
+                    self.attempts[index].state = State::NotRun;
+                    self.fail(ErrorKind::KeyOutcomeUnknown);
+                }
+                State::Sent | State::Asked | State::AskLater(_) => {
+                    let lost = state != State::Sent;
+                    self.attempts[index].state = State::Cancelling { lost };
+                    self.actions.push(Action::Cancel(self.id(index)));
+                }
+                State::Cancelling { .. } | State::NotRun | State::Ended => {}
+            }
+        }
+    }
+
+    fn set_wake(&mut self) {
+        let limit_us = if self.overdue {
+            self.spec.deadline_us + DEADLINE_GRACE_US
+        } else {
+            self.spec.deadline_us
+        };
+        let wake_us = self
+            .attempts
+            .iter()
+            .filter_map(|a| a.state.due_us())
+            .chain(self.hedge_due_us.filter(|_| !self.overdue))
+            .fold(limit_us, u64::min);
+        if self.wake_us.replace(wake_us) != Some(wake_us) {
+            self.actions.push(Action::WakeAt(wake_us));
+        }
+    }
+
+    // Ends of the call.
+
+    fn deliver(&mut self, attempt: AttemptId, answer: Arc<[u8]>) {
+        self.cancel_out(Some(attempt));
+        self.actions.push(Action::Deliver(attempt, answer));
+        self.done = true;
+    }
+
+    /// Ends the call. A not-run kind is replaced if an attempt may have run.
+    fn fail(&mut self, kind: ErrorKind) {
+        self.cancel_out(None);
+        let kind = match (kind.row().outcome, self.maybe_ran) {
+            (Outcome::NotRun, Some(unknown)) => unknown,
+            _ => kind,
+        };
+        self.actions.push(Action::Fail(kind));
         self.done = true;
-        vec![action]
     }
+
+    /// Cancels a call without a caller. A keyed call runs on, so that the caller's retry finds
+    /// its answer.
+    fn on_caller_gone(&mut self) {
+        if !self.spec.keyed {
+            self.cancel_out(None);
+        }
+        self.done = true;
+    }
+
+    fn cancel_out(&mut self, except: Option<AttemptId>) {
+        for index in 0..self.attempts.len() {
+            let attempt = self.id(index);
+            let state = self.attempts[index].state;
+            let is_cancelled = matches!(state, State::Cancelling { .. });
+            if state.is_out() && !is_cancelled && Some(attempt) != except {
+                self.actions.push(Action::Cancel(attempt));
+            }
+        }
+    }
+
+    // Attempts.
+
+    fn id(&self, index: usize) -> AttemptId {
+        AttemptId {
+            call: self.spec.call,
+            attempt: u16::try_from(index).unwrap_or(u16::MAX),
+        }
+    }
+
+    fn index_in(&self, attempt: AttemptId, is_wanted: impl Fn(State) -> bool) -> Option<usize> {
+        let index = usize::from(attempt.attempt);
+        let is_own = attempt.call == self.spec.call;
+        let state = self.attempts.get(index).map(|a| a.state)?;
+        (is_own && is_wanted(state)).then_some(index)
+    }
+
+    fn has_open(&self) -> bool {
+        self.attempts.iter().any(|a| a.state.is_open())
+    }
+}
+
+/// Doubles the delay with each question, up to `MAX_BACKOFF_US`.
+fn backoff_us(base_us: u64, asks: u32) -> u64 {
+    (base_us << asks.min(8)).min(MAX_BACKOFF_US)
+}
+
+/// Kinds that any other upstream would repeat.
+fn is_final(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::MalformedRequest
+            | ErrorKind::BadDeadline
+            | ErrorKind::BodyTooLarge
+            | ErrorKind::HeadTooLarge
+            | ErrorKind::DeadlineExpired
+            | ErrorKind::Cancelled
+            | ErrorKind::CrashSuspect
+            | ErrorKind::KeyReused
+    )
 }
--- a/components/calls/src/lib.rs
+++ b/components/calls/src/lib.rs
@@ -1,9 +1,38 @@
 //! Call state machines: attempts, records, key claims and crash suspects.
+//!
+//! Nothing here reads a clock, sends a message or takes a lock. Every function takes `now_us`, the
+//! monotonic time of the process that runs it; durations, never times, go between processes.
+//!
+//! # What is promised
+//! - A call that is not repeatable runs at most once; a key runs at most once per claim retention.
+//! - A call that ends with a not-run kind has not run and will not run.
+//!
+//! # How
+//! - [`CallRecords`] decides at the owner. What it has refused, cancelled or reported as not started
+//!   stays so: first by a tombstone, and after the tombstone by a bound on call sequences per entry.
+//!   Messages of an older connection generation are refused, because the kernel may deliver them
+//!   minutes after the entry gave the connection up.
+//! - [`EntryCall`] sends a non-repeatable call again only after the owner, or the local send path,
+//!   has said that the earlier attempt will not run.
+//! - [`ClaimTable`] and [`ClaimRound`] give a key to one attempt at a time. A later attempt replaces
+//!   the holder only after the holder's owner has left a tombstone for it.
+//!
+//! # Cost of keys
+//! A keyed call takes one request and one reply per keeper (6 messages with 3 keepers, 10 with 5).
+//! A repeated call adds one fate request and its reply, and one more round if the holder had not
+//! started. An attempt refused by its owner takes a new round. A claim takes about 200 bytes at
+//! each keeper for 10 minutes; the default limit of 500,000 claims is 830 new keys per second.
+//!
+//! # Limits of the promise
+//! - A key may run again when its claims have expired, 10 minutes after the last grant.
+//! - The loss of a majority of keepers within one copy period stops keyed calls for 10 minutes.
+//! - Without a reply from an owner the outcome is unknown, even if the call never started.
 
 mod budget;
 mod claims;
 mod entry;
 mod fate;
+mod origins;
 mod records;
 mod round;
 mod suspects;
--- a/components/calls/src/records.rs
+++ b/components/calls/src/records.rs
@@ -1,9 +1,20 @@
 //! The owner's records of attempts: which may start, which ran, and their answers.
 
-use crate::Fate;
-use errors::ErrorKind;
+use crate::{
+    DEADLINE_GRACE_US, Fate,
+    origins::{AwakeClock, Origins},
+};
+use errors::{ErrorKind, Outcome};
 use model::AttemptId;
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap, VecDeque},
+    sync::Arc,
+};
+
+/// Longest delay of a message on a connection that its sender still uses: connect timeout (1 s),
+/// silence limit (750 ms) and as much again for queues in both processes. Messages of connections
+/// that were given up may come later; their generation and the bounds in `Origin` stop them.
+const MESSAGE_DELAY_US: u64 = 5_000_000;
 
 /// An attempt's message as it reaches the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,7 +66,7 @@
     pub incarnation: u64,
     /// How long a finished answer is kept.
     pub retention_ms: u64,
-    /// How long the mark of an ended keyed attempt is kept; the life of a claim.
+    /// How long the mark of an ended keyed attempt is kept; at least the life of a claim.
     pub keyed_retention_ms: u64,
     /// Most records, marks and tombstones.
     pub max_records: usize,
@@ -78,11 +89,58 @@
     }
 }
 
+#[derive(Debug)]
+enum State {
+    Queued,
+    Running,
+    Answered(Arc<[u8]>),
+    Failed(ErrorKind),
+    /// Ran, and only this mark is left.
+    Forgotten,
+    /// Tombstone.
+    NotStarted,
+}
+
+impl State {
+    fn fate(&self) -> Fate {
+        match self {
+            State::Queued | State::Running => Fate::Running,
+            State::Answered(answer) => Fate::Answered(Arc::clone(answer)),
+            State::Failed(kind) => Fate::Failed(*kind),
+            State::Forgotten => Fate::Forgotten,
+            State::NotStarted => Fate::NotStarted,
+        }
+    }
+}
+
+/// Times are awake times, except `deadline_us`.
+#[derive(Debug)]
+struct Record {
+    state: State,
+    keyed: bool,
+    keep_answer: bool,
+    deadline_us: u64,
+    /// No message about the attempt matters after this time.
+    settled_us: u64,
+    /// End of the mark of a keyed attempt.
+    mark_ends_us: u64,
+    /// Next change by time, if any; an element of `timers` or `spare`.
+    due_us: Option<u64>,
+}
+
 /// Records of one owner.
 #[derive(Debug)]
 pub struct CallRecords {
     config: RecordsConfig,
-    records: HashMap<AttemptId, Fate>,
+    clock: AwakeClock,
+    origins: Origins,
+    records: HashMap<AttemptId, Record>,
+    timers: BTreeSet<(u64, AttemptId)>,
+    /// Marks of keyed attempts that may be dropped early if the table is full.
+    spare: BTreeSet<(u64, AttemptId)>,
+    /// Attempts with kept answers, oldest first.
+    answers: VecDeque<AttemptId>,
+    answer_bytes: usize,
 }
 
 impl CallRecords {
@@ -90,58 +148,151 @@
     pub fn new(config: RecordsConfig) -> Self {
         CallRecords {
             config,
+            clock: AwakeClock::default(),
+            origins: Origins::new(config.max_origins),
             records: HashMap::new(),
+            timers: BTreeSet::new(),
+            spare: BTreeSet::new(),
+            answers: VecDeque::new(),
+            answer_bytes: 0,
         }
     }
 
-    /// Takes an attempt's message.
-    pub fn begin(&mut self, _now_us: u64, arrival: &Arrival) -> Begin {
-        if let Some(fate) = self.records.get(&arrival.attempt) {
-            return Begin::Duplicate(fate.clone());
+    /// Takes an attempt's message. After `Fresh` the caller must end the record by `finished`,
+    /// `failed`, `refused` or `cancelled`.
+    pub fn begin(&mut self, now_us: u64, arrival: &Arrival) -> Begin {
+        let awake_us = self.advance(now_us);
+        let call = arrival.attempt.call;
+        if arrival.target != self.config.incarnation {
+            return Begin::Duplicate(Fate::Forgotten);
+        }
+        if let Some(record) = self.records.get(&arrival.attempt) {
+            return Begin::Duplicate(record.state.fate());
         }
-        if self.records.len() >= self.config.max_records {
+        let Some(origin) = self.origins.touch(awake_us, call.origin) else {
             return Begin::Refused(ErrorKind::Busy);
+        };
+        if call.sequence < origin.forgotten_below[usize::from(arrival.keyed)] {
+            return Begin::Duplicate(Fate::Forgotten);
+        }
+        if arrival.generation < origin.generation || call.sequence < origin.refused_below {
+            return Begin::Refused(ErrorKind::Busy);
+        }
+        origin.generation = arrival.generation;
+        if arrival.deadline_us <= now_us {
+            self.bury(
+                awake_us,
+                arrival.attempt,
+                arrival.deadline_us,
+                arrival.keyed,
+            );
+            return Begin::Refused(ErrorKind::DeadlineExpired);
         }
-        self.records.insert(arrival.attempt, Fate::Running);
+        if !self.make_room() {
+            self.refuse_below(awake_us, arrival.attempt);
+            return Begin::Refused(ErrorKind::Busy);
+        }
+        self.insert(arrival, State::Queued);
         Begin::Fresh
     }
 
-    /// Asks, right before the request goes to the upstream, whether the attempt may start.
-    pub fn started(&mut self, _now_us: u64, attempt: AttemptId) -> bool {
-        self.records.get(&attempt) == Some(&Fate::Running)
+    /// Asks, right before the request goes to the upstream, whether the attempt may start. False
+    /// if it was cancelled or refused meanwhile, or if its deadline has passed.
+    pub fn started(&mut self, now_us: u64, attempt: AttemptId) -> bool {
+        let awake_us = self.advance(now_us);
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return false;
+        };
+        if !matches!(record.state, State::Queued) {
+            return false;
+        }
+        if now_us >= record.deadline_us {
+            self.end(awake_us, attempt, State::NotStarted);
+            return false;
+        }
+        record.state = State::Running;
+        true
     }
 
     /// Keeps the complete answer of a started attempt.
-    pub fn finished(&mut self, _now_us: u64, attempt: AttemptId, answer: Arc<[u8]>) {
-        self.records.insert(attempt, Fate::Answered(answer));
+    pub fn finished(&mut self, now_us: u64, attempt: AttemptId, answer: Arc<[u8]>) {
+        let awake_us = self.advance(now_us);
+        let Some(record) = self.running(attempt) else {
+            return;
+        };
+        if !record.keep_answer {
+            self.end(awake_us, attempt, State::Forgotten);
+            return;
+        }
+        self.answer_bytes += answer.len();
+        self.answers.push_back(attempt);
+        self.end(awake_us, attempt, State::Answered(answer));
+        self.limit_bytes();
     }
 
     /// Ends a started attempt without an answer; a not-run kind means nothing reached the upstream.
-    pub fn failed(&mut self, _now_us: u64, attempt: AttemptId, kind: ErrorKind) {
-        self.records.insert(attempt, Fate::Failed(kind));
+    pub fn failed(&mut self, now_us: u64, attempt: AttemptId, kind: ErrorKind) {
+        let awake_us = self.advance(now_us);
+        if self.running(attempt).is_none() {
+            return;
+        }
+        let state = match kind.row().outcome {
+            Outcome::NotRun => State::NotStarted,
+            Outcome::Unknown => State::Failed(kind),
+        };
+        self.end(awake_us, attempt, state);
     }
 
     /// Marks a queued attempt as never to start; returns what is true of it afterwards.
-    pub fn refused(&mut self, _now_us: u64, attempt: AttemptId) -> Fate {
-        self.records.insert(attempt, Fate::NotStarted);
-        Fate::NotStarted
+    pub fn refused(&mut self, now_us: u64, attempt: AttemptId) -> Fate {
+        let awake_us = self.advance(now_us);
+        if self.is_queued(attempt) {
+            self.end(awake_us, attempt, State::NotStarted);
+        }
+        self.records
+            .get(&attempt)
+            .map_or(Fate::Forgotten, |r| r.state.fate())
     }
 
-    /// Takes a cancel request: an attempt that has not started will never start.
+    /// Takes a cancel request: an attempt that has not started will never start. After `Running`
+    /// the caller aborts the exchange with the upstream.
     pub fn cancelled(&mut self, now_us: u64, ask: &Ask) -> Fate {
+        let awake_us = self.advance(now_us);
+        if ask.target == self.config.incarnation && self.is_queued(ask.attempt) {
+            self.end(awake_us, ask.attempt, State::NotStarted);
+        }
         self.fate(now_us, ask)
     }
 
-    /// Takes a fate request; an unknown attempt gets a tombstone and will never start.
-    pub fn fate(&mut self, _now_us: u64, ask: &Ask) -> Fate {
-        self.records
-            .entry(ask.attempt)
-            .or_insert(Fate::NotStarted)
-            .clone()
+    /// Takes a fate request. An unknown attempt gets a tombstone: its message may still be on the
+    /// way over a lost connection and must find the attempt refused.
+    pub fn fate(&mut self, now_us: u64, ask: &Ask) -> Fate {
+        let awake_us = self.advance(now_us);
+        let call = ask.attempt.call;
+        if ask.target != self.config.incarnation {
+            return Fate::Forgotten;
+        }
+        let Some(origin) = self.origins.touch(awake_us, call.origin) else {
+            return Fate::Forgotten;
+        };
+        origin.generation = origin.generation.max(ask.generation.unwrap_or(0));
+        if let Some(record) = self.records.get(&ask.attempt) {
+            return record.state.fate();
+        }
+        if call.sequence < origin.forgotten_below[usize::from(ask.keyed)] {
+            return Fate::Forgotten;
+        }
+        if call.sequence >= origin.refused_below {
+            self.bury(awake_us, ask.attempt, ask.deadline_us, ask.keyed);
+        }
+        Fate::NotStarted
     }
 
-    /// Drops what is no longer needed; called at least once per second.
-    pub fn tick(&mut self, _now_us: u64) {}
+    /// Drops what is no longer needed. Called at least once per second: longer gaps count as
+    /// pauses of the process and prolong what is kept.
+    pub fn tick(&mut self, now_us: u64) {
+        self.advance(now_us);
+    }
 
     /// Number of records, marks and tombstones.
     pub fn len(&self) -> usize {
@@ -152,4 +303,178 @@
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
+
+    /// Bytes of kept answers.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    fn is_queued(&self, attempt: AttemptId) -> bool {
+        self.records
+            .get(&attempt)
+            .is_some_and(|r| matches!(r.state, State::Queued))
+    }
+
+    fn running(&self, attempt: AttemptId) -> Option<&Record> {
+        self.records
+            .get(&attempt)
+            .filter(|r| matches!(r.state, State::Running))
+    }
+
+    fn insert(&mut self, arrival: &Arrival, state: State) {
+        let settled_us = self.clock.at(arrival.deadline_us) + DEADLINE_GRACE_US + MESSAGE_DELAY_US;
+        let record = Record {
+            state,
+            keyed: arrival.keyed,
+            keep_answer: arrival.keep_answer,
+            deadline_us: arrival.deadline_us,
+            settled_us,
+            mark_ends_us: 0,
+            due_us: None,
+        };
+        self.records.insert(arrival.attempt, record);
+        self.origins.added(arrival.attempt.call.origin);
+    }
+
+    /// Leaves a tombstone, or raises the bound of the entry if the table is full.
+    fn bury(&mut self, awake_us: u64, attempt: AttemptId, deadline_us: u64, keyed: bool) {
+        if !self.make_room() {
+            self.refuse_below(awake_us, attempt);
+            return;
+        }
+        let arrival = Arrival {
+            attempt,
+            target: self.config.incarnation,
+            generation: 0,
+            deadline_us,
+            keyed,
+            keep_answer: false,
+        };
+        self.insert(&arrival, State::Queued);
+        self.end(awake_us, attempt, State::NotStarted);
+    }
+
+    fn refuse_below(&mut self, awake_us: u64, attempt: AttemptId) {
+        if let Some(origin) = self.origins.touch(awake_us, attempt.call.origin) {
+            origin.refused_below = origin.refused_below.max(attempt.call.sequence + 1);
+        }
+    }
+
+    /// Makes room for one record; tombstones and records that still matter stay.
+    fn make_room(&mut self) -> bool {
+        if self.records.len() < self.config.max_records {
+            return true;
+        }
+        let Some((_, attempt)) = self.spare.pop_first() else {
+            return false;
+        };
+        self.drop_record(attempt);
+        true
+    }
+
+    /// Ends a record and sets the time of its next change.
+    fn end(&mut self, awake_us: u64, attempt: AttemptId, state: State) {
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return;
+        };
+        let retention_us = self.config.retention_ms * 1_000;
+        let due_us = match state {
+            State::Answered(_) => awake_us + retention_us,
+            State::NotStarted => record.settled_us.max(awake_us + MESSAGE_DELAY_US),
+            _ => record.settled_us.max(awake_us + retention_us),
+        };
+        record.state = state;
+        record.mark_ends_us = awake_us + self.config.keyed_retention_ms * 1_000;
+        self.schedule(attempt, due_us);
+    }
+
+    fn schedule(&mut self, attempt: AttemptId, due_us: u64) {
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return;
+        };
+        if let Some(old_us) = record.due_us.replace(due_us) {
+            self.timers.remove(&(old_us, attempt));
+        }
+        self.timers.insert((due_us, attempt));
+    }
+
+    /// Moves the clock and applies all changes that are due.
+    fn advance(&mut self, now_us: u64) -> u64 {
+        let awake_us = self.clock.advance(now_us);
+        while let Some(&(due_us, attempt)) = self.timers.first() {
+            if due_us > awake_us {
+                break;
+            }
+            self.timers.pop_first();
+            self.on_due(awake_us, attempt);
+        }
+        while let Some(&(due_us, attempt)) = self.spare.first() {
+            if due_us > awake_us {
+                break;
+            }
+            self.spare.pop_first();
+            self.drop_record(attempt);
+        }
+        awake_us
+    }
+
+    /// Drops an expired answer first, then the mark, unless a claim may still name the attempt.
+    fn on_due(&mut self, awake_us: u64, attempt: AttemptId) {
+        self.forget_answer(attempt);
+        let Some(record) = self.records.get_mut(&attempt) else {
+            return;
+        };
+        record.due_us = None;
+        if awake_us < record.settled_us {
+            let due_us = record.settled_us;
+            self.schedule(attempt, due_us);
+            return;
+        }
+        let not_started = matches!(record.state, State::NotStarted);
+        if record.keyed && !not_started && awake_us < record.mark_ends_us {
+            record.state = State::Forgotten;
+            self.spare.insert((record.mark_ends_us, attempt));
+            return;
+        }
+        self.drop_record(attempt);
+    }
+
+    fn drop_record(&mut self, attempt: AttemptId) {
+        if let Some(record) = self.records.remove(&attempt) {
+            let started = !matches!(record.state, State::NotStarted);
+            let call = attempt.call;
+            self.origins
+                .dropped(call.origin, call.sequence, started, record.keyed);
+        }
+    }
+
+    /// Replaces a kept answer by a mark.
+    fn forget_answer(&mut self, attempt: AttemptId) {
+        if let Some(record) = self.records.get_mut(&attempt)
+            && let State::Answered(answer) = &record.state
+        {
+            self.answer_bytes -= answer.len();
+            record.state = State::Forgotten;
+        }
+        while let Some(front) = self.answers.front() {
+            let kept = self
+                .records
+                .get(front)
+                .is_some_and(|r| matches!(r.state, State::Answered(_)));
+            if kept {
+                break;
+            }
+            self.answers.pop_front();
+        }
+    }
+
+    /// Drops the oldest answers over the byte limit; their marks stay.
+    fn limit_bytes(&mut self) {
+        while self.answer_bytes > self.config.max_bytes {
+            let Some(&oldest) = self.answers.front() else {
+                return;
+            };
+            self.forget_answer(oldest);
+        }
+    }
 }
--- a/components/calls/src/round.rs
+++ b/components/calls/src/round.rs
@@ -19,7 +19,8 @@
     Unconfirmed,
 }
 
-/// Counts the replies of the keepers to one claim.
+/// Counts the replies of the keepers to one claim. Replies to the claim of another round, even for
+/// the same attempt, must not be passed to it.
 #[derive(Clone, Debug)]
 pub struct ClaimRound {
     ends_us: u64,
@@ -93,21 +94,30 @@
             .count()
     }
 
+    /// Names the holder that most keepers report: a majority's holder is the one that may have run,
+    /// a minority's is mostly left over from a lost race.
     fn refusal(&self) -> RoundResult {
         let holders = || {
-            self.replies.iter().flatten().filter_map(|r| match r {
-                Some(ClaimReply::Held {
-                    holder,
-                    fingerprint,
-                }) => Some((*holder, *fingerprint)),
-                _ => None,
-            })
+            self.replies
+                .iter()
+                .flatten()
+                .filter_map(|reply| match reply {
+                    Some(ClaimReply::Held {
+                        holder,
+                        fingerprint,
+                    }) => Some((*holder, *fingerprint)),
+                    _ => None,
+                })
         };
-        if holders().any(|(_, fingerprint)| fingerprint != self.fingerprint) {
-            return RoundResult::Reused;
+        let Some((holder, fingerprint)) =
+            holders().max_by_key(|held| holders().filter(|h| h == held).count())
+        else {
+            return RoundResult::Unconfirmed;
+        };
+        if fingerprint == self.fingerprint {
+            RoundResult::Held(holder)
+        } else {
+            RoundResult::Reused
         }
-        holders()
-            .next()
-            .map_or(RoundResult::Unconfirmed, |(h, _)| RoundResult::Held(h))
     }
 }
--- a/components/calls/src/suspects.rs
+++ b/components/calls/src/suspects.rs
@@ -2,6 +2,7 @@
 
 use crate::Fingerprint;
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 
 /// One crash of one upstream, unique in the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -41,7 +42,7 @@
 pub struct SuspectConfig {
     /// How long a request is suspected after one crash.
     pub suspect_ms: u64,
-    /// How long a request is refused after the second crash, and one crash is remembered.
+    /// How long a request is refused after the second crash, and how long the first one counts.
     pub quarantine_ms: u64,
     /// Most requests in the table.
     pub max_fingerprints: usize,
@@ -60,36 +61,151 @@
     }
 }
 
-/// Suspects known to one node.
+/// Most incidents remembered per request; two are enough to refuse it.
+const MAX_INCIDENTS: usize = 4;
+
+#[derive(Clone, Copy, Debug)]
+struct Incident {
+    id: IncidentId,
+    /// End of the quarantine that this incident can cause.
+    ends_us: u64,
+    cleared: bool,
+}
+
+/// Suspects known to one node. Incidents merge in any order and any number of times, so gossip may
+/// repeat and reorder reports.
 #[derive(Debug)]
 pub struct Suspects {
     config: SuspectConfig,
+    requests: HashMap<Fingerprint, Vec<Incident>>,
 }
 
 impl Suspects {
     /// An empty table.
     pub fn new(config: SuspectConfig) -> Self {
-        Suspects { config }
+        Suspects {
+            config,
+            requests: HashMap::new(),
+        }
     }
 
-    /// Takes a crash of the local upstream and the requests that were running on it.
-    pub fn crashed(&mut self, _now_us: u64, _incident: IncidentId, _prints: &[Fingerprint]) {}
+    /// Takes a crash of the local upstream and the requests that were running on it. A crash of
+    /// the whole host is not one: it says nothing about the requests.
+    pub fn crashed(&mut self, now_us: u64, incident: IncidentId, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            let report = SuspectReport {
+                fingerprint: *fingerprint,
+                incident,
+                age_ms: 0,
+                cleared: false,
+            };
+            self.merge(now_us, &report);
+        }
+    }
 
-    /// Clears a request that got a complete answer.
-    pub fn answered(&mut self, _now_us: u64, _fingerprint: &Fingerprint) {}
+    /// Clears a request that got a complete answer. This also ends a quarantine: a frequent request
+    /// that was in flight at two unrelated crashes is cleared by its other runs.
+    pub fn answered(&mut self, _now_us: u64, fingerprint: &Fingerprint) {
+        for incident in self.requests.get_mut(fingerprint).into_iter().flatten() {
+            incident.cleared = true;
+        }
+    }
 
     /// What to do with a request.
-    pub fn verdict(&mut self, _now_us: u64, _fingerprint: &Fingerprint) -> Verdict {
-        Verdict::Clear
+    pub fn verdict(&mut self, now_us: u64, fingerprint: &Fingerprint) -> Verdict {
+        let Some(incidents) = self.requests.get(fingerprint) else {
+            return Verdict::Clear;
+        };
+        let open = || incidents.iter().filter(|i| !i.cleared);
+        let ends_us = open().map(|i| i.ends_us).max().unwrap_or(0);
+        if ends_us <= now_us {
+            return Verdict::Clear;
+        }
+        if open().count() >= 2 {
+            return Verdict::Refuse;
+        }
+        let age_ms = self.age_ms(now_us, ends_us);
+        if u64::from(age_ms) < self.config.suspect_ms {
+            Verdict::Suspected
+        } else {
+            Verdict::Clear
+        }
     }
 
     /// Takes a peer's report; returns whether it was news, to be passed on.
-    pub fn merge(&mut self, _now_us: u64, _report: &SuspectReport) -> bool {
-        false
+    pub fn merge(&mut self, now_us: u64, report: &SuspectReport) -> bool {
+        self.purge(now_us);
+        let age_us = u64::from(report.age_ms) * 1_000;
+        let ends_us = (now_us + self.config.quarantine_ms * 1_000).saturating_sub(age_us);
+        // An incident past its own quarantine matters only together with a later one.
+        let is_known = self.requests.contains_key(&report.fingerprint);
+        if !is_known && (ends_us <= now_us || !self.make_room(now_us)) {
+            return false;
+        }
+        let incidents = self.requests.entry(report.fingerprint).or_default();
+        if let Some(known) = incidents.iter_mut().find(|i| i.id == report.incident) {
+            let is_news = report.cleared && !known.cleared;
+            known.cleared |= report.cleared;
+            return is_news;
+        }
+        incidents.push(Incident {
+            id: report.incident,
+            ends_us,
+            cleared: report.cleared,
+        });
+        incidents.sort_by_key(|i| std::cmp::Reverse(i.ends_us));
+        incidents.truncate(MAX_INCIDENTS);
+        incidents.iter().any(|i| i.id == report.incident)
     }
 
     /// Reports for the peers, newest crash first, bounded in number.
-    pub fn reports(&mut self, _now_us: u64) -> Vec<SuspectReport> {
-        Vec::with_capacity(self.config.max_reports)
+    pub fn reports(&mut self, now_us: u64) -> Vec<SuspectReport> {
+        self.purge(now_us);
+        let mut reports: Vec<SuspectReport> = self
+            .requests
+            .iter()
+            .flat_map(|(fingerprint, incidents)| incidents.iter().map(move |i| (fingerprint, i)))
+            .map(|(fingerprint, incident)| SuspectReport {
+                fingerprint: *fingerprint,
+                incident: incident.id,
+                age_ms: self.age_ms(now_us, incident.ends_us),
+                cleared: incident.cleared,
+            })
+            .collect();
+        reports.sort_by_key(|r| (r.age_ms, r.incident, r.fingerprint));
+        reports.truncate(self.config.max_reports);
+        reports
+    }
+
+    fn age_ms(&self, now_us: u64, ends_us: u64) -> u32 {
+        let start_plus_us = now_us + self.config.quarantine_ms * 1_000;
+        u32::try_from(start_plus_us.saturating_sub(ends_us) / 1_000).unwrap_or(u32::MAX)
+    }
+
+    /// Drops requests whose incidents have all ended.
+    fn purge(&mut self, now_us: u64) {
+        self.requests
+            .retain(|_, incidents| incidents.iter().any(|i| i.ends_us > now_us));
+    }
+
+    /// Makes room for one request; requests under quarantine stay.
+    fn make_room(&mut self, now_us: u64) -> bool {
+        if self.requests.len() < self.config.max_fingerprints {
+            return true;
+        }
+        let is_refused = |f: &Fingerprint, s: &mut Self| s.verdict(now_us, f) == Verdict::Refuse;
+        let mut candidates: Vec<(u64, Fingerprint)> = self
+            .requests
+            .iter()
+            .map(|(f, incidents)| (incidents.iter().map(|i| i.ends_us).max().unwrap_or(0), *f))
+            .collect();
+        candidates.sort_unstable();
+        for (_, fingerprint) in candidates {
+            if !is_refused(&fingerprint, self) {
+                self.requests.remove(&fingerprint);
+                return true;
+            }
+        }
+        false
     }
 }
