--- /dev/null
+++ b/components/kernel/src/directory.rs
@@ -0,0 +1,136 @@
+//! The upstreams of all services that this node knows, in shards by service.
+
+use crate::{
+    events::{Event, Events},
+    stop::lock,
+};
+use model::{NodeId, ProfileName, ServiceName, Upstream, UpstreamName};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, hash_map::DefaultHasher},
+    hash::{Hash, Hasher},
+    sync::{Arc, Mutex},
+};
+
+/// Number of shards, each under its own lock.
+const SHARDS: usize = 16;
+
+type Services = HashMap<ServiceName, BTreeMap<UpstreamName, Upstream>>;
+
+/// Known upstreams by service.
+#[derive(Clone)]
+pub struct Directory {
+    shards: Arc<[Mutex<Services>; SHARDS]>,
+    events: Events,
+}
+
+impl Directory {
+    /// An empty directory that publishes its changes to `events`.
+    pub fn new(events: Events) -> Self {
+        Directory {
+            shards: Arc::new(std::array::from_fn(|_| Mutex::default())),
+            events,
+        }
+    }
+
+    /// Takes a record in if it is newer than the known one; tells whether it was.
+    pub fn upsert(&self, upstream: Upstream) -> bool {
+        {
+            let mut services = lock(self.shard(&upstream.service));
+            let names = services.entry(upstream.service.clone()).or_default();
+            if names
+                .get(&upstream.name)
+                .is_some_and(|known| !is_newer(&upstream, known))
+            {
+                return false;
+            }
+            names.insert(upstream.name.clone(), upstream.clone());
+        }
+        self.events.publish(&Event::UpstreamChanged(upstream));
+        true
+    }
+
+    /// Removes an upstream if `node` still is the one that announced it.
+    pub fn remove(&self, service: &ServiceName, name: &UpstreamName, node: NodeId) -> bool {
+        {
+            let mut services = lock(self.shard(service));
+            let Some(names) = services.get_mut(service) else {
+                return false;
+            };
+            if names.get(name).is_none_or(|known| known.node != node) {
+                return false;
+            }
+            names.remove(name);
+            if names.is_empty() {
+                services.remove(service);
+            }
+        }
+        let (service, name) = (service.clone(), name.clone());
+        self.events
+            .publish(&Event::UpstreamRemoved { service, name });
+        true
+    }
+
+    /// All upstreams of a service.
+    pub fn upstreams(&self, service: &ServiceName) -> Vec<Upstream> {
+        let services = lock(self.shard(service));
+        services
+            .get(service)
+            .map(|names| names.values().cloned().collect())
+            .unwrap_or_default()
+    }
+
+    /// Whether any upstream of the service is known.
+    pub fn knows(&self, service: &ServiceName) -> bool {
+        lock(self.shard(service)).contains_key(service)
+    }
+
+    /// The profile for a call, by the rules of the newest announcement of the service.
+    pub fn profile_for(
+        &self,
+        service: &ServiceName,
+        method: &str,
+        path: &str,
+    ) -> Option<ProfileName> {
+        let services = lock(self.shard(service));
+        let newest = services
+            .get(service)?
+            .values()
+            .max_by_key(|upstream| (upstream.announced_ms, upstream.version))?;
+        Some(newest.profile_for(method, path).clone())
+    }
+
+    /// All upstreams of all services.
+    pub fn all(&self) -> Vec<Upstream> {
+        self.shards
+            .iter()
+            .flat_map(|shard| {
+                let services = lock(shard);
+                services
+                    .values()
+                    .flat_map(|names| names.values().cloned())
+                    .collect::<Vec<_>>()
+            })
+            .collect()
+    }
+
+    /// Names of the profiles that known upstreams use.
+    pub fn profiles_in_use(&self) -> BTreeSet<ProfileName> {
+        let mut names = BTreeSet::new();
+        for upstream in self.all() {
+            names.insert(upstream.default_profile.clone());
+            names.extend(upstream.rules.iter().map(|rule| rule.profile.clone()));
+        }
+        names
+    }
+
+    fn shard(&self, service: &ServiceName) -> &Mutex<Services> {
+        let mut hasher = DefaultHasher::new();
+        service.hash(&mut hasher);
+        &self.shards[hasher.finish() as usize % SHARDS]
+    }
+}
+
+/// A newer run of a node wins over an older one; within one run, the higher version wins.
+fn is_newer(candidate: &Upstream, known: &Upstream) -> bool {
+    (candidate.node.incarnation, candidate.version) > (known.node.incarnation, known.version)
+}
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -1,1 +1,21 @@
 //! Plug-in registry, shared tables, clock and stop order.
+
+mod clock;
+mod directory;
+mod events;
+mod metrics;
+mod plugin;
+mod profiles;
+mod run;
+mod stop;
+mod suspects;
+
+pub use clock::Clock;
+pub use directory::Directory;
+pub use events::{Event, Events};
+pub use metrics::{CallLabels, ErrorLabels, KindLabels, Metrics};
+pub use plugin::{PluginEntry, Role, Running, StartError};
+pub use profiles::ProfileTable;
+pub use run::{Kernel, KernelHandle, Settings};
+pub use stop::StopSignal;
+pub use suspects::SuspectTable;
--- /dev/null
+++ b/components/kernel/src/metrics.rs
@@ -0,0 +1,163 @@
+//! Metrics of a process, in Prometheus text.
+
+use crate::stop::lock;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use std::sync::{Arc, Mutex};
+
+/// Labels of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// Service that was called.
+    pub service: String,
+    /// Profile of the call.
+    pub profile: String,
+}
+
+/// Labels of an answer made by the system itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ErrorLabels {
+    /// Service that was called, empty if it is not known.
+    pub service: String,
+    /// Code of the error kind.
+    pub code: String,
+}
+
+/// A single label for a closed set.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabels {
+    /// Member of the set.
+    pub kind: &'static str,
+}
+
+/// All metrics of a process.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Arc<Mutex<Registry>>,
+    /// Calls taken from callers.
+    pub calls: Family<CallLabels, Counter>,
+    /// Answers made by the system itself.
+    pub errors: Family<ErrorLabels, Counter>,
+    /// Time from a call's head to its answer, in seconds.
+    pub call_seconds: Family<CallLabels, Histogram>,
+    /// Attempts beyond the first, by kind: retry or hedge.
+    pub extra_attempts: Family<KindLabels, Counter>,
+    /// Measuring messages, by kind: sent, received.
+    pub probes: Family<KindLabels, Counter>,
+    /// Bytes of measuring messages sent.
+    pub probe_bytes: Counter,
+    /// Probes that the budget held back.
+    pub probes_held_back: Counter,
+    /// Calls running at the local upstream.
+    pub in_flight: Gauge,
+    /// Calls waiting at this owner.
+    pub queued: Gauge,
+    /// Calls started at the local upstream.
+    pub started: Counter,
+    /// Number of the configuration in effect.
+    pub revision: Gauge,
+    /// Milliseconds since this node last confirmed its configuration.
+    pub config_age_ms: Gauge,
+    /// Live members known to this node.
+    pub members: Gauge,
+    /// Messages to and from other processes, by channel and direction.
+    pub mesh_messages: Family<KindLabels, Gauge>,
+    /// Bytes to and from other processes, by channel and direction.
+    pub mesh_bytes: Family<KindLabels, Gauge>,
+}
+
+/// First bucket of a call's time in seconds.
+const FIRST_BUCKET_S: f64 = 0.000_25;
+
+fn call_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, 16))
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let metrics = Metrics {
+            registry: Arc::default(),
+            calls: Family::default(),
+            errors: Family::default(),
+            call_seconds: Family::new_with_constructor(call_histogram),
+            extra_attempts: Family::default(),
+            probes: Family::default(),
+            probe_bytes: Counter::default(),
+            probes_held_back: Counter::default(),
+            in_flight: Gauge::default(),
+            queued: Gauge::default(),
+            started: Counter::default(),
+            revision: Gauge::default(),
+            config_age_ms: Gauge::default(),
+            members: Gauge::default(),
+            mesh_messages: Family::default(),
+            mesh_bytes: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let mut guard = lock(&self.registry);
+        let registry = guard.sub_registry_with_prefix("gyard");
+        registry.register("calls", "Calls taken from callers", self.calls.clone());
+        registry.register("errors", "Answers made by the system", self.errors.clone());
+        registry.register("call_seconds", "Time of a call", self.call_seconds.clone());
+        registry.register(
+            "extra_attempts",
+            "Attempts beyond the first",
+            self.extra_attempts.clone(),
+        );
+        registry.register("probes", "Measuring messages", self.probes.clone());
+        registry.register(
+            "probe_bytes",
+            "Bytes of measuring messages",
+            self.probe_bytes.clone(),
+        );
+        registry.register(
+            "probes_held_back",
+            "Probes that the budget held back",
+            self.probes_held_back.clone(),
+        );
+        registry.register(
+            "in_flight",
+            "Calls running at the upstream",
+            self.in_flight.clone(),
+        );
+        registry.register("queued", "Calls waiting at this owner", self.queued.clone());
+        registry.register(
+            "started",
+            "Calls started at the upstream",
+            self.started.clone(),
+        );
+        registry.register("revision", "Configuration in effect", self.revision.clone());
+        registry.register(
+            "config_age_ms",
+            "Time since the configuration was confirmed",
+            self.config_age_ms.clone(),
+        );
+        registry.register("members", "Live members", self.members.clone());
+        registry.register(
+            "mesh_messages",
+            "Messages on the mesh",
+            self.mesh_messages.clone(),
+        );
+        registry.register("mesh_bytes", "Bytes on the mesh", self.mesh_bytes.clone());
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail; an empty page is the harmless answer if it did.
+        let _ = encode(&mut text, &lock(&self.registry));
+        text
+    }
+}
--- /dev/null
+++ b/components/kernel/src/run.rs
@@ -0,0 +1,227 @@
+//! Starts the plug-ins of a process and stops them in order.
+
+use crate::{
+    clock::Clock,
+    directory::Directory,
+    events::{Event, Events},
+    metrics::Metrics,
+    plugin::{Role, Running, StartError, plugins_of},
+    profiles::ProfileTable,
+    stop::{StopSignal, lock},
+    suspects::SuspectTable,
+};
+use mesh::Mesh;
+use settings::{ControlSettings, NodeSettings};
+use std::{
+    any::{Any, TypeId},
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+/// Longest wait of a stopping control replica for requests in flight.
+const CONTROL_STOP_TIMEOUT_MS: u64 = 2_000;
+
+/// Settings of the process.
+#[derive(Clone)]
+pub enum Settings {
+    /// A node, with a control replica inside it or without.
+    Node(Box<NodeSettings>),
+    /// A control replica of its own.
+    Control(Box<ControlSettings>),
+}
+
+/// What the plug-ins of a process share.
+pub struct Kernel {
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Transport to other processes of the system.
+    pub mesh: Mesh,
+    /// Notices between plug-ins.
+    pub events: Events,
+    /// Known upstreams.
+    pub directory: Directory,
+    /// Profiles in effect.
+    pub profiles: ProfileTable,
+    /// Crash suspects.
+    pub suspects: SuspectTable,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Raised when the process should stop.
+    pub stop: StopSignal,
+    /// Raised when the plug-ins' threads should end.
+    pub ended: StopSignal,
+    settings: Settings,
+    shared: Mutex<HashMap<TypeId, Arc<dyn Any + Send + Sync>>>,
+    addresses: Mutex<HashMap<&'static str, SocketAddr>>,
+}
+
+impl Kernel {
+    /// Opens the mesh and starts all plug-ins of the process.
+    pub fn start(settings: Settings) -> Result<KernelHandle, StartError> {
+        let kernel = Arc::new(Kernel::new(settings)?);
+        let mut handle = KernelHandle {
+            kernel,
+            running: Vec::new(),
+        };
+        for entry in plugins_of(&handle.kernel.roles()) {
+            match (entry.start)(&handle.kernel) {
+                Ok(running) => handle.running.push((entry.name, running)),
+                Err(error) => {
+                    handle.stop();
+                    return Err(error);
+                }
+            }
+            log::debug!("kernel: started {}.", entry.name);
+        }
+        log::info!("kernel: running as {}.", handle.kernel.mesh.local());
+        Ok(handle)
+    }
+
+    fn new(settings: Settings) -> Result<Self, StartError> {
+        let (listen, key) = match &settings {
+            Settings::Node(node) => (node.mesh_listen, &node.mesh_key),
+            Settings::Control(control) => (control.listen, &control.mesh_key),
+        };
+        let mesh = Mesh::builder()
+            .listen(listen)
+            .key(key.0)
+            .start()
+            .map_err(|error| StartError::new("mesh", format!("{error}; choose a free address")))?;
+        let events = Events::default();
+        Ok(Kernel {
+            clock: Clock::start(),
+            mesh,
+            directory: Directory::new(events.clone()),
+            events,
+            profiles: ProfileTable::new(),
+            suspects: SuspectTable::new(),
+            metrics: Metrics::new(),
+            stop: StopSignal::new(),
+            ended: StopSignal::new(),
+            settings,
+            shared: Mutex::default(),
+            addresses: Mutex::default(),
+        })
+    }
+
+    /// Settings of the node. Only plug-ins of the role `Node` may ask for them.
+    ///
+    /// # Panics
+    ///
+    /// In a process that is not a node.
+    pub fn node_settings(&self) -> &NodeSettings {
+        match &self.settings {
+            Settings::Node(node) => node,
+            Settings::Control(_) => panic!("a plug-in of a node runs in a control replica"),
+        }
+    }
+
+    /// Settings of the control replica in this process, if it has one.
+    pub fn control_settings(&self) -> Option<ControlSettings> {
+        match &self.settings {
+            Settings::Control(control) => Some(ControlSettings::clone(control)),
+            Settings::Node(node) => node.embedded_control(),
+        }
+    }
+
+    /// The value of type `T` that plug-ins of this process share; made on first use.
+    pub fn shared<T: Any + Send + Sync>(&self, make: impl FnOnce() -> T) -> Arc<T> {
+        if let Some(value) = lock(&self.shared).get(&TypeId::of::<T>()) {
+            return Arc::clone(value)
+                .downcast()
+                .expect("the map is keyed by type");
+        }
+        let made: Arc<dyn Any + Send + Sync> = Arc::new(make());
+        let value = Arc::clone(lock(&self.shared).entry(TypeId::of::<T>()).or_insert(made));
+        value.downcast().expect("the map is keyed by type")
+    }
+
+    /// Notes the address that a plug-in listens on, which differs from its setting for port 0.
+    pub fn set_address(&self, plugin: &'static str, address: SocketAddr) {
+        lock(&self.addresses).insert(plugin, address);
+    }
+
+    /// The address that a plug-in listens on.
+    pub fn address(&self, plugin: &str) -> Option<SocketAddr> {
+        lock(&self.addresses).get(plugin).copied()
+    }
+
+    fn roles(&self) -> Vec<Role> {
+        match &self.settings {
+            Settings::Control(_) => vec![Role::Control],
+            Settings::Node(node) if node.control_replica.is_some() => {
+                vec![Role::Control, Role::Node]
+            }
+            Settings::Node(_) => vec![Role::Node],
+        }
+    }
+
+    fn stop_timeout(&self) -> Duration {
+        Duration::from_millis(match &self.settings {
+            Settings::Node(node) => node.stop_timeout_ms,
+            Settings::Control(_) => CONTROL_STOP_TIMEOUT_MS,
+        })
+    }
+}
+
+/// A running process; dropping it stops it.
+pub struct KernelHandle {
+    kernel: Arc<Kernel>,
+    running: Vec<(&'static str, Running)>,
+}
+
+impl KernelHandle {
+    /// The kernel.
+    pub fn kernel(&self) -> &Arc<Kernel> {
+        &self.kernel
+    }
+
+    /// Waits until the process should stop.
+    pub fn wait(&self) {
+        while !self.kernel.stop.wait(Duration::from_secs(3600)) {}
+    }
+
+    /// Takes no new work, finishes what is in flight, then ends the plug-ins.
+    pub fn stop(&mut self) {
+        if self.kernel.ended.is_raised() {
+            return;
+        }
+        let until = Instant::now() + self.kernel.stop_timeout();
+        self.kernel.stop.raise();
+        self.kernel.events.publish(&Event::Stopping);
+        let mut stops = Vec::new();
+        for (name, running) in self.running.drain(..).rev() {
+            (running.drain)(until);
+            log::debug!("kernel: drained {name}.");
+            stops.push(running.stop);
+        }
+        self.kernel.ended.raise();
+        for stop in stops {
+            stop();
+        }
+        self.kernel.mesh.stop();
+        self.kernel.events.clear();
+        lock(&self.kernel.shared).clear();
+        log::info!("kernel: stopped.");
+    }
+
+    /// Ends the process at once, as a crash would: nothing is drained or announced.
+    pub fn abort(&mut self) {
+        self.kernel.mesh.stop();
+        self.kernel.stop.raise();
+        self.kernel.ended.raise();
+        for (_, running) in self.running.drain(..).rev() {
+            (running.stop)();
+        }
+        self.kernel.events.clear();
+        lock(&self.kernel.shared).clear();
+    }
+}
+
+impl Drop for KernelHandle {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- /dev/null
+++ b/components/kernel/src/stop.rs
@@ -0,0 +1,69 @@
+//! The request to stop, from a signal or from the owner of the kernel.
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use std::{
+    io,
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+/// How often a wait looks at the flag that a signal handler sets.
+const SIGNAL_POLL: Duration = Duration::from_millis(50);
+
+/// A flag that is raised once and wakes the threads that wait for it.
+#[derive(Clone, Debug, Default)]
+pub struct StopSignal {
+    raised: Arc<AtomicBool>,
+    wake: Arc<(Mutex<()>, Condvar)>,
+}
+
+impl StopSignal {
+    /// A signal that has not been raised.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Raises the signal when the process receives SIGTERM or SIGINT.
+    pub fn raise_on_signals(&self) -> io::Result<()> {
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::flag::register(signal, Arc::clone(&self.raised))?;
+        }
+        Ok(())
+    }
+
+    /// Raises the signal.
+    pub fn raise(&self) {
+        self.raised.store(true, Ordering::Release);
+        self.wake.1.notify_all();
+    }
+
+    /// Whether the signal has been raised.
+    pub fn is_raised(&self) -> bool {
+        self.raised.load(Ordering::Acquire)
+    }
+
+    /// Waits for `period`, or less if the signal is raised; tells whether it is raised.
+    pub fn wait(&self, period: Duration) -> bool {
+        let mut left = period;
+        let mut guard = lock(&self.wake.0);
+        while !self.is_raised() && !left.is_zero() {
+            let step = left.min(SIGNAL_POLL);
+            guard = match self.wake.1.wait_timeout(guard, step) {
+                Ok((guard, _)) => guard,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+            left -= step;
+        }
+        self.is_raised()
+    }
+}
+
+/// Locks a mutex; a poisoned one is used further, since each state here stays consistent.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/components/node/src/announce.rs
@@ -0,0 +1,96 @@
+//! The body with which an instance announces itself and reports.
+
+use model::{ProfileName, Rule, ServiceName, UpstreamName, UpstreamState};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Most slots that an instance may announce.
+const MAX_SLOTS: u32 = 10_000;
+/// Most rules of one instance, so that its record stays small enough to be gossiped.
+const MAX_RULES: usize = 16;
+/// Longest path prefix of a rule in bytes.
+const MAX_PREFIX_BYTES: usize = 64;
+
+/// Body of `PUT /v1/instance`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Service that the instance belongs to.
+    pub service: ServiceName,
+    /// Name of the instance, unique in its service; the host's name if left out.
+    #[serde(default)]
+    pub name: Option<UpstreamName>,
+    /// Address where it serves HTTP/1.1.
+    pub address: SocketAddr,
+    /// Calls that it can run at once.
+    pub slots: u32,
+    /// Connections that it accepts at once.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
+    /// Life cycle.
+    #[serde(default = "default_state")]
+    pub state: UpstreamState,
+    /// Profile of the calls that no rule matches.
+    pub default_profile: ProfileName,
+    /// Rules from method and path to profile.
+    #[serde(default)]
+    pub rules: Vec<Rule>,
+    /// Calls running, as the instance counts them.
+    #[serde(default)]
+    pub in_flight: Option<u32>,
+    /// Calls waiting inside the instance.
+    #[serde(default)]
+    pub queue: Option<u32>,
+    /// Load from 0 to 1, as the instance sees it.
+    #[serde(default)]
+    pub load: Option<f32>,
+}
+
+fn default_connections() -> u32 {
+    260
+}
+
+fn default_state() -> UpstreamState {
+    UpstreamState::Serving
+}
+
+impl Announcement {
+    /// Reads and checks a body; the error says which field to mend.
+    pub fn parse(body: &[u8]) -> Result<Self, String> {
+        let announcement: Announcement =
+            serde_json::from_slice(body).map_err(|error| format!("body: {error}"))?;
+        announcement.check()?;
+        Ok(announcement)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.slots == 0 || self.slots > MAX_SLOTS {
+            return Err(format!(
+                "slots: {} is out of range; allowed are 1 to {MAX_SLOTS}",
+                self.slots
+            ));
+        }
+        if self.connections < self.slots {
+            return Err(format!(
+                "connections: {} is below slots {}; each running call needs a connection",
+                self.connections, self.slots
+            ));
+        }
+        if self.rules.len() > MAX_RULES {
+            return Err(format!(
+                "rules: {} given; allowed are {MAX_RULES}",
+                self.rules.len()
+            ));
+        }
+        for rule in &self.rules {
+            if !rule.path_prefix.starts_with('/') || rule.path_prefix.len() > MAX_PREFIX_BYTES {
+                return Err(format!(
+                    "rules: path_prefix {:?} must start with '/' and have at most \
+                     {MAX_PREFIX_BYTES} bytes",
+                    rule.path_prefix
+                ));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/node/src/context.rs
@@ -0,0 +1,73 @@
+//! What the plug-ins of one node share beside the kernel.
+
+use crate::{
+    announce::Announcement, generations::Generations, local::LocalInstance, newer::NewerOffers,
+    probes::ProbeTable,
+};
+use calls::{Fingerprint, IncidentId};
+use kernel::{Event, Kernel, KindLabels};
+use mesh::Channel;
+use std::sync::Arc;
+
+/// Shared by the plug-ins of one node, owned by the kernel.
+pub(crate) struct NodeContext {
+    pub(crate) kernel: Arc<Kernel>,
+    pub(crate) local: LocalInstance,
+    pub(crate) probes: ProbeTable,
+    pub(crate) generations: Generations,
+    pub(crate) newer: NewerOffers,
+}
+
+impl NodeContext {
+    /// The context of this kernel's node.
+    pub(crate) fn of(kernel: &Arc<Kernel>) -> Arc<NodeContext> {
+        kernel.shared(|| NodeContext {
+            kernel: Arc::clone(kernel),
+            local: LocalInstance::new(kernel),
+            probes: ProbeTable::new(kernel),
+            generations: Generations::default(),
+            newer: NewerOffers::new(),
+        })
+    }
+
+    /// Names of the announcement's profiles that are not in effect here.
+    pub(crate) fn missing_profiles(&self, announcement: &Announcement) -> Vec<String> {
+        let set = self.kernel.profiles.current();
+        std::iter::once(&announcement.default_profile)
+            .chain(announcement.rules.iter().map(|rule| &rule.profile))
+            .filter(|name| set.resolve(name).is_none())
+            .map(ToString::to_string)
+            .collect()
+    }
+
+    /// Notes a cut-off call as a suspect and lets the other nodes know.
+    pub(crate) fn note_crash(&self, now_us: u64, incident: IncidentId, fingerprint: &Fingerprint) {
+        self.kernel
+            .suspects
+            .with(|suspects| suspects.crashed(now_us, incident, std::slice::from_ref(fingerprint)));
+        self.kernel.events.publish(&Event::SuspectsNoted);
+    }
+
+    /// Copies the figures that are kept elsewhere into the metrics.
+    pub(crate) fn refresh_metrics(&self) {
+        let metrics = &self.kernel.metrics;
+        let revision = self.kernel.profiles.revision();
+        metrics.revision.set(revision.number as i64);
+        metrics
+            .config_age_ms
+            .set(self.kernel.profiles.age_ms(self.kernel.clock.now_us()) as i64);
+        let stats = self.kernel.mesh.stats();
+        for channel in Channel::ALL {
+            let labels = KindLabels {
+                kind: channel.name(),
+            };
+            let channel = stats.channel(channel);
+            let messages = (channel.messages_in + channel.messages_out) as i64;
+            metrics.mesh_messages.get_or_create(&labels).set(messages);
+            metrics
+                .mesh_bytes
+                .get_or_create(&labels)
+                .set((channel.bytes_in + channel.bytes_out) as i64);
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/entry/call.rs
@@ -0,0 +1,154 @@
+//! Checks a caller's request and gathers what the call needs.
+
+use super::Entry;
+use calls::{Fingerprint, Key, MAX_KEYED_CALL_MS, Verdict};
+use errors::ErrorKind;
+use http::{Request, strip_hop_by_hop};
+use model::{CallId, Profile, ServiceName};
+use wire::WireMessage;
+
+/// Longest deadline that a caller may ask for, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+/// Longest idempotency key in characters.
+const MAX_KEY_CHARS: usize = 255;
+
+/// A checked call.
+pub(crate) struct Prepared {
+    pub(crate) call: CallId,
+    pub(crate) service: ServiceName,
+    pub(crate) profile: Profile,
+    pub(crate) deadline_us: u64,
+    pub(crate) key: Option<Key>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) suspected: bool,
+    pub(crate) request: WireMessage,
+}
+
+/// A refused request: its service, empty if not known, and the reason.
+type Refusal = (String, ErrorKind);
+
+impl Entry {
+    /// Checks a request against the directory, the profiles and the limits of its headers.
+    pub(crate) fn prepare(&self, request: Request, now_us: u64) -> Result<Prepared, Refusal> {
+        let kernel = &self.context.kernel;
+        let service = service_of(&request).ok_or((String::new(), ErrorKind::UnknownService))?;
+        let refuse = |kind| (service.to_string(), kind);
+        if kernel.stop.is_raised() {
+            return Err(refuse(ErrorKind::Stopping));
+        }
+        let path = request.target.split('?').next().unwrap_or("/");
+        let name = kernel
+            .directory
+            .profile_for(&service, &request.method, path)
+            .ok_or_else(|| refuse(ErrorKind::UnknownService))?;
+        let profile = kernel
+            .profiles
+            .resolve(&name)
+            .ok_or_else(|| refuse(ErrorKind::UnknownProfile))?;
+        let key = key_of(&request, &service, &profile).map_err(refuse)?;
+        let longest_ms = if key.is_some() {
+            MAX_KEYED_CALL_MS
+        } else {
+            MAX_DEADLINE_MS
+        };
+        let deadline_ms = deadline_ms(&request, &profile)
+            .map_err(refuse)?
+            .min(longest_ms);
+        let fingerprint = fingerprint(&service, &request);
+        let suspected = match kernel.suspects.with(|s| s.verdict(now_us, &fingerprint)) {
+            Verdict::Refuse => return Err(refuse(ErrorKind::CrashSuspect)),
+            Verdict::Suspected => true,
+            Verdict::Clear => false,
+        };
+        Ok(Prepared {
+            call: self.next_call(),
+            deadline_us: now_us + deadline_ms * 1000,
+            key,
+            fingerprint,
+            suspected,
+            request: into_wire(request),
+            service,
+            profile,
+        })
+    }
+}
+
+/// The service from `x-gyard-service` or from the first label of `Host`.
+fn service_of(request: &Request) -> Option<ServiceName> {
+    if let Some(name) = request.headers.get("x-gyard-service") {
+        return ServiceName::parse(name.trim()).ok();
+    }
+    let host = request.headers.get("host")?.trim();
+    let label = host.split(['.', ':']).next()?;
+    ServiceName::parse(label.to_ascii_lowercase()).ok()
+}
+
+fn deadline_ms(request: &Request, profile: &Profile) -> Result<u64, ErrorKind> {
+    let Some(text) = request.headers.get("x-gyard-deadline-ms") else {
+        return Ok(u64::from(profile.deadline_ms));
+    };
+    match text.trim().parse::<u64>() {
+        Ok(ms) if (1..=MAX_DEADLINE_MS).contains(&ms) => Ok(ms),
+        _ => Err(ErrorKind::BadDeadline),
+    }
+}
+
+/// The key of a call that may not be repeated; repeatable calls need none.
+fn key_of(
+    request: &Request,
+    service: &ServiceName,
+    profile: &Profile,
+) -> Result<Option<Key>, ErrorKind> {
+    let Some(text) = request.headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    let text = text.trim();
+    let is_visible = text.bytes().all(|b| (0x21..0x7f).contains(&b));
+    if text.is_empty() || text.len() > MAX_KEY_CHARS || !is_visible {
+        return Err(ErrorKind::BadKey);
+    }
+    if profile.idempotent {
+        return Ok(None);
+    }
+    Ok(Some(short_hash(&[
+        b"key",
+        service.as_str().as_bytes(),
+        text.as_bytes(),
+    ])))
+}
+
+fn fingerprint(service: &ServiceName, request: &Request) -> Fingerprint {
+    short_hash(&[
+        b"request",
+        service.as_str().as_bytes(),
+        request.method.as_bytes(),
+        request.target.as_bytes(),
+        request.headers.get("content-type").unwrap_or("").as_bytes(),
+        &request.body,
+    ])
+}
+
+/// The first 16 bytes of a hash over the parts and their lengths.
+fn short_hash(parts: &[&[u8]]) -> [u8; 16] {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut short = [0; 16];
+    hasher.finalize_xof().fill(&mut short);
+    short
+}
+
+fn into_wire(mut request: Request) -> WireMessage {
+    strip_hop_by_hop(&mut request.headers);
+    WireMessage {
+        start: (request.method, request.target),
+        headers: request
+            .headers
+            .iter()
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect(),
+        body: request.body,
+    }
+}
--- /dev/null
+++ b/components/node/src/entry/mod.rs
@@ -0,0 +1,143 @@
+//! Plug-in `entry`: takes calls from callers and brings them to an owner.
+
+mod call;
+mod drive;
+mod keys;
+mod routes;
+
+use crate::context::NodeContext;
+use errors::ErrorKind;
+use http::{CallerWatch, Request, Response, ServerConfig, error_response, serve};
+use kernel::{CallLabels, ErrorLabels, Event, Kernel, PluginEntry, Role, Running, StartError};
+use model::CallId;
+use routes::Routes;
+use std::{
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// Period in which lost probes are looked for.
+const PROBE_CHECK: Duration = Duration::from_millis(200);
+
+inventory::submit! {
+    PluginEntry { name: "entry", role: Role::Node, order: 50, start }
+}
+
+/// The entry of one node.
+pub(crate) struct Entry {
+    context: Arc<NodeContext>,
+    routes: Routes,
+    origin: u64,
+    next_call: AtomicU64,
+}
+
+fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
+    let context = NodeContext::of(kernel);
+    let address = kernel.node_settings().call_listen;
+    let listener = TcpListener::bind(address).map_err(|error| {
+        StartError::new(
+            "entry",
+            format!("--call-listen {address} can't be opened: {error}; choose a free port"),
+        )
+    })?;
+    let entry = Arc::new(Entry {
+        routes: Routes::new(&context),
+        origin: rand::random(),
+        next_call: AtomicU64::new(1),
+        context: Arc::clone(&context),
+    });
+    kernel.events.subscribe({
+        let entry = Arc::clone(&entry);
+        move |event| match event {
+            Event::UpstreamChanged(upstream) => entry.routes.refresh(&upstream.service),
+            Event::UpstreamRemoved { service, .. } => entry.routes.refresh(service),
+            _ => (),
+        }
+    });
+    let config = ServerConfig {
+        max_connections: kernel.node_settings().max_connections,
+        max_body_bytes: kernel.node_settings().max_body_bytes,
+        thread_name: "entry".to_owned(),
+        ..ServerConfig::default()
+    };
+    let server = serve(listener, config, move |request, watch| {
+        entry.answer(request, watch)
+    })
+    .map_err(|error| StartError::new("entry", error))?;
+    kernel.set_address("entry", server.address());
+    let server = Arc::new(server);
+    let checking = thread::spawn({
+        let context = Arc::clone(&context);
+        move || {
+            while !context.kernel.ended.wait(PROBE_CHECK) {
+                context.probes.expire();
+            }
+        }
+    });
+    let stopping = Arc::clone(&server);
+    Ok(Running::new(
+        move |_| stopping.stop(),
+        move || {
+            server.abort();
+            let _ = checking.join();
+        },
+    ))
+}
+
+impl Entry {
+    fn answer(&self, request: Request, watch: &CallerWatch<'_>) -> Response {
+        let arrived_us = self.context.kernel.clock.now_us();
+        let prepared = match self.prepare(request, arrived_us) {
+            Ok(prepared) => prepared,
+            Err((service, kind)) => return self.refuse(service, kind),
+        };
+        let metrics = &self.context.kernel.metrics;
+        let labels = CallLabels {
+            service: prepared.service.to_string(),
+            profile: prepared.profile.name.to_string(),
+        };
+        metrics.calls.get_or_create(&labels).inc();
+        let result = self.drive(&prepared, watch);
+        let elapsed_us = self.context.kernel.clock.now_us() - arrived_us;
+        metrics
+            .call_seconds
+            .get_or_create(&labels)
+            .observe(elapsed_us as f64 / 1e6);
+        match result {
+            Ok(response) => response,
+            Err(kind) => {
+                log::info!(
+                    "entry: call {} ended without an answer, {kind}.",
+                    prepared.call
+                );
+                self.refuse(prepared.service.to_string(), kind)
+            }
+        }
+    }
+
+    fn refuse(&self, service: String, kind: ErrorKind) -> Response {
+        let labels = ErrorLabels {
+            service,
+            code: kind.row().code.to_owned(),
+        };
+        self.context
+            .kernel
+            .metrics
+            .errors
+            .get_or_create(&labels)
+            .inc();
+        error_response(kind)
+    }
+
+    fn next_call(&self) -> CallId {
+        CallId {
+            origin: self.origin,
+            sequence: self.next_call.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/entry/routes.rs
@@ -0,0 +1,149 @@
+//! Routers and budgets of the services that this entry calls.
+
+use crate::context::NodeContext;
+use calls::HedgeBudget;
+use limits::RetryBudget;
+use model::{Profile, ProfileName, ServiceName, Upstream, UpstreamName};
+use routing::{Router, RouterConfig, subset};
+use std::{
+    collections::{HashMap, HashSet, hash_map::DefaultHasher},
+    hash::{Hash, Hasher},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// Number of shards, each under its own lock.
+const SHARDS: usize = 16;
+/// Most upstreams of one service that an entry keeps figures and connections for.
+const SUBSET_SIZE: usize = 24;
+/// Retries that a service is allowed whatever its successes, per second.
+const MIN_RETRIES_PER_S: u32 = 5;
+
+/// Budgets of one profile of one service.
+pub(crate) struct Budgets {
+    pub(crate) retry: RetryBudget,
+    pub(crate) hedge: HedgeBudget,
+    percents: (u8, u8),
+}
+
+/// One service as this entry sees it.
+pub(crate) struct ServiceRoutes {
+    router: Mutex<Router>,
+    tracked: Mutex<HashSet<UpstreamName>>,
+    budgets: Mutex<HashMap<ProfileName, Budgets>>,
+}
+
+impl ServiceRoutes {
+    fn new(config: RouterConfig) -> Self {
+        ServiceRoutes {
+            router: Mutex::new(Router::new(config, rand::random())),
+            tracked: Mutex::default(),
+            budgets: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs `action` on the budgets of a profile, made anew if the profile's shares changed.
+    pub(crate) fn with_budgets<T>(
+        &self,
+        profile: &Profile,
+        action: impl FnOnce(&mut Budgets) -> T,
+    ) -> T {
+        let percents = (profile.retry_budget_percent, profile.hedge.max_percent);
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let fresh = || Budgets {
+            retry: RetryBudget::new(percents.0, MIN_RETRIES_PER_S),
+            hedge: HedgeBudget::new(percents.1),
+            percents,
+        };
+        let entry = budgets.entry(profile.name.clone()).or_insert_with(fresh);
+        if entry.percents != percents {
+            *entry = fresh();
+        }
+        action(entry)
+    }
+
+    /// Makes the router track exactly the chosen upstreams.
+    fn track(&self, now_us: u64, chosen: &[&Upstream]) {
+        let mut tracked = self.tracked.lock().unwrap_or_else(PoisonError::into_inner);
+        let next: HashSet<UpstreamName> = chosen.iter().map(|u| u.name.clone()).collect();
+        let mut router = self.router();
+        for gone in tracked.difference(&next) {
+            router.remove(gone);
+        }
+        for upstream in chosen {
+            router.upsert(now_us, upstream);
+        }
+        *tracked = next;
+    }
+}
+
+type Services = HashMap<ServiceName, Arc<ServiceRoutes>>;
+
+/// All services that were called here.
+pub(crate) struct Routes {
+    context: Arc<NodeContext>,
+    shards: [Mutex<Services>; SHARDS],
+}
+
+impl Routes {
+    pub(crate) fn new(context: &Arc<NodeContext>) -> Self {
+        Routes {
+            context: Arc::clone(context),
+            shards: std::array::from_fn(|_| Mutex::default()),
+        }
+    }
+
+    /// The routes of a service, made on the first call.
+    pub(crate) fn of(&self, service: &ServiceName) -> Arc<ServiceRoutes> {
+        if let Some(known) = self.known(service) {
+            return known;
+        }
+        let config = RouterConfig {
+            probe_budget_per_s: self.context.kernel.node_settings().probe_budget_per_s,
+        };
+        let made = {
+            let mut services = self.lock(service);
+            let fresh = || Arc::new(ServiceRoutes::new(config));
+            Arc::clone(services.entry(service.clone()).or_insert_with(fresh))
+        };
+        self.refresh(service);
+        made
+    }
+
+    /// Follows a change of the service's upstreams; does nothing for a service not called here.
+    pub(crate) fn refresh(&self, service: &ServiceName) {
+        let Some(routes) = self.known(service) else {
+            return;
+        };
+        let upstreams = self.context.kernel.directory.upstreams(service);
+        let names: Vec<UpstreamName> = upstreams
+            .iter()
+            .filter(|upstream| upstream.state.accepts_calls())
+            .map(|upstream| upstream.name.clone())
+            .collect();
+        let entry = self.context.kernel.mesh.local();
+        let names: HashSet<&UpstreamName> = subset(service, &entry, &names, SUBSET_SIZE)
+            .into_iter()
+            .collect();
+        let chosen: Vec<&Upstream> = upstreams
+            .iter()
+            .filter(|upstream| names.contains(&upstream.name))
+            .collect();
+        routes.track(self.context.kernel.clock.now_us(), &chosen);
+    }
+
+    fn known(&self, service: &ServiceName) -> Option<Arc<ServiceRoutes>> {
+        self.lock(service).get(service).cloned()
+    }
+
+    fn lock(&self, service: &ServiceName) -> MutexGuard<'_, Services> {
+        let mut hasher = DefaultHasher::new();
+        service.hash(&mut hasher);
+        self.shards[hasher.finish() as usize % SHARDS]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/components/node/src/gossip.rs
@@ -0,0 +1,259 @@
+//! Plug-in `gossip`: membership over datagrams, and the directory that follows from it.
+
+use crate::context::NodeContext;
+use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
+use members::{Datagram, MemberAction, MemberConfig, MemberState, Members, NodeInfo, TICK_MS};
+use mesh::{Channel, Inbound};
+use model::{Revision, ServiceName, Upstream, UpstreamName};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+use wire::{decode, encode};
+
+/// Time to spread the news that this node leaves.
+const LEAVE_TIME: Duration = Duration::from_millis(1_000);
+/// How long crash reports are spread.
+const SUSPECT_TTL_MS: u32 = 60_000;
+
+inventory::submit! {
+    PluginEntry { name: "gossip", role: Role::Node, order: 10, start }
+}
+
+type Known = HashMap<model::NodeId, Vec<(ServiceName, UpstreamName)>>;
+
+struct Gossip {
+    context: Arc<NodeContext>,
+    members: Mutex<Members>,
+    known: Mutex<Known>,
+}
+
+fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
+    let context = NodeContext::of(kernel);
+    let settings = kernel.node_settings();
+    let config = MemberConfig::new(settings.availability_zone.clone(), settings.region.clone())
+        .contacts(settings.peers.iter().copied());
+    let gossip = Arc::new(Gossip {
+        members: Mutex::new(Members::new(
+            config,
+            local_info(&context, None),
+            rand::random(),
+        )),
+        known: Mutex::default(),
+        context,
+    });
+    kernel.mesh.on(Channel::Gossip, {
+        let gossip = Arc::clone(&gossip);
+        move |inbound| gossip.receive(&inbound)
+    });
+    kernel.events.subscribe({
+        let gossip = Arc::clone(&gossip);
+        move |event| gossip.follow(event)
+    });
+    let ticking = thread::spawn({
+        let gossip = Arc::clone(&gossip);
+        move || {
+            let period = Duration::from_millis(u64::from(TICK_MS));
+            while !gossip.context.kernel.ended.wait(period) {
+                gossip.tick();
+            }
+        }
+    });
+    Ok(Running::new(
+        |until| {
+            let pause = until.min(Instant::now() + LEAVE_TIME);
+            thread::sleep(pause.saturating_duration_since(Instant::now()));
+        },
+        move || {
+            let _ = ticking.join();
+        },
+    ))
+}
+
+impl Gossip {
+    fn receive(&self, inbound: &Inbound) {
+        let datagram: Datagram = match decode(&inbound.payload) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                log::debug!(
+                    "gossip: a datagram from {} was dropped: {error}.",
+                    inbound.from
+                );
+                return;
+            }
+        };
+        let now_us = self.now_us();
+        let actions = self.members().receive(now_us, inbound.from.mesh, datagram);
+        self.carry_out(actions);
+    }
+
+    fn tick(&self) {
+        let now_us = self.now_us();
+        let revision = self.context.kernel.profiles.revision();
+        let actions = {
+            let mut members = self.members();
+            if revision > Revision::default() {
+                members.set_revision(now_us, revision);
+            }
+            members.tick(now_us)
+        };
+        self.carry_out(actions);
+    }
+
+    fn follow(&self, event: &Event) {
+        let now_us = self.now_us();
+        match event {
+            Event::LocalUpstream(upstream) => self.announce(now_us, upstream.as_ref()),
+            Event::SuspectsNoted => self.share_suspects(now_us),
+            Event::Stopping => {
+                let actions = self.members().leave(now_us);
+                self.carry_out(actions);
+            }
+            _ => (),
+        }
+    }
+
+    fn announce(&self, now_us: u64, upstream: Option<&Upstream>) {
+        let info = local_info(&self.context, upstream);
+        let result = self.members().set_local(now_us, info.clone());
+        match result {
+            Ok(actions) => self.carry_out(actions),
+            Err(error) => log::error!("gossip: the instance can't be announced: {error}."),
+        }
+        self.place(&info);
+    }
+
+    fn share_suspects(&self, now_us: u64) {
+        let reports = self
+            .context
+            .kernel
+            .suspects
+            .with(|suspects| suspects.reports(now_us));
+        for report in reports {
+            let result = self
+                .members()
+                .share(now_us, encode(&report), SUSPECT_TTL_MS);
+            match result {
+                Ok(actions) => self.carry_out(actions),
+                Err(error) => log::warn!("gossip: a crash report was not spread: {error}."),
+            }
+        }
+    }
+
+    fn carry_out(&self, actions: Vec<MemberAction>) {
+        for action in actions {
+            match action {
+                MemberAction::Send { to, datagram } => {
+                    let bytes = encode(&datagram);
+                    let mesh = &self.context.kernel.mesh;
+                    // Gossip tolerates loss; the next round repeats what matters.
+                    let _ = mesh.send_datagram(to, Channel::Gossip, &bytes);
+                }
+                MemberAction::Joined(info) => {
+                    log::info!("gossip: {} joined from {}.", info.node, info.zone);
+                    self.place(&info);
+                    self.count_members();
+                }
+                MemberAction::Changed(info) => self.place(&info),
+                MemberAction::Left(info) => {
+                    log::info!("gossip: {} left.", info.node);
+                    self.withdraw(&info);
+                }
+                MemberAction::Failed(info) => {
+                    log::warn!("gossip: {} failed.", info.node);
+                    self.withdraw(&info);
+                }
+                MemberAction::NewerRevision { at, revision } => {
+                    self.context.newer.offer(at, revision);
+                }
+                MemberAction::Shared(report) => self.merge(&report),
+                MemberAction::Superseded { by } => {
+                    log::error!("gossip: {by} runs at this node's address; stopping.");
+                    self.context.kernel.stop.raise();
+                }
+            }
+        }
+    }
+
+    fn merge(&self, report: &[u8]) {
+        let now_us = self.now_us();
+        match decode(report) {
+            Ok(report) => {
+                self.context
+                    .kernel
+                    .suspects
+                    .with(|suspects| suspects.merge(now_us, &report));
+            }
+            Err(error) => log::debug!("gossip: a shared report was dropped: {error}."),
+        }
+    }
+
+    /// Brings the directory in line with what the node announces.
+    fn place(&self, info: &NodeInfo) {
+        let directory = &self.context.kernel.directory;
+        let names: Vec<_> = info
+            .upstreams
+            .iter()
+            .map(|u| (u.service.clone(), u.name.clone()))
+            .collect();
+        let before = self
+            .known()
+            .insert(info.node, names.clone())
+            .unwrap_or_default();
+        for (service, name) in before.iter().filter(|known| !names.contains(known)) {
+            directory.remove(service, name, info.node);
+        }
+        for upstream in &info.upstreams {
+            let (name, service, state) = (&upstream.name, &upstream.service, upstream.state);
+            if directory.upsert(upstream.clone()) {
+                log::info!(
+                    "gossip: instance {name} of {service} at {} is {state}.",
+                    info.node
+                );
+            }
+        }
+    }
+
+    fn count_members(&self) {
+        let live = self.members().snapshot().len();
+        self.context.kernel.metrics.members.set(live as i64);
+    }
+
+    fn withdraw(&self, info: &NodeInfo) {
+        self.count_members();
+        let before = self.known().remove(&info.node).unwrap_or_default();
+        for (service, name) in before {
+            self.context
+                .kernel
+                .directory
+                .remove(&service, &name, info.node);
+        }
+    }
+
+    fn now_us(&self) -> u64 {
+        self.context.kernel.clock.now_us()
+    }
+
+    fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn local_info(context: &NodeContext, upstream: Option<&Upstream>) -> NodeInfo {
+    let settings = context.kernel.node_settings();
+    NodeInfo {
+        node: context.kernel.mesh.local(),
+        zone: settings.availability_zone.clone(),
+        region: settings.region.clone(),
+        host: settings.host.clone(),
+        upstreams: upstream.cloned().into_iter().collect(),
+        revision: context.kernel.profiles.revision(),
+        state: MemberState::Alive,
+    }
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,1 +1,18 @@
 //! Plug-ins of the node: entry, owner, platform, gossip and sync.
+
+mod announce;
+mod context;
+mod entry;
+mod generations;
+mod gossip;
+mod local;
+mod newer;
+mod owner;
+mod platform;
+mod probes;
+mod sync;
+
+pub use announce::Announcement;
+
+/// Makes the linker keep this crate, whose plug-ins register themselves.
+pub fn register() {}
--- /dev/null
+++ b/components/node/src/local.rs
@@ -0,0 +1,176 @@
+//! The instance beside this node: its announcement, lease and state.
+
+use crate::announce::Announcement;
+use kernel::{Clock, Event, Kernel};
+use model::{Upstream, UpstreamName, UpstreamState};
+use std::sync::{Arc, Mutex, PoisonError};
+
+#[derive(Default)]
+struct State {
+    upstream: Option<Upstream>,
+    lease_until_us: u64,
+    drained_by_operator: bool,
+    version: u64,
+}
+
+/// Holds the announced instance and publishes its changes.
+pub(crate) struct LocalInstance {
+    kernel: Arc<Kernel>,
+    state: Mutex<State>,
+}
+
+impl LocalInstance {
+    pub(crate) fn new(kernel: &Arc<Kernel>) -> Self {
+        LocalInstance {
+            kernel: Arc::clone(kernel),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Renews the lease and publishes the record if it has changed.
+    pub(crate) fn announce(&self, announcement: &Announcement) -> Upstream {
+        let lease_us = self.kernel.node_settings().lease_ms * 1000;
+        let (upstream, changed) = {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.lease_until_us = self.kernel.clock.now_us() + lease_us;
+            let next = self.record(&state, announcement);
+            let changed = state
+                .upstream
+                .as_ref()
+                .is_none_or(|known| !is_same(known, &next));
+            if changed {
+                state.version += 1;
+                state.upstream = Some(Upstream {
+                    version: state.version,
+                    ..next
+                });
+            }
+            (state.upstream.clone(), changed)
+        };
+        if changed {
+            self.publish(upstream.clone());
+        }
+        upstream.expect("an announced instance is kept")
+    }
+
+    /// Removes the instance at its own request.
+    pub(crate) fn withdraw(&self) -> bool {
+        let removed = {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.drained_by_operator = false;
+            state.upstream.take()
+        };
+        let was_announced = removed.is_some();
+        if was_announced {
+            self.publish(None);
+        }
+        was_announced
+    }
+
+    /// Removes an instance whose lease has run out.
+    pub(crate) fn expire(&self) {
+        let expired = {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            if state.upstream.is_none() || self.kernel.clock.now_us() < state.lease_until_us {
+                return;
+            }
+            state.drained_by_operator = false;
+            state.upstream.take()
+        };
+        if let Some(upstream) = expired {
+            log::warn!(
+                "platform: instance {} of {} stopped reporting; its lease has run out.",
+                upstream.name,
+                upstream.service
+            );
+            self.publish(None);
+        }
+    }
+
+    /// Drains the instance until it withdraws; tells whether `name` is the one beside this node.
+    pub(crate) fn drain(&self, name: &UpstreamName, reason: &str) -> bool {
+        let changed = {
+            let mut guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            let state = &mut *guard;
+            let Some(upstream) = state.upstream.as_mut().filter(|u| u.name == *name) else {
+                return false;
+            };
+            state.drained_by_operator = true;
+            if upstream.state.accepts_calls() {
+                state.version += 1;
+                upstream.version = state.version;
+                upstream.state = UpstreamState::Draining;
+                Some(upstream.clone())
+            } else {
+                None
+            }
+        };
+        if changed.is_some() {
+            log::info!("platform: instance {name} is draining; {reason}.");
+            self.publish(changed);
+        }
+        true
+    }
+
+    /// The announced instance, if there is one.
+    pub(crate) fn upstream(&self) -> Option<Upstream> {
+        self.state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .upstream
+            .clone()
+    }
+
+    fn record(&self, state: &State, announcement: &Announcement) -> Upstream {
+        let settings = self.kernel.node_settings();
+        let name = announcement.name.clone().unwrap_or_else(|| {
+            UpstreamName::parse(settings.host.as_str()).expect("host names follow the same rule")
+        });
+        let same_name = state.upstream.as_ref().filter(|known| known.name == name);
+        let must_drain = state.drained_by_operator && announcement.state.accepts_calls();
+        Upstream {
+            service: announcement.service.clone(),
+            availability_zone: settings.availability_zone.clone(),
+            host: settings.host.clone(),
+            node: self.kernel.mesh.local(),
+            address: announcement.address,
+            slots: announcement.slots,
+            connections: announcement.connections,
+            state: if must_drain {
+                UpstreamState::Draining
+            } else {
+                announcement.state
+            },
+            announced_ms: same_name
+                .map_or_else(|| Clock::unix_us() / 1000, |known| known.announced_ms),
+            default_profile: announcement.default_profile.clone(),
+            rules: announcement.rules.clone().into(),
+            version: state.version,
+            name,
+        }
+    }
+
+    fn publish(&self, upstream: Option<Upstream>) {
+        match &upstream {
+            Some(upstream) => log::info!(
+                "platform: placed instance {} of {} at {}, {} slots, state {}.",
+                upstream.name,
+                upstream.service,
+                upstream.address,
+                upstream.slots,
+                upstream.state
+            ),
+            None => log::info!("platform: the local instance was withdrawn."),
+        }
+        self.kernel.events.publish(&Event::LocalUpstream(upstream));
+    }
+}
+
+/// Whether two records differ in their version at most.
+fn is_same(known: &Upstream, next: &Upstream) -> bool {
+    *known
+        == Upstream {
+            version: known.version,
+            ..next.clone()
+        }
+}
--- /dev/null
+++ b/components/node/src/owner/crash.rs
@@ -0,0 +1,25 @@
+//! Groups calls that were cut off together into one crash incident.
+
+/// Calls cut off within this time of the first one belong to the same crash.
+const INCIDENT_US: u64 = 200_000;
+
+/// The crash that cut-off calls are counted in.
+#[derive(Debug, Default)]
+pub(crate) struct CrashGroup {
+    started_us: Option<u64>,
+    number: u64,
+}
+
+impl CrashGroup {
+    /// The number of the incident that a call cut off at `now_us` belongs to.
+    pub(crate) fn incident(&mut self, now_us: u64) -> u64 {
+        if self
+            .started_us
+            .is_none_or(|started_us| now_us >= started_us + INCIDENT_US)
+        {
+            self.started_us = Some(now_us);
+            self.number += 1;
+        }
+        self.number
+    }
+}
--- /dev/null
+++ b/components/node/src/owner/mod.rs
@@ -0,0 +1,131 @@
+//! Plug-in `owner`: admits calls to the local instance, runs them and keeps their records.
+
+mod crash;
+mod run;
+mod state;
+
+use crate::context::NodeContext;
+use crossbeam::channel::{Receiver, RecvTimeoutError, unbounded};
+use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
+use mesh::{Channel, Inbound};
+use run::run_job;
+use state::{Job, Owner};
+use std::{
+    sync::Arc,
+    thread::{Builder, JoinHandle},
+    time::{Duration, Instant},
+};
+use wire::{Probe, decode, encode};
+
+/// Longest sleep of the timer thread while nothing waits.
+const IDLE_TIMER: Duration = Duration::from_millis(200);
+/// Stack of a worker thread; a call needs little.
+const WORKER_STACK_BYTES: usize = 256 << 10;
+/// How often a drain looks whether calls are still in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
+inventory::submit! {
+    PluginEntry { name: "owner", role: Role::Node, order: 30, start }
+}
+
+fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
+    let context = NodeContext::of(kernel);
+    let (job_sender, jobs) = unbounded();
+    let (wake_sender, wake) = unbounded();
+    let owner = Arc::new(Owner::new(&context, job_sender, wake_sender));
+
+    kernel.mesh.on(Channel::Call, {
+        let owner = Arc::clone(&owner);
+        move |inbound: Inbound| owner.handle(inbound)
+    });
+    kernel.mesh.on(Channel::Probe, {
+        let (owner, context) = (Arc::clone(&owner), Arc::clone(&context));
+        move |inbound: Inbound| answer_probe(&owner, &context, &inbound)
+    });
+    kernel.events.subscribe({
+        let (owner, jobs) = (Arc::clone(&owner), jobs.clone());
+        move |event| match event {
+            Event::LocalUpstream(upstream) => {
+                owner.follow(upstream.as_ref());
+                let wanted = upstream.as_ref().map_or(0, |u| u.slots);
+                owner.add_workers(wanted, || spawn_worker(&owner, &jobs));
+            }
+            Event::Stopping => owner.refuse_new_calls(),
+            _ => (),
+        }
+    });
+    let timer = spawn_timer(&owner, wake).map_err(|error| {
+        StartError::new("owner", format!("no thread could be started: {error}"))
+    })?;
+    let draining = Arc::clone(&owner);
+    Ok(Running::new(
+        move |until| drain(&draining, until),
+        move || {
+            owner.close();
+            let _ = timer.join();
+        },
+    ))
+}
+
+fn answer_probe(owner: &Owner, context: &NodeContext, inbound: &Inbound) {
+    match decode(&inbound.payload) {
+        Ok(Probe::Ask { number }) => {
+            if let Some(signal) = owner.signal() {
+                let reply = encode(&Probe::Load { number, signal });
+                // A lost probe reply costs one sample; the entry does not wait for it.
+                let _ =
+                    context
+                        .kernel
+                        .mesh
+                        .send_datagram(inbound.from.mesh, Channel::Probe, &reply);
+            }
+        }
+        Ok(Probe::Load { number, signal }) => {
+            context.probes.reply(number, signal);
+        }
+        Err(error) => log::debug!("owner: a probe from {} was dropped: {error}.", inbound.from),
+    }
+}
+
+fn spawn_worker(owner: &Arc<Owner>, jobs: &Receiver<Job>) -> std::io::Result<()> {
+    let (owner, jobs) = (Arc::clone(owner), jobs.clone());
+    Builder::new()
+        .name("owner-worker".into())
+        .stack_size(WORKER_STACK_BYTES)
+        .spawn(move || {
+            while let Ok(job) = jobs.recv() {
+                run_job(&owner, job);
+            }
+        })?;
+    Ok(())
+}
+
+fn spawn_timer(owner: &Arc<Owner>, wake: Receiver<()>) -> std::io::Result<JoinHandle<()>> {
+    let owner = Arc::clone(owner);
+    Builder::new()
+        .name("owner-timer".into())
+        .stack_size(WORKER_STACK_BYTES)
+        .spawn(move || {
+            loop {
+                let pause = owner.expire().unwrap_or(IDLE_TIMER).min(IDLE_TIMER);
+                match wake.recv_timeout(pause) {
+                    Ok(()) | Err(RecvTimeoutError::Timeout) => (),
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+                if owner.is_closed() {
+                    return;
+                }
+            }
+        })
+}
+
+/// Waits until no call is in flight or `until` has come.
+fn drain(owner: &Owner, until: Instant) {
+    while owner.in_flight() > 0 && Instant::now() < until {
+        std::thread::sleep(DRAIN_POLL);
+    }
+    let left = owner.in_flight();
+    if left > 0 {
+        log::warn!("owner: the stop timeout passed with {left} calls in flight.");
+    }
+}
--- /dev/null
+++ b/components/node/src/owner/state.rs
@@ -0,0 +1,565 @@
+//! State of the owner: admission, records and the calls that wait or run.
+
+use super::crash::CrashGroup;
+use crate::context::NodeContext;
+use calls::{Arrival, Begin, CallRecords, Fate, Fingerprint, IncidentId, RecordsConfig, Verdict};
+use crossbeam::channel::Sender;
+use errors::ErrorKind;
+use http::{CancelToken, Pool, PoolConfig};
+use limits::{Admission, AdmissionConfig, CancelEffect, Offer, Step, Ticket};
+use mesh::{Inbound, ReplyTo};
+use model::{AttemptId, LoadSignal, Upstream};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use wire::{CallReply, CallRequest, FateRequest, RunCall, RunResult, decode, encode};
+
+/// Most calls waiting at one owner, whatever their profiles allow.
+const MAX_QUEUE: u32 = 10_000;
+/// Time to open a connection to the instance, which runs on the same host.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Connections kept free for the instance's other clients.
+const SPARE_CONNECTIONS: u32 = 4;
+
+/// An admitted or waiting call.
+pub(crate) struct Job {
+    pub(crate) call: RunCall,
+    pub(crate) deadline_us: u64,
+    pub(crate) arrived_us: u64,
+    pub(crate) cancel: CancelToken,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) reply: ReplyTo,
+}
+
+/// What is kept of a running call, for cancellation.
+struct Active {
+    cancel: CancelToken,
+}
+
+/// The local instance and its calls, under one lock since a node has one instance.
+struct Instance {
+    upstream: Upstream,
+    pool: Arc<Pool>,
+    admission: Admission,
+    waiting: HashMap<AttemptId, Job>,
+    running: HashMap<AttemptId, Active>,
+}
+
+/// Owner of the calls to the local instance.
+pub(crate) struct Owner {
+    pub(crate) context: Arc<NodeContext>,
+    instance: Mutex<Option<Instance>>,
+    records: Mutex<CallRecords>,
+    crashes: Mutex<CrashGroup>,
+    jobs: Sender<Job>,
+    wake: Sender<()>,
+    workers: AtomicU32,
+    refusing: AtomicBool,
+    closed: AtomicBool,
+}
+
+impl Owner {
+    pub(crate) fn new(context: &Arc<NodeContext>, jobs: Sender<Job>, wake: Sender<()>) -> Self {
+        let incarnation = context.kernel.mesh.local().incarnation;
+        let config = RecordsConfig {
+            incarnation,
+            ..RecordsConfig::default()
+        };
+        Owner {
+            context: Arc::clone(context),
+            instance: Mutex::new(None),
+            records: Mutex::new(CallRecords::new(config)),
+            crashes: Mutex::default(),
+            jobs,
+            wake,
+            workers: AtomicU32::new(0),
+            refusing: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+        }
+    }
+
+    /// Handles a message of an entry. Runs in a reader thread of the mesh and does not block.
+    pub(crate) fn handle(&self, inbound: Inbound) {
+        match decode(&inbound.payload) {
+            Ok(CallRequest::Run(call)) => self.admit(call, inbound.reply),
+            Ok(CallRequest::Cancel(request)) => self.cancel(&request, inbound.reply),
+            Ok(CallRequest::Fate(request)) => self.tell_fate(&request, inbound.reply),
+            Err(error) => {
+                log::warn!(
+                    "owner: a message from {} was dropped: {error}.",
+                    inbound.from
+                );
+            }
+        }
+    }
+
+    /// Follows the announcement of the local instance.
+    pub(crate) fn follow(&self, upstream: Option<&Upstream>) {
+        let now_us = self.now_us();
+        let mut guard = self.lock_instance();
+        let steps = match (guard.as_mut(), upstream) {
+            (Some(instance), Some(next)) if instance.is_same(next) => instance.update(now_us, next),
+            (_, next) => {
+                let steps = guard
+                    .as_mut()
+                    .map(Instance::refuse_waiting)
+                    .unwrap_or_default();
+                let refused = take_refused(guard.as_mut(), &steps);
+                *guard = next.map(|next| Instance::new(next, self.max_body_bytes()));
+                drop(guard);
+                self.reply_refused(refused);
+                return;
+            }
+        };
+        self.carry_out(guard, &steps);
+    }
+
+    /// Starts worker threads until there is one for each slot.
+    pub(crate) fn add_workers(&self, wanted: u32, spawn: impl Fn() -> std::io::Result<()>) {
+        while self.workers.load(Ordering::Acquire) < wanted {
+            if let Err(error) = spawn() {
+                log::error!("owner: a worker thread could not be started: {error}.");
+                return;
+            }
+            self.workers.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+
+    /// Refuses all calls that have not started, from now on.
+    pub(crate) fn refuse_new_calls(&self) {
+        self.refusing.store(true, Ordering::Release);
+        let mut guard = self.lock_instance();
+        let steps = guard
+            .as_mut()
+            .map(Instance::refuse_waiting)
+            .unwrap_or_default();
+        self.carry_out(guard, &steps);
+    }
+
+    /// The current load, if an instance is announced.
+    pub(crate) fn signal(&self) -> Option<LoadSignal> {
+        let now_us = self.now_us();
+        self.lock_instance()
+            .as_mut()
+            .map(|instance| instance.admission.signal(now_us))
+    }
+
+    /// Calls that wait or run.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.lock_instance().as_ref().map_or(0, |instance| {
+            instance.waiting.len() + instance.running.len()
+        })
+    }
+
+    /// Refuses calls that can't start in time any more; returns the time until the next one.
+    pub(crate) fn expire(&self) -> Option<Duration> {
+        let now_us = self.now_us();
+        self.lock_records().tick(now_us);
+        let mut guard = self.lock_instance();
+        let instance = guard.as_mut()?;
+        let steps = instance.admission.expire(now_us);
+        let next = instance.admission.next_deadline_us();
+        self.carry_out(guard, &steps);
+        next.map(|at_us| Duration::from_micros(at_us.saturating_sub(now_us)))
+    }
+
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+        // The timer also ends by its own period, so a lost wake-up is harmless.
+        let _ = self.wake.send(());
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    /// Whether a job may go to the upstream now; false if it was cancelled in the meantime.
+    pub(crate) fn may_start(&self, attempt: AttemptId) -> bool {
+        let may_start = self.lock_records().started(self.now_us(), attempt);
+        if may_start {
+            self.context.kernel.metrics.started.inc();
+        }
+        may_start
+    }
+
+    /// Ends a job: keeps its record, replies, frees its slot and starts the next.
+    pub(crate) fn finish(&self, job: Job, result: RunResult, service_time_us: Option<u64>) {
+        let attempt = job.call.attempt;
+        let now_us = self.now_us();
+        self.record(now_us, attempt, &result);
+        let (signal, steps, guard) = {
+            let mut guard = self.lock_instance();
+            let Some(instance) = guard.as_mut() else {
+                drop(guard);
+                reply(job.reply, LoadSignal::default(), result);
+                return;
+            };
+            instance.running.remove(&attempt);
+            let steps = match service_time_us {
+                Some(time_us) => instance.admission.finished(now_us, attempt, time_us),
+                None => instance.admission.released(now_us, attempt),
+            };
+            let signal = instance.admission.signal(now_us);
+            (signal, steps, guard)
+        };
+        self.carry_out(guard, &steps);
+        reply(job.reply, signal, result);
+    }
+
+    /// Notes that an upstream cut off a call, as a suspect of having crashed it.
+    pub(crate) fn note_crash(&self, call: &RunCall) {
+        let now_us = self.now_us();
+        let origin = self.context.kernel.mesh.local().incarnation;
+        let number = self
+            .crashes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .incident(now_us);
+        log::warn!(
+            "owner: call {} was cut off by instance {}, crash incident {number}.",
+            call.attempt,
+            call.upstream
+        );
+        let incident = IncidentId { origin, number };
+        self.context.note_crash(now_us, incident, &call.fingerprint);
+    }
+
+    pub(crate) fn note_answered(&self, fingerprint: &Fingerprint) {
+        let now_us = self.now_us();
+        self.context
+            .kernel
+            .suspects
+            .with(|suspects| suspects.answered(now_us, fingerprint));
+    }
+
+    pub(crate) fn now_us(&self) -> u64 {
+        self.context.kernel.clock.now_us()
+    }
+
+    fn admit(&self, call: RunCall, reply_to: ReplyTo) {
+        let now_us = self.now_us();
+        let deadline_us = now_us + call.remaining_us;
+        if let Some(kind) = self.refusal(now_us, &call) {
+            let fate = self.refuse_unknown(now_us, deadline_us, &call);
+            log::debug!("owner: call {} refused, {kind}.", call.attempt);
+            reply(
+                reply_to,
+                self.signal().unwrap_or_default(),
+                refused_or_known(kind, fate),
+            );
+            return;
+        }
+        let begin = self
+            .lock_records()
+            .begin(now_us, &arrival(&call, deadline_us));
+        match begin {
+            Begin::Fresh => (),
+            Begin::Duplicate(fate) => {
+                reply(
+                    reply_to,
+                    self.signal().unwrap_or_default(),
+                    RunResult::Known(fate),
+                );
+                return;
+            }
+            Begin::Refused(kind) => {
+                reply(
+                    reply_to,
+                    self.signal().unwrap_or_default(),
+                    RunResult::Refused(kind),
+                );
+                return;
+            }
+        }
+        self.offer(now_us, deadline_us, call, reply_to);
+    }
+
+    fn offer(&self, now_us: u64, deadline_us: u64, call: RunCall, reply_to: ReplyTo) {
+        let attempt = call.attempt;
+        let mut guard = self.lock_instance();
+        let Some(instance) = guard.as_mut() else {
+            drop(guard);
+            self.lock_records().refused(now_us, attempt);
+            reply(
+                reply_to,
+                LoadSignal::default(),
+                RunResult::Refused(ErrorKind::NoUpstream),
+            );
+            return;
+        };
+        let ticket = Ticket {
+            attempt,
+            priority: call.priority,
+            deadline_us,
+            start_by_us: deadline_us,
+            expected_us: 0,
+            queue_limit: call.queue_limit,
+        };
+        let offer = instance.admission.offer(now_us, ticket);
+        let job = Job {
+            call,
+            deadline_us,
+            arrived_us: now_us,
+            cancel: CancelToken::new(),
+            pool: Arc::clone(&instance.pool),
+            reply: reply_to,
+        };
+        match offer {
+            Offer::Start => {
+                instance.start(job, &self.jobs);
+                self.update_gauges(instance);
+            }
+            Offer::Queued => {
+                instance.waiting.insert(attempt, job);
+                self.update_gauges(instance);
+                drop(guard);
+                // The timer also wakes by its own period.
+                let _ = self.wake.send(());
+            }
+            Offer::QueuedInstead(shed) => {
+                instance.waiting.insert(attempt, job);
+                self.carry_out(guard, &[Step::Refuse(shed, ErrorKind::QueueFull)]);
+            }
+            Offer::Refused(kind) => {
+                let signal = instance.admission.signal(now_us);
+                drop(guard);
+                self.lock_records().refused(now_us, attempt);
+                log::debug!("owner: call {attempt} refused, {kind}.");
+                reply(job.reply, signal, RunResult::Refused(kind));
+            }
+        }
+    }
+
+    /// Why a call can't be taken at all, before its record is looked at.
+    fn refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
+        if call.owner != self.context.kernel.mesh.local() {
+            return Some(ErrorKind::NoUpstream);
+        }
+        if self.refusing.load(Ordering::Acquire) {
+            return Some(ErrorKind::Stopping);
+        }
+        let suspects = &self.context.kernel.suspects;
+        if suspects.with(|s| s.verdict(now_us, &call.fingerprint)) == Verdict::Refuse {
+            return Some(ErrorKind::CrashSuspect);
+        }
+        let is_here = self
+            .lock_instance()
+            .as_ref()
+            .is_some_and(|i| i.upstream.name == call.upstream);
+        (!is_here).then_some(ErrorKind::NoUpstream)
+    }
+
+    /// Makes sure that a refused attempt can't start later, and tells if it had started before.
+    fn refuse_unknown(&self, now_us: u64, deadline_us: u64, call: &RunCall) -> Option<Fate> {
+        let mut records = self.lock_records();
+        match records.begin(now_us, &arrival(call, deadline_us)) {
+            Begin::Fresh => {
+                records.refused(now_us, call.attempt);
+                None
+            }
+            Begin::Duplicate(fate) => Some(fate),
+            Begin::Refused(_) => None,
+        }
+    }
+
+    fn cancel(&self, request: &FateRequest, reply_to: ReplyTo) {
+        let now_us = self.now_us();
+        let mut dropped = None;
+        {
+            let mut guard = self.lock_instance();
+            if let Some(instance) = guard.as_mut() {
+                if instance.admission.cancel(request.attempt) == CancelEffect::NotStarted {
+                    dropped = instance.waiting.remove(&request.attempt);
+                } else if let Some(active) = instance.running.get(&request.attempt) {
+                    active.cancel.cancel();
+                }
+            }
+        }
+        let fate = self.lock_records().cancelled(now_us, &request.ask(now_us));
+        if let Some(job) = dropped {
+            let signal = self.signal().unwrap_or_default();
+            reply(job.reply, signal, RunResult::Refused(ErrorKind::Cancelled));
+        }
+        reply_fate(reply_to, fate);
+    }
+
+    fn tell_fate(&self, request: &FateRequest, reply_to: ReplyTo) {
+        let now_us = self.now_us();
+        let fate = self.lock_records().fate(now_us, &request.ask(now_us));
+        reply_fate(reply_to, fate);
+    }
+
+    fn record(&self, now_us: u64, attempt: AttemptId, result: &RunResult) {
+        let mut records = self.lock_records();
+        match result {
+            RunResult::Answer(bytes) => records.finished(now_us, attempt, Arc::clone(bytes)),
+            RunResult::Refused(kind) | RunResult::Failed(kind) => {
+                records.failed(now_us, attempt, *kind);
+            }
+            RunResult::Known(_) => (),
+        }
+    }
+
+    /// Starts and refuses waiting calls as admission decided; releases the lock for the replies.
+    fn carry_out(&self, mut guard: MutexGuard<'_, Option<Instance>>, steps: &[Step]) {
+        let Some(instance) = guard.as_mut() else {
+            return;
+        };
+        for step in steps {
+            if let Step::Start(attempt) = step
+                && let Some(job) = instance.waiting.remove(attempt)
+            {
+                instance.start(job, &self.jobs);
+            }
+        }
+        self.update_gauges(instance);
+        let refused = take_refused(Some(instance), steps);
+        drop(guard);
+        self.reply_refused(refused);
+    }
+
+    fn reply_refused(&self, refused: Vec<(Job, ErrorKind)>) {
+        if refused.is_empty() {
+            return;
+        }
+        let now_us = self.now_us();
+        let signal = self.signal().unwrap_or_default();
+        for (job, kind) in refused {
+            self.lock_records().refused(now_us, job.call.attempt);
+            log::debug!(
+                "owner: call {} refused after waiting, {kind}.",
+                job.call.attempt
+            );
+            reply(job.reply, signal, RunResult::Refused(kind));
+        }
+    }
+
+    fn update_gauges(&self, instance: &Instance) {
+        let metrics = &self.context.kernel.metrics;
+        metrics
+            .in_flight
+            .set(i64::from(instance.admission.in_flight()));
+        metrics.queued.set(i64::from(instance.admission.queued()));
+    }
+
+    fn max_body_bytes(&self) -> usize {
+        self.context.kernel.node_settings().max_body_bytes
+    }
+
+    fn lock_instance(&self) -> MutexGuard<'_, Option<Instance>> {
+        self.instance.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_records(&self) -> MutexGuard<'_, CallRecords> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Instance {
+    fn new(upstream: &Upstream, max_body_bytes: usize) -> Self {
+        let max_connections = upstream
+            .connections
+            .saturating_sub(SPARE_CONNECTIONS)
+            .max(1);
+        let config = PoolConfig {
+            max_connections: max_connections as usize,
+            connect_timeout_ms: CONNECT_TIMEOUT_MS,
+            max_body_bytes,
+            ..PoolConfig::new(upstream.address)
+        };
+        let mut admission = Admission::new(AdmissionConfig {
+            slots: upstream.slots,
+            queue_limit: MAX_QUEUE,
+        });
+        admission.set_state(upstream.state);
+        Instance {
+            upstream: upstream.clone(),
+            pool: Arc::new(Pool::new(config)),
+            admission,
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+        }
+    }
+
+    /// Whether `next` is a later record of the same running instance.
+    fn is_same(&self, next: &Upstream) -> bool {
+        self.upstream.name == next.name
+            && self.upstream.service == next.service
+            && self.upstream.address == next.address
+            && self.upstream.connections == next.connections
+    }
+
+    fn update(&mut self, now_us: u64, next: &Upstream) -> Vec<Step> {
+        self.upstream = next.clone();
+        let mut steps = self.admission.set_state(next.state);
+        steps.extend(self.admission.set_slots(now_us, next.slots));
+        steps
+    }
+
+    fn refuse_waiting(&mut self) -> Vec<Step> {
+        self.admission.set_state(model::UpstreamState::Stopping)
+    }
+
+    fn start(&mut self, job: Job, jobs: &Sender<Job>) {
+        self.running.insert(
+            job.call.attempt,
+            Active {
+                cancel: job.cancel.clone(),
+            },
+        );
+        if jobs.send(job).is_err() {
+            log::error!("owner: no worker thread is left; a call could not be run.");
+        }
+    }
+}
+
+fn take_refused(instance: Option<&mut Instance>, steps: &[Step]) -> Vec<(Job, ErrorKind)> {
+    let Some(instance) = instance else {
+        return Vec::new();
+    };
+    steps
+        .iter()
+        .filter_map(|step| match step {
+            Step::Refuse(attempt, kind) => Some((instance.waiting.remove(attempt)?, *kind)),
+            Step::Start(_) => None,
+        })
+        .collect()
+}
+
+fn arrival(call: &RunCall, deadline_us: u64) -> Arrival {
+    Arrival {
+        attempt: call.attempt,
+        target: call.owner.incarnation,
+        generation: call.generation,
+        deadline_us,
+        keyed: call.keyed,
+        keep_answer: !call.idempotent,
+    }
+}
+
+fn refused_or_known(kind: ErrorKind, fate: Option<Fate>) -> RunResult {
+    match fate {
+        None | Some(Fate::NotStarted) => RunResult::Refused(kind),
+        Some(fate) => RunResult::Known(fate),
+    }
+}
+
+fn reply(reply_to: ReplyTo, signal: LoadSignal, result: RunResult) {
+    send(reply_to, &CallReply::Ran { signal, result });
+}
+
+fn reply_fate(reply_to: ReplyTo, fate: Fate) {
+    send(reply_to, &CallReply::Fate(fate));
+}
+
+fn send(reply_to: ReplyTo, message: &CallReply) {
+    // An entry whose connection is gone asks for the fate, so a lost reply is recovered.
+    if let Err(error) = reply_to.send(encode(message)) {
+        log::debug!("owner: a reply could not be sent: {error}.");
+    }
+}
--- /dev/null
+++ b/components/node/src/platform.rs
@@ -0,0 +1,173 @@
+//! Plug-in `platform`: the port for the local instance, for metrics and for the state of the node.
+
+use crate::{announce::Announcement, context::NodeContext};
+use errors::ErrorKind;
+use kernel::{Kernel, PluginEntry, Role, Running, StartError};
+use serde_json::json;
+use std::{io::Read, sync::Arc, thread, time::Duration};
+use tiny_http::{Header, Method, Request, Response, Server};
+
+/// Largest body of an announcement.
+const MAX_BODY_BYTES: u64 = 64 << 10;
+/// Period of the lease check.
+const LEASE_CHECK: Duration = Duration::from_millis(100);
+
+inventory::submit! {
+    PluginEntry { name: "platform", role: Role::Node, order: 40, start }
+}
+
+type Answer = Response<std::io::Cursor<Vec<u8>>>;
+
+fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
+    let context = NodeContext::of(kernel);
+    let address = kernel.node_settings().platform_listen;
+    let server = Server::http(address).map_err(|error| {
+        StartError::new(
+            "platform",
+            format!("--platform-listen {address} can't be opened: {error}; choose a free port"),
+        )
+    })?;
+    if let Some(bound) = server.server_addr().to_ip() {
+        kernel.set_address("platform", bound);
+    }
+    let server = Arc::new(server);
+    let serving = thread::spawn({
+        let (server, context) = (Arc::clone(&server), Arc::clone(&context));
+        move || serve(&server, &context)
+    });
+    let checking = thread::spawn({
+        let context = Arc::clone(&context);
+        move || {
+            while !context.kernel.ended.wait(LEASE_CHECK) {
+                context.local.expire();
+            }
+        }
+    });
+    Ok(Running::with_stop(move || {
+        server.unblock();
+        let _ = serving.join();
+        let _ = checking.join();
+    }))
+}
+
+fn serve(server: &Server, context: &NodeContext) {
+    while let Ok(mut request) = server.recv() {
+        let answer = answer(&mut request, context);
+        if let Err(error) = request.respond(answer) {
+            log::debug!("platform: the answer could not be sent: {error}.");
+        }
+    }
+}
+
+fn answer(request: &mut Request, context: &NodeContext) -> Answer {
+    let path = request.url().split('?').next().unwrap_or("").to_owned();
+    match (request.method().clone(), path.as_str()) {
+        (Method::Put, "/v1/instance") => announce(request, context),
+        (Method::Delete, "/v1/instance") => {
+            if context.local.withdraw() {
+                json_answer(200, &json!({ "withdrawn": true }))
+            } else {
+                error_answer(ErrorKind::NotFound, "no instance is announced")
+            }
+        }
+        (Method::Get, "/v1/instance") => match context.local.upstream() {
+            Some(upstream) => json_answer(200, &json!(upstream)),
+            None => error_answer(ErrorKind::NotFound, "no instance is announced"),
+        },
+        (Method::Get, "/v1/state") => json_answer(200, &state(context)),
+        (Method::Get, "/metrics") => {
+            context.refresh_metrics();
+            text_answer(&context.kernel.metrics.render())
+        }
+        (Method::Get, "/healthz") if !context.kernel.stop.is_raised() => {
+            json_answer(200, &json!({ "ok": true }))
+        }
+        (Method::Get, "/healthz") => error_answer(ErrorKind::Stopping, "the node is stopping"),
+        _ => error_answer(ErrorKind::NotFound, &path),
+    }
+}
+
+fn announce(request: &mut Request, context: &NodeContext) -> Answer {
+    let mut body = Vec::new();
+    if request
+        .as_reader()
+        .take(MAX_BODY_BYTES + 1)
+        .read_to_end(&mut body)
+        .is_err()
+    {
+        return error_answer(ErrorKind::MalformedRequest, "the body could not be read");
+    }
+    if body.len() as u64 > MAX_BODY_BYTES {
+        return error_answer(
+            ErrorKind::BodyTooLarge,
+            "an announcement has at most 64 KiB",
+        );
+    }
+    let announcement = match Announcement::parse(&body) {
+        Ok(announcement) => announcement,
+        Err(reason) => return error_answer(ErrorKind::MalformedRequest, &reason),
+    };
+    let missing = context.missing_profiles(&announcement);
+    if !missing.is_empty() {
+        let names = missing.join(", ");
+        log::warn!(
+            "platform: instance of {} names unknown profiles: {names}.",
+            announcement.service
+        );
+    }
+    let upstream = context.local.announce(&announcement);
+    json_answer(
+        200,
+        &json!({
+            "name": upstream.name,
+            "state": upstream.state,
+            "lease_ms": context.kernel.node_settings().lease_ms,
+            "unknown_profiles": missing,
+        }),
+    )
+}
+
+fn state(context: &NodeContext) -> serde_json::Value {
+    let kernel = &context.kernel;
+    json!({
+        "node": kernel.mesh.local().to_string(),
+        "host": kernel.node_settings().host,
+        "availability_zone": kernel.node_settings().availability_zone,
+        "revision": kernel.profiles.revision(),
+        "config_age_ms": kernel.profiles.age_ms(kernel.clock.now_us()),
+        "stopping": kernel.stop.is_raised(),
+        "instance": context.local.upstream(),
+        "upstreams": kernel.directory.all(),
+    })
+}
+
+fn json_answer(status: u16, body: &serde_json::Value) -> Answer {
+    with_type(
+        Response::from_string(format!("{body}\n")),
+        status,
+        "application/json",
+    )
+}
+
+fn text_answer(body: &str) -> Answer {
+    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    with_type(Response::from_string(body), 200, content_type)
+}
+
+fn error_answer(kind: ErrorKind, detail: &str) -> Answer {
+    let row = kind.row();
+    json_answer(
+        row.status,
+        &json!({
+            "error": row.code,
+            "message": row.message,
+            "detail": detail,
+            "advice": row.advice,
+        }),
+    )
+}
+
+fn with_type(answer: Answer, status: u16, content_type: &str) -> Answer {
+    let header = Header::from_bytes("content-type", content_type).expect("a valid header");
+    answer.with_status_code(status).with_header(header)
+}
--- /dev/null
+++ b/components/node/src/probes.rs
@@ -0,0 +1,144 @@
+//! Probes on their way, within the budget of the whole node.
+
+use kernel::{Kernel, KindLabels};
+use limits::TokenBucket;
+use mesh::Channel;
+use model::LoadSignal;
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+use wire::{PROBE_BYTES, Probe, encode};
+
+/// Messages of one probe: the question and its reply.
+const MESSAGES_PER_PROBE: u32 = 2;
+/// Time after which a probe counts as lost.
+const PROBE_TIMEOUT_US: u64 = 1_000_000;
+
+/// What to do with the reply; `None` stands for a lost probe.
+pub(crate) type OnProbe = Box<dyn FnOnce(Option<(LoadSignal, u64)>) + Send>;
+
+struct Pending {
+    sent_us: u64,
+    on_reply: OnProbe,
+}
+
+struct State {
+    next_number: u64,
+    pending: HashMap<u64, Pending>,
+    messages: TokenBucket,
+    bytes: TokenBucket,
+}
+
+/// Sends probes and matches replies.
+pub(crate) struct ProbeTable {
+    kernel: Arc<Kernel>,
+    state: Mutex<State>,
+}
+
+impl ProbeTable {
+    pub(crate) fn new(kernel: &Arc<Kernel>) -> Self {
+        let settings = kernel.node_settings();
+        let bucket = |rate: u32| TokenBucket::new(rate, rate);
+        ProbeTable {
+            kernel: Arc::clone(kernel),
+            state: Mutex::new(State {
+                next_number: 0,
+                pending: HashMap::new(),
+                messages: bucket(settings.probe_budget_per_s),
+                bytes: bucket(settings.probe_budget_bytes_per_s),
+            }),
+        }
+    }
+
+    /// Sends a probe if the node's budget allows it; tells whether it was sent.
+    pub(crate) fn ask(&self, to: SocketAddr, on_reply: OnProbe) -> bool {
+        let now_us = self.kernel.clock.now_us();
+        let number = {
+            let mut state = self.lock();
+            if !state.has_budget(now_us) {
+                drop(state);
+                self.kernel.metrics.probes_held_back.inc();
+                log::debug!("entry: the probe budget of this node is spent; no probe was sent.");
+                return false;
+            }
+            state.next_number += 1;
+            let number = state.next_number;
+            state.pending.insert(
+                number,
+                Pending {
+                    sent_us: now_us,
+                    on_reply,
+                },
+            );
+            number
+        };
+        let datagram = encode(&Probe::Ask { number });
+        if self
+            .kernel
+            .mesh
+            .send_datagram(to, Channel::Probe, &datagram)
+            .is_err()
+        {
+            self.lock().pending.remove(&number);
+            return false;
+        }
+        self.kernel
+            .metrics
+            .probes
+            .get_or_create(&KindLabels { kind: "sent" })
+            .inc();
+        self.kernel
+            .metrics
+            .probe_bytes
+            .inc_by(u64::from(PROBE_BYTES));
+        true
+    }
+
+    /// Takes a reply; late and unknown ones are dropped.
+    pub(crate) fn reply(&self, number: u64, signal: LoadSignal) {
+        let now_us = self.kernel.clock.now_us();
+        let Some(pending) = self.lock().pending.remove(&number) else {
+            return;
+        };
+        self.kernel
+            .metrics
+            .probes
+            .get_or_create(&KindLabels { kind: "received" })
+            .inc();
+        (pending.on_reply)(Some((signal, now_us - pending.sent_us)));
+    }
+
+    /// Ends probes that got no reply.
+    pub(crate) fn expire(&self) {
+        let now_us = self.kernel.clock.now_us();
+        let lost: Vec<OnProbe> = {
+            let mut state = self.lock();
+            let late: Vec<u64> = state
+                .pending
+                .iter()
+                .filter(|(_, pending)| now_us >= pending.sent_us + PROBE_TIMEOUT_US)
+                .map(|(number, _)| *number)
+                .collect();
+            late.iter()
+                .filter_map(|number| state.pending.remove(number))
+                .map(|pending| pending.on_reply)
+                .collect()
+        };
+        for on_reply in lost {
+            on_reply(None);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn has_budget(&mut self, now_us: u64) -> bool {
+        self.messages.try_take(now_us, MESSAGES_PER_PROBE)
+            && self.bytes.try_take(now_us, PROBE_BYTES)
+    }
+}
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -1,11 +1,12 @@
 //! Settings of `gyard-node`.
 
 use crate::{
+    control::ControlSettings,
     logs::LogSettings,
     source::{MeshKey, SettingError, Source, invalid},
 };
 use gumdrop::Options;
-use model::{AvailabilityZone, HostName, ServiceName};
+use model::{AvailabilityZone, HostName, Region};
 use std::{net::SocketAddr, path::PathBuf};
 
 /// Default limit of a request or response body.
@@ -185,7 +186,7 @@
     /// Availability zone of the host.
     pub availability_zone: AvailabilityZone,
     /// Region of the host.
-    pub region: ServiceName,
+    pub region: Region,
     /// Name of the host.
     pub host: HostName,
     /// Mesh addresses of the control replicas.
@@ -221,6 +222,7 @@
         source: &Source<E>,
     ) -> Result<Self, SettingError> {
         let mesh_listen = source.required("mesh-listen", flags.mesh_listen.as_deref(), ADDRESS)?;
+        let control = source.addresses("control", flags.control.as_deref())?;
         let number = |flag, value: &Option<String>, default, min, max| {
             source.number(flag, value.as_deref(), default, min, max)
         };
@@ -239,7 +241,8 @@
             host: source
                 .optional("host-name", flags.host_name.as_deref(), NAME)?
                 .unwrap_or_else(|| default_host(mesh_listen)),
-            control: source.addresses("control", flags.control.as_deref())?,
+            control_replica: read_embedded_control(flags, source, &control)?,
+            control,
             peers: source.addresses("peers", flags.peers.as_deref())?,
             mesh_key: source.mesh_key(flags.mesh_key_file.as_deref(), mesh_listen)?,
             logs: LogSettings::read(
@@ -290,7 +293,24 @@
                 0,
                 3_600_000,
             )?,
-            control_replica: read_embedded_control(flags, source)?,
+        })
+    }
+}
+
+impl NodeSettings {
+    /// Settings of the control replica inside this node, in the form of a replica of its own.
+    pub fn embedded_control(&self) -> Option<ControlSettings> {
+        let embedded = self.control_replica.as_ref()?;
+        Some(ControlSettings {
+            listen: self.mesh_listen,
+            operator_listen: embedded.operator_listen,
+            data_dir: embedded.data_dir.clone(),
+            replica: embedded.replica,
+            group: self.control.clone(),
+            availability_zone: self.availability_zone.clone(),
+            operator_token: embedded.operator_token.clone(),
+            mesh_key: self.mesh_key.clone(),
+            logs: self.logs,
         })
     }
 }
@@ -298,10 +318,17 @@
 fn read_embedded_control<E: Fn(&str) -> Option<String>>(
     flags: &NodeFlags,
     source: &Source<E>,
+    group: &[SocketAddr],
 ) -> Result<Option<EmbeddedControl>, SettingError> {
     let Some(data_dir) = source.text("control-data-dir", flags.control_data_dir.as_deref()) else {
         return Ok(None);
     };
+    let replica = source.required(
+        "control-replica",
+        flags.control_replica.as_deref(),
+        "the replica's number",
+    )?;
+    check_group(replica, group)?;
     Ok(Some(EmbeddedControl {
         data_dir: PathBuf::from(data_dir),
         operator_listen: source.required(
@@ -309,17 +336,13 @@
             flags.control_operator_listen.as_deref(),
             ADDRESS,
         )?,
-        replica: source.required(
-            "control-replica",
-            flags.control_replica.as_deref(),
-            "the replica's number",
-        )?,
+        replica,
         operator_token: source.text("operator-token", None),
     }))
 }
 
-fn default_region() -> ServiceName {
-    ServiceName::parse("default").expect("the default region is a valid name")
+fn default_region() -> Region {
+    Region::parse("default").expect("the default region is a valid name")
 }
 
 /// A host name from the mesh address, for hosts whose settings name none.
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,13 @@
+//! Messages between the system's own processes, encoded with postcard.
+
+mod call;
+mod codec;
+mod keeper;
+mod probe;
+mod sync;
+
+pub use call::{CallReply, CallRequest, FateRequest, RunCall, RunResult, WireMessage};
+pub use codec::{DecodeError, decode, encode};
+pub use keeper::{KeeperReply, KeeperRequest};
+pub use probe::{PROBE_BYTES, Probe};
+pub use sync::{InstanceReport, NodeReport, SyncReply, SyncRequest};
