--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod cancel;
+mod converse;
 mod head;
 mod headers;
 mod message;
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -1,17 +1,14 @@
 //! Server loop with one thread per connection.
 
 use crate::{
-    BodyDecoder, CallerWatch, Framing, HeadError, Request, RequestHead, Response, error_response,
-    message::encode_response,
-    parse_request_head,
-    watch::{Peeked, peek},
-    wire::{Inbox, is_timeout},
+    CallerWatch, Request, Response,
+    converse::{answer_error, converse},
 };
 use errors::ErrorKind;
 use snafu::{ResultExt, Snafu};
 use std::{
     collections::HashMap,
-    io::{self, Read, Write},
+    io,
     net::{IpAddr, Ipv4Addr, Ipv6Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Condvar, Mutex, MutexGuard, PoisonError,
@@ -25,8 +22,8 @@
 const STACK_BYTES: usize = 256 * 1024;
 /// Most connections that are answered with a refusal at the same time.
 const MAX_REFUSING: usize = 32;
-/// Longest wait for a refused caller to read its answer.
-const LINGER: Duration = Duration::from_secs(1);
+/// Longest wait for the accept loop to notice a stop.
+const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause of the accept loop when the process is out of descriptors or threads.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -80,16 +77,16 @@
     }
 }
 
-type Handler = dyn Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync;
+pub(crate) type Handler = dyn Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync;
 
 struct Connection {
     stream: Arc<TcpStream>,
     busy: Arc<AtomicBool>,
 }
 
-struct Shared {
-    config: ServerConfig,
-    handler: Box<Handler>,
+pub(crate) struct Shared {
+    pub(crate) config: ServerConfig,
+    pub(crate) handler: Box<Handler>,
     stopping: AtomicBool,
     refusing: AtomicUsize,
     connections: Mutex<HashMap<u64, Connection>>,
@@ -103,7 +100,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn is_stopping(&self) -> bool {
+    pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
     }
 }
@@ -228,7 +225,7 @@
         ip => ip,
     };
     // A full backlog makes this fail, and then `accept` returns anyway.
-    let _ = TcpStream::connect_timeout(&SocketAddr::new(ip, address.port()), LINGER);
+    let _ = TcpStream::connect_timeout(&SocketAddr::new(ip, address.port()), WAKE_TIMEOUT);
 }
 
 fn accept_all(listener: &TcpListener, shared: &Arc<Shared>) {
@@ -327,171 +324,3 @@
         shared.refusing.fetch_sub(1, Ordering::AcqRel);
     }
 }
-
-/// Answers and closes. Closing with unread bytes would reset the connection before the caller has
-/// read the answer, so the rest of the request is read first.
-fn answer_error(stream: &TcpStream, out: &mut Vec<u8>, kind: ErrorKind) {
-    encode_response(out, &error_response(kind), false, true);
-    if stream.set_write_timeout(Some(LINGER)).is_err() || (&mut &*stream).write_all(out).is_err() {
-        return;
-    }
-    let _ = stream.shutdown(Shutdown::Write);
-    let until = Instant::now() + LINGER;
-    let mut scrap = [0; 4096];
-    loop {
-        let left = until.saturating_duration_since(Instant::now());
-        if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
-            return;
-        }
-        match (&mut &*stream).read(&mut scrap) {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
-        }
-    }
-}
-
-/// Why a connection ends without another request.
-enum End {
-    Closed,
-    Refused(ErrorKind),
-}
-
-impl From<HeadError> for End {
-    fn from(error: HeadError) -> Self {
-        End::Refused(error.into())
-    }
-}
-
-fn converse(shared: &Shared, stream: &TcpStream, peer: SocketAddr, busy: &AtomicBool) {
-    let write_timeout = Duration::from_millis(shared.config.read_timeout_ms.max(1));
-    if stream.set_write_timeout(Some(write_timeout)).is_err() {
-        return;
-    }
-    let mut inbox = Inbox::default();
-    let mut out = Vec::new();
-    loop {
-        let (request, keep_alive) = match read_request(shared, stream, peer, &mut inbox, busy) {
-            Ok(read) => read,
-            Err(End::Closed) => return,
-            Err(End::Refused(kind)) => {
-                answer_error(stream, &mut out, kind);
-                return;
-            }
-        };
-        let is_head = request.method == "HEAD";
-        let response = (shared.handler)(request, &CallerWatch::new(stream));
-        let close = !keep_alive
-            || shared.is_stopping()
-            || response.headers.has_token("connection", "close");
-        encode_response(&mut out, &response, is_head, close);
-        if (&mut &*stream).write_all(&out).is_err() {
-            return;
-        }
-        if close {
-            // Unread bytes at closing would reset the connection and could destroy the response.
-            let _ = stream.shutdown(Shutdown::Write);
-            drain(stream, peek(stream));
-            return;
-        }
-        busy.store(false, Ordering::Release);
-    }
-}
-
-/// Reads what the caller sends until it closes, for a limited time.
-fn drain(stream: &TcpStream, peeked: Peeked) {
-    if peeked == Peeked::Closed || stream.set_read_timeout(Some(LINGER)).is_err() {
-        return;
-    }
-    let until = Instant::now() + LINGER;
-    let mut scrap = [0; 4096];
-    while Instant::now() < until {
-        match (&mut &*stream).read(&mut scrap) {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
-        }
-    }
-}
-
-fn read_request(
-    shared: &Shared,
-    stream: &TcpStream,
-    peer: SocketAddr,
-    inbox: &mut Inbox,
-    busy: &AtomicBool,
-) -> Result<(Request, bool), End> {
-    let config = &shared.config;
-    let head = read_head(config, stream, inbox, busy)?;
-    if head.framing != Framing::Empty && inbox.unread().is_empty() {
-        expect_continue(stream, &head)?;
-    }
-    let mut decoder = BodyDecoder::new(head.framing, config.max_body_bytes);
-    let mut until = None;
-    loop {
-        let used = decoder.push(inbox.unread())?;
-        inbox.consume(used);
-        if decoder.is_complete() {
-            break;
-        }
-        let until = *until.get_or_insert_with(|| deadline(config));
-        match inbox.fill_until(stream, until) {
-            Ok(0) | Err(_) => return Err(End::Closed),
-            Ok(_) => {}
-        }
-    }
-    let request = Request {
-        method: head.method,
-        target: head.target,
-        headers: head.headers,
-        body: decoder.into_body(),
-        peer,
-    };
-    Ok((request, head.keep_alive))
-}
-
-fn deadline(config: &ServerConfig) -> Instant {
-    Instant::now() + Duration::from_millis(config.read_timeout_ms)
-}
-
-/// The idle timeout holds until the first byte; from there the whole head has one deadline.
-fn read_head(
-    config: &ServerConfig,
-    stream: &TcpStream,
-    inbox: &mut Inbox,
-    busy: &AtomicBool,
-) -> Result<RequestHead, End> {
-    let mut until = None;
-    loop {
-        if !inbox.unread().is_empty() {
-            busy.store(true, Ordering::Release);
-            let limits = (config.max_head_bytes, config.max_body_bytes);
-            if let Some(head) = parse_request_head(inbox.unread(), limits.0, limits.1)? {
-                inbox.consume(head.length);
-                return Ok(head);
-            }
-            until.get_or_insert_with(|| deadline(config));
-        }
-        let read = match until {
-            None => inbox.fill(stream, Duration::from_millis(config.idle_timeout_ms.max(1))),
-            Some(until) => inbox.fill_until(stream, until),
-        };
-        match read {
-            Ok(0) => return Err(End::Closed),
-            Ok(_) => {}
-            Err(error) => {
-                if until.is_some() && is_timeout(&error) {
-                    log::debug!("http: a request head was not complete in time");
-                }
-                return Err(End::Closed);
-            }
-        }
-    }
-}
-
-fn expect_continue(stream: &TcpStream, head: &RequestHead) -> Result<(), End> {
-    if !head.headers.has_token("expect", "100-continue") {
-        return Ok(());
-    }
-    (&mut &*stream)
-        .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-        .map_err(|_| End::Closed)
-}
--- a/components/mesh/src/builder.rs
+++ b/components/mesh/src/builder.rs
@@ -3,7 +3,7 @@
 use crate::{
     Mesh, MeshError,
     error::{ListenSnafu, ThreadSnafu},
-    transport::Inner,
+    inner::Inner,
 };
 use model::NodeId;
 use snafu::ResultExt;
--- /dev/null
+++ b/components/mesh/src/handle.rs
@@ -0,0 +1,104 @@
+//! The public handle.
+
+use crate::{
+    Bytes, Channel, Inbound, MAX_DATAGRAM_PAYLOAD_BYTES, MeshBuilder, RequestError, SendError,
+    Stats,
+    inner::Inner,
+    link::{Outgoing, Purpose},
+};
+use model::NodeId;
+use std::{fmt, net::SocketAddr, sync::Arc, time::Instant};
+
+/// Handle of the transport; clones share it.
+#[derive(Clone)]
+pub struct Mesh(Arc<Inner>);
+
+impl Mesh {
+    /// Starts with the settings.
+    pub fn builder() -> MeshBuilder {
+        MeshBuilder::new()
+    }
+
+    pub(crate) fn new(inner: Arc<Inner>) -> Self {
+        Mesh(inner)
+    }
+
+    /// Identity of this process.
+    pub fn local(&self) -> NodeId {
+        self.0.local
+    }
+
+    /// Sets the handler of a channel. It runs on the reader thread of the connection and must not
+    /// block: a blocked reader sends no pongs, so the peer closes the connection.
+    pub fn on(&self, channel: Channel, handler: impl Fn(Inbound) + Send + Sync + 'static) {
+        self.0.set_handler(channel, Arc::new(handler));
+    }
+
+    /// Sends a message without reply. Never blocks; `Ok` does not mean that it arrives.
+    pub fn send(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        payload: impl Into<Bytes>,
+    ) -> Result<(), SendError> {
+        let out = Outgoing {
+            channel,
+            payload: payload.into(),
+            purpose: Purpose::OneWay,
+        };
+        self.0.send(to, out).map_err(|(_, error)| error)
+    }
+
+    /// Sends a request. `on_reply` runs exactly once, on a transport thread, or on the calling
+    /// thread before this returns if nothing can be sent; it must not block. `NotSent` is certain;
+    /// after `Lost` the request may have arrived.
+    pub fn request(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        payload: impl Into<Bytes>,
+        deadline: Instant,
+        on_reply: impl FnOnce(Result<Bytes, RequestError>) + Send + 'static,
+    ) {
+        let out = Outgoing {
+            channel,
+            payload: payload.into(),
+            purpose: Purpose::Request {
+                deadline_us: self.0.to_us(deadline),
+                on_reply: Box::new(on_reply),
+            },
+        };
+        if let Err((out, _)) = self.0.send(to, out) {
+            out.not_sent();
+        }
+    }
+
+    /// Sends one datagram of at most `MAX_DATAGRAM_PAYLOAD_BYTES`.
+    pub fn send_datagram(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        payload: &[u8],
+    ) -> Result<(), SendError> {
+        if payload.len() > MAX_DATAGRAM_PAYLOAD_BYTES {
+            return Err(SendError::TooLarge);
+        }
+        self.0.send_datagram(to, channel, payload)
+    }
+
+    /// Counters since the start.
+    pub fn stats(&self) -> Stats {
+        self.0.stats()
+    }
+
+    /// Ends all waiting requests, sends the replies that are queued, and closes all connections.
+    pub fn stop(&self) {
+        self.0.stop();
+    }
+}
+
+impl fmt::Debug for Mesh {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Mesh({})", self.0.local)
+    }
+}
--- a/components/mesh/src/transport.rs
+++ b/components/mesh/src/inner.rs
@@ -1,12 +1,11 @@
-//! The public handle, and the state shared by its threads.
+//! State shared by the threads of the transport.
 
 use crate::{
-    Bytes, Channel, Frame, Kind, Limits, MAX_DATAGRAM_PAYLOAD_BYTES, MeshBuilder, RequestError,
-    SendError, Stats,
+    Bytes, Channel, Frame, Inbound, Kind, Limits, ReplyTo, RequestError, SendError, Stats,
     builder::spawn,
     datagram::{self, MAX_DATAGRAM_BYTES},
     handshake::{self, Failure, Session},
-    link::{Due, Link, Look, Outgoing, Purpose},
+    link::{Due, Link, Look, Outgoing},
     peer::Peer,
     stats::{Counters, count},
     timer::Timer,
@@ -15,8 +14,9 @@
 use model::NodeId;
 use std::{
     collections::HashMap,
-    fmt, io,
+    io,
     net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+    panic::{AssertUnwindSafe, catch_unwind},
     sync::{
         Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -31,181 +31,7 @@
 const LOOK_EVERY_US: u64 = 10_000_000;
 
 pub(crate) type OnReply = Box<dyn FnOnce(Result<Bytes, RequestError>) + Send>;
-type Handler = Arc<dyn Fn(Inbound) + Send + Sync>;
-
-/// A message from a peer.
-#[derive(Debug)]
-pub struct Inbound {
-    /// Authenticated identity of the sender.
-    pub from: NodeId,
-    /// Channel that it was sent on.
-    pub channel: Channel,
-    /// Content.
-    pub payload: Bytes,
-    /// Way back; replies to one-way messages and datagrams go nowhere.
-    pub reply: ReplyTo,
-}
-
-/// Answers one request. Dropped without an answer, it tells the sender at once that none follows.
-pub struct ReplyTo {
-    back: Option<(Arc<Inner>, Arc<Link>)>,
-    channel: Channel,
-    id: u64,
-}
-
-impl ReplyTo {
-    /// Whether the sender waits for a reply.
-    pub fn is_expected(&self) -> bool {
-        self.back.is_some()
-    }
-
-    /// Sends the reply.
-    pub fn send(mut self, payload: impl Into<Bytes>) -> Result<(), SendError> {
-        let payload = payload.into();
-        match &self.back {
-            Some((inner, _)) if payload.len() > inner.limits.max_message_bytes => {
-                // Dropping it tells the sender that no reply follows.
-                Err(SendError::TooLarge)
-            }
-            Some(_) => self.submit(payload, Purpose::Reply(self.id)),
-            None => Ok(()),
-        }
-    }
-
-    fn submit(&mut self, payload: Bytes, purpose: Purpose) -> Result<(), SendError> {
-        let Some((inner, link)) = self.back.take() else {
-            return Ok(());
-        };
-        let out = Outgoing {
-            channel: self.channel,
-            payload,
-            purpose,
-        };
-        link.submit(&inner, out).map_err(|(_, error)| error)
-    }
-}
-
-impl Drop for ReplyTo {
-    fn drop(&mut self) {
-        // If the connection is closed, its requests have ended already.
-        let _ = self.submit(Bytes::new(), Purpose::NoReply(self.id));
-    }
-}
-
-impl fmt::Debug for ReplyTo {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "ReplyTo({})", self.id)
-    }
-}
-
-/// Handle of the transport; clones share it.
-#[derive(Clone)]
-pub struct Mesh(Arc<Inner>);
-
-impl Mesh {
-    /// Starts with the settings.
-    pub fn builder() -> MeshBuilder {
-        MeshBuilder::new()
-    }
-
-    pub(crate) fn new(inner: Arc<Inner>) -> Self {
-        Mesh(inner)
-    }
-
-    /// Identity of this process.
-    pub fn local(&self) -> NodeId {
-        self.0.local
-    }
-
-    /// Sets the handler of a channel. It runs on the reader thread of the connection and must not
-    /// block: a blocked reader sends no pongs, so the peer closes the connection.
-    pub fn on(&self, channel: Channel, handler: impl Fn(Inbound) + Send + Sync + 'static) {
-        let mut handlers = self
-            .0
-            .handlers
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
-        handlers[channel.index()] = Some(Arc::new(handler));
-    }
-
-    /// Sends a message without reply. Never blocks; `Ok` does not mean that it arrives.
-    pub fn send(
-        &self,
-        to: SocketAddr,
-        channel: Channel,
-        payload: impl Into<Bytes>,
-    ) -> Result<(), SendError> {
-        let out = Outgoing {
-            channel,
-            payload: payload.into(),
-            purpose: Purpose::OneWay,
-        };
-        self.0.send(to, out).map_err(|(_, error)| error)
-    }
-
-    /// Sends a request. `on_reply` runs exactly once, on a transport thread, or on the calling
-    /// thread before this returns if nothing can be sent; it must not block. `NotSent` is certain;
-    /// after `Lost` the request may have arrived.
-    pub fn request(
-        &self,
-        to: SocketAddr,
-        channel: Channel,
-        payload: impl Into<Bytes>,
-        deadline: Instant,
-        on_reply: impl FnOnce(Result<Bytes, RequestError>) + Send + 'static,
-    ) {
-        let out = Outgoing {
-            channel,
-            payload: payload.into(),
-            purpose: Purpose::Request {
-                deadline_us: self.0.to_us(deadline),
-                on_reply: Box::new(on_reply),
-            },
-        };
-        if let Err((out, _)) = self.0.send(to, out) {
-            out.not_sent();
-        }
-    }
-
-    /// Sends one datagram of at most `MAX_DATAGRAM_PAYLOAD_BYTES`.
-    pub fn send_datagram(
-        &self,
-        to: SocketAddr,
-        channel: Channel,
-        payload: &[u8],
-    ) -> Result<(), SendError> {
-        if payload.len() > MAX_DATAGRAM_PAYLOAD_BYTES {
-            return Err(SendError::TooLarge);
-        }
-        if self.0.is_stopping() {
-            return Err(SendError::Stopped);
-        }
-        let bytes = datagram::seal(&self.0.datagram_key, self.0.local, channel, payload);
-        match self.0.udp.send_to(&bytes, to) {
-            Ok(_) => {
-                self.0.counters.sent(channel, bytes.len(), true);
-                Ok(())
-            }
-            Err(_) => Err(SendError::Datagram),
-        }
-    }
-
-    /// Counters since the start.
-    pub fn stats(&self) -> Stats {
-        self.0.counters.snapshot(self.0.links().len())
-    }
-
-    /// Ends all waiting requests, sends the replies that are queued, and closes all connections.
-    pub fn stop(&self) {
-        self.0.stop();
-    }
-}
-
-impl fmt::Debug for Mesh {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Mesh({})", self.0.local)
-    }
-}
+pub(crate) type Handler = Arc<dyn Fn(Inbound) + Send + Sync>;
 
 pub(crate) struct Inner {
     pub(crate) local: NodeId,
@@ -262,7 +88,7 @@
         self.started.elapsed().as_micros() as u64
     }
 
-    fn to_us(&self, time: Instant) -> u64 {
+    pub(crate) fn to_us(&self, time: Instant) -> u64 {
         time.saturating_duration_since(self.started).as_micros() as u64
     }
 
@@ -283,7 +109,42 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn send(self: &Arc<Self>, to: SocketAddr, out: Outgoing) -> Result<(), (Outgoing, SendError)> {
+    pub(crate) fn set_handler(&self, channel: Channel, handler: Handler) {
+        let mut handlers = self
+            .handlers
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        handlers[channel.index()] = Some(handler);
+    }
+
+    pub(crate) fn stats(&self) -> Stats {
+        self.counters.snapshot(self.links().len())
+    }
+
+    pub(crate) fn send_datagram(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        payload: &[u8],
+    ) -> Result<(), SendError> {
+        if self.is_stopping() {
+            return Err(SendError::Stopped);
+        }
+        let bytes = datagram::seal(&self.datagram_key, self.local, channel, payload);
+        match self.udp.send_to(&bytes, to) {
+            Ok(_) => {
+                self.counters.sent(channel, bytes.len(), true);
+                Ok(())
+            }
+            Err(_) => Err(SendError::Datagram),
+        }
+    }
+
+    pub(crate) fn send(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        out: Outgoing,
+    ) -> Result<(), (Outgoing, SendError)> {
         if out.payload.len() > self.limits.max_message_bytes {
             return Err((out, SendError::TooLarge));
         }
@@ -367,7 +228,7 @@
             handlers[inbound.channel.index()].clone()
         };
         match handler {
-            Some(handler) => handler(inbound),
+            Some(handler) => contain(|| handler(inbound)),
             None => log::debug!(
                 "mesh: no handler for channel {} yet, message from {} dropped",
                 inbound.channel.name(),
@@ -506,7 +367,7 @@
         }
     }
 
-    fn stop(&self) {
+    pub(crate) fn stop(&self) {
         if self.stopping.swap(true, Ordering::AcqRel) {
             return;
         }
@@ -574,7 +435,14 @@
 
 fn run(due: Due) {
     for (on_reply, error) in due {
-        on_reply(Err(error));
+        contain(|| on_reply(Err(error)));
+    }
+}
+
+/// A panic in a callback must not end a thread that serves other connections too.
+pub(crate) fn contain(callback: impl FnOnce()) {
+    if catch_unwind(AssertUnwindSafe(callback)).is_err() {
+        log::error!("mesh: a callback panicked");
     }
 }
 
--- a/components/mesh/src/lib.rs
+++ b/components/mesh/src/lib.rs
@@ -9,13 +9,15 @@
 mod datagram;
 mod error;
 mod frame;
+mod handle;
 mod handshake;
+mod inbound;
+mod inner;
 mod link;
 mod outbox;
 mod peer;
 mod stats;
 mod timer;
-mod transport;
 
 pub use builder::{Limits, MeshBuilder};
 pub use channel::Channel;
@@ -24,8 +26,9 @@
 pub use frame::{
     Assembler, Frame, FrameError, HEADER_BYTES, Kind, MAX_FRAGMENT_BYTES, Opener, Sealer,
 };
+pub use handle::Mesh;
+pub use inbound::{Inbound, ReplyTo};
 pub use stats::{ChannelStats, Stats};
-pub use transport::{Inbound, Mesh, ReplyTo};
 
 /// Payload of a message.
 pub type Bytes = Vec<u8>;
--- a/components/mesh/src/link.rs
+++ b/components/mesh/src/link.rs
@@ -4,9 +4,9 @@
     Assembler, Channel, Frame, FrameError, Kind, Opener, RequestError, SendError,
     builder::spawn,
     handshake::Session,
+    inner::{Inner, OnReply, contain},
     outbox::{Message, Outbox, Placed},
     stats::count,
-    transport::{Inner, OnReply},
 };
 use errors::ErrorKind;
 use model::NodeId;
@@ -444,7 +444,7 @@
         let pending = self.state().pending.remove(&message.id);
         // A reply after the deadline of its request finds nothing.
         if let Some(pending) = pending {
-            (pending.on_reply)(result);
+            contain(|| (pending.on_reply)(result));
         }
     }
 }
--- a/components/mesh/src/peer.rs
+++ b/components/mesh/src/peer.rs
@@ -4,9 +4,9 @@
     SendError,
     builder::spawn,
     handshake,
+    inner::Inner,
     link::{Link, Outgoing, Purpose},
     stats::count,
-    transport::Inner,
 };
 use std::{
     io,
--- /dev/null
+++ b/components/mesh/tests/frame_properties.rs
@@ -0,0 +1,125 @@
+//! Guards the envelope decoder against panics, forged or replayed envelopes and unbounded memory.
+
+use mesh::{
+    Assembler, Channel, Frame, FrameError, HEADER_BYTES, Kind, MAX_FRAGMENT_BYTES, Opener, Sealer,
+};
+use proptest::{collection::vec, prelude::*};
+
+const KEY: [u8; 32] = [7; 32];
+
+fn sealed(payloads: &[Vec<u8>]) -> Vec<u8> {
+    let mut sealer = Sealer::new(KEY);
+    let mut bytes = Vec::new();
+    for (id, payload) in payloads.iter().enumerate() {
+        sealer.seal(
+            &mut bytes,
+            Kind::Request,
+            Channel::Call,
+            id as u64,
+            payload,
+            false,
+        );
+    }
+    bytes
+}
+
+fn open_all(opener: &mut Opener, bytes: &[u8]) -> (Vec<Frame>, Result<usize, FrameError>) {
+    let (mut frames, mut start) = (Vec::new(), 0);
+    loop {
+        match opener.open(&bytes[start..]) {
+            Ok(Some((frame, length))) => {
+                frames.push(frame);
+                start += length;
+            }
+            Ok(None) => return (frames, Ok(start)),
+            Err(error) => return (frames, Err(error)),
+        }
+    }
+}
+
+fn fragment(id: u64, size: usize, more: bool) -> Frame {
+    Frame {
+        kind: Kind::Request,
+        channel: Channel::Call,
+        id,
+        more,
+        payload: vec![1; size],
+    }
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes(bytes in vec(any::<u8>(), 0..2_000)) {
+        let (frames, _) = open_all(&mut Opener::new(KEY), &bytes);
+        prop_assert!(frames.is_empty());
+    }
+
+    #[test]
+    fn round_trip(payloads in vec(vec(any::<u8>(), 0..300), 0..20), cut in any::<prop::sample::Index>()) {
+        let bytes = sealed(&payloads);
+        let mut opener = Opener::new(KEY);
+        let cut = cut.index(bytes.len() + 1);
+        let (mut frames, used) = open_all(&mut opener, &bytes[..cut]);
+        let (rest, end) = open_all(&mut opener, &bytes[used.unwrap()..]);
+        end.unwrap();
+        frames.extend(rest);
+        let got: Vec<_> = frames.into_iter().map(|frame| frame.payload).collect();
+        prop_assert_eq!(got, payloads);
+    }
+
+    #[test]
+    fn altered_byte(
+        payloads in vec(vec(any::<u8>(), 0..50), 1..5),
+        at in any::<prop::sample::Index>(),
+        bit in 0..8_u8,
+    ) {
+        let mut bytes = sealed(&payloads);
+        let at = at.index(bytes.len());
+        bytes[at] ^= 1 << bit;
+        let (frames, _) = open_all(&mut Opener::new(KEY), &bytes);
+        prop_assert!(frames.len() < payloads.len());
+        for (frame, payload) in frames.iter().zip(&payloads) {
+            prop_assert_eq!(&frame.payload, payload);
+        }
+    }
+
+    #[test]
+    fn fragments_bounded(pieces in vec((0..5_u64, 0..400_usize, any::<bool>()), 0..100)) {
+        let mut assembler = Assembler::new(500, 1_000);
+        for (id, size, more) in pieces {
+            match assembler.push(fragment(id, size, more)) {
+                Ok(Some(message)) => prop_assert!(message.payload.len() <= 500),
+                Ok(None) => {}
+                Err(_) => break,
+            }
+            prop_assert!(assembler.held_bytes() <= 1_000);
+        }
+    }
+}
+
+#[test]
+fn replayed_or_reordered() {
+    let first = sealed(&[b"one".to_vec()]);
+    let both = sealed(&[b"one".to_vec(), b"two".to_vec()]);
+    let second = &both[first.len()..];
+    let replay = [first.as_slice(), &first].concat();
+    assert_eq!(
+        open_all(&mut Opener::new(KEY), &replay).1,
+        Err(FrameError::OutOfSequence)
+    );
+    assert_eq!(
+        open_all(&mut Opener::new(KEY), second).1,
+        Err(FrameError::OutOfSequence)
+    );
+    assert_eq!(
+        open_all(&mut Opener::new([8; 32]), &first).1,
+        Err(FrameError::BadTag)
+    );
+}
+
+#[test]
+fn oversized_announcement() {
+    let mut bytes = vec![0; HEADER_BYTES];
+    bytes[..4].copy_from_slice(&(MAX_FRAGMENT_BYTES as u32 + 1).to_be_bytes());
+    assert_eq!(Opener::new(KEY).open(&bytes), Err(FrameError::TooLarge));
+}
