--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -306,6 +306,12 @@
         self.id
     }
 
+    /// Whether this identity was a member of the group from its formation on.
+    pub fn is_founder(&self) -> bool {
+        let names_self = |own: &crate::state::Formation| own.members.contains(self.id);
+        self.hard.formed && self.hard.formation.as_ref().is_some_and(names_self)
+    }
+
     /// Current role.
     pub fn role(&self) -> Role {
         self.role
--- /dev/null
+++ b/components/control/src/host.rs
@@ -0,0 +1,229 @@
+//! Hosts the replica's state machine: its loop, its disk thread and its messages.
+
+use crate::shared::Control;
+use consensus::{Input, Message, Output, Recovered, Replica, ReplicaConfig, Write};
+use crossbeam::channel::{Receiver, Sender, unbounded};
+use kernel::Event;
+use mesh::Channel;
+use std::{
+    sync::Arc,
+    thread::{Builder, JoinHandle},
+    time::{Duration, Instant},
+};
+use store::Store;
+use wire::encode;
+
+/// Pause before a write that found no space is tried again.
+const FULL_DISK_PAUSE: Duration = Duration::from_millis(500);
+/// Longest sleep of the loop.
+const MAX_SLEEP: Duration = Duration::from_millis(100);
+/// Most inputs taken at once before the outputs are carried out.
+const MAX_BATCH: usize = 64;
+
+/// Writes with the sequence of the last one.
+type Batch = (u64, Write);
+
+/// The threads of a replica.
+pub(crate) struct Host {
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Host {
+    pub(crate) fn start(
+        control: &Arc<Control>,
+        config: ReplicaConfig,
+        store: Store,
+        recovered: Recovered,
+    ) -> std::io::Result<Host> {
+        let (writes, write_receiver) = unbounded();
+        let disk = Builder::new().name("replica-disk".into()).spawn({
+            let control = Arc::clone(control);
+            move || write_all(&control, store, &write_receiver)
+        })?;
+        let now_us = control.kernel.clock.now_us();
+        let replica = Replica::new(now_us, config, recovered, rand::random());
+        control.update_standing(|standing| {
+            standing.disk = replica.id().disk;
+            standing.is_founder = replica.is_founder();
+        });
+        let main = Builder::new().name("replica".into()).spawn({
+            let control = Arc::clone(control);
+            move || {
+                Loop {
+                    control,
+                    replica,
+                    writes,
+                }
+                .run()
+            }
+        })?;
+        Ok(Host {
+            threads: vec![main, disk],
+        })
+    }
+
+    pub(crate) fn join(self) {
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Loop {
+    control: Arc<Control>,
+    replica: Replica,
+    writes: Sender<Batch>,
+}
+
+impl Loop {
+    fn run(mut self) {
+        self.publish();
+        while !self.control.kernel.ended.is_raised() {
+            let now_us = self.now_us();
+            let sleep = Duration::from_micros(self.replica.next_wake_us().saturating_sub(now_us));
+            match self.control.inputs().recv_timeout(sleep.min(MAX_SLEEP)) {
+                Ok(input) => self.take(input),
+                Err(_) => self.take(Input::Tick),
+            }
+            for _ in 0..MAX_BATCH {
+                match self.control.inputs().try_recv() {
+                    Ok(input) => self.take(input),
+                    Err(_) => break,
+                }
+            }
+            if self.replica.next_wake_us() <= self.now_us() {
+                self.take(Input::Tick);
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let outputs = self.replica.on_event(self.now_us(), input);
+        for output in outputs {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Send { to, message } => self.send(to, &message),
+            Output::Persist { sequence, write } => {
+                // The disk thread ends only after this loop.
+                let _ = self.writes.send((sequence, write));
+            }
+            Output::Apply { index } => self.apply(index),
+            Output::Answer { token, reply } => self.control.answer_change(token, reply),
+            Output::ReadReady { token, result } => self.control.answer_read(token, result),
+            Output::RoleChanged { role, term, leader } => {
+                log::info!(
+                    "replica: {} is {role:?} in term {term}, leader {}.",
+                    self.replica.id(),
+                    leader.map_or_else(|| "unknown".to_owned(), |id| id.to_string())
+                );
+                self.publish();
+            }
+        }
+    }
+
+    fn send(&self, to: u16, message: &Message) {
+        if let Some(address) = self.control.address_of(to) {
+            // The protocol repeats what is lost.
+            let _ = self
+                .control
+                .kernel
+                .mesh
+                .send(address, Channel::Consensus, encode(message));
+        }
+    }
+
+    /// Brings the profiles of this process up to the applied index.
+    fn apply(&mut self, index: u64) {
+        let profiles = &self.control.kernel.profiles;
+        let registry = self.replica.registry();
+        let before = profiles.revision();
+        if registry.revision() > before && !profiles.apply(registry.since(before)) {
+            profiles.apply(registry.profiles().full());
+        }
+        self.control
+            .update_standing(|standing| standing.applied = index);
+        let revision = profiles.revision();
+        if revision > before {
+            log::info!("replica: revision {revision} is accepted.");
+            self.control
+                .kernel
+                .events
+                .publish(&Event::ProfilesChanged(revision));
+            self.control.pulls.answer_newer(&profiles.current());
+        }
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let replica = &self.replica;
+        self.control.update_standing(|standing| {
+            standing.role = Some(replica.role());
+            standing.term = replica.term();
+            standing.leader = replica.leader();
+            standing.is_voter = replica.is_voter();
+            standing.is_founder = replica.is_founder();
+        });
+    }
+
+    fn now_us(&self) -> u64 {
+        self.control.kernel.clock.now_us()
+    }
+}
+
+/// Carries out writes in order; those that wait together share one fsync.
+fn write_all(control: &Control, mut store: Store, writes: &Receiver<Batch>) {
+    while let Ok(first) = writes.recv() {
+        let mut batch = vec![first];
+        batch.extend(writes.try_iter());
+        let Some(upto) = batch.last().map(|(sequence, _)| *sequence) else {
+            continue;
+        };
+        if !write_batch(control, &mut store, &batch) {
+            return;
+        }
+        control.feed(Input::Persisted { upto });
+    }
+}
+
+/// Tries until the batch is on the disk; false if the process must end without it.
+fn write_batch(control: &Control, store: &mut Store, batch: &[Batch]) -> bool {
+    let mut was_full = false;
+    loop {
+        let started = Instant::now();
+        match store.persist(batch.iter().map(|(_, write)| write)) {
+            Ok(()) => {
+                log::trace!(
+                    "replica: wrote {} records in {:?}.",
+                    batch.len(),
+                    started.elapsed()
+                );
+                if was_full {
+                    log::info!("replica: the disk takes writes again.");
+                    control.update_standing(|standing| standing.storage_error = None);
+                    control.feed(Input::StorageFull(false));
+                }
+                return true;
+            }
+            Err(error) if error.is_retryable() => {
+                if !was_full {
+                    log::error!("replica: {error}; trying again until there is space.");
+                    control.update_standing(|s| s.storage_error = Some(error.to_string()));
+                    control.feed(Input::StorageFull(true));
+                }
+                was_full = true;
+                if control.kernel.ended.wait(FULL_DISK_PAUSE) {
+                    return false;
+                }
+            }
+            Err(error) => {
+                log::error!("replica: {error}; stopping, since nothing can be promised.");
+                control.kernel.stop.raise();
+                return false;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/control/src/keeper.rs
@@ -0,0 +1,202 @@
+//! Plug-in `keeper`: keeps the claims of idempotency keys in memory.
+
+use crate::shared::Control;
+use calls::{ClaimConfig, ClaimCopy, ClaimReply, ClaimStart, ClaimTable, Key};
+use crossbeam::channel::bounded;
+use kernel::{Kernel, PluginEntry, Role, Running, StartError};
+use mesh::{Channel, Inbound};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+use wire::{KeeperReply, KeeperRequest, decode, encode};
+
+/// Claims in one page of a copy.
+const PAGE_CLAIMS: usize = 500;
+/// Longest wait for one page.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause between attempts to copy.
+const COPY_PAUSE: Duration = Duration::from_millis(250);
+
+inventory::submit! {
+    PluginEntry { name: "keeper", role: Role::Control, order: 6, start }
+}
+
+struct Keeper {
+    control: Arc<Control>,
+    /// Absent until it is known whether earlier claims may exist.
+    table: Mutex<Option<ClaimTable>>,
+    peers: Vec<SocketAddr>,
+    keepers: usize,
+    started_us: u64,
+    was_founder: bool,
+}
+
+fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
+    let settings = kernel
+        .control_settings()
+        .ok_or_else(|| StartError::new("keeper", "this process has no control settings"))?;
+    let own = settings.replica as usize - 1;
+    let control = Control::of(kernel);
+    let keeper = Arc::new(Keeper {
+        table: Mutex::new(None),
+        keepers: settings.group.len(),
+        peers: settings
+            .group
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != own)
+            .map(|(_, address)| *address)
+            .collect(),
+        started_us: kernel.clock.now_us(),
+        // A founder with an empty disk becomes one only after its start.
+        was_founder: control.standing().is_founder,
+        control,
+    });
+    kernel.mesh.on(Channel::Keeper, {
+        let keeper = Arc::clone(&keeper);
+        move |inbound| keeper.answer(inbound)
+    });
+    let warming = thread::spawn(move || keeper.warm_up());
+    Ok(Running::with_stop(move || {
+        let _ = warming.join();
+    }))
+}
+
+impl Keeper {
+    fn answer(&self, inbound: Inbound) {
+        let now_us = self.now_us();
+        let reply = match decode(&inbound.payload) {
+            Ok(KeeperRequest::Claim(claim)) => {
+                let reply = self
+                    .table()
+                    .as_mut()
+                    .map_or(ClaimReply::Warming, |table| table.claim(now_us, &claim));
+                KeeperReply::Claim(reply)
+            }
+            Ok(KeeperRequest::Copy { from }) => KeeperReply::Copy(self.copy(now_us, from)),
+            Err(error) => {
+                log::warn!(
+                    "keeper: a message from {} was dropped: {error}.",
+                    inbound.from
+                );
+                return;
+            }
+        };
+        if let Err(error) = inbound.reply.send(encode(&reply)) {
+            log::debug!("keeper: a reply could not be sent: {error}.");
+        }
+    }
+
+    fn copy(&self, now_us: u64, from: Option<Key>) -> ClaimCopy {
+        let mut table = self.table();
+        match table.as_mut() {
+            Some(table) => table.export(now_us, from, PAGE_CLAIMS),
+            None => ClaimCopy {
+                complete: false,
+                after: from,
+                next: None,
+                claims: Vec::new(),
+            },
+        }
+    }
+
+    /// Opens the table, then copies the claims of the other keepers if this one restarted.
+    fn warm_up(&self) {
+        let ended = &self.control.kernel.ended;
+        while !self.open_table() {
+            if ended.wait(COPY_PAUSE) {
+                return;
+            }
+        }
+        loop {
+            let now_us = self.now_us();
+            let copy_from_us = {
+                let mut table = self.table();
+                match table.as_mut() {
+                    Some(table) => table.is_warming(now_us).then(|| table.copy_from_us()),
+                    None => None,
+                }
+            };
+            let Some(copy_from_us) = copy_from_us else {
+                break;
+            };
+            if copy_from_us.is_some_and(|at_us| now_us >= at_us) {
+                for (index, peer) in self.peers.iter().enumerate() {
+                    self.copy_from(index, *peer);
+                }
+            }
+            if ended.wait(COPY_PAUSE) {
+                return;
+            }
+        }
+        log::info!(
+            "keeper: ready, {} claims.",
+            self.table().as_ref().map_or(0, ClaimTable::len)
+        );
+    }
+
+    /// A keeper of a group that formed after its start has no earlier claims; any other may have.
+    fn open_table(&self) -> bool {
+        let standing = self.control.standing();
+        let start = if self.was_founder {
+            ClaimStart::Restarted
+        } else if standing.is_founder {
+            ClaimStart::NewGroup
+        } else if standing.has_leader() {
+            ClaimStart::Restarted
+        } else {
+            return false;
+        };
+        log::info!("keeper: starting, {start:?}.");
+        let config = ClaimConfig {
+            keepers: self.keepers,
+            ..ClaimConfig::default()
+        };
+        *self.table() = Some(ClaimTable::new(self.started_us, config, start));
+        true
+    }
+
+    fn copy_from(&self, index: usize, peer: SocketAddr) {
+        let mut from = None;
+        loop {
+            let requested_us = self.now_us();
+            let Some(copy) = self.ask_page(peer, from) else {
+                return;
+            };
+            let next = copy.next;
+            if let Some(table) = self.table().as_mut() {
+                table.import(self.now_us(), requested_us, index, &copy);
+            }
+            if next.is_none() {
+                return;
+            }
+            from = next;
+        }
+    }
+
+    fn ask_page(&self, peer: SocketAddr, from: Option<Key>) -> Option<ClaimCopy> {
+        let (sender, receiver) = bounded(1);
+        let request = encode(&KeeperRequest::Copy { from });
+        let deadline = Instant::now() + PAGE_TIMEOUT;
+        let mesh = &self.control.kernel.mesh;
+        mesh.request(peer, Channel::Keeper, request, deadline, move |outcome| {
+            // The receiver is gone if the wait has ended.
+            let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
+        });
+        match receiver.recv_timeout(PAGE_TIMEOUT).ok().flatten() {
+            Some(KeeperReply::Copy(copy)) => Some(copy),
+            _ => None,
+        }
+    }
+
+    fn now_us(&self) -> u64 {
+        self.control.kernel.clock.now_us()
+    }
+
+    fn table(&self) -> MutexGuard<'_, Option<ClaimTable>> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/components/control/src/operator.rs
@@ -0,0 +1,486 @@
+//! Plug-in `operator`: the HTTP port for operators.
+
+use crate::{
+    reports::{STALE_AFTER_MS, merge, node_of, profiles_in_use},
+    shared::{Control, REQUEST_TIMEOUT, Refusal},
+};
+use crossbeam::channel::bounded;
+use errors::ErrorKind;
+use kernel::{Kernel, PluginEntry, Role, Running, StartError};
+use mesh::Channel;
+use model::{FieldError, Profile, ProfileName, Revision};
+use registry::{Change, ChangeId, Delta, Op, Record};
+use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+use std::{
+    io::{Cursor, Read},
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use subtle::ConstantTimeEq;
+use tiny_http::{Header, Method, Request, Response, Server};
+use wire::{ControlReply, ControlRequest, NodeReport, SyncReply, SyncRequest, decode, encode};
+
+/// Largest body of an operator's request.
+const MAX_BODY_BYTES: u64 = 64 << 10;
+/// Threads that serve operators; a change waits for a quorum.
+const THREADS: usize = 4;
+/// Longest wait for another process.
+const PEER_TIMEOUT: Duration = Duration::from_millis(700);
+
+inventory::submit! {
+    PluginEntry { name: "operator", role: Role::Control, order: 7, start }
+}
+
+type Answer = Response<Cursor<Vec<u8>>>;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChangeBody {
+    change_id: String,
+    #[serde(default)]
+    expect_revision: Option<u64>,
+    op: OpBody,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum OpBody {
+    Add(Profile),
+    Update(Profile),
+    Retire {
+        name: ProfileName,
+        #[serde(default)]
+        successor: Option<ProfileName>,
+    },
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainBody {
+    instance: model::UpstreamName,
+    #[serde(default)]
+    service: Option<model::ServiceName>,
+}
+
+struct Operator {
+    control: Arc<Control>,
+    token: Option<String>,
+}
+
+fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
+    let settings = kernel
+        .control_settings()
+        .ok_or_else(|| StartError::new("operator", "this process has no control settings"))?;
+    let address = settings.operator_listen;
+    let server = Server::http(address).map_err(|error| {
+        StartError::new(
+            "operator",
+            format!("--operator-listen {address} can't be opened: {error}; choose a free port"),
+        )
+    })?;
+    if let Some(bound) = server.server_addr().to_ip() {
+        kernel.set_address("operator", bound);
+    }
+    let server = Arc::new(server);
+    let operator = Arc::new(Operator {
+        control: Control::of(kernel),
+        token: settings.operator_token,
+    });
+    let threads: Vec<_> = (0..THREADS)
+        .map(|_| {
+            let (server, operator) = (Arc::clone(&server), Arc::clone(&operator));
+            thread::spawn(move || operator.serve(&server))
+        })
+        .collect();
+    Ok(Running::with_stop(move || {
+        for _ in &threads {
+            server.unblock();
+        }
+        for thread in threads {
+            let _ = thread.join();
+        }
+    }))
+}
+
+impl Operator {
+    fn serve(&self, server: &Server) {
+        while let Ok(mut request) = server.recv() {
+            let answer = self.answer(&mut request);
+            if let Err(error) = request.respond(answer) {
+                log::debug!("operator: the answer could not be sent: {error}.");
+            }
+        }
+    }
+
+    fn answer(&self, request: &mut Request) -> Answer {
+        if !self.is_allowed(request) {
+            log::warn!("operator: a request without a valid token was refused.");
+            return error_answer(&(ErrorKind::Unauthorized, String::new()));
+        }
+        let path = request.url().split('?').next().unwrap_or("").to_owned();
+        let result = match (request.method(), path.as_str()) {
+            (Method::Get, "/v1/profiles") => self.profiles(),
+            (Method::Get, path) if path.starts_with("/v1/profiles/") => {
+                self.profile(&path["/v1/profiles/".len()..])
+            }
+            (Method::Post, "/v1/changes") => body(request).and_then(|body| self.change(body)),
+            (Method::Post, "/v1/drain") => body(request).and_then(|body| self.drain(&body)),
+            (Method::Get, "/v1/status") => self.status(),
+            (Method::Get, "/metrics") => return self.metrics(),
+            _ => Err((ErrorKind::NotFound, path)),
+        };
+        match result {
+            Ok(value) => json_answer(200, &value),
+            Err(refusal) => error_answer(&refusal),
+        }
+    }
+
+    /// With a token, the request must carry it; without one, only loopback is served.
+    fn is_allowed(&self, request: &Request) -> bool {
+        let Some(token) = &self.token else {
+            return request
+                .remote_addr()
+                .is_some_and(|peer| peer.ip().is_loopback());
+        };
+        let sent = request
+            .headers()
+            .iter()
+            .find(|header| header.field.equiv("authorization"))
+            .and_then(|header| header.value.as_str().strip_prefix("Bearer "));
+        sent.is_some_and(|sent| sent.as_bytes().ct_eq(token.as_bytes()).into())
+    }
+
+    fn metrics(&self) -> Answer {
+        let kernel = &self.control.kernel;
+        kernel
+            .metrics
+            .revision
+            .set(kernel.profiles.revision().number as i64);
+        let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        with_type(
+            Response::from_string(kernel.metrics.render()),
+            200,
+            content_type,
+        )
+    }
+
+    fn profiles(&self) -> Result<Value, Refusal> {
+        let newest = self.newest()?;
+        let profiles: Vec<Value> = newest.records.iter().filter_map(profile_json).collect();
+        Ok(json!({ "revision": newest.to, "profiles": profiles }))
+    }
+
+    fn profile(&self, name: &str) -> Result<Value, Refusal> {
+        let newest = self.newest()?;
+        newest
+            .records
+            .iter()
+            .find(|record| record.name().as_str() == name)
+            .and_then(profile_json)
+            .ok_or_else(|| (ErrorKind::UnknownProfile, name.to_owned()))
+    }
+
+    /// The newest configuration, from the leader.
+    fn newest(&self) -> Result<Box<Delta>, Refusal> {
+        let Some(leader) = self.other_leader() else {
+            return self.control.read();
+        };
+        match self.ask(leader, &ControlRequest::Read, REQUEST_TIMEOUT) {
+            Some(ControlReply::Configuration(result)) => result,
+            _ => Err((
+                ErrorKind::NoQuorum,
+                format!("the leader at {leader} did not answer"),
+            )),
+        }
+    }
+
+    fn change(&self, body: ChangeBody) -> Result<Value, Refusal> {
+        let change_id = ChangeId::parse(&body.change_id)
+            .map_err(|error| (ErrorKind::MalformedRequest, error.to_string()))?;
+        let op = match body.op {
+            OpBody::Add(profile) => Op::Add(checked(profile)?),
+            OpBody::Update(profile) => Op::Update(checked(profile)?),
+            OpBody::Retire { name, successor } => Op::Retire { name, successor },
+        };
+        let in_use = match &op {
+            Op::Retire { .. } => profiles_in_use(&self.reports()),
+            _ => Vec::new(),
+        };
+        let name = op.name().clone();
+        let change = Change {
+            change_id,
+            expect: body.expect_revision,
+            op,
+            in_use,
+        };
+        let result = self.submit(change);
+        match &result {
+            Ok(revision) => {
+                log::info!("operator: change {change_id} of {name} accepted as {revision}.");
+            }
+            Err((kind, _)) => log::info!("operator: change {change_id} of {name} refused, {kind}."),
+        }
+        let revision = result?;
+        Ok(json!({
+            "revision": revision,
+            "profile_revision": revision.number,
+            "change_id": body.change_id,
+        }))
+    }
+
+    fn submit(&self, change: Change) -> Result<Revision, Refusal> {
+        let unconfirmed = || {
+            let detail = "the change may still be accepted; resend it with the same change id";
+            Err((ErrorKind::NoQuorum, detail.to_owned()))
+        };
+        let Some(leader) = self.other_leader() else {
+            let receiver = self.control.propose(change);
+            return receiver
+                .recv_timeout(REQUEST_TIMEOUT)
+                .unwrap_or_else(|_| unconfirmed());
+        };
+        match self.ask(
+            leader,
+            &ControlRequest::Propose(Box::new(change)),
+            REQUEST_TIMEOUT,
+        ) {
+            Some(ControlReply::Proposed(result)) => result,
+            _ => unconfirmed(),
+        }
+    }
+
+    fn drain(&self, body: &DrainBody) -> Result<Value, Refusal> {
+        let reports = self.reports();
+        let service = body.service.as_ref().map(model::ServiceName::as_str);
+        let nodes = node_of(&reports, body.instance.as_str(), service);
+        let [node] = nodes[..] else {
+            let detail = match nodes.len() {
+                0 => format!("no live instance is named {}", body.instance),
+                _ => format!(
+                    "several services have an instance {}; name one",
+                    body.instance
+                ),
+            };
+            return Err((ErrorKind::NotFound, detail));
+        };
+        let request = SyncRequest::Drain {
+            service: body.service.clone(),
+            instance: body.instance.clone(),
+        };
+        match self.ask_on(node.mesh, Channel::Sync, &request, PEER_TIMEOUT) {
+            Some(SyncReply::Drained(true)) => {
+                log::info!("operator: instance {} is draining.", body.instance);
+                Ok(json!({ "instance": body.instance, "node": node.mesh, "state": "draining" }))
+            }
+            Some(_) => Err((
+                ErrorKind::NotFound,
+                format!("{} has left its node", body.instance),
+            )),
+            None => Err((
+                ErrorKind::Busy,
+                format!("the node at {} did not answer", node.mesh),
+            )),
+        }
+    }
+
+    fn status(&self) -> Result<Value, Refusal> {
+        let newest = self.newest()?.to;
+        let standing = self.control.standing();
+        let nodes: Vec<Value> = self
+            .reports()
+            .iter()
+            .map(|report| node_json(report, newest))
+            .collect();
+        Ok(json!({
+            "leader": standing.leader.map(|id| id.number),
+            "revision": newest,
+            "replicas": self.replicas_json(),
+            "nodes": nodes,
+        }))
+    }
+
+    fn replicas_json(&self) -> Vec<Value> {
+        let standing = self.control.standing();
+        let settings = self.control.kernel.control_settings();
+        let Some(settings) = settings else {
+            return Vec::new();
+        };
+        let leader = standing.leader.map(|id| u32::from(id.number));
+        settings
+            .group
+            .iter()
+            .zip(1u32..)
+            .map(|(address, number)| {
+                let is_self = number == settings.replica;
+                let reachable = is_self
+                    || self
+                        .ask(*address, &ControlRequest::Reports, PEER_TIMEOUT)
+                        .is_some();
+                json!({
+                    "replica": number,
+                    "address": address,
+                    "role": if leader == Some(number) { "leader" } else { "follower" },
+                    "disk_id": is_self.then(|| format!("{:016x}", standing.disk)),
+                    "matched": is_self.then_some(standing.applied),
+                    "reachable": reachable,
+                    "error": if is_self { standing.storage_error.clone() } else { None },
+                })
+            })
+            .collect()
+    }
+
+    /// Reports of all nodes, from all replicas that answer.
+    fn reports(&self) -> Vec<NodeReport> {
+        let control = &self.control;
+        let mut lists = vec![control.reports.list(control.kernel.clock.now_us())];
+        for peer in self.peers() {
+            if let Some(ControlReply::Reports(list)) =
+                self.ask(peer, &ControlRequest::Reports, PEER_TIMEOUT)
+            {
+                lists.push(list);
+            }
+        }
+        merge(lists)
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        let own = self.control.kernel.mesh.local().mesh;
+        let group = self
+            .control
+            .kernel
+            .control_settings()
+            .map(|s| s.group)
+            .unwrap_or_default();
+        group
+            .into_iter()
+            .filter(|address| *address != own)
+            .collect()
+    }
+
+    /// Address of the leader, if it is another replica.
+    fn other_leader(&self) -> Option<SocketAddr> {
+        let standing = self.control.standing();
+        if standing.is_leader() {
+            return None;
+        }
+        self.control.address_of(standing.leader?.number)
+    }
+
+    fn ask(
+        &self,
+        to: SocketAddr,
+        request: &ControlRequest,
+        wait: Duration,
+    ) -> Option<ControlReply> {
+        self.ask_on(to, Channel::Control, request, wait)
+    }
+
+    fn ask_on<T: DeserializeOwned + Send + 'static>(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        request: &impl serde::Serialize,
+        wait: Duration,
+    ) -> Option<T> {
+        let (sender, receiver) = bounded(1);
+        let deadline = Instant::now() + wait;
+        self.control
+            .kernel
+            .mesh
+            .request(to, channel, encode(request), deadline, move |outcome| {
+                // The receiver is gone if the wait has ended.
+                let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
+            });
+        receiver.recv_timeout(wait).ok().flatten()
+    }
+}
+
+fn checked(profile: Profile) -> Result<Profile, Refusal> {
+    match profile.check() {
+        Ok(()) => Ok(profile),
+        Err(errors) => {
+            let lines: Vec<String> = errors.iter().map(FieldError::to_string).collect();
+            Err((ErrorKind::InvalidProfile, lines.join("; ")))
+        }
+    }
+}
+
+fn body<T: DeserializeOwned>(request: &mut Request) -> Result<T, Refusal> {
+    let mut bytes = Vec::new();
+    request
+        .as_reader()
+        .take(MAX_BODY_BYTES + 1)
+        .read_to_end(&mut bytes)
+        .map_err(|error| (ErrorKind::MalformedRequest, error.to_string()))?;
+    if bytes.len() as u64 > MAX_BODY_BYTES {
+        return Err((
+            ErrorKind::BodyTooLarge,
+            "a request has at most 64 KiB".to_owned(),
+        ));
+    }
+    serde_json::from_slice(&bytes)
+        .map_err(|error| (ErrorKind::MalformedRequest, format!("body: {error}")))
+}
+
+fn profile_json(record: &Record) -> Option<Value> {
+    let profile = record.live()?;
+    Some(json!({
+        "profile": profile,
+        "revision": record.revision,
+        "generation": record.generation,
+    }))
+}
+
+fn node_json(report: &NodeReport, newest: Revision) -> Value {
+    let instances: Vec<Value> = report
+        .instance
+        .iter()
+        .map(|instance| {
+            json!({
+                "name": instance.name,
+                "service": instance.service,
+                "state": instance.state,
+                "address": instance.address,
+            })
+        })
+        .collect();
+    json!({
+        "node": report.node.mesh,
+        "host": report.host,
+        "availability_zone": report.availability_zone,
+        "revision": report.revision,
+        "in_effect": report.revision >= newest,
+        "age_ms": report.age_ms,
+        "stale": report.age_ms > STALE_AFTER_MS,
+        "instances": instances,
+    })
+}
+
+fn json_answer(status: u16, value: &Value) -> Answer {
+    with_type(
+        Response::from_string(format!("{value}\n")),
+        status,
+        "application/json",
+    )
+}
+
+fn error_answer((kind, detail): &Refusal) -> Answer {
+    let row = kind.row();
+    json_answer(
+        row.status,
+        &json!({
+            "error": row.code,
+            "message": row.message,
+            "detail": detail,
+            "advice": row.advice,
+        }),
+    )
+}
+
+fn with_type(answer: Answer, status: u16, content_type: &str) -> Answer {
+    let header = Header::from_bytes("content-type", content_type).expect("a valid header");
+    answer.with_status_code(status).with_header(header)
+}
--- /dev/null
+++ b/components/control/src/replica.rs
@@ -0,0 +1,144 @@
+//! Plug-in `replica`: one replica of the control group.
+
+use crate::{host::Host, shared::Control};
+use consensus::{Input, ReplicaConfig};
+use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
+use mesh::{Channel, Inbound};
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use store::Store;
+use wire::{ControlReply, ControlRequest, decode, encode};
+
+/// Period in which held pulls are looked at.
+const PULL_CHECK: Duration = Duration::from_millis(50);
+/// Time that a stopping leader has to hand over.
+const HAND_OVER_TIME: Duration = Duration::from_millis(200);
+
+inventory::submit! {
+    PluginEntry { name: "replica", role: Role::Control, order: 5, start }
+}
+
+fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
+    let fail = |reason: &dyn std::fmt::Display| StartError::new("replica", reason);
+    let settings = kernel
+        .control_settings()
+        .ok_or_else(|| fail(&"this process has no control settings"))?;
+    let (store, recovered) = Store::open(&settings.data_dir).map_err(|error| fail(&error))?;
+    let number = u16::try_from(settings.replica).map_err(|error| fail(&error))?;
+    let numbers = 1..=u16::try_from(settings.group.len()).map_err(|error| fail(&error))?;
+    let control = Control::of(kernel);
+
+    kernel.mesh.on(Channel::Consensus, {
+        let control = Arc::clone(&control);
+        move |inbound: Inbound| match decode(&inbound.payload) {
+            Ok(message) => control.feed(Input::Message(message)),
+            Err(error) => {
+                log::warn!(
+                    "replica: a message from {} was dropped: {error}.",
+                    inbound.from
+                );
+            }
+        }
+    });
+    kernel.mesh.on(Channel::Control, {
+        let control = Arc::clone(&control);
+        move |inbound| answer(&control, inbound)
+    });
+    kernel.events.subscribe({
+        let control = Arc::clone(&control);
+        move |event| {
+            if *event == Event::Stopping {
+                control.feed(Input::HandOver);
+            }
+        }
+    });
+    let host = Host::start(
+        &control,
+        ReplicaConfig::new(number, numbers),
+        store,
+        recovered,
+    )
+    .map_err(|error| fail(&error))?;
+    let checking = thread::spawn({
+        let control = Arc::clone(&control);
+        move || {
+            while !control.kernel.ended.wait(PULL_CHECK) {
+                let now_us = control.kernel.clock.now_us();
+                control
+                    .pulls
+                    .expire(now_us, control.standing().has_leader());
+            }
+        }
+    });
+    Ok(Running::new(
+        |until| {
+            let pause = until.min(Instant::now() + HAND_OVER_TIME);
+            thread::sleep(pause.saturating_duration_since(Instant::now()));
+        },
+        move || {
+            let _ = checking.join();
+            host.join();
+        },
+    ))
+}
+
+fn answer(control: &Arc<Control>, inbound: Inbound) {
+    let request = match decode(&inbound.payload) {
+        Ok(request) => request,
+        Err(error) => {
+            log::warn!(
+                "replica: a message from {} was dropped: {error}.",
+                inbound.from
+            );
+            return;
+        }
+    };
+    match request {
+        ControlRequest::Pull {
+            have,
+            digest,
+            wait_ms,
+            report,
+        } => {
+            let now_us = control.kernel.clock.now_us();
+            control.reports.note(now_us, *report);
+            let set = control.kernel.profiles.current();
+            let has_leader = control.standing().has_leader();
+            control.pulls.add(
+                now_us,
+                &set,
+                has_leader,
+                (have, digest),
+                wait_ms,
+                inbound.reply,
+            );
+        }
+        ControlRequest::Reports => {
+            let reports = control.reports.list(control.kernel.clock.now_us());
+            reply(inbound, &ControlReply::Reports(reports));
+        }
+        // These wait for a quorum, which a reader thread of the mesh must not.
+        ControlRequest::Propose(change) => {
+            let receiver = control.propose(*change);
+            thread::spawn(move || {
+                let result = receiver.recv_timeout(crate::shared::REQUEST_TIMEOUT);
+                let result =
+                    result.unwrap_or_else(|_| Err((errors::ErrorKind::NoQuorum, String::new())));
+                reply(inbound, &ControlReply::Proposed(result));
+            });
+        }
+        ControlRequest::Read => {
+            let control = Arc::clone(control);
+            thread::spawn(move || reply(inbound, &ControlReply::Configuration(control.read())));
+        }
+    }
+}
+
+fn reply(inbound: Inbound, message: &ControlReply) {
+    if let Err(error) = inbound.reply.send(encode(message)) {
+        log::debug!("replica: a reply could not be sent: {error}.");
+    }
+}
--- /dev/null
+++ b/components/control/src/reports.rs
@@ -0,0 +1,95 @@
+//! What nodes report with their pulls.
+
+use model::{NodeId, ProfileName};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+use wire::NodeReport;
+
+/// Age from which a node counts as stale, in milliseconds: three missed pulls.
+pub(crate) const STALE_AFTER_MS: u64 = 3_500;
+/// Age at which a silent node is forgotten, in milliseconds.
+const FORGET_AFTER_MS: u64 = 60_000;
+/// Age at which a node that said it leaves is forgotten, in milliseconds.
+const FORGET_LEAVING_MS: u64 = 2_000;
+
+/// Reports of the nodes that pull from one replica.
+#[derive(Default)]
+pub(crate) struct Reports {
+    latest: Mutex<BTreeMap<SocketAddr, (u64, NodeReport)>>,
+}
+
+impl Reports {
+    pub(crate) fn note(&self, now_us: u64, report: NodeReport) {
+        self.lock().insert(report.node.mesh, (now_us, report));
+    }
+
+    /// All reports with their ages; forgets old ones.
+    pub(crate) fn list(&self, now_us: u64) -> Vec<NodeReport> {
+        let mut latest = self.lock();
+        latest.retain(|_, (at_us, report)| {
+            let age_ms = now_us.saturating_sub(*at_us) / 1000;
+            age_ms
+                < if report.leaving {
+                    FORGET_LEAVING_MS
+                } else {
+                    FORGET_AFTER_MS
+                }
+        });
+        latest
+            .values()
+            .map(|(at_us, report)| NodeReport {
+                age_ms: now_us.saturating_sub(*at_us) / 1000,
+                ..report.clone()
+            })
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, (u64, NodeReport)>> {
+        self.latest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Joins the reports of several replicas: the youngest of each node counts.
+pub(crate) fn merge(lists: impl IntoIterator<Item = Vec<NodeReport>>) -> Vec<NodeReport> {
+    let mut merged: BTreeMap<SocketAddr, NodeReport> = BTreeMap::new();
+    for report in lists.into_iter().flatten() {
+        let rank = |r: &NodeReport| (r.node.incarnation, std::cmp::Reverse(r.age_ms));
+        match merged.get(&report.node.mesh) {
+            Some(known) if rank(known) >= rank(&report) => (),
+            _ => {
+                merged.insert(report.node.mesh, report);
+            }
+        }
+    }
+    merged.into_values().collect()
+}
+
+/// Names of the profiles that reported instances use.
+pub(crate) fn profiles_in_use(reports: &[NodeReport]) -> Vec<ProfileName> {
+    let names: BTreeSet<ProfileName> = reports
+        .iter()
+        .filter_map(|report| report.instance.as_ref())
+        .flat_map(|instance| instance.profiles.iter().cloned())
+        .collect();
+    names.into_iter().collect()
+}
+
+/// The node beside a named instance.
+pub(crate) fn node_of(
+    reports: &[NodeReport],
+    instance: &str,
+    service: Option<&str>,
+) -> Vec<NodeId> {
+    reports
+        .iter()
+        .filter(|report| {
+            report.instance.as_ref().is_some_and(|i| {
+                i.name.as_str() == instance && service.is_none_or(|s| s == i.service.as_str())
+            })
+        })
+        .map(|report| report.node)
+        .collect()
+}
--- /dev/null
+++ b/components/control/src/shared.rs
@@ -0,0 +1,179 @@
+//! What the plug-ins of one control replica share beside the kernel.
+
+use crate::{pulls::Pulls, reports::Reports};
+use consensus::{Input, ReplicaId, Reply, Role};
+use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
+use errors::ErrorKind;
+use kernel::Kernel;
+use model::Revision;
+use registry::{Applied, Change, Delta};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+/// Longest wait for the result of a change or a read.
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A refused request and its detail.
+pub(crate) type Refusal = (ErrorKind, String);
+
+/// Role of this replica and what it knows of the others.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Standing {
+    pub(crate) role: Option<Role>,
+    pub(crate) term: u64,
+    pub(crate) leader: Option<ReplicaId>,
+    pub(crate) disk: u64,
+    pub(crate) is_voter: bool,
+    pub(crate) is_founder: bool,
+    pub(crate) applied: u64,
+    pub(crate) storage_error: Option<String>,
+}
+
+impl Standing {
+    /// Whether this replica hears from a leader, or is one.
+    pub(crate) fn has_leader(&self) -> bool {
+        self.leader.is_some() && matches!(self.role, Some(Role::Leader | Role::Follower))
+    }
+
+    pub(crate) fn is_leader(&self) -> bool {
+        self.role == Some(Role::Leader)
+    }
+}
+
+enum Waiter {
+    Change(Sender<Result<Revision, Refusal>>),
+    Read(Sender<Result<u64, Refusal>>),
+}
+
+/// Shared by the plug-ins of one control replica, owned by the kernel.
+pub(crate) struct Control {
+    pub(crate) kernel: Arc<Kernel>,
+    pub(crate) pulls: Pulls,
+    pub(crate) reports: Reports,
+    inputs: Sender<Input>,
+    input_receiver: Receiver<Input>,
+    standing: Mutex<Standing>,
+    waiters: Mutex<HashMap<u64, Waiter>>,
+    next_token: AtomicU64,
+}
+
+impl Control {
+    /// What this kernel's control plug-ins share.
+    pub(crate) fn of(kernel: &Arc<Kernel>) -> Arc<Control> {
+        kernel.shared(|| {
+            let (inputs, input_receiver) = unbounded();
+            Control {
+                kernel: Arc::clone(kernel),
+                pulls: Pulls::default(),
+                reports: Reports::default(),
+                inputs,
+                input_receiver,
+                standing: Mutex::default(),
+                waiters: Mutex::default(),
+                next_token: AtomicU64::new(1),
+            }
+        })
+    }
+
+    pub(crate) fn feed(&self, input: Input) {
+        // The receiver lives as long as this value.
+        let _ = self.inputs.send(input);
+    }
+
+    pub(crate) fn inputs(&self) -> &Receiver<Input> {
+        &self.input_receiver
+    }
+
+    pub(crate) fn standing(&self) -> Standing {
+        self.lock_standing().clone()
+    }
+
+    pub(crate) fn update_standing(&self, change: impl FnOnce(&mut Standing)) {
+        change(&mut self.lock_standing());
+    }
+
+    /// Mesh address of a replica.
+    pub(crate) fn address_of(&self, number: u16) -> Option<SocketAddr> {
+        let group = self.kernel.control_settings()?.group;
+        group.get(usize::from(number).checked_sub(1)?).copied()
+    }
+
+    /// Proposes a change at this replica; refused with `NotLeader` if it does not lead.
+    pub(crate) fn propose(&self, change: Change) -> Receiver<Result<Revision, Refusal>> {
+        let (sender, receiver) = bounded(1);
+        let token = self.add_waiter(Waiter::Change(sender));
+        self.feed(Input::Propose { token, change });
+        receiver
+    }
+
+    /// Asks for an index up to which this replica has everything that was accepted before.
+    pub(crate) fn read_index(&self) -> Receiver<Result<u64, Refusal>> {
+        let (sender, receiver) = bounded(1);
+        let token = self.add_waiter(Waiter::Read(sender));
+        self.feed(Input::ReadIndex { token });
+        receiver
+    }
+
+    /// The newest configuration, confirmed by a quorum. Only the leader can tell.
+    pub(crate) fn read(&self) -> Result<Box<Delta>, Refusal> {
+        match self.read_index().recv_timeout(REQUEST_TIMEOUT) {
+            Ok(Ok(_)) => Ok(Box::new(self.kernel.profiles.current().full())),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err((ErrorKind::NoQuorum, String::new())),
+        }
+    }
+
+    pub(crate) fn answer_change(&self, token: u64, reply: Reply) {
+        if let Some(Waiter::Change(sender)) = self.take_waiter(token) {
+            let result = match reply {
+                Reply::Applied(Applied::Accepted { revision }) => Ok(revision),
+                Reply::Applied(Applied::Rejected(kind, detail)) => Err((kind, detail.to_string())),
+                Reply::Refused { .. } => Err(self.refusal(&reply)),
+            };
+            // The operator's request may have ended.
+            let _ = sender.try_send(result);
+        }
+    }
+
+    pub(crate) fn answer_read(&self, token: u64, result: Result<u64, Reply>) {
+        if let Some(Waiter::Read(sender)) = self.take_waiter(token) {
+            let _ = sender.try_send(result.map_err(|reply| self.refusal(&reply)));
+        }
+    }
+
+    fn refusal(&self, reply: &Reply) -> Refusal {
+        match reply {
+            Reply::Refused { kind, leader } => {
+                let leader = leader.and_then(|number| self.address_of(number));
+                let detail = leader.map_or_else(String::new, |at| format!("the leader is {at}"));
+                (*kind, detail)
+            }
+            Reply::Applied(_) => (ErrorKind::Internal, String::new()),
+        }
+    }
+
+    fn add_waiter(&self, waiter: Waiter) -> u64 {
+        let token = self.next_token.fetch_add(1, Ordering::Relaxed);
+        self.lock_waiters().insert(token, waiter);
+        token
+    }
+
+    fn take_waiter(&self, token: u64) -> Option<Waiter> {
+        self.lock_waiters().remove(&token)
+    }
+
+    fn lock_standing(&self) -> MutexGuard<'_, Standing> {
+        self.standing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_waiters(&self) -> MutexGuard<'_, HashMap<u64, Waiter>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/components/mesh/src/channel.rs
+++ b/components/mesh/src/channel.rs
@@ -9,8 +9,10 @@
     Gossip,
     /// Replicated log.
     Consensus,
-    /// Profiles and full state.
+    /// Profiles and drains, between nodes.
     Sync,
+    /// Requests to control replicas.
+    Control,
     /// Idempotency keys.
     Keeper,
     /// Load probes.
@@ -19,11 +21,12 @@
 
 impl Channel {
     /// All channels, in the order of their wire numbers.
-    pub const ALL: [Channel; 6] = [
+    pub const ALL: [Channel; 7] = [
         Channel::Call,
         Channel::Gossip,
         Channel::Consensus,
         Channel::Sync,
+        Channel::Control,
         Channel::Keeper,
         Channel::Probe,
     ];
@@ -35,6 +38,7 @@
             Channel::Gossip => "gossip",
             Channel::Consensus => "consensus",
             Channel::Sync => "sync",
+            Channel::Control => "control",
             Channel::Keeper => "keeper",
             Channel::Probe => "probe",
         }
--- a/components/node/src/sync.rs
+++ b/components/node/src/sync.rs
@@ -1,20 +1,22 @@
 //! Plug-in `sync`: pulls profiles from the control group, or from peers that have newer ones.
 
 use crate::context::NodeContext;
-use crossbeam::{
-    channel::{RecvTimeoutError, bounded},
-    select,
-};
+use crossbeam::channel::{RecvTimeoutError, bounded};
 use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
 use mesh::{Channel, Inbound};
+use model::Revision;
 use registry::{Delta, Standing};
+use serde::{Serialize, de::DeserializeOwned};
 use std::{
     net::SocketAddr,
     sync::Arc,
     thread::{self, Builder},
-    time::Duration,
+    time::{Duration, Instant},
+};
+use wire::{
+    ControlReply, ControlRequest, InstanceReport, NodeReport, SyncReply, SyncRequest, decode,
+    encode,
 };
-use wire::{InstanceReport, NodeReport, SyncReply, SyncRequest, decode, encode};
 
 /// Longest time that a control replica holds a pull without news.
 const HOLD_MS: u32 = 1_000;
@@ -90,7 +92,7 @@
         let mut since_warning = Duration::ZERO;
         while !self.context.kernel.ended.is_raised() {
             let replica = replicas[current];
-            if self.pull(replica, HOLD_MS) {
+            if self.pull_from_replica(replica) {
                 self.context
                     .kernel
                     .profiles
@@ -132,46 +134,75 @@
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             let (peer, revision) = offer;
-            if revision > self.context.kernel.profiles.revision() && !self.pull(peer, 0) {
+            if revision > self.context.kernel.profiles.revision() && !self.pull_from_peer(peer) {
                 log::debug!("sync: peer {peer} did not hand over revision {revision}.");
             }
         }
     }
 
-    /// One pull; tells whether it was answered.
-    fn pull(&self, from: SocketAddr, wait_ms: u32) -> bool {
-        let kernel = &self.context.kernel;
-        let set = kernel.profiles.current();
-        let request = SyncRequest::Pull {
-            have: if set.needs_full() {
-                Default::default()
-            } else {
-                set.revision()
-            },
-            digest: set.digest(),
-            wait_ms,
-            report: Some(self.report()),
+    /// One pull from a control replica; tells whether it knew the newest configuration.
+    fn pull_from_replica(&self, replica: SocketAddr) -> bool {
+        let (have, digest) = self.standing();
+        let request = ControlRequest::Pull {
+            have,
+            digest,
+            wait_ms: HOLD_MS,
+            report: Box::new(self.report()),
+        };
+        let wait = Duration::from_millis(u64::from(HOLD_MS)) + PULL_GRACE;
+        match self.ask(replica, Channel::Control, &request, wait) {
+            Some(ControlReply::Newer(delta)) => {
+                self.take(*delta, replica);
+                true
+            }
+            Some(ControlReply::Unchanged) => true,
+            _ => false,
+        }
+    }
+
+    /// One pull from a peer; tells whether it was answered.
+    fn pull_from_peer(&self, peer: SocketAddr) -> bool {
+        let (have, digest) = self.standing();
+        let request = SyncRequest::Pull { have, digest };
+        match self.ask(peer, Channel::Sync, &request, PULL_GRACE) {
+            Some(SyncReply::Newer(delta)) => {
+                self.take(*delta, peer);
+                true
+            }
+            Some(_) => true,
+            None => false,
+        }
+    }
+
+    /// Revision and digest in effect; a diverged set asks for everything.
+    fn standing(&self) -> (Revision, u64) {
+        let set = self.context.kernel.profiles.current();
+        let have = if set.needs_full() {
+            Revision::default()
+        } else {
+            set.revision()
         };
-        let wait = Duration::from_millis(u64::from(wait_ms)) + PULL_GRACE;
-        let deadline = std::time::Instant::now() + wait;
+        (have, set.digest())
+    }
+
+    /// Sends a request and waits for its reply.
+    fn ask<T: DeserializeOwned + Send + 'static>(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        request: &impl Serialize,
+        wait: Duration,
+    ) -> Option<T> {
         let (sender, receiver) = bounded(1);
-        kernel.mesh.request(
-            from,
-            Channel::Sync,
-            encode(&request),
-            deadline,
-            move |outcome| {
+        let deadline = Instant::now() + wait;
+        self.context
+            .kernel
+            .mesh
+            .request(to, channel, encode(request), deadline, move |outcome| {
+                // The receiver is gone if the wait has ended.
                 let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
-            },
-        );
-        select! {
-            recv(receiver) -> reply => match reply {
-                Ok(Some(SyncReply::Newer(delta))) => { self.take(*delta, from); true }
-                Ok(Some(SyncReply::Unchanged { .. })) => true,
-                _ => false,
-            },
-            default(wait) => false,
-        }
+            });
+        receiver.recv_timeout(wait).ok().flatten()
     }
 
     fn take(&self, delta: Delta, from: SocketAddr) {
@@ -185,7 +216,7 @@
 
     fn answer(&self, inbound: Inbound) {
         let reply = match decode(&inbound.payload) {
-            Ok(SyncRequest::Pull { have, digest, .. }) => self.serve(have, digest),
+            Ok(SyncRequest::Pull { have, digest }) => self.serve(have, digest),
             Ok(SyncRequest::Drain { service, instance }) => {
                 let is_here = self
                     .context
@@ -199,7 +230,6 @@
                         .drain(&instance, "an operator asked for it");
                 SyncReply::Drained(drained)
             }
-            Ok(SyncRequest::Reports) => SyncReply::Reports(Vec::new()),
             Err(error) => {
                 log::warn!(
                     "sync: a message from {} was dropped: {error}.",
@@ -217,17 +247,12 @@
     }
 
     /// Hands this node's profiles to a peer.
-    fn serve(&self, have: model::Revision, digest: u64) -> SyncReply {
+    fn serve(&self, have: Revision, digest: u64) -> SyncReply {
         let set = self.context.kernel.profiles.current();
-        if set.revision() == model::Revision::default() {
-            return SyncReply::Empty;
-        }
         match set.standing(have, digest) {
             Standing::Ahead => SyncReply::Newer(Box::new(set.since(have))),
             Standing::Diverged => SyncReply::Newer(Box::new(set.full())),
-            Standing::Behind | Standing::Equal => SyncReply::Unchanged {
-                revision: set.revision(),
-            },
+            Standing::Behind | Standing::Equal => SyncReply::Unchanged,
         }
     }
 
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod call;
 mod codec;
+mod control;
 mod keeper;
 mod probe;
 mod sync;
 
 pub use call::{CallReply, CallRequest, FateRequest, RunCall, RunResult, WireMessage};
 pub use codec::{DecodeError, decode, encode};
+pub use control::{ControlReply, ControlRequest};
 pub use keeper::{KeeperReply, KeeperRequest};
 pub use probe::{PROBE_BYTES, Probe};
 pub use sync::{InstanceReport, NodeReport, SyncReply, SyncRequest};
--- a/components/wire/src/sync.rs
+++ b/components/wire/src/sync.rs
@@ -1,4 +1,4 @@
-//! Messages that spread profiles and collect what is in effect.
+//! Messages between nodes about profiles and instances.
 
 use model::{
     AvailabilityZone, HostName, NodeId, ProfileName, Revision, ServiceName, UpstreamName,
@@ -42,22 +42,16 @@
     pub instance: Option<InstanceReport>,
 }
 
-/// What a process asks about profiles.
+/// What a node is asked by a peer or by a control replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SyncRequest {
-    /// Asks for what is newer than `have`; a control replica may hold the reply for `wait_ms`.
+    /// Asks for what is newer than `have`.
     Pull {
         /// Configuration in effect at the sender.
         have: Revision,
         /// Digest of that configuration.
         digest: u64,
-        /// Longest wait for a newer configuration, in milliseconds.
-        wait_ms: u32,
-        /// State of the sender, if it is a node.
-        report: Option<NodeReport>,
     },
-    /// Asks a replica for the node reports that it has.
-    Reports,
     /// Asks a node to drain its instance.
     Drain {
         /// Service of the instance, if the operator named one.
@@ -70,17 +64,10 @@
 /// Reply to a [`SyncRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SyncReply {
-    /// The sender has the newest configuration that the replier knows.
-    Unchanged {
-        /// Configuration that the replier knows.
-        revision: Revision,
-    },
+    /// The sender's configuration is as new as the replier's.
+    Unchanged,
     /// What the sender lacks.
     Newer(Box<Delta>),
-    /// The replier has no configuration yet.
-    Empty,
-    /// Reports of the nodes that pull from the replier.
-    Reports(Vec<NodeReport>),
     /// Whether the node drains the named instance now.
     Drained(bool),
 }
--- a/src/bin/gyard-control.rs
+++ b/src/bin/gyard-control.rs
@@ -1,3 +1,18 @@
-//! Thin entry point.
+//! A replica of the control group: keeps profiles and the claims of idempotency keys.
 
-fn main() {}
+use geraniumyard::{exit_on_error, run, version};
+use gumdrop::Options;
+use kernel::Settings;
+use settings::{ControlFlags, ControlSettings, Source, init_logs};
+
+fn main() {
+    let flags = ControlFlags::parse_args_default_or_exit();
+    if flags.version {
+        return version("gyard-control");
+    }
+    let source = Source::new(|name: &str| std::env::var(name).ok());
+    let settings = exit_on_error(ControlSettings::read(&flags, &source));
+    init_logs(settings.logs);
+    control::register();
+    run(Settings::Control(Box::new(settings)));
+}
--- a/src/bin/gyard-node.rs
+++ b/src/bin/gyard-node.rs
@@ -1,3 +1,19 @@
-//! Thin entry point.
+//! The node: takes calls, routes them, and runs those of the instance beside it.
 
-fn main() {}
+use geraniumyard::{exit_on_error, run, version};
+use gumdrop::Options;
+use kernel::Settings;
+use settings::{NodeFlags, NodeSettings, Source, init_logs};
+
+fn main() {
+    let flags = NodeFlags::parse_args_default_or_exit();
+    if flags.version {
+        return version("gyard-node");
+    }
+    let source = Source::new(|name: &str| std::env::var(name).ok());
+    let settings = exit_on_error(NodeSettings::read(&flags, &source));
+    init_logs(settings.logs);
+    node::register();
+    control::register();
+    run(Settings::Node(Box::new(settings)));
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,43 @@
+//! What the binaries of geraniumyard share: their start and their exit codes.
+
+use kernel::{Kernel, Settings};
+use std::{fmt::Display, process::exit};
+
+/// Exit code for wrong settings or usage.
+const EXIT_USAGE: i32 = 2;
+/// Exit code for a process that could not start.
+const EXIT_START: i32 = 1;
+
+/// Prints the program's name and version.
+pub fn version(program: &str) {
+    println!("{program} {}", env!("CARGO_PKG_VERSION"));
+}
+
+/// The value, or the end of the process with the error on standard error.
+pub fn exit_on_error<T>(result: Result<T, impl Display>) -> T {
+    match result {
+        Ok(value) => value,
+        Err(error) => {
+            eprintln!("error: {error}");
+            exit(EXIT_USAGE);
+        }
+    }
+}
+
+/// Runs a process until it is told to stop by SIGTERM or SIGINT.
+pub fn run(settings: Settings) {
+    let mut handle = match Kernel::start(settings) {
+        Ok(handle) => handle,
+        Err(error) => {
+            log::error!("kernel: {error}.");
+            eprintln!("error: {error}");
+            exit(EXIT_START);
+        }
+    };
+    if let Err(error) = handle.kernel().stop.raise_on_signals() {
+        log::error!("kernel: signals can't be handled: {error}.");
+    }
+    handle.wait();
+    log::info!("kernel: stopping.");
+    handle.stop();
+}
