Add stand-in upstream and load generator

Cause: demo, cost and fault tests need an upstream whose faults can be switched and a load generator that doesn't omit coordinated waits.

Change: bench::upstream and bench::load, usable in process and as commands; components/bench/examples/http_edges.rs compares tiny_http and attohttpc with the http crate (not run yet).

--- /dev/null
+++ b/components/bench/examples/http_edges.rs
@@ -0,0 +1,304 @@
+//! Measures the named HTTP libraries against the `http` crate on the ports where either could
+//! serve. Run: `cargo run --release -p bench --example http_edges`.
+
+use attohttpc::{ProxySettings, RequestBuilder};
+use bench::{
+    load::{LoadConfig, LoadReport, run},
+    upstream::body_for,
+};
+use hdrhistogram::Histogram;
+use http::{
+    CallerWatch, CancelToken, Pool, PoolConfig, Request, Response, Server, ServerConfig, serve,
+};
+use std::{
+    collections::HashSet,
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Worker threads that take requests from `tiny_http`, which has a thread per connection besides.
+const WORKERS: usize = 8;
+/// Runs of each case; both servers alternate, so that noise of the host meets both.
+const ROUNDS: usize = 5;
+const ROUND_MS: u64 = 4_000;
+const IDLE_CONNECTIONS: usize = 100;
+const OVERSIZED_HEAD_BYTES: usize = 64 * 1024 * 1024;
+const CLIENT_CALLS: usize = 2_000;
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn main() {
+    let ours = start_ours();
+    let tiny = start_tiny();
+    println!("server,bytes,rate_per_s,calls,ok,p50_us,p99_us,p999_us,connections");
+    for bytes in [200, 4_096] {
+        for rate in [240.0, 2_000.0] {
+            compare(ours.address(), tiny, bytes, rate);
+        }
+    }
+    for (name, address) in [("http::serve", ours.address()), ("tiny_http", tiny)] {
+        println!(
+            "{name}: threads for {IDLE_CONNECTIONS} kept connections: {}",
+            threads(address)
+        );
+    }
+    for (name, address) in [("http::serve", ours.address()), ("tiny_http", tiny)] {
+        println!("{name}: oversized head: {}", oversized_head(address));
+    }
+    println!("http::serve: closed caller: {}", closed_caller_ours());
+    println!("tiny_http: closed caller: {}", closed_caller_tiny());
+    clients();
+}
+
+fn id_and_bytes<'a>(get: impl Fn(&str) -> Option<&'a str>) -> (&'a str, usize) {
+    let bytes = get("x-bench-bytes").and_then(|value| value.parse().ok());
+    (get("x-request-id").unwrap_or_default(), bytes.unwrap_or(0))
+}
+
+fn answer(request: &Request) -> Response {
+    let (id, bytes) = id_and_bytes(|name| request.headers.get(name));
+    Response::new(200, body_for(id, bytes)).with_header("x-request-id", id)
+}
+
+fn listen() -> TcpListener {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback is usable")
+}
+
+fn serve_with(
+    handler: impl Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync + 'static,
+) -> Server {
+    serve(listen(), ServerConfig::default(), handler).expect("the server starts")
+}
+
+fn start_ours() -> Server {
+    serve_with(|request, _| answer(&request))
+}
+
+fn start_tiny() -> SocketAddr {
+    let server = Arc::new(tiny_http::Server::http("127.0.0.1:0").expect("loopback is usable"));
+    for _ in 0..WORKERS {
+        let server = Arc::clone(&server);
+        thread::spawn(move || {
+            while let Ok(request) = server.recv() {
+                answer_tiny(request);
+            }
+        });
+    }
+    server.server_addr().to_ip().expect("an IP address")
+}
+
+fn answer_tiny(request: tiny_http::Request) {
+    let get = |name: &str| {
+        let mut fields = request.headers().iter();
+        let field = fields.find(|field| field.field.as_str().as_str().eq_ignore_ascii_case(name));
+        field.map(|field| field.value.as_str())
+    };
+    let (id, bytes) = id_and_bytes(get);
+    let echo = tiny_http::Header::from_bytes("x-request-id", id).expect("a valid field");
+    let response = tiny_http::Response::from_data(body_for(id, bytes)).with_header(echo);
+    // The caller may be gone.
+    let _ = request.respond(response);
+}
+
+fn compare(ours: SocketAddr, tiny: SocketAddr, bytes: usize, rate: f64) {
+    let mut reports = [LoadReport::default(), LoadReport::default()];
+    for round in 0..ROUNDS {
+        for (report, address) in reports.iter_mut().zip([ours, tiny]) {
+            report.merge(run(&LoadConfig {
+                targets: vec![address],
+                rate_per_s: rate,
+                duration_ms: ROUND_MS,
+                response_bytes: bytes,
+                seed: round as u64,
+                ..LoadConfig::default()
+            }));
+        }
+    }
+    for (report, name) in reports.iter().zip(["http::serve", "tiny_http"]) {
+        println!(
+            "{name},{bytes},{rate},{},{},{},{},{},{}",
+            report.counts.total(),
+            report.counts.ok,
+            report.latency_us(0.5),
+            report.latency_us(0.99),
+            report.latency_us(0.999),
+            report.connections
+        );
+    }
+}
+
+fn status_field(name: &str) -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+        .unwrap_or(0)
+}
+
+fn threads(address: SocketAddr) -> u64 {
+    let before = status_field("Threads:");
+    let kept: Vec<TcpStream> = (0..IDLE_CONNECTIONS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).expect("the server accepts");
+            stream
+                .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+                .expect("the request is sent");
+            let mut answer = [0; 1_024];
+            let _ = stream.read(&mut answer).expect("the server answers");
+            stream
+        })
+        .collect();
+    let during = status_field("Threads:");
+    drop(kept);
+    during - before
+}
+
+fn oversized_head(address: SocketAddr) -> String {
+    let before_kb = status_field("VmRSS:");
+    let mut stream = TcpStream::connect(address).expect("the server accepts");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    stream.set_write_timeout(Some(PATIENCE)).expect("a timeout");
+    let mut sent = 0;
+    if stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\nx: ")
+        .is_ok()
+    {
+        let block = [b'a'; 64 * 1024];
+        while sent < OVERSIZED_HEAD_BYTES && stream.write_all(&block).is_ok() {
+            sent += block.len();
+        }
+    }
+    let grown_kb = status_field("VmRSS:").saturating_sub(before_kb);
+    let mut answer = [0; 64];
+    // Without an answer the read times out: the head was neither refused nor finished.
+    let line = match stream.read(&mut answer) {
+        Ok(count) if count > 0 => String::from_utf8_lossy(&answer[..count])
+            .lines()
+            .next()
+            .unwrap_or_default()
+            .to_owned(),
+        Ok(_) => "closed without an answer".to_owned(),
+        Err(error) => format!("no answer ({:?})", error.kind()),
+    };
+    format!("{line}; took {sent} bytes, process grew by {grown_kb} KiB")
+}
+
+/// Sends a request and closes; the handler has started before.
+fn call_and_close(address: SocketAddr, started: &AtomicU64) {
+    let mut stream = TcpStream::connect(address).expect("the server accepts");
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .expect("the request is sent");
+    while started.load(Ordering::Acquire) == 0 {
+        thread::yield_now();
+    }
+}
+
+fn closed_caller_ours() -> String {
+    let started = Arc::new(AtomicU64::new(0));
+    let noticed = Arc::new(Mutex::new(None));
+    let server = serve_with({
+        let (started, noticed) = (Arc::clone(&started), Arc::clone(&noticed));
+        move |_, watch| {
+            started.store(1, Ordering::Release);
+            let since = Instant::now();
+            while !watch.is_gone() && since.elapsed() < PATIENCE {
+                thread::sleep(Duration::from_micros(200));
+            }
+            *noticed.lock().expect("no panic") = watch.is_gone().then(|| since.elapsed());
+            Response::new(200, "")
+        }
+    });
+    call_and_close(server.address(), &started);
+    server.stop();
+    let noticed = noticed.lock().expect("no panic");
+    noticed.map_or("not noticed".to_owned(), |time| {
+        format!("noticed in {time:?} while the handler ran")
+    })
+}
+
+fn closed_caller_tiny() -> String {
+    let server = tiny_http::Server::http("127.0.0.1:0").expect("loopback is usable");
+    let address = server.server_addr().to_ip().expect("an IP address");
+    let started = Arc::new(AtomicU64::new(0));
+    let handler = thread::spawn({
+        let started = Arc::clone(&started);
+        move || {
+            let request = server.recv().expect("a request");
+            started.store(1, Ordering::Release);
+            thread::sleep(Duration::from_millis(200));
+            request.respond(tiny_http::Response::from_string("late"))
+        }
+    });
+    call_and_close(address, &started);
+    let result = handler.join().expect("no panic");
+    format!("no interface to ask; respond() after it returned {result:?}")
+}
+
+fn clients() {
+    let callers = Arc::new(Mutex::new(HashSet::new()));
+    let server = serve_with({
+        let callers = Arc::clone(&callers);
+        move |request, _| {
+            callers.lock().expect("no panic").insert(request.peer);
+            answer(&request)
+        }
+    });
+    let address = server.address();
+    let pool = Pool::new(PoolConfig::new(address));
+    let mut latencies = [(); 2].map(|()| Histogram::<u64>::new(3).expect("a valid precision"));
+    let mut connections = [0; 2];
+    // Both alternate in blocks, so that noise of the host meets both.
+    for block in 0..20 {
+        let client = block % 2;
+        callers.lock().expect("no panic").clear();
+        for _ in 0..CLIENT_CALLS / 10 {
+            let since = Instant::now();
+            if client == 0 {
+                call_pool(&pool, address);
+            } else {
+                call_attohttpc(address);
+            }
+            latencies[client].saturating_record(since.elapsed().as_micros() as u64);
+        }
+        connections[client] += callers.lock().expect("no panic").len();
+    }
+    for (client, name) in ["http::Pool", "attohttpc"].iter().enumerate() {
+        let latency = &latencies[client];
+        println!(
+            "{name}: {CLIENT_CALLS} calls one after the other, callers' ports {}, p50 {} us, p99 {} us",
+            connections[client],
+            latency.value_at_quantile(0.5),
+            latency.value_at_quantile(0.99)
+        );
+    }
+}
+
+fn call_pool(pool: &Pool, address: SocketAddr) {
+    let request = Request {
+        method: "GET".to_owned(),
+        target: "/".to_owned(),
+        headers: [("x-request-id", "a"), ("x-bench-bytes", "200")]
+            .into_iter()
+            .collect(),
+        body: Vec::new(),
+        peer: address,
+    };
+    let response = pool.call(&request, Instant::now() + PATIENCE, &CancelToken::new());
+    assert_eq!(response.expect("an answer").body.len(), 200);
+}
+
+fn call_attohttpc(address: SocketAddr) {
+    let response = RequestBuilder::new(attohttpc::Method::GET, format!("http://{address}/"))
+        .proxy_settings(ProxySettings::builder().build())
+        .header("x-request-id", "a")
+        .header("x-bench-bytes", "200")
+        .timeout(PATIENCE)
+        .send();
+    let body = response.and_then(attohttpc::Response::bytes);
+    assert_eq!(body.expect("an answer").len(), 200);
+}
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -1,3 +1,6 @@
 //! Stand-in upstream, load generator, demo and measurements.
 
+pub mod load;
+mod options;
 pub mod policy;
+pub mod upstream;
--- /dev/null
+++ b/components/bench/src/upstream.rs
@@ -0,0 +1,579 @@
+//! Stand-in upstream: slots, service times and switches for faults.
+
+mod announce;
+mod control;
+mod slots;
+
+use crate::options::{parse_rule, wait_for_signal};
+use announce::Announcer;
+pub use control::{ServiceTime, Switches};
+use gumdrop::Options;
+use http::{CallerWatch, Request, Response, Server, ServerConfig, serve};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+use slots::{Entered, Slots};
+use snafu::{ResultExt, Snafu};
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+/// How often a waiting or running call looks whether its caller is gone.
+const WATCH_EVERY: Duration = Duration::from_millis(5);
+/// How long a restarting upstream tries to get its address back.
+const REBIND_LIMIT: Duration = Duration::from_secs(10);
+
+/// The upstream could not be started.
+#[derive(Debug, Snafu)]
+pub enum UpstreamError {
+    /// The address is not usable.
+    #[snafu(display("the upstream can't listen on {address}: {source}"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// The server could not be started.
+    #[snafu(display("the upstream can't serve: {source}"))]
+    Serve {
+        /// Cause.
+        source: http::HttpError,
+    },
+}
+
+/// One rule of the announcement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RuleText {
+    /// Method that the rule is for.
+    pub method: Option<String>,
+    /// Start of the paths that the rule is for.
+    pub path_prefix: String,
+    /// Profile of the matching calls.
+    pub profile: String,
+}
+
+/// Settings of an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamConfig {
+    /// Service that is announced.
+    pub service: String,
+    /// Name of the instance.
+    pub name: String,
+    /// Address to serve; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Calls that run at once; more wait.
+    pub slots: u32,
+    /// Connections that are accepted at once.
+    pub connections: u32,
+    /// Time that a call takes.
+    pub service_time: ServiceTime,
+    /// Body length of a response, unless the request has `x-bench-bytes`.
+    pub response_bytes: usize,
+    /// Platform port of the node beside the upstream; without one nothing is announced.
+    pub node: Option<SocketAddr>,
+    /// Time between announcements.
+    pub announce_every_ms: u64,
+    /// Profile of the calls that no rule matches.
+    pub default_profile: String,
+    /// Rules from method and path to profile.
+    pub rules: Vec<RuleText>,
+    /// Time in the state `starting`, with service times that fall to normal.
+    pub cold_start_ms: u64,
+    /// Factor on service times at the start of the cold start.
+    pub cold_factor: f64,
+    /// Time that a crash lasts; 0 for ever.
+    pub restart_after_ms: u64,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+impl Default for UpstreamConfig {
+    fn default() -> Self {
+        UpstreamConfig {
+            service: "catalogue".to_owned(),
+            name: "catalogue-1".to_owned(),
+            listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            slots: 6,
+            connections: 260,
+            service_time: ServiceTime::Fixed { us: 2_000 },
+            response_bytes: 200,
+            node: None,
+            announce_every_ms: 500,
+            default_profile: "default".to_owned(),
+            rules: Vec::new(),
+            cold_start_ms: 0,
+            cold_factor: 4.0,
+            restart_after_ms: 500,
+            seed: 1,
+        }
+    }
+}
+
+/// One call that took a slot and ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Execution {
+    /// `x-request-id` of the request; empty if it had none.
+    pub request_id: String,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Start, in microseconds since the upstream started.
+    pub at_us: u64,
+    /// Time since the request to drain; `None` while not draining.
+    pub draining_us: Option<u64>,
+}
+
+pub(crate) struct Shared {
+    config: UpstreamConfig,
+    started: Instant,
+    address: SocketAddr,
+    slots: Slots,
+    switches: Mutex<Switches>,
+    draining_since: Mutex<Option<Instant>>,
+    cold_since: Mutex<Instant>,
+    executions: Mutex<Vec<Execution>>,
+    rng: Mutex<Pcg64Mcg>,
+    server: Mutex<Option<Server>>,
+    crashed: AtomicBool,
+    crashes: AtomicU64,
+    stopping: AtomicBool,
+    announcer: Announcer,
+}
+
+/// Takes a lock, also after a panic of another holder.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A running upstream.
+pub struct Upstream {
+    shared: Arc<Shared>,
+    announcing: Mutex<Option<thread::JoinHandle<()>>>,
+}
+
+impl Upstream {
+    /// Listens, serves and announces.
+    pub fn start(config: UpstreamConfig) -> Result<Upstream, UpstreamError> {
+        let listen = config.listen;
+        let listener = TcpListener::bind(listen).context(ListenSnafu { address: listen })?;
+        let address = listener
+            .local_addr()
+            .context(ListenSnafu { address: listen })?;
+        let shared = Arc::new(Shared {
+            started: Instant::now(),
+            address,
+            slots: Slots::new(config.slots),
+            switches: Mutex::default(),
+            draining_since: Mutex::default(),
+            cold_since: Mutex::new(Instant::now()),
+            executions: Mutex::default(),
+            rng: Mutex::new(Pcg64Mcg::seed_from_u64(config.seed)),
+            server: Mutex::default(),
+            crashed: AtomicBool::new(false),
+            crashes: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            announcer: Announcer::new(&config),
+            config,
+        });
+        shared.serve(listener).context(ServeSnafu)?;
+        let announcing = thread::spawn({
+            let shared = Arc::clone(&shared);
+            move || announce::run(&shared)
+        });
+        Ok(Upstream {
+            shared,
+            announcing: Mutex::new(Some(announcing)),
+        })
+    }
+
+    /// Address that is served.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Changes switches; the announcement follows at once.
+    pub fn control(&self, change: impl FnOnce(&mut Switches)) {
+        self.shared.control(change);
+    }
+
+    /// Crashes as on a marked request: all connections and the listener close at once.
+    pub fn crash(&self) {
+        crash(&self.shared);
+    }
+
+    /// Crashes since the start.
+    pub fn crashes(&self) -> u64 {
+        self.shared.crashes.load(Ordering::Acquire)
+    }
+
+    /// All calls that ran, in order.
+    pub fn executions(&self) -> Vec<Execution> {
+        lock(&self.shared.executions).clone()
+    }
+
+    /// Request ids and methods that ran more than once, with how often.
+    pub fn repeated(&self) -> Vec<(String, String, usize)> {
+        repeated(&self.executions())
+    }
+
+    /// Calls that run now, and calls that wait for a slot.
+    pub fn load(&self) -> (u32, u32) {
+        self.shared.slots.load()
+    }
+
+    /// Announcements that the node accepted.
+    pub fn announced(&self) -> u64 {
+        self.shared.announcer.accepted()
+    }
+
+    /// Withdraws the announcement, finishes running calls and closes.
+    pub fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        self.shared.announcer.wake();
+        if let Some(announcing) = lock(&self.announcing).take() {
+            // A panic in the thread has been printed.
+            let _ = announcing.join();
+        }
+        let server = lock(&self.shared.server).take();
+        drop(server);
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Request ids and methods that stand more than once in the list, with how often.
+pub fn repeated(executions: &[Execution]) -> Vec<(String, String, usize)> {
+    let mut counts = BTreeMap::new();
+    for execution in executions.iter().filter(|e| !e.request_id.is_empty()) {
+        let key = (execution.request_id.clone(), execution.method.clone());
+        *counts.entry(key).or_insert(0) += 1;
+    }
+    counts
+        .into_iter()
+        .filter(|(_, count)| *count > 1)
+        .map(|((id, method), count)| (id, method, count))
+        .collect()
+}
+
+/// The body of that length that belongs to a request id; never part of another's body.
+pub fn body_for(request_id: &str, bytes: usize) -> Vec<u8> {
+    let unit = format!("{request_id};");
+    unit.bytes().cycle().take(bytes).collect()
+}
+
+impl Shared {
+    fn serve(self: &Arc<Self>, listener: TcpListener) -> Result<(), http::HttpError> {
+        let config = ServerConfig {
+            max_connections: self.config.connections as usize,
+            thread_name: "upstream".to_owned(),
+            ..ServerConfig::default()
+        };
+        let shared = Arc::clone(self);
+        let server = serve(listener, config, move |request, watch| {
+            answer(&shared, &request, watch)
+        })?;
+        *lock(&self.server) = Some(server);
+        if self.stopping.load(Ordering::Acquire) {
+            // A restart after a crash has met `stop`.
+            let server = lock(&self.server).take();
+            drop(server);
+        }
+        Ok(())
+    }
+
+    fn control(&self, change: impl FnOnce(&mut Switches)) {
+        let mut switches = lock(&self.switches);
+        change(&mut switches);
+        let mut draining = lock(&self.draining_since);
+        if !switches.drain {
+            *draining = None;
+        } else if draining.is_none() {
+            *draining = Some(Instant::now());
+        }
+        drop((draining, switches));
+        self.slots.wake();
+        self.announcer.wake();
+    }
+
+    fn switches(&self) -> Switches {
+        lock(&self.switches).clone()
+    }
+
+    /// From 1 at the start of the cold start to 0 at its end.
+    fn coldness(&self) -> f64 {
+        let total_us = (self.config.cold_start_ms * 1_000) as f64;
+        let since_us = lock(&self.cold_since).elapsed().as_micros() as f64;
+        if since_us >= total_us {
+            0.0
+        } else {
+            1.0 - since_us / total_us
+        }
+    }
+
+    fn service_time(&self, switches: &Switches) -> Duration {
+        let mean = switches.service_time.unwrap_or(self.config.service_time);
+        let us = match mean {
+            ServiceTime::Fixed { us } => us as f64,
+            ServiceTime::Exponential { mean_us } => {
+                let uniform: f64 = lock(&self.rng).random();
+                -(1.0 - uniform).ln() * mean_us as f64
+            }
+        };
+        let cold = 1.0 + (self.config.cold_factor - 1.0) * self.coldness();
+        Duration::from_micros((us * switches.slow_factor * cold) as u64)
+    }
+
+    fn record(&self, request: &Request, request_id: &str) {
+        let draining_us =
+            lock(&self.draining_since).map(|since| since.elapsed().as_micros() as u64);
+        lock(&self.executions).push(Execution {
+            request_id: request_id.to_owned(),
+            method: request.method.clone(),
+            target: request.target.clone(),
+            at_us: self.started.elapsed().as_micros() as u64,
+            draining_us,
+        });
+    }
+}
+
+fn answer(shared: &Arc<Shared>, request: &Request, watch: &CallerWatch<'_>) -> Response {
+    if request.target == "/control" {
+        return control::answer(shared, request);
+    }
+    let request_id = request.headers.get("x-request-id").unwrap_or_default();
+    let echo = |response: Response| response.with_header("x-request-id", request_id);
+    let switches = shared.switches();
+    if switches.fail_fast {
+        return echo(Response::new(500, "failing fast\n"));
+    }
+    let _slot = match shared
+        .slots
+        .enter(|| shared.switches().shed, || watch.is_gone())
+    {
+        Entered::Slot(slot) => slot,
+        Entered::Shed => return echo(Response::new(503, "shedding load\n")),
+        Entered::Gone => return Response::new(499, ""),
+    };
+    shared.record(request, request_id);
+    if request.headers.contains("x-bench-crash") {
+        crash(shared);
+        wait_while(|| !watch.is_gone());
+        return Response::new(500, "");
+    }
+    if switches.silent {
+        wait_while(|| shared.switches().silent && !watch.is_gone());
+    }
+    work(shared.service_time(&switches), watch);
+    let bytes = request
+        .headers
+        .get("x-bench-bytes")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(shared.config.response_bytes);
+    echo(
+        Response::new(200, body_for(request_id, bytes))
+            .with_header("content-type", "application/octet-stream"),
+    )
+}
+
+/// Sleeps for the service time; stops early if the caller is gone.
+fn work(time: Duration, watch: &CallerWatch<'_>) {
+    let until = Instant::now() + time;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left <= WATCH_EVERY {
+            thread::sleep(left);
+            return;
+        }
+        thread::sleep(WATCH_EVERY);
+        if watch.is_gone() {
+            return;
+        }
+    }
+}
+
+fn wait_while(holds: impl Fn() -> bool) {
+    while holds() {
+        thread::sleep(WATCH_EVERY);
+    }
+}
+
+/// Closes everything, and comes back after the configured time. Runs on its own thread, because
+/// the server waits for the handler that crashes it.
+fn crash(shared: &Arc<Shared>) {
+    if shared.crashed.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    shared.crashes.fetch_add(1, Ordering::AcqRel);
+    let shared = Arc::clone(shared);
+    thread::spawn(move || {
+        let server = lock(&shared.server).take();
+        if let Some(server) = &server {
+            server.abort();
+        }
+        drop(server);
+        if shared.config.restart_after_ms == 0 {
+            return;
+        }
+        thread::sleep(Duration::from_millis(shared.config.restart_after_ms));
+        if let Err(error) = come_back(&shared) {
+            log::error!("upstream: {} stays down: {error}", shared.config.name);
+        }
+    });
+}
+
+fn come_back(shared: &Arc<Shared>) -> Result<(), UpstreamError> {
+    let until = Instant::now() + REBIND_LIMIT;
+    let address = shared.address;
+    while !shared.stopping.load(Ordering::Acquire) {
+        match TcpListener::bind(address) {
+            Ok(listener) => {
+                *lock(&shared.cold_since) = Instant::now();
+                shared.crashed.store(false, Ordering::Release);
+                shared.serve(listener).context(ServeSnafu)?;
+                shared.announcer.wake();
+                return Ok(());
+            }
+            Err(_) if Instant::now() < until => thread::sleep(WATCH_EVERY),
+            Err(error) => return Err(error).context(ListenSnafu { address }),
+        }
+    }
+    Ok(())
+}
+
+#[derive(Debug, Options)]
+struct UpstreamOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "service to announce", default = "catalogue")]
+    service: String,
+    #[options(no_short, help = "name of the instance", default = "catalogue-1")]
+    name: String,
+    #[options(
+        no_short,
+        help = "address to serve",
+        meta = "IP:PORT",
+        default = "127.0.0.1:0"
+    )]
+    listen: String,
+    #[options(
+        no_short,
+        help = "platform port of the node beside it",
+        meta = "IP:PORT"
+    )]
+    node: Option<SocketAddr>,
+    #[options(no_short, help = "calls that run at once", default = "6")]
+    slots: u32,
+    #[options(no_short, help = "connections accepted at once", default = "260")]
+    connections: u32,
+    #[options(no_short, help = "service time in microseconds", default = "2000")]
+    service_us: u64,
+    #[options(no_short, help = "draw service times from an exponential distribution")]
+    exponential: bool,
+    #[options(no_short, help = "body length of a response", default = "200")]
+    response_bytes: usize,
+    #[options(no_short, help = "profile without a rule", default = "default")]
+    profile: String,
+    #[options(
+        no_short,
+        help = "rule from method (or *) and path to profile",
+        meta = "METHOD:PATH=PROFILE"
+    )]
+    rule: Vec<String>,
+    #[options(no_short, help = "length of the cold start", default = "0")]
+    cold_start_ms: u64,
+    #[options(
+        no_short,
+        help = "time that a crash lasts, 0 for ever",
+        default = "500"
+    )]
+    restart_after_ms: u64,
+    #[options(no_short, help = "seed of the service times", default = "1")]
+    seed: u64,
+}
+
+/// `gyard-bench upstream`: serves until SIGINT or SIGTERM, then prints what ran as JSON.
+pub fn main(args: &[String]) -> i32 {
+    let options = match UpstreamOptions::parse_args_default(args) {
+        Ok(options) if options.help => {
+            println!("{}", UpstreamOptions::usage());
+            return 0;
+        }
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("upstream: {error}\n\n{}", UpstreamOptions::usage());
+            return 2;
+        }
+    };
+    let config = match options.config() {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("upstream: {error}");
+            return 2;
+        }
+    };
+    let upstream = match Upstream::start(config) {
+        Ok(upstream) => upstream,
+        Err(error) => {
+            eprintln!("upstream: {error}");
+            return 1;
+        }
+    };
+    println!("listening on {}", upstream.address());
+    if let Err(error) = wait_for_signal() {
+        eprintln!("upstream: signals can't be handled: {error}");
+        return 1;
+    }
+    upstream.stop();
+    println!("{}", control::status(&upstream.shared));
+    0
+}
+
+impl UpstreamOptions {
+    fn config(self) -> Result<UpstreamConfig, String> {
+        let listen = self
+            .listen
+            .parse()
+            .map_err(|_| format!("--listen {}: IP:PORT is expected", self.listen))?;
+        let rules: Result<Vec<RuleText>, String> =
+            self.rule.iter().map(|text| parse_rule(text)).collect();
+        let service_time = if self.exponential {
+            ServiceTime::Exponential {
+                mean_us: self.service_us,
+            }
+        } else {
+            ServiceTime::Fixed {
+                us: self.service_us,
+            }
+        };
+        Ok(UpstreamConfig {
+            service: self.service,
+            name: self.name,
+            listen,
+            slots: self.slots,
+            connections: self.connections,
+            service_time,
+            response_bytes: self.response_bytes,
+            node: self.node,
+            default_profile: self.profile,
+            rules: rules?,
+            cold_start_ms: self.cold_start_ms,
+            restart_after_ms: self.restart_after_ms,
+            seed: self.seed,
+            ..UpstreamConfig::default()
+        })
+    }
+}
--- /dev/null
+++ b/components/bench/tests/upstream_switches.rs
@@ -0,0 +1,155 @@
+//! Guards the stand-in upstream: a fault that it does not show would let other tests pass.
+
+use bench::upstream::body_for;
+use http::{CallError, CancelToken, Pool, PoolConfig, Response, ServerConfig};
+use std::{
+    net::{Ipv4Addr, TcpListener},
+    sync::{Arc, Mutex},
+    thread,
+    time::Instant,
+};
+
+mod common;
+use common::{PATIENCE, eventually, request, send, upstream};
+
+#[test]
+fn second_executions() {
+    let upstream = upstream(|_| {});
+    for (id, method) in [("a", "GET"), ("b", "POST"), ("b", "POST"), ("b", "GET")] {
+        let response = send(upstream.address(), &request(id, method, "/x")).unwrap();
+        assert_eq!(response.body, body_for(id, 200));
+    }
+    assert_eq!(upstream.executions().len(), 4);
+    assert_eq!(
+        upstream.repeated(),
+        [("b".to_owned(), "POST".to_owned(), 2)]
+    );
+}
+
+#[test]
+fn fail_fast_and_shed() {
+    let upstream = upstream(|config| config.slots = 1);
+    upstream.control(|switches| switches.fail_fast = true);
+    let failed = send(upstream.address(), &request("a", "GET", "/")).unwrap();
+    assert_eq!(failed.status, 500);
+    assert!(upstream.executions().is_empty());
+
+    upstream.control(|switches| {
+        switches.fail_fast = false;
+        switches.silent = true;
+        switches.shed = true;
+    });
+    let address = upstream.address();
+    let held = thread::spawn(move || send(address, &request("held", "GET", "/")));
+    eventually("the slot is taken", || upstream.load() == (1, 0));
+    let shed = send(address, &request("b", "GET", "/")).unwrap();
+    assert_eq!(shed.status, 503);
+    upstream.control(|switches| switches.silent = false);
+    assert_eq!(held.join().unwrap().unwrap().status, 200);
+    assert_eq!(upstream.executions().len(), 1);
+}
+
+/// A call whose caller goes away while it waits must not run.
+#[test]
+fn cancelled_while_waiting() {
+    let upstream = upstream(|config| config.slots = 1);
+    upstream.control(|switches| switches.silent = true);
+    let address = upstream.address();
+    let held = thread::spawn(move || send(address, &request("held", "GET", "/")));
+    eventually("the slot is taken", || upstream.load() == (1, 0));
+    let cancel = CancelToken::new();
+    let waiting = thread::spawn({
+        let cancel = cancel.clone();
+        move || {
+            let pool = Pool::new(PoolConfig::new(address));
+            pool.call(
+                &request("b", "POST", "/"),
+                Instant::now() + PATIENCE,
+                &cancel,
+            )
+        }
+    });
+    eventually("the second waits", || upstream.load() == (1, 1));
+    cancel.cancel();
+    assert_eq!(waiting.join().unwrap(), Err(CallError::Cancelled));
+    eventually("it gave up its place", || upstream.load() == (1, 0));
+    upstream.control(|switches| switches.silent = false);
+    assert!(held.join().unwrap().is_ok());
+    assert_eq!(upstream.executions().len(), 1);
+}
+
+#[test]
+fn crash_and_return() {
+    let upstream = upstream(|config| config.restart_after_ms = 50);
+    let mut poison = request("poison", "POST", "/");
+    poison.headers.append("x-bench-crash", "1");
+    let result = send(upstream.address(), &poison);
+    assert_eq!(result, Err(CallError::Lost));
+    assert_eq!(upstream.crashes(), 1);
+    eventually("it serves again", || {
+        send(upstream.address(), &request("a", "GET", "/")).is_ok()
+    });
+    assert_eq!(upstream.executions()[0].request_id, "poison");
+}
+
+#[test]
+fn control_over_http() {
+    let upstream = upstream(|_| {});
+    let mut put = request("", "PUT", "/control");
+    put.body = br#"{"slow_factor": 2.5, "drain": true}"#.to_vec();
+    assert_eq!(send(upstream.address(), &put).unwrap().status, 200);
+    put.body = br#"{"misreport": true}"#.to_vec();
+    let status = send(upstream.address(), &put).unwrap();
+    let text = String::from_utf8(status.body).unwrap();
+    for part in [
+        r#""slow_factor":2.5"#,
+        r#""drain":true"#,
+        r#""misreport":true"#,
+    ] {
+        assert!(text.contains(part), "{text}");
+    }
+    put.body = br#"{"unknown": true}"#.to_vec();
+    assert_eq!(send(upstream.address(), &put).unwrap().status, 400);
+    let response = send(upstream.address(), &request("late", "GET", "/")).unwrap();
+    assert_eq!(response.status, 200);
+    assert!(upstream.executions()[0].draining_us.is_some());
+}
+
+#[test]
+fn announcements() {
+    let seen = Arc::new(Mutex::new(Vec::<(String, String)>::new()));
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let node = listener.local_addr().unwrap();
+    let _node = http::serve(listener, ServerConfig::default(), {
+        let seen = Arc::clone(&seen);
+        move |request, _| {
+            assert_eq!(request.target, "/v1/instance");
+            let body = String::from_utf8(request.body).unwrap();
+            seen.lock().unwrap().push((request.method, body));
+            Response::new(200, "")
+        }
+    })
+    .unwrap();
+    let upstream = upstream(|config| {
+        config.node = Some(node);
+        config.announce_every_ms = PATIENCE.as_millis() as u64;
+    });
+    eventually("it is announced", || upstream.announced() == 1);
+    upstream.control(|switches| switches.drain = true);
+    eventually("the change is announced", || upstream.announced() == 2);
+    let address = upstream.address();
+    upstream.stop();
+    let seen = seen.lock().unwrap();
+    let fields = |state: &str| {
+        format!(
+            r#"{{"service":"catalogue","name":"catalogue-1","address":"{address}","slots":6,"connections":260,"state":"{state}","default_profile":"default","rules":[],"in_flight":0,"queue":0,"load":0.0}}"#
+        )
+    };
+    let expected = [
+        ("PUT", "serving"),
+        ("PUT", "draining"),
+        ("DELETE", "stopping"),
+    ]
+    .map(|(method, state)| (method.to_owned(), fields(state)));
+    assert_eq!(*seen, expected);
+}
