--- /dev/null
+++ b/components/bench/src/deployment.rs
@@ -0,0 +1,425 @@
+//! Control replicas and nodes of one process on loopback, for the demo, measurements and tests.
+
+use kernel::{Kernel, KernelHandle, KindLabels, Settings, StartError};
+use log::LevelFilter;
+use model::{AvailabilityZone, HostName, Profile, Region};
+use serde_json::{Value, json};
+use settings::{ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings};
+use snafu::Snafu;
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+
+/// Longest wait for an operator's request.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between looks at a condition.
+const POLL: Duration = Duration::from_millis(10);
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The deployment could not be started or did not reach a state in time.
+#[derive(Debug, Snafu)]
+pub enum DeploymentError {
+    /// A process did not start.
+    #[snafu(display("a process did not start: {source}"), context(false))]
+    Start {
+        /// Cause.
+        source: StartError,
+    },
+    /// A file or address was not available.
+    #[snafu(display("{source}"), context(false))]
+    Io {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// An operator's request failed.
+    #[snafu(display("operator request: {reason}"))]
+    Operator {
+        /// Cause.
+        reason: String,
+    },
+    /// A condition was not reached.
+    #[snafu(display("not reached in time: {what}"))]
+    Late {
+        /// The condition.
+        what: &'static str,
+    },
+}
+
+/// Sizes of a deployment.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Number of control replicas.
+    pub replicas: usize,
+    /// Availability zone of each node.
+    pub zones: Vec<String>,
+    /// Share of routing decisions that are logged, in percent.
+    pub decision_log_percent: u8,
+}
+
+impl Plan {
+    /// Three replicas and a node in each of the named availability zones.
+    pub fn new(zones: &[&str]) -> Self {
+        Plan {
+            replicas: 3,
+            zones: zones.iter().map(ToString::to_string).collect(),
+            decision_log_percent: 100,
+        }
+    }
+}
+
+struct Place<S> {
+    settings: S,
+    handle: Option<KernelHandle>,
+}
+
+/// A running deployment.
+pub struct Deployment {
+    replicas: Vec<Place<ControlSettings>>,
+    nodes: Vec<Place<NodeSettings>>,
+    _data: TempDir,
+}
+
+impl Deployment {
+    /// Starts replicas and nodes and waits until the group has a leader.
+    pub fn start(plan: &Plan) -> Result<Self, DeploymentError> {
+        let data = tempfile::tempdir()?;
+        let group: Vec<SocketAddr> = (0..plan.replicas)
+            .map(|_| free_address())
+            .collect::<Result<_, _>>()?;
+        let mut deployment = Deployment {
+            replicas: Vec::new(),
+            nodes: Vec::new(),
+            _data: data,
+        };
+        for number in 1..=plan.replicas {
+            let data_dir = deployment._data.path().join(format!("replica-{number}"));
+            let settings = control_settings(number, &group, data_dir)?;
+            deployment.replicas.push(Place {
+                settings,
+                handle: None,
+            });
+        }
+        let first_peer = free_address()?;
+        for (index, zone) in plan.zones.iter().enumerate() {
+            let mesh = if index == 0 {
+                first_peer
+            } else {
+                free_address()?
+            };
+            let mut settings = node_settings(index, zone, mesh, first_peer, &group)?;
+            settings.decision_log_percent = plan.decision_log_percent;
+            deployment.nodes.push(Place {
+                settings,
+                handle: None,
+            });
+        }
+        for index in 0..plan.replicas {
+            deployment.start_replica(index)?;
+        }
+        deployment.wait_for("a leader", |d| d.status().is_ok())?;
+        for index in 0..plan.zones.len() {
+            deployment.start_node(index)?;
+        }
+        Ok(deployment)
+    }
+
+    /// Starts a replica that is not running.
+    pub fn start_replica(&mut self, index: usize) -> Result<(), DeploymentError> {
+        let place = &mut self.replicas[index];
+        let settings = Settings::Control(Box::new(place.settings.clone()));
+        place.handle = Some(Kernel::start(settings)?);
+        Ok(())
+    }
+
+    /// Starts a node that is not running.
+    pub fn start_node(&mut self, index: usize) -> Result<(), DeploymentError> {
+        node::register();
+        control::register();
+        let place = &mut self.nodes[index];
+        let settings = Settings::Node(Box::new(place.settings.clone()));
+        place.handle = Some(Kernel::start(settings)?);
+        Ok(())
+    }
+
+    /// Ends a replica as a crash would.
+    pub fn kill_replica(&mut self, index: usize) {
+        if let Some(mut handle) = self.replicas[index].handle.take() {
+            handle.abort();
+        }
+    }
+
+    /// Ends a node as a crash would.
+    pub fn kill_node(&mut self, index: usize) {
+        if let Some(mut handle) = self.nodes[index].handle.take() {
+            handle.abort();
+        }
+    }
+
+    /// Stops a node gracefully.
+    pub fn stop_node(&mut self, index: usize) {
+        if let Some(mut handle) = self.nodes[index].handle.take() {
+            handle.stop();
+        }
+    }
+
+    /// The running node.
+    ///
+    /// # Panics
+    ///
+    /// If the node is not running.
+    pub fn node(&self, index: usize) -> &Kernel {
+        self.nodes[index]
+            .handle
+            .as_ref()
+            .expect("the node runs")
+            .kernel()
+    }
+
+    /// Data directory of a replica.
+    pub fn data_dir(&self, index: usize) -> PathBuf {
+        self.replicas[index].settings.data_dir.clone()
+    }
+
+    /// Number of nodes, running or not.
+    pub fn node_count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Address for callers of a node.
+    pub fn call_address(&self, index: usize) -> SocketAddr {
+        self.nodes[index].settings.call_listen
+    }
+
+    /// Address of a node's platform port.
+    pub fn platform_address(&self, index: usize) -> SocketAddr {
+        self.nodes[index].settings.platform_listen
+    }
+
+    /// Addresses of the operator ports of the running replicas.
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.replicas
+            .iter()
+            .filter(|place| place.handle.is_some())
+            .map(|place| place.settings.operator_listen)
+            .collect()
+    }
+
+    /// Index of the leading replica.
+    pub fn leader(&self) -> Result<usize, DeploymentError> {
+        let status = self.status()?;
+        let number = status["leader"]
+            .as_u64()
+            .ok_or(DeploymentError::Late { what: "a leader" })?;
+        Ok(number as usize - 1)
+    }
+
+    /// Adds a profile and returns the revision number.
+    pub fn add_profile(&self, profile: &Profile) -> Result<u64, DeploymentError> {
+        let id = format!("add-{}", profile.name);
+        self.change(&id, None, json!({ "add": profile }))
+    }
+
+    /// Submits a change until it is answered, with one change id for all tries.
+    pub fn change(
+        &self,
+        change_id: &str,
+        expect: Option<u64>,
+        op: Value,
+    ) -> Result<u64, DeploymentError> {
+        let body = json!({ "change_id": change_id, "expect_revision": expect, "op": op });
+        let answer = self.operator("POST", "/v1/changes", Some(&body))?;
+        let number = answer["revision"]["number"].as_u64();
+        number.ok_or_else(|| DeploymentError::Operator {
+            reason: answer.to_string(),
+        })
+    }
+
+    /// The group's status.
+    pub fn status(&self) -> Result<Value, DeploymentError> {
+        self.operator("GET", "/v1/status", None)
+    }
+
+    /// Waits until every running node has the revision in effect; returns how long that took.
+    pub fn wait_in_effect(&self, number: u64) -> Result<Duration, DeploymentError> {
+        let started = Instant::now();
+        let in_effect = |d: &Deployment| {
+            d.running_nodes()
+                .all(|kernel| kernel.profiles.revision().number >= number)
+        };
+        self.wait_for("the revision on every node", in_effect)?;
+        Ok(started.elapsed())
+    }
+
+    /// Waits until every running node knows `count` upstreams.
+    pub fn wait_for_upstreams(&self, count: usize) -> Result<(), DeploymentError> {
+        self.wait_for("all upstreams on every node", |d| {
+            d.running_nodes()
+                .all(|kernel| kernel.directory.all().len() == count)
+        })
+    }
+
+    /// Waits for a condition.
+    pub fn wait_for(
+        &self,
+        what: &'static str,
+        condition: impl Fn(&Deployment) -> bool,
+    ) -> Result<(), DeploymentError> {
+        let until = Instant::now() + PATIENCE;
+        while !condition(self) {
+            if Instant::now() >= until {
+                return Err(DeploymentError::Late { what });
+            }
+            thread::sleep(POLL);
+        }
+        Ok(())
+    }
+
+    /// Measuring messages sent and received by all running nodes, and their bytes.
+    pub fn measuring(&self) -> (u64, u64) {
+        self.running_nodes()
+            .fold((0, 0), |(messages, bytes), kernel| {
+                let count = |kind| {
+                    kernel
+                        .metrics
+                        .probes
+                        .get_or_create(&KindLabels { kind })
+                        .get()
+                };
+                (
+                    messages + count("sent") + count("received"),
+                    bytes + kernel.metrics.probe_bytes.get(),
+                )
+            })
+    }
+
+    fn running_nodes(&self) -> impl Iterator<Item = &Kernel> {
+        self.nodes
+            .iter()
+            .filter_map(|place| place.handle.as_ref())
+            .map(|handle| handle.kernel().as_ref())
+    }
+
+    /// Sends an operator's request to the replicas in turn until one answers it for good.
+    pub fn operator(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Value, DeploymentError> {
+        let until = Instant::now() + PATIENCE;
+        let mut reason = "no replica runs".to_owned();
+        while Instant::now() < until {
+            for address in self.operators() {
+                match ask_operator(address, method, path, body) {
+                    Ok((status, value)) if status < 500 => {
+                        if status == 200 {
+                            return Ok(value);
+                        }
+                        return Err(DeploymentError::Operator {
+                            reason: value.to_string(),
+                        });
+                    }
+                    Ok((_, value)) => reason = value.to_string(),
+                    Err(error) => reason = error.to_string(),
+                }
+            }
+            thread::sleep(POLL);
+        }
+        Err(DeploymentError::Operator { reason })
+    }
+}
+
+fn ask_operator(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<(u16, Value), attohttpc::Error> {
+    let url = format!("http://{address}{path}");
+    let request = match method {
+        "GET" => attohttpc::get(url),
+        _ => attohttpc::post(url),
+    };
+    let text = body.map(Value::to_string).unwrap_or_default();
+    let response = request.timeout(OPERATOR_TIMEOUT).text(text).send()?;
+    let status = response.status().as_u16();
+    let text = response.text()?;
+    Ok((
+        status,
+        serde_json::from_str(&text).unwrap_or(Value::String(text)),
+    ))
+}
+
+/// An address whose port is free for TCP and UDP at this moment.
+fn free_address() -> std::io::Result<SocketAddr> {
+    loop {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        if UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+}
+
+fn quiet() -> LogSettings {
+    LogSettings {
+        level: LevelFilter::Warn,
+        format: LogFormat::Text,
+    }
+}
+
+fn control_settings(
+    number: usize,
+    group: &[SocketAddr],
+    data_dir: PathBuf,
+) -> Result<ControlSettings, DeploymentError> {
+    Ok(ControlSettings {
+        listen: group[number - 1],
+        operator_listen: free_address()?,
+        data_dir,
+        replica: number as u32,
+        group: group.to_vec(),
+        availability_zone: name(&format!("zone-{number}")),
+        operator_token: None,
+        mesh_key: MeshKey([7; 32]),
+        logs: quiet(),
+    })
+}
+
+fn node_settings(
+    index: usize,
+    zone: &str,
+    mesh: SocketAddr,
+    first_peer: SocketAddr,
+    group: &[SocketAddr],
+) -> Result<NodeSettings, DeploymentError> {
+    Ok(NodeSettings {
+        call_listen: free_address()?,
+        mesh_listen: mesh,
+        platform_listen: free_address()?,
+        availability_zone: name(zone),
+        region: Region::parse("default").expect("a valid name"),
+        host: HostName::parse(format!("host-{}", index + 1)).expect("a valid name"),
+        control: group.to_vec(),
+        peers: vec![first_peer],
+        mesh_key: MeshKey([7; 32]),
+        logs: quiet(),
+        decision_log_percent: 100,
+        max_body_bytes: 4 << 20,
+        max_connections: 1024,
+        probe_budget_per_s: 200,
+        probe_budget_bytes_per_s: 20_000,
+        lease_ms: 3_000,
+        stop_timeout_ms: 10_000,
+        control_replica: None,
+    })
+}
+
+fn name(text: &str) -> AvailabilityZone {
+    AvailabilityZone::parse(text).expect("a valid name")
+}
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -27,6 +27,10 @@
 const MAX_BODY_BYTES: u64 = 64 << 10;
 /// Threads that serve operators; a change waits for a quorum.
 const THREADS: usize = 4;
+/// Pause before a change is submitted again.
+const SUBMIT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for the leader's answer to one submission.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest wait for another process.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -231,7 +235,20 @@
         }))
     }
 
+    /// Submits the change to the leader, again if the leader is lost; its id makes that safe.
     fn submit(&self, change: Change) -> Result<Revision, Refusal> {
+        let until = Instant::now() + REQUEST_TIMEOUT;
+        loop {
+            let result = self.submit_once(change.clone());
+            let is_final = !matches!(result, Err((ErrorKind::NoQuorum | ErrorKind::NotLeader, _)));
+            if is_final || Instant::now() + SUBMIT_PAUSE >= until {
+                return result;
+            }
+            thread::sleep(SUBMIT_PAUSE);
+        }
+    }
+
+    fn submit_once(&self, change: Change) -> Result<Revision, Refusal> {
         let unconfirmed = || {
             let detail = "the change may still be accepted; resend it with the same change id";
             Err((ErrorKind::NoQuorum, detail.to_owned()))
@@ -245,7 +262,7 @@
         match self.ask(
             leader,
             &ControlRequest::Propose(Box::new(change)),
-            REQUEST_TIMEOUT,
+            LEADER_TIMEOUT,
         ) {
             Some(ControlReply::Proposed(result)) => result,
             _ => unconfirmed(),
