--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-in upstream, load generator, demo and measurements.
 
+pub mod cost;
 pub mod demo;
 pub mod deployment;
 pub mod load;
--- a/src/bin/gyard-bench.rs
+++ b/src/bin/gyard-bench.rs
@@ -6,6 +6,7 @@
 Usage: gyard-bench COMMAND [OPTIONS]
 
 Commands:
+  cost      measure what two nodes add to a call, and the idle cost
   demo      run the whole system in one process and check its promises
   policy    compare routing policies in virtual time
   upstream  serve as a stand-in instance
@@ -18,6 +19,7 @@
     let command = args.next().unwrap_or_default();
     let rest: Vec<String> = args.collect();
     let code = match command.as_str() {
+        "cost" => bench::cost::main(&rest),
         "demo" => bench::demo::main(&rest),
         "policy" => bench::policy::main(&rest),
         "upstream" => bench::upstream::main(&rest),
