Weigh upstreams by expected completion time with late binding

Cause: the first router followed every reported difference.

Change: - A load figure decays to the service's average as the calls that it counted are served; the wait follows from the mean and spread of the load. - Service time is the median of the service, raised only by a signal above twice that, or by overdue own attempts. Results worse than predicted raise the estimate for a while; a failure counts as one second. - The owner's service time gives way to the next call after a gap, and a signal that repeats an old service time doesn't renew its age. - Choice carries patience_us: the owner refuses a call that waits that long while another upstream has a free slot.

--- a/components/bench/src/policy/chooser.rs
+++ b/components/bench/src/policy/chooser.rs
@@ -68,10 +68,16 @@
     pub(crate) patience_us: Option<u64>,
 }
 
+/// What a choice needs to know of the call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallKind {
+    pub(crate) idempotent: bool,
+    pub(crate) hedge: bool,
+}
+
 /// One entry node.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
-    pub(crate) zone: usize,
     pub(crate) retries: RetryBudget,
     pub(crate) hedges: RetryBudget,
     pub(crate) router: Router,
@@ -87,12 +93,10 @@
 
 impl Entry {
     pub(crate) fn new(index: usize, scenario: &Scenario, settings: &Settings, seed: u64) -> Self {
-        let zone = index % scenario.zones;
         let config = RouterConfig {
             probe_budget_per_s: settings.probe_budget_per_s,
         };
         let mut entry = Entry {
-            zone,
             retries: RetryBudget::new(settings.retry_percent, MIN_RETRIES_PER_S),
             hedges: RetryBudget::new(settings.hedge_percent, 0),
             router: Router::new(config, seed ^ ((index as u64 + 1) << 32)),
@@ -103,7 +107,7 @@
             reported: vec![0; scenario.instances],
             next: index,
             rng: Pcg64Mcg::seed_from_u64(seed.wrapping_mul(31) + index as u64),
-            zone_name: zone_name(zone),
+            zone_name: zone_name(index % scenario.zones),
         };
         for instance in 0..scenario.instances {
             let upstream = upstream(scenario, instance, 0, UpstreamState::Serving);
@@ -154,11 +158,11 @@
         now_us: u64,
         policy: Policy,
         used: &[usize],
-        idempotent: bool,
+        kind: CallKind,
         view: &View,
     ) -> Option<Chosen> {
         if let Policy::Ours(measure) = policy {
-            return self.choose_routed(now_us, measure, used, idempotent, view);
+            return self.choose_routed(now_us, measure, used, kind, view);
         }
         let usable: Vec<usize> = (0..self.accepting.len())
             .filter(|i| self.accepting[*i] && !used.contains(i))
@@ -191,7 +195,7 @@
         now_us: u64,
         measure: Measure,
         used: &[usize],
-        idempotent: bool,
+        kind: CallKind,
         view: &View,
     ) -> Option<Chosen> {
         if let Some((instance, signal)) = view.local {
@@ -206,7 +210,8 @@
             exclude: &exclude[..used.len()],
             measure,
             zone_preference: ZonePreference::Prefer,
-            idempotent,
+            idempotent: kind.idempotent,
+            hedge: kind.hedge,
         };
         let choice = self.router.choose(now_us, &request).ok()?;
         let patience_us = choice
--- a/components/bench/src/policy/mod.rs
+++ b/components/bench/src/policy/mod.rs
@@ -14,7 +14,7 @@
 
 use chooser::Policy;
 use gumdrop::Options;
-use scenario::{Scenario, Workload, scenarios};
+use scenario::{Kind, Scenario, Workload, scenarios};
 use settings::Settings;
 use sim::{Outcome, simulate};
 use snafu::Snafu;
@@ -105,6 +105,7 @@
     policies: Vec<Policy>,
     seeds: Vec<u64>,
     seconds: u32,
+    kinds: Vec<Kind>,
 }
 
 /// One seed of one scenario and load; its order puts the jobs of one table row together.
@@ -168,6 +169,7 @@
                 .collect(),
             seeds: parse_list("seeds", &args.seeds, "a range 1-20 or a list 1,5,9")?,
             seconds: args.seconds,
+            kinds: parse_kinds(&args.disturb)?,
         })
     }
 
@@ -187,7 +189,10 @@
         let (scenario, load, seed) = job.order;
         let scenario = &self.scenarios[scenario];
         let load = f64::from(self.loads[load]) / 100.0;
-        let workload = Workload::new(scenario, load, self.seconds, self.seeds[seed]);
+        let mut workload = Workload::new(scenario, load, self.seconds, self.seeds[seed]);
+        workload
+            .disturbances
+            .retain(|(_, _, d)| self.kinds.contains(&d.kind()));
         let run = |&policy: &Policy| {
             let mut outcome = simulate(policy, scenario, settings, &workload);
             outcome.latencies_us.sort_unstable();
@@ -197,6 +202,25 @@
     }
 }
 
+fn parse_kinds(text: &str) -> Result<Vec<Kind>, ArgsError> {
+    let kind = |name: &str| match name {
+        "noisy" => Some(Kind::Noisy),
+        "drain" => Some(Kind::Drain),
+        "fail" => Some(Kind::Fail),
+        "lie" => Some(Kind::Lie),
+        _ => None,
+    };
+    let names = text.split(',').filter(|name| *name != "none");
+    names
+        .map(kind)
+        .collect::<Option<Vec<Kind>>>()
+        .ok_or_else(|| ArgsError {
+            option: "disturb",
+            value: text.to_owned(),
+            allowed: "none, or a list of noisy, drain, fail and lie",
+        })
+}
+
 /// Positive numbers as `a-b` or `a,b,c`.
 fn parse_list(
     option: &'static str,
--- a/components/bench/src/policy/scenario.rs
+++ b/components/bench/src/policy/scenario.rs
@@ -81,6 +81,26 @@
     Lying(bool),
 }
 
+/// Kinds of disturbances that the options can leave out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Noisy,
+    Drain,
+    Fail,
+    Lie,
+}
+
+impl Disturbance {
+    pub(crate) fn kind(self) -> Kind {
+        match self {
+            Disturbance::Noisy(_) => Kind::Noisy,
+            Disturbance::Draining | Disturbance::Restarted | Disturbance::Warm => Kind::Drain,
+            Disturbance::Failing(_) => Kind::Fail,
+            Disturbance::Lying(_) => Kind::Lie,
+        }
+    }
+}
+
 /// Everything about a run that the seed decides and the policy doesn't.
 #[derive(Clone, Debug)]
 pub(crate) struct Workload {
--- a/components/bench/src/policy/settings.rs
+++ b/components/bench/src/policy/settings.rs
@@ -54,6 +54,14 @@
         help = "let calls wait at the first owner until their deadline"
     )]
     pub no_patience: bool,
+    /// Kinds of disturbances: `noisy`, `drain`, `fail` and `lie`, or `none`.
+    #[options(
+        no_short,
+        meta = "LIST",
+        default = "noisy,drain,fail,lie",
+        help = "disturbances"
+    )]
+    pub disturb: String,
     /// File for the plot of p99 per policy.
     #[options(meta = "FILE", help = "write a plot of p99 per policy as SVG")]
     pub plot: Option<String>,
--- a/components/bench/src/policy/sim.rs
+++ b/components/bench/src/policy/sim.rs
@@ -1,7 +1,7 @@
 //! Virtual-time simulation of one policy on one workload.
 
 use super::{
-    chooser::{Chosen, Entry, Policy, View},
+    chooser::{CallKind, Chosen, Entry, Policy, View},
     instance::Instance,
     report::Figures,
     scenario::{Arrival, Disturbance, Scenario, Workload, exponential},
@@ -27,9 +27,6 @@
 const REPORT_GAP_US: u64 = 50_000;
 /// Shortest and longest delay of a load report or of gossip, in microseconds.
 const REPORT_DELAY_US: (u64, u64) = (5_000, 200_000);
-/// Retries that must be saved up before a call may be refused for waiting, so that the refusal
-/// doesn't end it.
-const PATIENCE_RETRIES: u32 = 2;
 
 /// Figures of one run.
 #[derive(Clone, Debug, Default)]
@@ -52,6 +49,8 @@
     key: Option<UpstreamKey>,
     sent_us: u64,
     pending: bool,
+    /// Whether a retry is reserved in case the owner refuses the attempt for waiting.
+    reserved: bool,
     /// Whether a cancellation overtook the attempt on its way to the owner.
     cancelled: bool,
 }
@@ -321,7 +320,7 @@
         if self.policy.is_ours() && self.settings.hedge_percent > 0 {
             self.plan_hedge(index);
         }
-        if !self.attempt(index) {
+        if !self.attempt(index, false) {
             self.fail(index);
         }
     }
@@ -342,8 +341,8 @@
         }
     }
 
-    /// Sends one more attempt; false if no instance is left.
-    fn attempt(&mut self, index: usize) -> bool {
+    /// Sends one more attempt; false if no instance is left for it.
+    fn attempt(&mut self, index: usize, hedge: bool) -> bool {
         let spec = self.spec(index);
         let call = &self.calls[index];
         let number = call.count;
@@ -355,20 +354,21 @@
             network_us: &self.network_us[spec.entry],
             local,
         };
+        let kind = CallKind {
+            idempotent: spec.idempotent,
+            hedge,
+        };
         let entry = &mut self.entries[spec.entry];
-        let chosen = entry.choose(self.now_us, self.policy, &used, spec.idempotent, &view);
-        let Some(chosen) = chosen else { return false };
+        let Some(chosen) = entry.choose(self.now_us, self.policy, &used, kind, &view) else {
+            return false;
+        };
         entry.sent(self.now_us, chosen);
-        let may_move = self.settings.patience
-            && number + 1 < MAX_ATTEMPTS
-            && entry.retries.saved() >= PATIENCE_RETRIES;
+        let may_move = self.settings.patience && number + 1 < MAX_ATTEMPTS;
+        let patience_us = chosen
+            .patience_us
+            .filter(|_| may_move && entry.retries.try_reserve());
         self.probe(spec.entry);
-        self.send(
-            index,
-            number,
-            chosen,
-            chosen.patience_us.filter(|_| may_move),
-        );
+        self.send(index, number, chosen, patience_us);
         true
     }
 
@@ -380,6 +380,7 @@
             key: chosen.key,
             sent_us: self.now_us,
             pending: true,
+            reserved: patience_us.is_some(),
             cancelled: false,
         });
         call.count += 1;
@@ -534,18 +535,22 @@
             return;
         }
         let may_repeat = finish == Finish::Refused || spec.idempotent;
-        self.retry(index, may_repeat);
+        self.retry(index, may_repeat, attempt.reserved);
     }
 
-    fn retry(&mut self, index: usize, may_repeat: bool) {
+    fn retry(&mut self, index: usize, may_repeat: bool, reserved: bool) {
         let entry = self.spec(index).entry;
+        let retries = &mut self.entries[entry].retries;
         let may_retry = may_repeat
             && self.calls[index].count < MAX_ATTEMPTS
-            && self.entries[entry].retries.try_retry(self.now_us);
-        if may_retry && self.attempt(index) {
+            && (reserved || retries.try_retry(self.now_us));
+        if may_retry && self.attempt(index, false) {
             self.outcome.retries += 1;
             return;
         }
+        if reserved {
+            self.entries[entry].retries.release();
+        }
         let is_pending = self.calls[index]
             .attempts
             .iter()
@@ -562,8 +567,13 @@
             return;
         }
         let entry = self.spec(index).entry;
-        if self.entries[entry].hedges.try_retry(self.now_us) && self.attempt(index) {
+        if !self.entries[entry].hedges.try_retry(self.now_us) {
+            return;
+        }
+        if self.attempt(index, true) {
             self.outcome.hedges += 1;
+        } else {
+            self.entries[entry].hedges.release();
         }
     }
 
@@ -581,6 +591,9 @@
             .filter(|a| a.pending)?;
         attempt.pending = false;
         entry.settled(attempt.instance);
+        if attempt.reserved && finish != Finish::Refused && finish != Finish::Failed {
+            entry.retries.release();
+        }
         if let Some(key) = attempt.key {
             let latency_us = self.now_us - attempt.sent_us;
             entry
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -4,8 +4,12 @@
 use model::{AttemptId, LoadSignal, Priority, UpstreamState};
 use std::collections::VecDeque;
 
-/// Weight of one finished call in the service time estimate, as a divisor.
-const SERVICE_WEIGHT_DIVISOR: i64 = 8;
+/// Least weight of one finished call in the service time estimate, as a divisor.
+const SERVICE_WEIGHT_DIVISOR: u64 = 8;
+/// Time without a finished call after which the estimate gives way to the next one entirely, in
+/// microseconds; an upstream that few calls reach would otherwise seem slow long after it
+/// recovered.
+const SERVICE_FORGET_US: u64 = 100_000;
 /// Number of priorities, each with a queue of its own.
 const PRIORITIES: usize = 3;
 
@@ -82,7 +86,8 @@
     state: UpstreamState,
     running: Vec<Running>,
     waiting: [VecDeque<Ticket>; PRIORITIES],
-    service_us: i64,
+    service_us: u64,
+    learned_us: u64,
     sequence: u64,
 }
 
@@ -95,6 +100,7 @@
             running: Vec::with_capacity(config.slots as usize),
             waiting: Default::default(),
             service_us: 0,
+            learned_us: 0,
             sequence: 0,
         }
     }
@@ -137,7 +143,7 @@
             return Vec::new();
         };
         self.running.swap_remove(index);
-        self.learn(service_time_us);
+        self.learn(now_us, service_time_us);
         self.fill(now_us)
     }
 
@@ -265,7 +271,7 @@
 
     fn can_finish(&self, start_us: u64, ticket: &Ticket) -> bool {
         let service_us = match ticket.expected_us {
-            0 => self.service_us.unsigned_abs(),
+            0 => self.service_us,
             expected_us => expected_us,
         };
         start_us <= ticket.start_by_us && start_us + service_us <= ticket.deadline_us
@@ -277,7 +283,7 @@
             .map(VecDeque::len)
             .sum();
         let slots = u64::from(self.config.slots.max(1));
-        (ahead as u64 + 1) * self.service_us.unsigned_abs() / slots
+        (ahead as u64 + 1) * self.service_us / slots
     }
 
     fn shed_below(&mut self, priority: Priority) -> Option<AttemptId> {
@@ -288,19 +294,22 @@
             .map(|ticket| ticket.attempt)
     }
 
-    fn learn(&mut self, service_time_us: u64) {
-        let sample = i64::try_from(service_time_us).unwrap_or(i64::MAX / 2);
-        if self.service_us == 0 {
-            self.service_us = sample;
-            return;
-        }
-        self.service_us += (sample - self.service_us) / SERVICE_WEIGHT_DIVISOR;
+    fn learn(&mut self, now_us: u64, service_time_us: u64) {
+        let gap_us = now_us.saturating_sub(self.learned_us);
+        let weight_us = gap_us.clamp(
+            SERVICE_FORGET_US / SERVICE_WEIGHT_DIVISOR,
+            SERVICE_FORGET_US,
+        );
+        self.learned_us = now_us;
+        let kept_us = (SERVICE_FORGET_US - weight_us).saturating_mul(self.service_us);
+        let added_us = weight_us.saturating_mul(service_time_us);
+        self.service_us = kept_us.saturating_add(added_us) / SERVICE_FORGET_US;
     }
 
     /// The estimate raised by running calls that are already older than it, because finished
     /// calls show a slow-down only after the first slow call is over.
     fn visible_service_us(&self, now_us: u64) -> u64 {
-        let service_us = self.service_us.unsigned_abs();
+        let service_us = self.service_us;
         let overdue_us: u64 = self
             .running
             .iter()
--- a/components/limits/src/retry.rs
+++ b/components/limits/src/retry.rs
@@ -30,17 +30,23 @@
         self.saved = (self.saved + self.percent).min(MAX_SAVED_RETRIES * UNITS_PER_RETRY);
     }
 
-    /// Retries saved up, not counting the constant rate.
-    pub fn saved(&self) -> u32 {
-        self.saved / UNITS_PER_RETRY
+    /// Takes one saved retry ahead of an attempt that its owner may refuse for waiting, so that
+    /// the refusal can't end the call.
+    pub fn try_reserve(&mut self) -> bool {
+        let has_retry = self.saved >= UNITS_PER_RETRY;
+        if has_retry {
+            self.saved -= UNITS_PER_RETRY;
+        }
+        has_retry
+    }
+
+    /// Returns a reserved retry that was not needed.
+    pub fn release(&mut self) {
+        self.saved = (self.saved + UNITS_PER_RETRY).min(MAX_SAVED_RETRIES * UNITS_PER_RETRY);
     }
 
     /// Takes one retry from the budget.
     pub fn try_retry(&mut self, now_us: u64) -> bool {
-        if self.saved >= UNITS_PER_RETRY {
-            self.saved -= UNITS_PER_RETRY;
-            return true;
-        }
-        self.floor.try_take(now_us, 1)
+        self.try_reserve() || self.floor.try_take(now_us, 1)
     }
 }
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -29,6 +29,8 @@
     pub zone_preference: ZonePreference,
     /// Whether the call may run twice; such calls make the trials of ejected upstreams.
     pub idempotent: bool,
+    /// Whether the attempt is a hedge, which only goes to an upstream with a free slot.
+    pub hedge: bool,
 }
 
 /// Why an upstream was chosen.
@@ -52,8 +54,9 @@
     pub upstream: UpstreamKey,
     /// Why it was chosen.
     pub reason: Reason,
-    /// Wait at the owner after which the call does better elsewhere; `None` if it should wait
-    /// as long as its deadline allows.
+    /// Wait at the owner after which the call probably starts sooner elsewhere; `None` if it
+    /// should wait as long as its deadline allows. The entry uses it for the ticket's
+    /// `start_by_us` only if another attempt is allowed and its retry is reserved.
     pub patience_us: Option<u64>,
 }
 
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -2,10 +2,12 @@
 
 use crate::{
     Candidate, Choice, Finish, Reason, RouteRequest, RouterConfig, UpstreamKey,
-    latency::RecentLatency, member::Member, probes::ProbeBudget,
+    latency::RecentLatency,
+    member::{Member, Typical},
+    probes::ProbeBudget,
 };
 use errors::ErrorKind;
-use model::{LoadSignal, Upstream, UpstreamName};
+use model::{LoadSignal, Upstream, UpstreamName, ZonePreference};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use slotmap::SlotMap;
@@ -15,6 +17,8 @@
 /// Spread of the random factor that separates near-equal candidates, so that entries with the
 /// same view don't all choose the same upstream.
 const JITTER: f64 = 0.05;
+/// Service time before the first signal, in microseconds.
+const DEFAULT_SERVICE_US: f64 = 5_000.0;
 /// Time after which an unanswered probe no longer blocks the next one, in microseconds.
 const PROBE_TIMEOUT_US: u64 = 1_000_000;
 
@@ -26,6 +30,7 @@
     latency: RecentLatency,
     rng: Pcg64Mcg,
     candidates: Vec<Candidate>,
+    service_times_us: Vec<f64>,
 }
 
 impl Router {
@@ -37,6 +42,7 @@
             latency: RecentLatency::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             candidates: Vec::new(),
+            service_times_us: Vec::new(),
         }
     }
 
@@ -75,27 +81,36 @@
 
     /// Chooses an upstream for one attempt; `sent` must follow if the attempt is sent.
     pub fn choose(&mut self, now_us: u64, request: &RouteRequest) -> Result<Choice, ErrorKind> {
-        self.probes.earn(request.measure);
-        self.weigh(now_us, request);
+        if request.exclude.is_empty() {
+            self.probes.earn(request.measure);
+        }
+        let typical = self.typical();
+        self.weigh(now_us, request, typical);
         if let Some(trial) = self.trial(now_us, request) {
             return Ok(trial);
         }
         let has_healthy = self.candidates.iter().any(|candidate| !candidate.ejected);
-        let best = self
+        let best = *self
             .candidates
             .iter()
             .filter(|candidate| !candidate.ejected || !has_healthy)
             .min_by_key(|candidate| candidate.expected_us)
             .ok_or(ErrorKind::NoUpstream)?;
+        if request.hedge && !self.has_free_slot(&best) {
+            return Err(ErrorKind::Overloaded);
+        }
         let reason = match (has_healthy, self.candidates.len()) {
             (false, _) => Reason::Fallback,
             (true, 1) => Reason::Only,
             (true, _) => Reason::Expected,
         };
+        let patience_us = self
+            .may_move(best.upstream)
+            .then_some(typical.service_us as u64);
         Ok(Choice {
             upstream: best.upstream,
             reason,
-            patience_us: None,
+            patience_us,
         })
     }
 
@@ -105,9 +120,14 @@
     }
 
     /// Records that an attempt went out.
-    pub fn sent(&mut self, _now_us: u64, key: UpstreamKey) {
+    pub fn sent(&mut self, now_us: u64, key: UpstreamKey) {
+        let candidate = self
+            .candidates
+            .iter()
+            .find(|candidate| candidate.upstream == key);
+        let predicted_us = candidate.map_or(0.0, |candidate| f64::from(candidate.expected_us));
         if let Some(member) = self.members.get_mut(key) {
-            member.outstanding += 1;
+            member.sent(now_us, predicted_us);
         }
     }
 
@@ -124,7 +144,7 @@
         let Some(member) = self.members.get_mut(key) else {
             return;
         };
-        member.finished(finish, latency_us);
+        member.finished(now_us, finish, latency_us);
         member.ejection.finished(now_us, finish, may_eject);
         if let Some(signal) = signal {
             member.observe(now_us, signal);
@@ -160,10 +180,11 @@
         now_us: u64,
         key: UpstreamKey,
         signal: LoadSignal,
-        _round_trip_us: u64,
+        round_trip_us: u64,
     ) {
         if let Some(member) = self.members.get_mut(key) {
             member.probe_sent_us = None;
+            member.round_trip(round_trip_us);
             member.observe(now_us, signal);
         }
     }
@@ -180,27 +201,62 @@
         self.latency.quantile_us(percent)
     }
 
-    fn weigh(&mut self, now_us: u64, request: &RouteRequest) {
-        let average_others = average(self.members.values().filter_map(Member::others));
-        let average_service_us = average(self.members.values().filter_map(Member::service_us));
+    /// Averages over the upstreams; the median service time, because a slow minority must not
+    /// pass for typical.
+    fn typical(&mut self) -> Typical {
+        self.service_times_us.clear();
+        self.service_times_us
+            .extend(self.members.values().filter_map(Member::service_us));
+        let middle = self.service_times_us.len() / 2;
+        let service_us = if self.service_times_us.is_empty() {
+            DEFAULT_SERVICE_US
+        } else {
+            *self
+                .service_times_us
+                .select_nth_unstable_by(middle, f64::total_cmp)
+                .1
+        };
+        Typical {
+            others: average(self.members.values().filter_map(Member::others)),
+            service_us,
+        }
+    }
+
+    fn weigh(&mut self, now_us: u64, request: &RouteRequest, typical: Typical) {
         self.candidates.clear();
         for (key, member) in &self.members {
             if request.exclude.contains(&key) || !member.upstream.state.accepts_calls() {
                 continue;
             }
-            let load = member.load(now_us, average_others);
-            let expected_us = member.expected_us(now_us, load, average_service_us);
+            let same_zone = request.zone_preference == ZonePreference::None
+                || member.upstream.availability_zone == *request.zone;
+            let estimate = member.estimate(now_us, typical, same_zone);
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
             self.candidates.push(Candidate {
                 upstream: key,
-                expected_us: (expected_us * jitter) as u32,
-                load: load as f32,
+                expected_us: (estimate.expected_us * jitter) as u32,
+                load: estimate.load as f32,
                 ejected: member.ejection.is_ejected(),
             });
         }
     }
 
+    /// Whether a call that waits at `chosen` is likely to start at once elsewhere.
+    fn may_move(&self, chosen: UpstreamKey) -> bool {
+        self.candidates.iter().any(|candidate| {
+            candidate.upstream != chosen && !candidate.ejected && self.has_free_slot(candidate)
+        })
+    }
+
+    fn has_free_slot(&self, candidate: &Candidate) -> bool {
+        let slots = self.members[candidate.upstream].upstream.slots;
+        f64::from(candidate.load) + 1.0 <= f64::from(slots)
+    }
+
     fn trial(&mut self, now_us: u64, request: &RouteRequest) -> Option<Choice> {
+        if request.hedge {
+            return None;
+        }
         let key = self
             .candidates
             .iter()
