Test each feature of calls with golden sessions

Change: golden sessions on the fake for lost connections, refusals, hedges, deadlines, key retries and races, lost keepers and crash suspects; plain tests for records, claims and rounds. Faults found by them and mended: WakeAt came after the other actions of a list, so a caller that handles a reply at once overwrote a later wake time (the hedge never fired); the jitter of two entries that hold split votes was nearly equal, so that they stopped each other's attempts.

--- a/components/calls/src/entry.rs
+++ b/components/calls/src/entry.rs
@@ -21,6 +21,9 @@
 /// Range of the jitter of `HOLDER_DELAY_US`.
 const HOLDER_JITTER_US: u64 = 10_000;
 
+/// Odd factor near 2^64 divided by the golden ratio; spreads consecutive calls over the jitter.
+const JITTER_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// Most attempts listed in a claim: own attempts (at most 10) and holders of lost races.
 const MAX_OVER: usize = 24;
 
@@ -188,7 +191,7 @@
     HedgeBudget,
 }
 
-/// One call at its entry. The caller performs the actions and must reply to each `Route`, `Claim`,
+/// One call at its entry. The caller performs the actions in order and must reply to each `Route`, `Claim`,
 /// `Send`, `AskFate`, `AskHolder` and budget question with one of their events.
 #[derive(Debug)]
 pub struct EntryCall<U> {
@@ -386,8 +389,9 @@
     /// Gives the holder's message time to reach its owner before the question, which would
     /// otherwise stop it. The jitter keeps two entries from stopping each other again and again.
     fn wait_for_holder(&mut self, now_us: u64, index: usize, holder: Holder) {
-        let call = self.spec.call;
-        let jitter_us = call.origin.wrapping_add(call.sequence) % HOLDER_JITTER_US;
+        let CallId { origin, sequence } = self.spec.call;
+        let mixed = origin.wrapping_add(sequence).wrapping_mul(JITTER_FACTOR) >> 32;
+        let jitter_us = mixed % HOLDER_JITTER_US;
         let due_us = now_us + backoff_us(HOLDER_DELAY_US + jitter_us, self.attempts[index].asks);
         self.attempts[index].asks += 1;
         self.attempts[index].state = State::HolderWait { holder, due_us };
@@ -673,7 +677,8 @@
             .chain(self.hedge_due_us.filter(|_| !self.overdue))
             .fold(limit_us, u64::min);
         if self.wake_us.replace(wake_us) != Some(wake_us) {
-            self.actions.push(Action::WakeAt(wake_us));
+            // First, so that the reply to a later action of the list may set another time.
+            self.actions.insert(0, Action::WakeAt(wake_us));
         }
     }
 
--- a/components/calls/tests/call_safety.rs
+++ b/components/calls/tests/suite/call_safety.rs
@@ -1,8 +1,6 @@
 //! Random interleavings of calls, faults and resends against the two promises of the crate.
 
-mod common;
-
-use common::World;
+use crate::world::World;
 use proptest::{
     collection::vec,
     prelude::any,
@@ -31,15 +29,9 @@
     let mut runner = TestRunner::new_with_rng(config, rng);
     let counts = Cell::new([0u64; 4]);
     let result = runner.run(&vec(any::<u16>(), 0..TAPE_LENGTH), |tape| {
-        let mut world = World::new(tape);
-        world.run();
-        let [executed, not_run, recovered, key_hits] = counts.get();
-        counts.set([
-            executed + world.executed,
-            not_run + world.not_run,
-            recovered + world.recovered,
-            key_hits + world.key_hits,
-        ]);
+        let run = World::new(tape).run();
+        let sums = counts.get();
+        counts.set(std::array::from_fn(|i| sums[i] + run[i]));
         Ok(())
     });
     if let Err(error) = result {
--- /dev/null
+++ b/components/calls/tests/suite/crash_suspects.rs
@@ -0,0 +1,164 @@
+//! Requests that crash upstreams, and ordinary ones that were in flight beside them.
+
+use calls::{Fingerprint, IncidentId, SuspectConfig, SuspectReport, Suspects, Verdict};
+use std::fmt::Write;
+
+const POISON: Fingerprint = [1; 16];
+const ORDINARY: Fingerprint = [2; 16];
+
+/// Two nodes, each beside an upstream, that exchange reports.
+struct Nodes {
+    nodes: [Suspects; 2],
+    now_us: u64,
+    trace: String,
+}
+
+impl Nodes {
+    fn new() -> Self {
+        Nodes {
+            nodes: [0, 1].map(|_| Suspects::new(SuspectConfig::default())),
+            now_us: 1_000_000,
+            trace: String::new(),
+        }
+    }
+
+    fn crash(&mut self, node: usize, number: u64, fingerprints: &[Fingerprint]) {
+        let incident = incident(node as u64, number);
+        self.nodes[node].crashed(self.clock(node), incident, fingerprints);
+        self.line(&format!("upstream {node} crashes, incident {number}"));
+    }
+
+    fn answered(&mut self, node: usize, fingerprint: &Fingerprint) {
+        let now_us = self.clock(node);
+        self.nodes[node].answered(now_us, fingerprint);
+        self.line(&format!("node {node} answers {}", name(fingerprint)));
+    }
+
+    fn gossip(&mut self) {
+        for (from, to) in [(0, 1), (1, 0)] {
+            let reports = self.nodes[from].reports(self.clock(from));
+            for report in &reports {
+                self.nodes[to].merge(self.clock(to), report);
+            }
+        }
+        self.line("gossip");
+    }
+
+    fn wait(&mut self, time_us: u64) {
+        self.now_us += time_us;
+        self.line("time passes");
+    }
+
+    fn verdict(&mut self, node: usize, fingerprint: &Fingerprint) -> Verdict {
+        self.nodes[node].verdict(self.clock(node), fingerprint)
+    }
+
+    fn line(&mut self, what: &str) {
+        let verdicts = [0, 1].map(|n| [POISON, ORDINARY].map(|f| self.verdict(n, &f)));
+        let [[p0, o0], [p1, o1]] = verdicts;
+        let now_us = self.now_us;
+        writeln!(
+            self.trace,
+            "{now_us:>9} {what}: poison {p0:?} and {p1:?}, ordinary {o0:?} and {o1:?}"
+        )
+        .expect("writing to a string");
+    }
+
+    /// Node 1 started later, so its clock shows less.
+    fn clock(&self, node: usize) -> u64 {
+        self.now_us - 900_000 * node as u64
+    }
+}
+
+fn incident(origin: u64, number: u64) -> IncidentId {
+    IncidentId { origin, number }
+}
+
+fn name(fingerprint: &Fingerprint) -> &'static str {
+    if *fingerprint == POISON {
+        "poison"
+    } else {
+        "ordinary"
+    }
+}
+
+/// Guards against a poison request that crashes a third upstream, at any node, and against a
+/// refusal that does not lapse.
+#[test]
+fn poison_request() {
+    let mut nodes = Nodes::new();
+    nodes.crash(0, 1, &[POISON, ORDINARY]);
+    nodes.gossip();
+    nodes.answered(1, &ORDINARY);
+    nodes.crash(1, 1, &[POISON]);
+    nodes.gossip();
+    nodes.wait(59_000_000);
+    nodes.wait(1_000_000);
+    insta::assert_snapshot!(nodes.trace);
+}
+
+/// Guards against an ordinary call that stays a suspect: a success or five seconds clear it, and
+/// reports that arrive late do not bring the suspicion back.
+#[test]
+fn ordinary_cleared() {
+    let mut nodes = Nodes::new();
+    nodes.crash(0, 1, &[ORDINARY]);
+    nodes.gossip();
+    nodes.answered(1, &ORDINARY);
+    nodes.gossip();
+    nodes.gossip();
+    nodes.crash(0, 2, &[ORDINARY]);
+    nodes.wait(5_000_000);
+    nodes.gossip();
+    insta::assert_snapshot!(nodes.trace);
+}
+
+/// Guards against an incident that counts twice because its report was repeated, and against a
+/// verdict that depends on the order of reports.
+#[test]
+fn repeated_reports() {
+    let report = |number, age_ms| SuspectReport {
+        fingerprint: POISON,
+        incident: incident(7, number),
+        age_ms,
+        cleared: false,
+    };
+    let mut node = Suspects::new(SuspectConfig::default());
+    assert!(node.merge(0, &report(1, 0)));
+    assert!(!node.merge(0, &report(1, 0)));
+    assert_eq!(node.verdict(0, &POISON), Verdict::Suspected);
+    for order in [[1, 2], [2, 1]] {
+        let mut node = Suspects::new(SuspectConfig::default());
+        for number in order {
+            node.merge(
+                100_000_000,
+                &report(number, if number == 1 { 50_000 } else { 0 }),
+            );
+        }
+        assert_eq!(node.verdict(159_000_000, &POISON), Verdict::Refuse);
+        assert_eq!(node.verdict(160_000_000, &POISON), Verdict::Clear);
+    }
+}
+
+/// Guards against a table that grows without bound, that drops a quarantined request to take in a
+/// new one, and against reports over 64 bytes.
+#[test]
+fn bounded_table() {
+    let config = SuspectConfig {
+        max_fingerprints: 4,
+        ..SuspectConfig::default()
+    };
+    let mut node = Suspects::new(config);
+    node.crashed(0, incident(1, 1), &[POISON]);
+    node.crashed(0, incident(1, 2), &[POISON]);
+    for number in 10..200 {
+        node.crashed(
+            u64::from(number),
+            incident(2, u64::from(number)),
+            &[[number; 16]],
+        );
+    }
+    assert_eq!(node.verdict(1_000, &POISON), Verdict::Refuse);
+    assert_eq!(node.reports(1_000).len(), 5);
+    assert!(size_of::<SuspectReport>() < 64);
+}
--- /dev/null
+++ b/components/calls/tests/suite/hedged_calls.rs
@@ -0,0 +1,45 @@
+//! Hedges of idempotent calls.
+
+use crate::world::World;
+use calls::HedgeBudget;
+
+/// Guards against a loser that keeps running, and against two answers to one caller.
+#[test]
+fn hedge_wins() {
+    let mut world = World::new([]);
+    world.call(0, true, None, 1_000_000);
+    world.deliver_all();
+    world.advance();
+    world.deliver_all();
+    world.finish(1, 0);
+    world.deliver_all();
+    insta::assert_snapshot!(world.trace());
+}
+
+/// Guards against a hedge of a call that must not run twice.
+#[test]
+fn never_hedged() {
+    let mut world = World::new([]);
+    world.call(0, false, None, 1_000_000);
+    world.deliver_all();
+    world.wait(500_000);
+    assert!(!world.trace().contains("Hedge"));
+}
+
+/// Guards against hedges beyond their share of the calls, also right after a quiet period.
+#[test]
+fn hedge_share() {
+    let mut budget = HedgeBudget::new(5);
+    assert!(!budget.try_hedge(), "nothing saved yet");
+    let mut hedges = 0;
+    for _ in 0..10_000 {
+        budget.on_call();
+        hedges += u32::from(budget.try_hedge());
+    }
+    assert_eq!(hedges, 500);
+    for _ in 0..10_000 {
+        budget.on_call();
+    }
+    let burst = (0..1_000).filter(|_| budget.try_hedge()).count();
+    assert_eq!(burst, 10);
+}
--- /dev/null
+++ b/components/calls/tests/suite/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the call state machines: one module per feature, and a fake of the processes around
+//! them.
+
+mod call_records;
+mod call_safety;
+mod claim_table;
+mod crash_suspects;
+mod deadline_queue;
+mod hedged_calls;
+mod keeper_loss;
+mod key_retry;
+mod lost_connection;
+mod refused_calls;
+mod world;
--- a/components/calls/tests/common/mod.rs
+++ b/components/calls/tests/suite/world.rs
@@ -23,6 +23,7 @@
 
 /// The caller's side and the count of executions of one call.
 struct Caller {
+    call: CallId,
     machine: EntryCall<usize>,
     entry: usize,
     idempotent: bool,
@@ -90,11 +91,9 @@
     net: Vec<Message>,
     pauses: u32,
     log: Vec<String>,
-    /// What the run exercised, for the check that the tape reaches the interesting paths.
-    pub(crate) executed: u64,
-    pub(crate) not_run: u64,
-    pub(crate) recovered: u64,
-    pub(crate) key_hits: u64,
+    violation: Option<String>,
+    /// What the run exercised: executions, not-run, recovered answers, answers by key.
+    pub(crate) counts: [u64; 4],
 }
 
 impl World {
@@ -115,15 +114,13 @@
             net: Vec::new(),
             pauses: 0,
             log: Vec::new(),
-            executed: 0,
-            not_run: 0,
-            recovered: 0,
-            key_hits: 0,
+            violation: None,
+            counts: [0; 4],
         }
     }
 
     /// Takes the mix of steps from the tape, plays the tape, then lets every call end without further faults.
-    pub(crate) fn run(&mut self) {
+    pub(crate) fn run(mut self) -> [u64; 4] {
         self.mix = [Mix::All, Mix::Keepers, Mix::Records][self.choose(3)];
         self.new_call();
         while !self.tape.is_empty() {
@@ -135,17 +132,44 @@
             }
             self.deliver_or_advance();
         }
-        for (index, caller) in self.callers.iter().enumerate() {
-            assert!(
-                caller.machine.is_done(),
-                "call {index} never ended\n{}",
-                self.trace()
-            );
+        let is_done = self.callers.iter().all(|c| c.machine.is_done());
+        self.check(is_done, "a call never ended");
+        if self.violation.is_some() {
+            self.trace();
         }
+        self.counts
     }
 
+    /// The log of the run with short names for attempts and answers; fails on a violation.
     pub(crate) fn trace(&self) -> String {
-        self.log.join("\n")
+        let mut log = self.log.join("\n");
+        if let Some(violation) = &self.violation {
+            panic!("{violation}\n{log}");
+        }
+        for caller in &self.callers {
+            let call = caller.call;
+            for attempt in (0..4).map(|attempt| AttemptId { call, attempt }) {
+                let name = format!("{}.{}", call.sequence, attempt.attempt);
+                let answer = answer_of(attempt, caller.key);
+                log = log
+                    .replace(&format!("{attempt:?}"), &name)
+                    .replace(&attempt.to_string(), &name)
+                    .replace(
+                        &format!("{:?}", answer.as_bytes()),
+                        &format!("answer of {name}"),
+                    );
+            }
+        }
+        for key in 0..2 {
+            log = log.replace(&format!("{:?}", [key; 16]), &key.to_string());
+        }
+        log.replace("NodeId { mesh: 127.0.0.1:", "Node { number: ")
+    }
+
+    fn check(&mut self, is_right: bool, what: &str) {
+        if !is_right {
+            self.violation.get_or_insert(what.to_owned());
+        }
     }
 
     fn choose(&mut self, options: usize) -> usize {
@@ -181,17 +205,23 @@
     fn any_fault(&mut self, fault: usize) {
         match fault {
             23 | 24 => self.lose_connection(),
-            25 => self.restart_owner(),
+            25 => {
+                let owner = self.choose(OWNERS);
+                self.restart_owner(owner);
+            }
             26 => self.crash_upstream(),
-            27 => self.restart_keeper(),
+            27 => {
+                let keeper = self.choose(KEEPERS);
+                self.restart_keeper(keeper);
+            }
             28 => self.copy_claims(),
             29 => {
                 let owner = self.choose(OWNERS);
-                self.owners[owner].drains ^= true;
+                self.toggle_drain(owner);
             }
             30 => {
                 let call = self.choose(self.callers.len());
-                self.event(call, Event::CallerGone);
+                self.caller_gone(call);
             }
             _ => self.pause(),
         }
@@ -200,7 +230,10 @@
     /// Keepers lost one after the other, with copies under way.
     fn keeper_fault(&mut self, fault: usize) {
         match fault {
-            23..=25 => self.restart_keeper(),
+            23..=25 => {
+                let keeper = self.choose(KEEPERS);
+                self.restart_keeper(keeper);
+            }
             26..=29 => self.copy_claims(),
             30 => self.now_us += 2_000_000,
             _ => self.lose_connection(),
@@ -229,11 +262,41 @@
         // Any message may be the next one, early ones are likelier.
         let window = self.net.len().min(1 + self.choose(12));
         let index = self.choose(window);
+        self.deliver_at(index);
+    }
+
+    pub(crate) fn deliver_at(&mut self, index: usize) {
         let message = self.net.remove(index);
         self.now_us += 200;
         self.deliver(message);
     }
 
+    /// Delivers all messages in order; time passes only by their delays.
+    pub(crate) fn deliver_all(&mut self) {
+        while !self.net.is_empty() {
+            self.deliver_at(0);
+        }
+    }
+
+    /// Delivers the messages from `index` on and those that follow from them.
+    pub(crate) fn deliver_from(&mut self, index: usize) {
+        while self.net.len() > index {
+            self.deliver_at(index);
+        }
+    }
+
+    pub(crate) fn drop_message(&mut self, index: usize) {
+        self.net.remove(index);
+    }
+
+    pub(crate) fn drop_all(&mut self) {
+        self.net.clear();
+    }
+
+    pub(crate) fn caller_gone(&mut self, call: usize) {
+        self.event(call, Event::CallerGone);
+    }
+
     fn duplicate(&mut self) {
         if !self.net.is_empty() {
             let index = self.choose(self.net.len());
@@ -244,7 +307,7 @@
         }
     }
 
-    fn advance(&mut self) {
+    pub(crate) fn advance(&mut self) {
         let next = self
             .callers
             .iter()
@@ -300,25 +363,40 @@
             _ => self.choose(8),
         };
         let entry = self.choose(ENTRIES);
-        let deadline_us = self.now_us + [300_000, 1_000_000, 40_000_000][self.choose(3)];
-        let key = (kind >= 3).then_some(if kind == 7 { 1 } else { 0 });
-        let sequence = self.callers.len() as u64;
-        let spec = CallSpec {
-            call: CallId {
-                origin: entry as u64,
-                sequence,
-            },
-            idempotent: kind == 2,
+        let key = (kind >= 3).then_some(u8::from(kind == 7));
+        let rest_us = [300_000, 1_000_000, 40_000_000][self.choose(3)];
+        self.call(entry, kind == 2, key, rest_us);
+    }
+
+    /// Begins a call and returns its number.
+    pub(crate) fn call(
+        &mut self,
+        entry: usize,
+        idempotent: bool,
+        key: Option<u8>,
+        rest_us: u64,
+    ) -> usize {
+        let number = self.callers.len();
+        let call = CallId {
+            origin: entry as u64,
+            sequence: number as u64,
+        };
+        let deadline_us = self.now_us + rest_us;
+        let mut machine = EntryCall::new(CallSpec {
+            call,
+            idempotent,
             keyed: key.is_some(),
             suspected: false,
             deadline_us,
             attempts: 4,
             hedge_after_us: Some(20_000),
-        };
+        });
+        let actions = machine.start(self.now_us);
         self.callers.push(Caller {
-            machine: EntryCall::new(spec),
+            call,
+            machine,
             entry,
-            idempotent: spec.idempotent,
+            idempotent,
             key,
             deadline_us,
             wake_us: u64::MAX,
@@ -327,10 +405,9 @@
             targets: HashMap::new(),
             rounds: Vec::new(),
         });
-        let call = self.callers.len() - 1;
-        self.note(format!("call {call} at entry {entry}, key {key:?}"));
-        let actions = self.callers[call].machine.start(self.now_us);
-        self.perform(call, actions);
+        self.note(format!("call {number} at entry {entry}, key {key:?}"));
+        self.perform(number, actions);
+        number
     }
 
     fn event(&mut self, call: usize, event: Event<usize>) {
@@ -490,26 +567,19 @@
     }
 
     fn told(&mut self, call: usize, told: Result<(AttemptId, Arc<[u8]>), ErrorKind>) {
-        let trace = self.trace();
         let caller = &mut self.callers[call];
-        assert!(caller.told.is_none(), "call {call} ended twice\n{trace}");
-        caller.told = Some(told.clone().map(|t| t.0));
+        let (own, key, executions) = (caller.call, caller.key, caller.executions);
+        let is_first = caller.told.replace(told.clone().map(|t| t.0)).is_none();
+        self.check(is_first, "a call ended twice");
         match told {
             Ok((attempt, answer)) => {
-                assert_eq!(
-                    answer.as_ref(),
-                    format!("{attempt} for {:?}", caller.key).as_bytes(),
-                    "call {call} got another call's answer\n{trace}"
-                );
-                let is_own = attempt.call == call_id(caller.entry, call);
-                self.key_hits += u64::from(!is_own);
+                let is_right = answer.as_ref() == answer_of(attempt, key).as_bytes();
+                self.check(is_right, "a caller got another call's answer");
+                self.counts[3] += u64::from(attempt.call != own);
             }
             Err(kind) if kind.row().outcome == Outcome::NotRun => {
-                assert_eq!(
-                    caller.executions, 0,
-                    "call {call} ran before not-run\n{trace}"
-                );
-                self.not_run += 1;
+                self.check(executions == 0, "a call ran before not-run");
+                self.counts[1] += 1;
             }
             Err(_) => {}
         }
@@ -559,7 +629,7 @@
     fn reply(&mut self, call: usize, event: Event<usize>) {
         let attempt = match &event {
             Event::Fate(a, Fate::Answered(_)) => {
-                self.recovered += 1;
+                self.counts[2] += 1;
                 *a
             }
             Event::Fate(a, _) | Event::HolderFate(a, _) => *a,
@@ -578,7 +648,7 @@
         arrival.deadline_us = now_us + remaining_us;
         let state = &mut self.owners[owner];
         let begin = state.records.begin(now_us, &arrival);
-        self.log.push(format!("owner {owner}: {attempt} {begin:?}"));
+        let noted = format!("owner {owner}: {attempt} {begin:?}");
         let event = match begin {
             Begin::Duplicate(fate) => Event::Fate(attempt, fate),
             Begin::Refused(kind) => Event::Refused(attempt, kind),
@@ -588,10 +658,12 @@
             },
             Begin::Fresh => {
                 state.queue.push_back((attempt, call));
+                self.note(noted);
                 self.start_queued(owner);
                 return;
             }
         };
+        self.note(noted);
         self.net.push(Message::ToEntry(call, event));
     }
 
@@ -613,8 +685,7 @@
         } else {
             state.records.fate(now_us, &ask)
         };
-        self.log
-            .push(format!("owner {owner}: asked for {attempt}: {fate:?}"));
+        self.note(format!("owner {owner}: asked for {attempt}: {fate:?}"));
         let event = if kind == AskKind::Holder {
             Event::HolderFate(attempt, fate)
         } else {
@@ -644,22 +715,21 @@
 
     fn executes(&mut self, owner: usize, call: usize, attempt: AttemptId) {
         self.note(format!("owner {owner}: runs {attempt}"));
-        self.executed += 1;
-        let trace = self.trace();
+        self.counts[0] += 1;
         let caller = &mut self.callers[call];
         caller.executions += 1;
-        if let Some(Err(kind)) = caller.told {
-            let was_not_run = kind.row().outcome == Outcome::NotRun;
-            assert!(!was_not_run, "call {call} ran after {kind:?}\n{trace}");
-        }
+        let told = caller.told;
         let is_once = caller.idempotent || caller.executions == 1;
-        assert!(is_once, "call {call} ran twice\n{trace}");
-        let Some(key) = caller.key else {
-            return;
-        };
-        let same_key = self.callers.iter().filter(|c| c.key == Some(key));
-        let runs: u32 = same_key.map(|c| c.executions).sum();
-        assert_eq!(runs, 1, "key {key} ran twice\n{trace}");
+        let key = caller.key;
+        let was_not_run = matches!(told, Some(Err(kind)) if kind.row().outcome == Outcome::NotRun);
+        let same_key = self
+            .callers
+            .iter()
+            .filter(|c| key.is_some() && c.key == key);
+        let key_runs: u32 = same_key.map(|c| c.executions).sum();
+        self.check(!was_not_run, "a call ran after not-run");
+        self.check(is_once, "a call ran twice");
+        self.check(key_runs <= 1, "a key ran twice");
     }
 
     fn finish_one(&mut self) {
@@ -671,9 +741,14 @@
         }
         let owner = busy[self.choose(busy.len())];
         let index = self.choose(self.owners[owner].running.len());
+        self.finish(owner, index);
+    }
+
+    pub(crate) fn finish(&mut self, owner: usize, index: usize) {
         let (attempt, call) = self.owners[owner].running.remove(index);
-        let text = format!("{attempt} for {:?}", self.callers[call].key);
-        let answer: Arc<[u8]> = Arc::from(text.as_bytes());
+        let answer: Arc<[u8]> = answer_of(attempt, self.callers[call].key)
+            .into_bytes()
+            .into();
         self.now_us += 1_000;
         let now_us = owner_clock(self.now_us, owner);
         let records = &mut self.owners[owner].records;
@@ -685,6 +760,15 @@
 
     // Faults.
 
+    pub(crate) fn toggle_drain(&mut self, owner: usize) {
+        self.owners[owner].drains ^= true;
+    }
+
+    pub(crate) fn wait(&mut self, time_us: u64) {
+        self.now_us += time_us;
+        self.tick();
+    }
+
     /// Ends the requests of one entry to one owner; their messages may still arrive.
     fn lose_connection(&mut self) {
         let entry = self.choose(ENTRIES);
@@ -692,7 +776,7 @@
         self.lose(entry, owner);
     }
 
-    fn lose(&mut self, entry: usize, owner: usize) {
+    pub(crate) fn lose(&mut self, entry: usize, owner: usize) {
         self.note(format!(
             "entry {entry} loses its connection to owner {owner}"
         ));
@@ -713,8 +797,7 @@
         }
     }
 
-    fn restart_owner(&mut self) {
-        let owner = self.choose(OWNERS);
+    pub(crate) fn restart_owner(&mut self, owner: usize) {
         self.note(format!("owner {owner} restarts"));
         self.owners[owner] = new_owner(self.owners[owner].incarnation + 1);
         for entry in 0..ENTRIES {
@@ -735,15 +818,14 @@
         self.start_queued(owner);
     }
 
-    fn restart_keeper(&mut self) {
-        let keeper = self.choose(KEEPERS);
+    pub(crate) fn restart_keeper(&mut self, keeper: usize) {
         self.note(format!("keeper {keeper} restarts"));
         let now_us = keeper_clock(self.now_us, keeper);
         self.keepers[keeper] = ClaimTable::new(now_us, claims(), ClaimStart::Restarted);
     }
 
     /// A warming keeper asks the others for copies as soon as it may.
-    fn copy_claims(&mut self) {
+    pub(crate) fn copy_claims(&mut self) {
         for to in 0..KEEPERS {
             let now_us = keeper_clock(self.now_us, to);
             let Some(from_us) = self.keepers[to].copy_from_us() else {
@@ -759,11 +841,9 @@
     }
 }
 
-fn call_id(entry: usize, call: usize) -> CallId {
-    CallId {
-        origin: entry as u64,
-        sequence: call as u64,
-    }
+/// The answer names its attempt and key, so that a foreign answer is noticed.
+fn answer_of(attempt: AttemptId, key: Option<u8>) -> String {
+    format!("{attempt} for {key:?}")
 }
 
 fn new_owner(incarnation: u64) -> Owner {
