--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -7,9 +7,10 @@
 };
 
 impl Replica {
-    /// Whether this identity may ask for votes.
+    /// Whether this identity may ask for votes. A disk that has not saved the last term can't
+    /// save another one either.
     fn may_campaign(&self) -> bool {
-        self.is_voter() && !self.storage_full
+        self.is_voter() && !self.storage_full && self.hard_state_is_saved()
     }
 
     /// Whether this identity may vote: an empty disk remembers nothing that a vote could rest on.
@@ -115,7 +116,8 @@
             && for_term > self.hard.term
             && position >= self.last_position()
             && !self.hears_leader(now_us);
-        self.send_saved(from, Body::PreVoteReply { for_term, granted });
+        let term = self.hard.term;
+        self.send(from, term, Body::PreVoteReply { for_term, granted });
     }
 
     pub(crate) fn on_pre_vote_reply(
--- a/components/consensus/src/progress.rs
+++ b/components/consensus/src/progress.rs
@@ -5,6 +5,9 @@
 /// Most append messages in flight to one replica.
 const MAX_IN_FLIGHT_MESSAGES: usize = 8;
 
+/// A snapshot has this many times the resend time, because it is far larger than a batch.
+const SNAPSHOT_RESEND_FACTOR: u64 = 10;
+
 /// Replication state of one replica.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -101,6 +104,8 @@
     /// Sends again from the match point if nothing was acknowledged for `timeout_us`.
     pub(crate) fn resend_after(&mut self, now_us: u64, timeout_us: u64) {
         let waits = !self.in_flight.is_empty() || self.snapshot.is_some();
+        let factor = self.snapshot.map_or(1, |_| SNAPSHOT_RESEND_FACTOR);
+        let timeout_us = timeout_us * factor;
         if waits && now_us.saturating_sub(self.moved_us) >= timeout_us {
             self.next = self.matched + 1;
             self.probing = true;
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -16,6 +16,9 @@
     sync::Arc,
 };
 
+/// Most messages that wait for the hard state to be on disk; the oldest are dropped as if lost.
+const MAX_HELD_MESSAGES: usize = 256;
+
 /// Limits and times of a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaConfig {
@@ -523,6 +526,9 @@
         if self.hard_state_is_saved() {
             self.out.push(output);
         } else {
+            if self.held.len() >= MAX_HELD_MESSAGES {
+                self.held.pop_front();
+            }
             self.held.push_back((self.hard_sequence, output));
         }
     }
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    pub fn last_index(&self) -> u64 {
+        let snapshot_index = self.snapshot.as_ref().map_or(0, |s| s.index);
+        self.entries.last().map_or(snapshot_index, |e| e.index)
+    }
+
     fn recover(&self) -> Recovered {
         Recovered {
             disk: self.disk,
@@ -64,7 +69,8 @@
     pub disk_is_stuck: bool,
     /// Local clock in percent of the true speed.
     pub clock_percent: u64,
-    pub clock_offset_us: u64,
+    /// True and local time of the last change of speed.
+    pub clock_base_us: (u64, u64),
 }
 
 #[derive(Debug)]
@@ -81,6 +87,8 @@
     pub loss_percent: u32,
     pub duplicate_percent: u32,
     pub max_delay_us: u64,
+    /// Chance that a disk stops before its next queued write in one step.
+    pub disk_lag_percent: u32,
 }
 
 #[derive(Debug)]
@@ -93,6 +101,7 @@
     pub events: Vec<String>,
     pub answers: BTreeMap<u64, Reply>,
     pub reads: BTreeMap<u64, Result<u64, Reply>>,
+    read_floors: BTreeMap<u64, Revision>,
     pub messages: u64,
     pub tune: fn(&mut ReplicaConfig),
     flights: Vec<Flight>,
@@ -128,6 +137,7 @@
             events: Vec::new(),
             answers: BTreeMap::new(),
             reads: BTreeMap::new(),
+            read_floors: BTreeMap::new(),
             messages: 0,
             tune,
             flights: Vec::new(),
@@ -150,7 +160,7 @@
                 queued: VecDeque::new(),
                 disk_is_stuck: false,
                 clock_percent: 100,
-                clock_offset_us: 0,
+                clock_base_us: (0, 0),
             };
             cluster.hosts.insert(number, host);
             cluster.new_disk(number);
@@ -193,7 +203,8 @@
 
     fn local_us(&self, number: ReplicaNumber) -> u64 {
         let host = &self.hosts[&number];
-        self.now_us * host.clock_percent / 100 + host.clock_offset_us
+        let (base_us, local_base_us) = host.clock_base_us;
+        local_base_us + (self.now_us - base_us) * host.clock_percent / 100
     }
 
     pub fn start(&mut self, number: ReplicaNumber) {
@@ -259,6 +270,11 @@
         self.note(format!("replica {number} is cut off"));
     }
 
+    /// Loses every message that is under way.
+    pub fn lose_messages(&mut self) {
+        self.flights.clear();
+    }
+
     pub fn heal(&mut self) {
         self.blocked.clear();
         self.note("the network is whole");
@@ -285,6 +301,10 @@
                 Output::Apply { index } => self.check_applied(number, index),
                 Output::Answer { token, reply } => self.on_answer(number, token, reply),
                 Output::ReadReady { token, result } => {
+                    if result.is_ok() {
+                        let read = self.replica(number).registry().revision();
+                        assert!(read >= self.read_floors[&token], "an outdated read");
+                    }
                     self.reads.insert(token, result);
                 }
                 Output::RoleChanged { role, term, leader } => {
@@ -314,6 +334,7 @@
 
     fn launch(&mut self, from: ReplicaNumber, to: ReplicaNumber, message: &Message) {
         self.messages += 1;
+        self.check_promise(from, message);
         let faults = self.faults;
         if self.rng.random_range(0..100) < faults.loss_percent {
             return;
@@ -358,7 +379,10 @@
             return;
         }
         let mut upto = None;
-        while let Some((sequence, write)) = host.queued.pop_front() {
+        let lag_percent = self.faults.disk_lag_percent;
+        while self.rng.random_range(0..100) >= lag_percent
+            && let Some((sequence, write)) = host.queued.pop_front()
+        {
             host.image.write(&write);
             upto = Some(sequence);
         }
@@ -449,6 +473,7 @@
             if let Some(reply @ Reply::Applied(_)) = self.answers.get(&token) {
                 return reply.clone();
             }
+            self.run(100_000);
         }
         panic!("change {token} was never applied\n{}", self.report());
     }
@@ -460,8 +485,75 @@
         }
     }
 
+    /// Asks for a read; its result must show every change accepted before.
+    pub fn read(&mut self, to: ReplicaNumber, token: u64) {
+        let newest = self.accepted.values().max().copied().unwrap_or_default();
+        self.read_floors.insert(token, newest);
+        self.input(to, Input::ReadIndex { token });
+    }
+
+    /// Changes the speed of a local clock without a jump.
+    pub fn set_clock(&mut self, number: ReplicaNumber, percent: u64) {
+        let local_us = self.local_us(number);
+        let now_us = self.now_us;
+        let host = self.hosts.get_mut(&number).unwrap();
+        host.clock_percent = percent;
+        host.clock_base_us = (now_us, local_us);
+    }
+
+    /// Ends all faults.
+    pub fn recover_all(&mut self) {
+        self.heal();
+        self.faults = Faults {
+            max_delay_us: STEP_US,
+            ..Faults::default()
+        };
+        for number in self.numbers() {
+            self.hosts.get_mut(&number).unwrap().disk_is_stuck = false;
+            if self.hosts[&number].replica.is_none() {
+                self.restart(number);
+            }
+            self.input(number, Input::StorageFull(false));
+        }
+    }
+
     // Rules
 
+    /// A vote, acceptance or acknowledgement must rest on what is on the disk.
+    fn check_promise(&self, from: ReplicaNumber, message: &Message) {
+        let image = &self.hosts[&from].image;
+        let on_disk = match &message.body {
+            Body::AppendAccepted { matched, .. } => image.last_index() >= *matched,
+            Body::VoteReply { granted: true } => {
+                let saved = &image.hard_state;
+                let voted_for = saved.voted_for.map(|id| id.disk);
+                saved.term > message.term
+                    || (saved.term == message.term && voted_for == message.to_disk)
+            }
+            Body::FormAccepted { ballot } => {
+                let formation = image.hard_state.formation.as_ref();
+                formation.is_some_and(|formation| formation.ballot >= *ballot)
+            }
+            _ => true,
+        };
+        assert!(on_disk, "a promise before fsync: {message:?}");
+    }
+
+    /// A committed entry must be on the disks of a quorum; lost disks had it once.
+    fn check_quorum(&self, replica: &Replica) {
+        let membership = replica.membership();
+        let index = replica.commit_index();
+        let holds = |id: &&ReplicaId| {
+            let image = &self.hosts[&id.number].image;
+            image.disk != id.disk || image.last_index() >= index
+        };
+        let holders = membership.voters.iter().filter(holds).count();
+        assert!(
+            holders >= membership.quorum(),
+            "committed on {holders} disks only"
+        );
+    }
+
     fn check(&mut self, number: ReplicaNumber) {
         let Some(replica) = self.hosts[&number].replica.as_ref() else {
             return;
@@ -472,6 +564,7 @@
             assert_eq!(first, id, "two leaders in term {}", replica.term());
         }
         if replica.commit_index() > self.committed {
+            self.check_quorum(replica);
             self.committed = replica.commit_index();
             let membership = replica.committed_membership().clone();
             if membership != self.committed_membership {
@@ -596,11 +689,3 @@
         Reply::Applied(Applied::Accepted { .. }) => false,
     }
 }
-
-/// Whether a message carries a promise that must be on disk first.
-pub fn is_promise(message: &Message) -> bool {
-    matches!(
-        message.body,
-        Body::VoteReply { granted: true } | Body::AppendAccepted { .. } | Body::FormAccepted { .. }
-    )
-}
--- /dev/null
+++ b/components/consensus/tests/commit_rules.rs
@@ -0,0 +1,165 @@
+//! Guards against single rules that a random schedule breaks too rarely: commits of earlier terms,
+//! void entries behind an installed snapshot, and limits on what waits.
+
+mod cluster;
+
+use cluster::{Cluster, add};
+use consensus::{
+    Body, Entry, HardState, Input, Membership, Message, Output, Payload, Recovered, Replica,
+    ReplicaConfig, ReplicaId, Role, Snapshot, Write,
+};
+use std::sync::Arc;
+
+fn id(number: u16) -> ReplicaId {
+    ReplicaId {
+        number,
+        disk: u64::from(number),
+    }
+}
+
+fn voters() -> Membership {
+    Membership {
+        voters: [id(1), id(2), id(3)].into(),
+    }
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    let payload = match index {
+        1 => Payload::Membership(voters()),
+        _ => Payload::Empty,
+    };
+    Entry {
+        index,
+        term,
+        payload,
+    }
+}
+
+fn replica(term: u64, entries: Vec<Entry>) -> Replica {
+    let recovered = Recovered {
+        disk: 1,
+        hard_state: HardState {
+            term,
+            formed: true,
+            ..HardState::default()
+        },
+        snapshot: None,
+        entries,
+    };
+    Replica::new(0, ReplicaConfig::new(1, 1..=3), recovered, 1)
+}
+
+fn message(from: u16, term: u64, body: Body) -> Input {
+    Input::Message(Message {
+        from: id(from),
+        to_disk: Some(1),
+        term,
+        body,
+    })
+}
+
+/// Feeds an input and confirms every write.
+fn feed(replica: &mut Replica, now_us: u64, input: Input) -> Vec<Output> {
+    let mut outputs = replica.on_event(now_us, input);
+    let sequence = |output: &Output| match output {
+        Output::Persist { sequence, .. } => Some(*sequence),
+        _ => None,
+    };
+    let mut next = outputs.iter().filter_map(sequence).max();
+    while let Some(upto) = next {
+        let more = replica.on_event(now_us, Input::Persisted { upto });
+        next = more.iter().filter_map(sequence).max();
+        outputs.extend(more);
+    }
+    outputs
+}
+
+/// An entry of an earlier term on a majority can still be replaced, so counting it is wrong.
+#[test]
+fn earlier_term_not_counted() {
+    let mut leader = replica(2, vec![entry(1, 1), entry(2, 1)]);
+    let now_us = 2_000_000;
+    feed(&mut leader, now_us, Input::Tick);
+    let granted = Body::PreVoteReply {
+        for_term: 3,
+        granted: true,
+    };
+    feed(&mut leader, now_us, message(2, 2, granted));
+    feed(
+        &mut leader,
+        now_us,
+        message(2, 3, Body::VoteReply { granted: true }),
+    );
+    assert_eq!((leader.role(), leader.term()), (Role::Leader, 3));
+    for (matched, commit) in [(2, 0), (3, 3)] {
+        let accepted = Body::AppendAccepted { matched, round: 0 };
+        feed(&mut leader, now_us, message(2, 3, accepted));
+        assert_eq!(leader.commit_index(), commit);
+    }
+}
+
+/// Entries behind a snapshot that replaces a differing log must not come back after a restart.
+#[test]
+fn install_voids_log() {
+    let install = |entries: Vec<Entry>| {
+        let mut follower = replica(1, entries);
+        let snapshot = Arc::new(Snapshot {
+            index: 3,
+            term: 2,
+            membership: voters(),
+            ..Snapshot::default()
+        });
+        let body = Body::Install { snapshot, round: 1 };
+        let outputs = follower.on_event(1, message(2, 2, body));
+        let acknowledged = |o: &Output| {
+            matches!(o, Output::Send { message, .. }
+                if matches!(message.body, Body::AppendAccepted { .. }))
+        };
+        assert!(
+            !outputs.iter().any(acknowledged),
+            "acknowledged before fsync"
+        );
+        outputs.into_iter().find_map(|output| match output {
+            Output::Persist {
+                write: Write::SaveSnapshot { discard_log, .. },
+                ..
+            } => Some(discard_log),
+            _ => None,
+        })
+    };
+    let differing = vec![entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)];
+    assert_eq!(install(differing), Some(true));
+    let equal = vec![entry(1, 1), entry(2, 1), entry(3, 2), entry(4, 2)];
+    assert_eq!(install(equal), Some(false));
+}
+
+/// Guards against memory that grows without bound while no quorum answers.
+#[test]
+fn bounded_proposals() {
+    let mut group = Cluster::tuned(3, 41, |config| config.max_uncommitted = 10);
+    let leader = group.elect();
+    group.isolate(leader);
+    for token in 0..30 {
+        group.propose(leader, token, add(token, "browse"));
+    }
+    let busy = |r: &&consensus::Reply| cluster::is_refused_as(r, errors::ErrorKind::Busy);
+    assert_eq!(group.answers.values().filter(busy).count(), 20);
+}
+
+/// Guards against flooding a replica that does not acknowledge.
+#[test]
+fn bounded_in_flight() {
+    let mut group = Cluster::tuned(3, 42, |config| {
+        config.max_batch_bytes = 1_000;
+        config.max_in_flight_bytes = 4_000;
+        config.max_uncommitted = 10_000;
+    });
+    let leader = group.elect();
+    group.isolate(leader);
+    let before = group.messages;
+    for token in 0..5_000 {
+        group.propose(leader, token, add(token, "browse"));
+    }
+    // Two followers, at most eight messages in flight each.
+    assert!(group.messages - before <= 16, "{}", group.messages - before);
+}
