--- a/components/store/src/store.rs
+++ b/components/store/src/store.rs
@@ -62,6 +62,9 @@
 
 impl Store {
     /// Opens a data directory, making it if it is absent.
+    ///
+    /// Opening writes the last segment again, so it fails with `Full` while there is no space;
+    /// the caller tries again later.
     pub fn open(path: impl AsRef<Path>) -> Result<(Store, Recovered), StoreError> {
         let path = path.as_ref();
         let directory = DataDirectory::open(path).map_err(|source| match source.kind() {
--- /dev/null
+++ b/components/store/tests/damaged_files.rs
@@ -0,0 +1,145 @@
+//! Guards against damage that goes unnoticed: a replica that forgets a confirmed entry or vote
+//! could help to undo an accepted change.
+
+use consensus::{Entry, HardState, Payload, Recovered, Snapshot};
+use errors::ErrorKind;
+use std::{fs, path::Path, sync::Arc};
+use store::{Store, StoreError};
+
+const LOG: &str = "log-0000000000000001";
+
+fn entry(index: u64) -> Entry {
+    Entry {
+        index,
+        term: 3,
+        payload: Payload::Empty,
+    }
+}
+
+/// A directory with a state, a snapshot at index 2 and entries up to 6.
+fn fill(path: &Path) {
+    let (mut store, _) = Store::open(path).unwrap();
+    let hard_state = HardState {
+        term: 3,
+        ..HardState::default()
+    };
+    store.save_hard_state(&hard_state).unwrap();
+    for index in 1..=6 {
+        store.append(&[entry(index)]).unwrap();
+    }
+    let snapshot = Snapshot {
+        index: 2,
+        term: 3,
+        ..Snapshot::default()
+    };
+    store.save_snapshot(&Arc::new(snapshot), false).unwrap();
+}
+
+fn open_with(path: &Path, name: &str, bytes: &[u8]) -> Result<Recovered, StoreError> {
+    fs::write(path.join(name), bytes).unwrap();
+    Store::open(path).map(|(_, recovered)| recovered)
+}
+
+fn assert_damaged(result: Result<Recovered, StoreError>, path: &Path, name: &str, at: usize) {
+    let error = result.expect_err("opened a damaged file");
+    assert_eq!(error.kind(), ErrorKind::StorageDamaged);
+    let text = error.to_string();
+    let file = path.join(name).display().to_string();
+    assert!(
+        text.contains(&file) && text.contains("at offset"),
+        "byte {at}: {text}"
+    );
+    assert!(
+        text.contains("move the data directory"),
+        "byte {at}: {text}"
+    );
+}
+
+#[test]
+fn flipped_bytes() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    fill(path);
+    for name in ["state", "snapshot", LOG] {
+        let whole = fs::read(path.join(name)).unwrap();
+        for at in 0..whole.len() {
+            for mask in [0x01, 0x80, 0xff] {
+                let mut bytes = whole.clone();
+                bytes[at] ^= mask;
+                assert_damaged(open_with(path, name, &bytes), path, name, at);
+            }
+        }
+        fs::write(path.join(name), &whole).unwrap();
+    }
+    assert!(Store::open(path).is_ok());
+}
+
+#[test]
+fn torn_tail() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    fill(path);
+    let whole = fs::read(path.join(LOG)).unwrap();
+    let mut longest = 0;
+    for length in 0..=whole.len() {
+        let recovered = open_with(path, LOG, &whole[..length]).expect("a torn tail is cut off");
+        let count = recovered.entries.len();
+        assert!(count >= longest, "{length} bytes give {count} entries");
+        longest = count;
+        let indexes: Vec<u64> = recovered.entries.iter().map(|e| e.index).collect();
+        assert_eq!(indexes, (3..3 + count as u64).collect::<Vec<_>>());
+    }
+    assert_eq!(longest, 4);
+}
+
+/// After a power loss a file can be longer than what was written, with zeros at the end.
+#[test]
+fn unwritten_sectors() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    fill(path);
+    let whole = fs::read(path.join(LOG)).unwrap();
+    for cut in [whole.len(), whole.len() - 5] {
+        let mut bytes = whole[..cut].to_vec();
+        bytes.resize(4_096, 0);
+        let recovered = open_with(path, LOG, &bytes).expect("zeros at the end are cut off");
+        assert!(recovered.entries.len() >= 3);
+    }
+}
+
+#[test]
+fn truncated_state_and_snapshot() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    fill(path);
+    for name in ["state", "snapshot"] {
+        let whole = fs::read(path.join(name)).unwrap();
+        for length in 0..whole.len() {
+            assert_damaged(open_with(path, name, &whole[..length]), path, name, length);
+        }
+        fs::write(path.join(name), &whole).unwrap();
+    }
+}
+
+/// Only the last segment can be torn by a crash, and none can be absent.
+#[test]
+fn earlier_segments() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    fill(path);
+    let whole = fs::read(path.join(LOG)).unwrap();
+    let second = "log-0000000000000002";
+    fs::write(path.join(second), &whole[..8]).unwrap();
+    for length in 0..whole.len() - 1 {
+        let result = open_with(path, LOG, &whole[..length]);
+        match result {
+            Err(_) => assert_damaged(result, path, LOG, length),
+            // The cut is at the end of a record; the next segment then must not leave a gap.
+            Ok(recovered) => assert!(recovered.entries.len() < 4),
+        }
+    }
+    fs::write(path.join(LOG), &whole).unwrap();
+    fs::rename(path.join(second), path.join("log-0000000000000003")).unwrap();
+    let result = Store::open(path).map(|(_, recovered)| recovered);
+    assert_damaged(result, path, "log-0000000000000003", 0);
+}
