Add client calls by callback to http

Change: AsyncPool::start writes the request on the calling thread without blocking; the thread of the connection reads the response and runs the callback. Deadlines are kept by one alarm thread per pool. Interfaces are only added; Pool is unchanged.

The effect on a call through two nodes is not measured: the node doesn't use it yet.

Conclusion: the owner can drop its worker threads.

--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 messages, the caller-facing server loop and the pooled client.
 
+mod alarm;
+mod async_pool;
 mod body;
 mod cancel;
 mod converse;
@@ -11,6 +13,7 @@
 mod watch;
 mod wire;
 
+pub use async_pool::AsyncPool;
 pub use body::{BodyDecoder, Framing};
 pub use cancel::CancelToken;
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request_head, parse_response_head};
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -16,6 +16,8 @@
     time::{Duration, Instant},
 };
 
+/// Read timeout of connections whose deadline is kept elsewhere.
+pub(crate) const LONG_WAIT: Duration = Duration::from_secs(3_600);
 /// Longest time that sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -211,10 +213,14 @@
         }
         state.open += 1;
         drop(state);
-        match self.connect(deadline) {
-            Ok(link) => {
+        match connect(&self.config, deadline) {
+            Ok(stream) => {
                 self.state().opened += 1;
-                place.link = Some(link);
+                place.link = Some(Link {
+                    stream: Arc::new(stream),
+                    inbox: Inbox::default(),
+                    idle_since: Instant::now(),
+                });
                 Ok(false)
             }
             Err(_) => {
@@ -225,24 +231,6 @@
         }
     }
 
-    fn connect(&self, deadline: Instant) -> io::Result<Link> {
-        let wait = deadline
-            .saturating_duration_since(Instant::now())
-            .min(Duration::from_millis(self.config.connect_timeout_ms));
-        if wait.is_zero() {
-            return Err(io::ErrorKind::TimedOut.into());
-        }
-        let stream = TcpStream::connect_timeout(&self.config.address, wait)?;
-        stream.set_nodelay(true)?;
-        #[cfg(target_os = "linux")]
-        SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        Ok(Link {
-            stream: Arc::new(stream),
-            inbox: Inbox::default(),
-            idle_since: Instant::now(),
-        })
-    }
-
     /// The list is ordered by time of release, so the expired connections are at its start.
     fn drop_expired(&self, state: &mut State) {
         let limit = Duration::from_millis(self.config.idle_timeout_ms);
@@ -289,6 +277,21 @@
     }
 }
 
+/// Opens a connection within the connect timeout and the deadline.
+pub(crate) fn connect(config: &PoolConfig, deadline: Instant) -> io::Result<TcpStream> {
+    let wait = deadline
+        .saturating_duration_since(Instant::now())
+        .min(Duration::from_millis(config.connect_timeout_ms));
+    if wait.is_zero() {
+        return Err(io::ErrorKind::TimedOut.into());
+    }
+    let stream = TcpStream::connect_timeout(&config.address, wait)?;
+    stream.set_nodelay(true)?;
+    #[cfg(target_os = "linux")]
+    SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    Ok(stream)
+}
+
 /// Writes the request and reads its response; the flag tells whether the connection is reusable.
 fn exchange(
     config: &PoolConfig,
@@ -297,10 +300,27 @@
     to_head: bool,
     deadline: Instant,
 ) -> Result<(Response, bool), CallError> {
-    send(&link.stream, out, deadline)?;
+    send(&link.stream, out, 0, deadline)?;
+    receive(
+        config,
+        &link.stream,
+        &mut link.inbox,
+        to_head,
+        Some(deadline),
+    )
+}
+
+/// Reads one response; without a deadline until the connection ends.
+pub(crate) fn receive(
+    config: &PoolConfig,
+    stream: &TcpStream,
+    inbox: &mut Inbox,
+    to_head: bool,
+    deadline: Option<Instant>,
+) -> Result<(Response, bool), CallError> {
     let mut started = false;
     let head = loop {
-        let head = read_head(config, link, to_head, deadline, &mut started)?;
+        let head = read_head(config, stream, inbox, to_head, deadline, &mut started)?;
         if !matches!(head.status, 100..=199) {
             break head;
         }
@@ -310,14 +330,14 @@
     }
     let mut decoder = BodyDecoder::new(head.framing, config.max_body_bytes);
     loop {
-        let used = decoder.push(link.inbox.unread())?;
-        link.inbox.consume(used);
+        let used = decoder.push(inbox.unread())?;
+        inbox.consume(used);
         if decoder.is_complete() {
             break;
         }
-        fill(link, deadline, CallError::Truncated)?;
+        fill(stream, inbox, deadline, CallError::Truncated)?;
     }
-    let reusable = head.keep_alive && link.inbox.unread().is_empty();
+    let reusable = head.keep_alive && inbox.unread().is_empty();
     let response = Response {
         status: head.status,
         reason: head.reason,
@@ -327,8 +347,13 @@
     Ok((response, reusable))
 }
 
-fn send(stream: &TcpStream, out: &[u8], deadline: Instant) -> Result<(), CallError> {
-    let mut written = 0;
+/// Writes the bytes from `written` on.
+pub(crate) fn send(
+    stream: &TcpStream,
+    out: &[u8],
+    mut written: usize,
+    deadline: Instant,
+) -> Result<(), CallError> {
     while written < out.len() {
         let wait = deadline.saturating_duration_since(Instant::now());
         let unsent = |late| {
@@ -357,17 +382,18 @@
 
 fn read_head(
     config: &PoolConfig,
-    link: &mut Link,
+    stream: &TcpStream,
+    inbox: &mut Inbox,
     to_head: bool,
-    deadline: Instant,
+    deadline: Option<Instant>,
     started: &mut bool,
 ) -> Result<ResponseHead, CallError> {
     loop {
         let limits = (config.max_head_bytes, config.max_body_bytes);
-        let unread = link.inbox.unread();
+        let unread = inbox.unread();
         *started |= !unread.is_empty();
         if let Some(head) = parse_response_head(unread, to_head, limits.0, limits.1)? {
-            link.inbox.consume(head.length);
+            inbox.consume(head.length);
             return Ok(head);
         }
         let at_end = if *started {
@@ -375,15 +401,27 @@
         } else {
             CallError::Lost
         };
-        fill(link, deadline, at_end)?;
+        fill(stream, inbox, deadline, at_end)?;
     }
 }
 
-fn fill(link: &mut Link, deadline: Instant, at_end: CallError) -> Result<(), CallError> {
-    match link.inbox.fill_until(&link.stream, deadline) {
-        Ok(0) => Err(at_end),
-        Ok(_) => Ok(()),
-        Err(error) if is_timeout(&error) => Err(CallError::TimedOut),
-        Err(_) => Err(at_end),
+fn fill(
+    stream: &TcpStream,
+    inbox: &mut Inbox,
+    deadline: Option<Instant>,
+    at_end: CallError,
+) -> Result<(), CallError> {
+    loop {
+        let read = match deadline {
+            Some(deadline) => inbox.fill_until(stream, deadline),
+            None => inbox.fill(stream, LONG_WAIT),
+        };
+        match read {
+            Ok(0) => return Err(at_end),
+            Ok(_) => return Ok(()),
+            Err(error) if is_timeout(&error) && deadline.is_none() => {}
+            Err(error) if is_timeout(&error) => return Err(CallError::TimedOut),
+            Err(_) => return Err(at_end),
+        }
     }
 }
--- a/components/http/src/watch.rs
+++ b/components/http/src/watch.rs
@@ -30,6 +30,17 @@
     }
 }
 
+/// One write without blocking; 0 if the socket has no space.
+pub(crate) fn send_now(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    loop {
+        match SockRef::from(stream).send_with_flags(bytes, MSG_DONTWAIT) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(0),
+            other => return other,
+        }
+    }
+}
+
 /// Tells a handler whether its caller is still connected.
 #[derive(Debug)]
 pub struct CallerWatch<'a> {
