--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 messages, the caller-facing server loop and the pooled client.
 
+mod alarm;
+mod async_pool;
 mod body;
 mod cancel;
 mod converse;
@@ -12,6 +14,7 @@
 mod watch;
 mod wire;
 
+pub use async_pool::AsyncPool;
 pub use body::{BodyDecoder, Framing};
 pub use cancel::CancelToken;
 pub use early::EarlyReply;
