Run calls at the instance by callback, without worker threads

Cause: the owner's reader thread woke a worker only to write the request, one of the thread wake-ups that two nodes add to a call. Change: the thread that admits a call writes it to the instance over http::AsyncPool; the thread that reads the response sends the reply, then starts the next call. Started calls go through a queue, so that a run of immediate failures can't recurse.

--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -8,8 +8,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError, unbounded};
 use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
 use mesh::{Channel, Inbound};
-use run::run_job;
-use state::{Job, Owner};
+use state::Owner;
 use std::{
     sync::Arc,
     thread::{Builder, JoinHandle},
@@ -19,8 +18,8 @@
 
 /// Longest sleep of the timer thread while nothing waits.
 const IDLE_TIMER: Duration = Duration::from_millis(200);
-/// Stack of a worker thread; a call needs little.
-const WORKER_STACK_BYTES: usize = 256 << 10;
+/// Stack of the timer thread.
+const TIMER_STACK_BYTES: usize = 256 << 10;
 /// How often a drain looks whether calls are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 
@@ -30,9 +29,8 @@
 
 fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
     let context = NodeContext::of(kernel);
-    let (job_sender, jobs) = unbounded();
     let (wake_sender, wake) = unbounded();
-    let owner = Arc::new(Owner::new(&context, job_sender, wake_sender));
+    let owner = Arc::new(Owner::new(&context, wake_sender));
 
     kernel.mesh.on(Channel::Call, {
         let owner = Arc::clone(&owner);
@@ -43,13 +41,9 @@
         move |inbound: Inbound| answer_probe(&owner, &context, &inbound)
     });
     kernel.events.subscribe({
-        let (owner, jobs) = (Arc::clone(&owner), jobs.clone());
+        let owner = Arc::clone(&owner);
         move |event| match event {
-            Event::LocalUpstream(upstream) => {
-                owner.follow(upstream.as_ref());
-                let wanted = upstream.as_ref().map_or(0, |u| u.slots);
-                owner.add_workers(wanted, || spawn_worker(&owner, &jobs));
-            }
+            Event::LocalUpstream(upstream) => owner.follow(upstream.as_ref()),
             Event::Stopping => owner.refuse_new_calls(),
             _ => (),
         }
@@ -87,24 +81,11 @@
     }
 }
 
-fn spawn_worker(owner: &Arc<Owner>, jobs: &Receiver<Job>) -> std::io::Result<()> {
-    let (owner, jobs) = (Arc::clone(owner), jobs.clone());
-    Builder::new()
-        .name("owner-worker".into())
-        .stack_size(WORKER_STACK_BYTES)
-        .spawn(move || {
-            while let Ok(job) = jobs.recv() {
-                run_job(&owner, job);
-            }
-        })?;
-    Ok(())
-}
-
 fn spawn_timer(owner: &Arc<Owner>, wake: Receiver<()>) -> std::io::Result<JoinHandle<()>> {
     let owner = Arc::clone(owner);
     Builder::new()
         .name("owner-timer".into())
-        .stack_size(WORKER_STACK_BYTES)
+        .stack_size(TIMER_STACK_BYTES)
         .spawn(move || {
             loop {
                 let pause = owner.expire().unwrap_or(IDLE_TIMER).min(IDLE_TIMER);
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -1,15 +1,17 @@
-//! Runs one admitted call at the instance.
+//! Runs one admitted call at the instance. Nothing here blocks: the thread that admits a call
+//! writes it to the instance, and the thread that reads the response sends the reply.
 
 use super::state::{Job, Owner};
 use errors::ErrorKind;
 use http::{CallError, Headers, Request, Response};
+use std::sync::Arc;
 use wire::{RunCall, RunResult, WireMessage, encode};
 
 /// Lowest status that counts as a failure of the upstream.
 const FIRST_FAILURE_STATUS: u16 = 500;
 
 /// Sends the call to the instance and hands its result to the owner.
-pub(crate) fn run_job(owner: &Owner, job: Job) {
+pub(crate) fn run_job(owner: &Arc<Owner>, job: Job) {
     let started_us = owner.now_us();
     if started_us >= job.deadline_us {
         owner.finish(job, RunResult::Refused(ErrorKind::DeadlineExpired), None);
@@ -21,7 +23,14 @@
     }
     let request = upstream_request(&job, started_us);
     let deadline = owner.context.kernel.clock.instant(job.deadline_us);
-    let outcome = job.pool.call(&request, deadline, &job.cancel);
+    let (pool, cancel) = (Arc::clone(&job.pool), job.cancel.clone());
+    let owner = Arc::clone(owner);
+    pool.start(&request, deadline, &cancel, move |outcome| {
+        end_job(&owner, job, started_us, outcome);
+    });
+}
+
+fn end_job(owner: &Arc<Owner>, job: Job, started_us: u64, outcome: Result<Response, CallError>) {
     let service_us = owner.now_us() - started_us;
     log::trace!(
         "owner: call {} waited {} us and ran {service_us} us.",
@@ -34,7 +43,7 @@
     }
 }
 
-fn finish_answer(owner: &Owner, job: Job, mut response: Response, service_us: u64) {
+fn finish_answer(owner: &Arc<Owner>, job: Job, mut response: Response, service_us: u64) {
     http::strip_hop_by_hop(&mut response.headers);
     owner.note_answered(&job.call.fingerprint);
     // A fast failure must not look like a fast upstream.
@@ -57,7 +66,7 @@
     owner.finish(job, result, Some(counted_us));
 }
 
-fn finish_error(owner: &Owner, job: Job, error: CallError) {
+fn finish_error(owner: &Arc<Owner>, job: Job, error: CallError) {
     let lost = matches!(error, CallError::Lost | CallError::Truncated);
     if lost {
         owner.note_crash(&job.call);
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -1,19 +1,19 @@
 //! State of the owner: admission, records and the calls that wait or run.
 
-use super::crash::CrashGroup;
+use super::{crash::CrashGroup, run::run_job};
 use crate::context::NodeContext;
 use calls::{Arrival, Begin, CallRecords, Fate, Fingerprint, IncidentId, RecordsConfig, Verdict};
 use crossbeam::channel::Sender;
 use errors::ErrorKind;
-use http::{CancelToken, Pool, PoolConfig};
+use http::{AsyncPool, CancelToken, PoolConfig};
 use limits::{Admission, AdmissionConfig, CancelEffect, Offer, Step, Ticket};
 use mesh::{Inbound, ReplyTo};
 use model::{AttemptId, LoadSignal, Upstream};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError, TryLockError,
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -32,7 +32,7 @@
     pub(crate) deadline_us: u64,
     pub(crate) arrived_us: u64,
     pub(crate) cancel: CancelToken,
-    pub(crate) pool: Arc<Pool>,
+    pub(crate) pool: Arc<AsyncPool>,
     pub(crate) reply: ReplyTo,
 }
 
@@ -44,7 +44,7 @@
 /// The local instance and its calls, under one lock since a node has one instance.
 struct Instance {
     upstream: Upstream,
-    pool: Arc<Pool>,
+    pool: Arc<AsyncPool>,
     admission: Admission,
     waiting: HashMap<AttemptId, Job>,
     running: HashMap<AttemptId, Active>,
@@ -56,15 +56,15 @@
     instance: Mutex<Option<Instance>>,
     records: Mutex<CallRecords>,
     crashes: Mutex<CrashGroup>,
-    jobs: Sender<Job>,
+    started: Mutex<VecDeque<Job>>,
+    starting: Mutex<()>,
     wake: Sender<()>,
-    workers: AtomicU32,
     refusing: AtomicBool,
     closed: AtomicBool,
 }
 
 impl Owner {
-    pub(crate) fn new(context: &Arc<NodeContext>, jobs: Sender<Job>, wake: Sender<()>) -> Self {
+    pub(crate) fn new(context: &Arc<NodeContext>, wake: Sender<()>) -> Self {
         let incarnation = context.kernel.mesh.local().incarnation;
         let config = RecordsConfig {
             incarnation,
@@ -75,16 +75,16 @@
             instance: Mutex::new(None),
             records: Mutex::new(CallRecords::new(config)),
             crashes: Mutex::default(),
-            jobs,
+            started: Mutex::default(),
+            starting: Mutex::default(),
             wake,
-            workers: AtomicU32::new(0),
             refusing: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         }
     }
 
     /// Handles a message of an entry. Runs in a reader thread of the mesh and does not block.
-    pub(crate) fn handle(&self, inbound: Inbound) {
+    pub(crate) fn handle(self: &Arc<Self>, inbound: Inbound) {
         match decode(&inbound.payload) {
             Ok(CallRequest::Run(call)) => self.admit(call, inbound.reply),
             Ok(CallRequest::Cancel(request)) => self.cancel(&request, inbound.reply),
@@ -99,7 +99,7 @@
     }
 
     /// Follows the announcement of the local instance.
-    pub(crate) fn follow(&self, upstream: Option<&Upstream>) {
+    pub(crate) fn follow(self: &Arc<Self>, upstream: Option<&Upstream>) {
         let now_us = self.now_us();
         let mut guard = self.lock_instance();
         let steps = match (guard.as_mut(), upstream) {
@@ -110,7 +110,7 @@
                     .map(Instance::refuse_waiting)
                     .unwrap_or_default();
                 let refused = take_refused(guard.as_mut(), &steps);
-                *guard = next.map(|next| Instance::new(next, self.max_body_bytes()));
+                *guard = next.and_then(|next| Instance::new(next, self.max_body_bytes()));
                 drop(guard);
                 self.reply_refused(refused);
                 return;
@@ -119,19 +119,8 @@
         self.carry_out(guard, &steps);
     }
 
-    /// Starts worker threads until there is one for each slot.
-    pub(crate) fn add_workers(&self, wanted: u32, spawn: impl Fn() -> std::io::Result<()>) {
-        while self.workers.load(Ordering::Acquire) < wanted {
-            if let Err(error) = spawn() {
-                log::error!("owner: a worker thread could not be started: {error}.");
-                return;
-            }
-            self.workers.fetch_add(1, Ordering::AcqRel);
-        }
-    }
-
     /// Refuses all calls that have not started, from now on.
-    pub(crate) fn refuse_new_calls(&self) {
+    pub(crate) fn refuse_new_calls(self: &Arc<Self>) {
         self.refusing.store(true, Ordering::Release);
         let mut guard = self.lock_instance();
         let steps = guard
@@ -157,7 +146,7 @@
     }
 
     /// Refuses calls that can't start in time any more; returns the time until the next one.
-    pub(crate) fn expire(&self) -> Option<Duration> {
+    pub(crate) fn expire(self: &Arc<Self>) -> Option<Duration> {
         let now_us = self.now_us();
         self.lock_records().tick(now_us);
         let mut guard = self.lock_instance();
@@ -188,11 +177,16 @@
     }
 
     /// Ends a job: keeps its record, replies, frees its slot and starts the next.
-    pub(crate) fn finish(&self, job: Job, result: RunResult, service_time_us: Option<u64>) {
+    pub(crate) fn finish(
+        self: &Arc<Self>,
+        job: Job,
+        result: RunResult,
+        service_time_us: Option<u64>,
+    ) {
         let attempt = job.call.attempt;
         let now_us = self.now_us();
         self.record(now_us, attempt, &result);
-        let (signal, steps, guard) = {
+        let (signal, steps, mut guard) = {
             let mut guard = self.lock_instance();
             let Some(instance) = guard.as_mut() else {
                 drop(guard);
@@ -207,8 +201,19 @@
             let signal = instance.admission.signal(now_us);
             (signal, steps, guard)
         };
-        self.carry_out(guard, &steps);
+        let started = guard
+            .as_mut()
+            .map(|i| i.take_started(&steps))
+            .unwrap_or_default();
+        let refused = take_refused(guard.as_mut(), &steps);
+        if let Some(instance) = guard.as_ref() {
+            self.update_gauges(instance);
+        }
+        drop(guard);
+        // The reply goes first: its caller has waited longest.
         reply(job.reply, signal, result);
+        self.start_all(started);
+        self.reply_refused(refused);
     }
 
     /// Notes that an upstream cut off a call, as a suspect of having crashed it.
@@ -241,7 +246,7 @@
         self.context.kernel.clock.now_us()
     }
 
-    fn admit(&self, call: RunCall, reply_to: ReplyTo) {
+    fn admit(self: &Arc<Self>, call: RunCall, reply_to: ReplyTo) {
         let now_us = self.now_us();
         let deadline_us = now_us + call.remaining_us;
         if let Some(kind) = self.refusal(now_us, &call) {
@@ -279,7 +284,7 @@
         self.offer(now_us, deadline_us, call, reply_to);
     }
 
-    fn offer(&self, now_us: u64, deadline_us: u64, call: RunCall, reply_to: ReplyTo) {
+    fn offer(self: &Arc<Self>, now_us: u64, deadline_us: u64, call: RunCall, reply_to: ReplyTo) {
         let attempt = call.attempt;
         let mut guard = self.lock_instance();
         let Some(instance) = guard.as_mut() else {
@@ -313,8 +318,10 @@
         };
         match offer {
             Offer::Start => {
-                instance.start(job, &self.jobs);
+                instance.note_running(&job);
                 self.update_gauges(instance);
+                drop(guard);
+                self.start_all([job]);
             }
             Offer::Queued => {
                 instance.waiting.insert(attempt, job);
@@ -409,24 +416,44 @@
         }
     }
 
-    /// Starts and refuses waiting calls as admission decided; releases the lock for the replies.
-    fn carry_out(&self, mut guard: MutexGuard<'_, Option<Instance>>, steps: &[Step]) {
+    /// Starts and refuses waiting calls as admission decided; releases the lock before that.
+    fn carry_out(self: &Arc<Self>, mut guard: MutexGuard<'_, Option<Instance>>, steps: &[Step]) {
         let Some(instance) = guard.as_mut() else {
             return;
         };
-        for step in steps {
-            if let Step::Start(attempt) = step
-                && let Some(job) = instance.waiting.remove(attempt)
-            {
-                instance.start(job, &self.jobs);
-            }
-        }
-        self.update_gauges(instance);
+        let started = instance.take_started(steps);
         let refused = take_refused(Some(instance), steps);
+        self.update_gauges(instance);
         drop(guard);
+        self.start_all(started);
         self.reply_refused(refused);
     }
 
+    /// Sends calls to the instance. A call that fails at once starts the next one; the queue keeps
+    /// that from recursing.
+    fn start_all(self: &Arc<Self>, jobs: impl IntoIterator<Item = Job>) {
+        self.lock_started().extend(jobs);
+        loop {
+            // A thread that is starting calls looks at the queue again after it has finished.
+            let starting = match self.starting.try_lock() {
+                Ok(starting) => starting,
+                Err(TryLockError::Poisoned(poisoned)) => poisoned.into_inner(),
+                Err(TryLockError::WouldBlock) => return,
+            };
+            while let Some(job) = self.next_started() {
+                run_job(self, job);
+            }
+            drop(starting);
+            if self.lock_started().is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn next_started(&self) -> Option<Job> {
+        self.lock_started().pop_front()
+    }
+
     fn reply_refused(&self, refused: Vec<(Job, ErrorKind)>) {
         if refused.is_empty() {
             return;
@@ -459,13 +486,18 @@
         self.instance.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_started(&self) -> MutexGuard<'_, VecDeque<Job>> {
+        self.started.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_records(&self) -> MutexGuard<'_, CallRecords> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Instance {
-    fn new(upstream: &Upstream, max_body_bytes: usize) -> Self {
+    /// State for a newly announced instance; none if its pool can't be started.
+    fn new(upstream: &Upstream, max_body_bytes: usize) -> Option<Self> {
         let max_connections = upstream
             .connections
             .saturating_sub(SPARE_CONNECTIONS)
@@ -481,13 +513,20 @@
             queue_limit: MAX_QUEUE,
         });
         admission.set_state(upstream.state);
-        Instance {
+        let pool = match AsyncPool::new(config) {
+            Ok(pool) => Arc::new(pool),
+            Err(error) => {
+                log::error!("owner: no thread could be started for the instance: {error}.");
+                return None;
+            }
+        };
+        Some(Instance {
             upstream: upstream.clone(),
-            pool: Arc::new(Pool::new(config)),
+            pool,
             admission,
             waiting: HashMap::new(),
             running: HashMap::new(),
-        }
+        })
     }
 
     /// Whether `next` is a later record of the same running instance.
@@ -509,16 +548,26 @@
         self.admission.set_state(model::UpstreamState::Stopping)
     }
 
-    fn start(&mut self, job: Job, jobs: &Sender<Job>) {
+    fn note_running(&mut self, job: &Job) {
         self.running.insert(
             job.call.attempt,
             Active {
                 cancel: job.cancel.clone(),
             },
         );
-        if jobs.send(job).is_err() {
-            log::error!("owner: no worker thread is left; a call could not be run.");
+    }
+
+    fn take_started(&mut self, steps: &[Step]) -> Vec<Job> {
+        let mut started = Vec::new();
+        for step in steps {
+            if let Step::Start(attempt) = step
+                && let Some(job) = self.waiting.remove(attempt)
+            {
+                self.note_running(&job);
+                started.push(job);
+            }
         }
+        started
     }
 }
 
