--- a/components/calls/tests/suite/world.rs
+++ b/components/calls/tests/suite/world.rs
@@ -21,14 +21,11 @@
 const MAX_PAUSES: u32 = 8;
 const PAUSE_US: u64 = 35_000_000;
 
-/// The caller's side and the count of executions of one call.
 struct Caller {
-    call: CallId,
     machine: EntryCall<usize>,
+    spec: CallSpec,
     entry: usize,
-    idempotent: bool,
     key: Option<u8>,
-    deadline_us: u64,
     wake_us: u64,
     told: Option<Result<AttemptId, ErrorKind>>,
     executions: u32,
@@ -37,14 +34,6 @@
     rounds: Vec<(AttemptId, ClaimRound)>,
 }
 
-/// Which faults a run favours.
-#[derive(Clone, Copy)]
-enum Mix {
-    All,
-    Keepers,
-    Records,
-}
-
 struct Owner {
     records: CallRecords,
     incarnation: u64,
@@ -53,10 +42,12 @@
     drains: bool,
 }
 
+/// The first number is the call, or the keeper that copies. `deadline_us` of an attempt or a
+/// question is the remaining time while the message is on the way.
 #[derive(Clone)]
 enum Message {
-    Attempt(usize, usize, Arrival, u64),
-    Ask(usize, usize, Ask, AskKind, u64),
+    Attempt(usize, usize, Arrival),
+    Ask(usize, usize, Ask, AskKind),
     ToEntry(usize, Event<usize>),
     Claim(usize, usize, usize, Claim),
     ClaimReply(usize, usize, usize, Option<ClaimReply>),
@@ -66,49 +57,87 @@
 
 #[derive(Clone, Copy, PartialEq)]
 enum AskKind {
+    Attempt,
     Fate,
     Cancel,
     Holder,
 }
 
-/// A request without a reply yet; a lost connection ends it.
-struct Request {
-    call: usize,
-    owner: usize,
-    attempt: AttemptId,
-    kind: Option<AskKind>,
-}
+type Fault = fn(&mut World);
+
+/// Which faults a run favours: all; keepers lost one after the other, with copies under way; or
+/// duplicates and lost connections around the end of the records' life.
+const MIXES: [[Fault; 9]; 3] = [
+    [
+        World::lose_any,
+        World::lose_any,
+        World::restart_any_owner,
+        World::crash_upstream,
+        World::restart_any_keeper,
+        World::copy_claims,
+        World::drain_any,
+        World::any_caller_gone,
+        World::pause,
+    ],
+    [
+        World::restart_any_keeper,
+        World::restart_any_keeper,
+        World::restart_any_keeper,
+        World::copy_claims,
+        World::copy_claims,
+        World::copy_claims,
+        World::copy_claims,
+        World::wait_for_copies,
+        World::lose_any,
+    ],
+    [
+        World::duplicate,
+        World::duplicate,
+        World::duplicate,
+        World::duplicate,
+        World::lose_any,
+        World::lose_any,
+        World::pause,
+        World::pause,
+        World::finish_any,
+    ],
+];
 
 pub(crate) struct World {
     tape: VecDeque<u16>,
-    mix: Mix,
+    mix: usize,
     now_us: u64,
     callers: Vec<Caller>,
     owners: Vec<Owner>,
     keepers: Vec<ClaimTable>,
     generations: [[u64; OWNERS]; ENTRIES],
-    requests: Vec<Request>,
+    /// Requests of entries, which end when the connection is lost: call, owner, attempt, kind.
+    requests: Vec<(usize, usize, AttemptId, AskKind)>,
     net: Vec<Message>,
     pauses: u32,
     log: Vec<String>,
     violation: Option<String>,
     /// What the run exercised: executions, not-run, recovered answers, answers by key.
-    pub(crate) counts: [u64; 4],
+    counts: [u64; 4],
 }
 
 impl World {
     pub(crate) fn new(tape: impl IntoIterator<Item = u16>) -> Self {
+        let now_us = 1_000_000;
+        let keeper = |k| {
+            ClaimTable::new(
+                keeper_clock(now_us, k),
+                ClaimConfig::default(),
+                ClaimStart::NewGroup,
+            )
+        };
         World {
             tape: tape.into_iter().collect(),
-            mix: Mix::All,
-            now_us: 1_000_000,
+            mix: 0,
+            now_us,
             callers: Vec::new(),
             owners: (0..OWNERS).map(|_| new_owner(1)).collect(),
-            keepers: (0..KEEPERS)
-                .map(|k| {
-                    ClaimTable::new(keeper_clock(1_000_000, k), claims(), ClaimStart::NewGroup)
-                })
-                .collect(),
+            keepers: (0..KEEPERS).map(keeper).collect(),
             generations: [[0; OWNERS]; ENTRIES],
             requests: Vec::new(),
             net: Vec::new(),
@@ -119,45 +148,42 @@
         }
     }
 
-    /// Takes the mix of steps from the tape, plays the tape, then lets every call end without further faults.
+    /// Plays the tape, then lets every call end without further faults.
     pub(crate) fn run(mut self) -> [u64; 4] {
-        self.mix = [Mix::All, Mix::Keepers, Mix::Records][self.choose(3)];
+        self.mix = self.choose(MIXES.len());
         self.new_call();
         while !self.tape.is_empty() {
             self.step();
         }
+        let is_done = |world: &Self| world.callers.iter().all(|c| c.machine.is_done());
         for _ in 0..10_000 {
-            if self.net.is_empty() && self.callers.iter().all(|c| c.machine.is_done()) {
+            if self.net.is_empty() && is_done(&self) {
                 break;
             }
             self.deliver_or_advance();
         }
-        let is_done = self.callers.iter().all(|c| c.machine.is_done());
-        self.check(is_done, "a call never ended");
+        self.check(is_done(&self), "a call never ended");
         if self.violation.is_some() {
             self.trace();
         }
         self.counts
     }
 
-    /// The log of the run with short names for attempts and answers; fails on a violation.
+    /// The log of the run with short names; fails on a violation.
     pub(crate) fn trace(&self) -> String {
         let mut log = self.log.join("\n");
         if let Some(violation) = &self.violation {
             panic!("{violation}\n{log}");
         }
         for caller in &self.callers {
-            let call = caller.call;
+            let call = caller.spec.call;
             for attempt in (0..4).map(|attempt| AttemptId { call, attempt }) {
                 let name = format!("{}.{}", call.sequence, attempt.attempt);
-                let answer = answer_of(attempt, caller.key);
+                let answer = format!("{:?}", answer_of(attempt, caller.key).as_bytes());
                 log = log
                     .replace(&format!("{attempt:?}"), &name)
                     .replace(&attempt.to_string(), &name)
-                    .replace(
-                        &format!("{:?}", answer.as_bytes()),
-                        &format!("answer of {name}"),
-                    );
+                    .replace(&answer, &format!("answer of {name}"));
             }
         }
         for key in 0..2 {
@@ -172,6 +198,11 @@
         }
     }
 
+    fn note(&mut self, text: impl AsRef<str>) {
+        self.log
+            .push(format!("{:>10} {}", self.now_us, text.as_ref()));
+    }
+
     fn choose(&mut self, options: usize) -> usize {
         usize::from(self.tape.pop_front().unwrap_or(0)) % options
     }
@@ -181,88 +212,31 @@
         self.choose(rate) == rate - 1
     }
 
-    fn note(&mut self, text: impl Into<String>) {
-        self.log
-            .push(format!("{:>10} {}", self.now_us, text.into()));
-    }
-
     fn step(&mut self) {
         match self.choose(32) {
             0..=13 => self.deliver_or_advance(),
-            14..=16 => self.finish_one(),
+            14..=16 => self.finish_any(),
             17..=19 => self.new_call(),
             20 => self.advance(),
             21 => self.duplicate(),
             22 => self.pause(),
-            fault => match self.mix {
-                Mix::All => self.any_fault(fault),
-                Mix::Keepers => self.keeper_fault(fault),
-                Mix::Records => self.record_fault(fault),
-            },
-        }
-    }
-
-    fn any_fault(&mut self, fault: usize) {
-        match fault {
-            23 | 24 => self.lose_connection(),
-            25 => {
-                let owner = self.choose(OWNERS);
-                self.restart_owner(owner);
-            }
-            26 => self.crash_upstream(),
-            27 => {
-                let keeper = self.choose(KEEPERS);
-                self.restart_keeper(keeper);
-            }
-            28 => self.copy_claims(),
-            29 => {
-                let owner = self.choose(OWNERS);
-                self.toggle_drain(owner);
-            }
-            30 => {
-                let call = self.choose(self.callers.len());
-                self.caller_gone(call);
-            }
-            _ => self.pause(),
-        }
-    }
-
-    /// Keepers lost one after the other, with copies under way.
-    fn keeper_fault(&mut self, fault: usize) {
-        match fault {
-            23..=25 => {
-                let keeper = self.choose(KEEPERS);
-                self.restart_keeper(keeper);
-            }
-            26..=29 => self.copy_claims(),
-            30 => self.now_us += 2_000_000,
-            _ => self.lose_connection(),
+            fault => MIXES[self.mix][fault - 23](self),
         }
     }
 
-    /// Duplicates and lost connections around the end of the records' life.
-    fn record_fault(&mut self, fault: usize) {
-        match fault {
-            23..=26 => self.duplicate(),
-            27 | 28 => self.lose_connection(),
-            29 | 30 => self.pause(),
-            _ => self.finish_one(),
-        }
-    }
+    // Messages and time.
 
     fn deliver_or_advance(&mut self) {
-        if self.net.is_empty() {
-            if self.owners.iter().any(|o| !o.running.is_empty()) && !self.fault(3) {
-                self.finish_one();
-            } else {
-                self.advance();
-            }
-            return;
+        if !self.net.is_empty() {
+            // Any message may be the next one, early ones are likelier.
+            let window = self.net.len().min(1 + self.choose(12));
+            let index = self.choose(window);
+            self.deliver_at(index);
+        } else if self.owners.iter().any(|o| !o.running.is_empty()) && !self.fault(3) {
+            self.finish_any();
+        } else {
+            self.advance();
         }
-        // Any message may be the next one, early ones are likelier.
-        let window = self.net.len().min(1 + self.choose(12));
-        let index = self.choose(window);
-        self.deliver_at(index);
     }
 
     pub(crate) fn deliver_at(&mut self, index: usize) {
@@ -271,13 +245,6 @@
         self.deliver(message);
     }
 
-    /// Delivers all messages in order; time passes only by their delays.
-    pub(crate) fn deliver_all(&mut self) {
-        while !self.net.is_empty() {
-            self.deliver_at(0);
-        }
-    }
-
     /// Delivers the messages from `index` on and those that follow from them.
     pub(crate) fn deliver_from(&mut self, index: usize) {
         while self.net.len() > index {
@@ -285,6 +252,10 @@
         }
     }
 
+    pub(crate) fn deliver_all(&mut self) {
+        self.deliver_from(0);
+    }
+
     pub(crate) fn drop_message(&mut self, index: usize) {
         self.net.remove(index);
     }
@@ -293,10 +264,6 @@
         self.net.clear();
     }
 
-    pub(crate) fn caller_gone(&mut self, call: usize) {
-        self.event(call, Event::CallerGone);
-    }
-
     fn duplicate(&mut self) {
         if !self.net.is_empty() {
             let index = self.choose(self.net.len());
@@ -307,16 +274,31 @@
         }
     }
 
+    /// Moves to the next time that a call or a round has asked for.
     pub(crate) fn advance(&mut self) {
-        let next = self
-            .callers
-            .iter()
-            .filter(|c| !c.machine.is_done())
-            .flat_map(|c| std::iter::once(c.wake_us).chain(c.rounds.iter().map(|r| r.1.ends_us())))
+        let calls = self.callers.iter().filter(|c| !c.machine.is_done());
+        let next = calls
+            .flat_map(|c| c.rounds.iter().map(|r| r.1.ends_us()).chain([c.wake_us]))
             .filter(|&at| at > self.now_us)
             .min();
-        self.now_us = next.unwrap_or(self.now_us + 10_000);
-        self.tick();
+        let next_us = next.unwrap_or(self.now_us + 10_000);
+        self.wait(next_us - self.now_us);
+    }
+
+    pub(crate) fn wait(&mut self, time_us: u64) {
+        self.now_us += time_us;
+        for (index, owner) in self.owners.iter_mut().enumerate() {
+            owner.records.tick(owner_clock(self.now_us, index));
+        }
+        for call in 0..self.callers.len() {
+            if self.callers[call].wake_us <= self.now_us {
+                self.event(call, Event::Tick);
+            }
+            for round in 0..self.callers[call].rounds.len() {
+                let result = self.callers[call].rounds[round].1.tick(self.now_us);
+                self.round_result(call, round, result.as_ref());
+            }
+        }
     }
 
     /// Lets time pass: with the processes running, or paused and without ticks.
@@ -328,38 +310,19 @@
         match self.choose(3) {
             0 => self.now_us += 2_500_000,
             1 => self.now_us += PAUSE_US,
-            _ => {
-                for _ in 0..PAUSE_US / 1_000_000 {
-                    self.now_us += 1_000_000;
-                    self.tick();
-                }
-            }
+            _ => (0..PAUSE_US / 1_000_000).for_each(|_| self.wait(1_000_000)),
         }
     }
 
-    fn tick(&mut self) {
-        for (index, owner) in self.owners.iter_mut().enumerate() {
-            owner.records.tick(owner_clock(self.now_us, index));
-        }
-        for call in 0..self.callers.len() {
-            if self.callers[call].wake_us <= self.now_us {
-                self.event(call, Event::Tick);
-            }
-            for round in 0..self.callers[call].rounds.len() {
-                let now_us = self.now_us;
-                let (attempt, state) = &mut self.callers[call].rounds[round];
-                let attempt = *attempt;
-                let result = state.tick(now_us);
-                self.round_result(call, attempt, result.as_ref());
-            }
-        }
+    fn wait_for_copies(&mut self) {
+        self.now_us += 2_000_000;
     }
 
     // Callers and entries.
 
     fn new_call(&mut self) {
         let kind = match self.mix {
-            Mix::Keepers => [3, 3, 3, 7][self.choose(4)],
+            1 => [3, 3, 3, 7][self.choose(4)],
             _ => self.choose(8),
         };
         let entry = self.choose(ENTRIES);
@@ -368,37 +331,28 @@
         self.call(entry, kind == 2, key, rest_us);
     }
 
-    /// Begins a call and returns its number.
-    pub(crate) fn call(
-        &mut self,
-        entry: usize,
-        idempotent: bool,
-        key: Option<u8>,
-        rest_us: u64,
-    ) -> usize {
+    /// Begins a call with `rest_us` until its deadline.
+    pub(crate) fn call(&mut self, entry: usize, idempotent: bool, key: Option<u8>, rest_us: u64) {
         let number = self.callers.len();
-        let call = CallId {
-            origin: entry as u64,
-            sequence: number as u64,
-        };
-        let deadline_us = self.now_us + rest_us;
-        let mut machine = EntryCall::new(CallSpec {
-            call,
+        let spec = CallSpec {
+            call: CallId {
+                origin: entry as u64,
+                sequence: number as u64,
+            },
             idempotent,
             keyed: key.is_some(),
             suspected: false,
-            deadline_us,
+            deadline_us: self.now_us + rest_us,
             attempts: 4,
             hedge_after_us: Some(20_000),
-        });
+        };
+        let mut machine = EntryCall::new(spec);
         let actions = machine.start(self.now_us);
         self.callers.push(Caller {
-            call,
             machine,
+            spec,
             entry,
-            idempotent,
             key,
-            deadline_us,
             wake_us: u64::MAX,
             told: None,
             executions: 0,
@@ -407,7 +361,6 @@
         });
         self.note(format!("call {number} at entry {entry}, key {key:?}"));
         self.perform(number, actions);
-        number
     }
 
     fn event(&mut self, call: usize, event: Event<usize>) {
@@ -429,14 +382,14 @@
                     attempt,
                     upstream,
                     over,
-                } => self.claim(call, attempt, upstream, over),
+                } => self.claim(call, attempt, upstream, &over),
                 Action::Send { attempt, upstream } => self.send(call, attempt, upstream),
                 Action::Cancel(attempt) => self.ask(call, attempt, AskKind::Cancel),
                 Action::AskFate(attempt) => self.ask(call, attempt, AskKind::Fate),
                 Action::AskHolder(holder) => {
                     let owner = usize::from(holder.owner.mesh.port());
-                    let target = holder.owner.incarnation;
-                    self.push_ask(call, owner, target, holder.attempt, AskKind::Holder);
+                    let target = (owner, holder.owner.incarnation);
+                    self.push_ask(call, target, holder.attempt, AskKind::Holder);
                 }
                 Action::AskRetryBudget => {
                     let allowed = !self.fault(12);
@@ -447,38 +400,40 @@
                     self.event(call, Event::HedgeAllowed(allowed));
                 }
                 Action::WakeAt(at_us) => self.callers[call].wake_us = at_us,
-                Action::Deliver(attempt, answer) => self.told(call, Ok((attempt, answer))),
-                Action::Fail(kind) => self.told(call, Err(kind)),
+                Action::Deliver(attempt, answer) => self.delivered(call, attempt, &answer),
+                Action::Fail(kind) => self.failed(call, kind),
             }
         }
     }
 
     fn route(&mut self, call: usize, exclude: &[usize]) {
-        let free: Vec<usize> = (0..OWNERS).filter(|o| !exclude.contains(o)).collect();
+        let mut free: Vec<usize> = (0..OWNERS).filter(|o| !exclude.contains(o)).collect();
+        if free.is_empty() {
+            free = (0..OWNERS).collect();
+        }
         let event = if self.fault(24) {
             Event::NoRoute(ErrorKind::NoUpstream)
-        } else if free.is_empty() {
-            Event::Routed(self.choose(OWNERS))
         } else {
             Event::Routed(free[self.choose(free.len())])
         };
         self.event(call, event);
     }
 
-    fn claim(&mut self, call: usize, attempt: AttemptId, upstream: usize, over: Vec<AttemptId>) {
-        let target = self.owners[upstream].incarnation;
+    fn claim(&mut self, call: usize, attempt: AttemptId, upstream: usize, over: &[AttemptId]) {
+        let incarnation = self.owners[upstream].incarnation;
         let caller = &mut self.callers[call];
-        caller.targets.insert(attempt, (upstream, target));
-        let key = caller.key.unwrap_or(0);
+        caller.targets.insert(attempt, (upstream, incarnation));
+        let key = [caller.key.unwrap_or(0); 16];
         let round = caller.rounds.len();
-        let state = ClaimRound::new(self.now_us, KEEPERS, [key; 16]);
+        let state = ClaimRound::new(self.now_us, KEEPERS, key);
         caller.rounds.push((attempt, state));
+        let mesh = ([127, 0, 0, 1], upstream as u16).into();
         let claim = Claim {
-            key: [key; 16],
-            fingerprint: [key; 16],
+            key,
+            fingerprint: key,
             attempt,
-            owner: node(upstream, target),
-            over,
+            owner: NodeId { mesh, incarnation },
+            over: over.to_vec(),
         };
         for keeper in 0..KEEPERS {
             let message = if self.fault(12) {
@@ -490,7 +445,8 @@
         }
     }
 
-    fn round_result(&mut self, call: usize, attempt: AttemptId, result: Option<&RoundResult>) {
+    fn round_result(&mut self, call: usize, round: usize, result: Option<&RoundResult>) {
+        let attempt = self.callers[call].rounds[round].0;
         let event = match result {
             None => return,
             Some(RoundResult::Granted) => Event::Claimed(attempt),
@@ -513,89 +469,78 @@
         let target = caller
             .targets
             .entry(attempt)
-            .or_insert((owner, incarnation))
-            .1;
+            .or_insert((owner, incarnation));
         let arrival = Arrival {
             attempt,
-            target,
+            target: target.1,
             generation: self.generations[caller.entry][owner],
-            deadline_us: 0,
+            deadline_us: caller.spec.deadline_us - self.now_us,
             keyed: caller.key.is_some(),
-            keep_answer: !caller.idempotent,
+            keep_answer: !caller.spec.idempotent,
         };
-        let remaining_us = caller.deadline_us - self.now_us;
-        self.request(call, owner, attempt, None);
-        self.net
-            .push(Message::Attempt(call, owner, arrival, remaining_us));
+        self.requests.push((call, owner, attempt, AskKind::Attempt));
+        self.net.push(Message::Attempt(call, owner, arrival));
     }
 
     fn ask(&mut self, call: usize, attempt: AttemptId, kind: AskKind) {
-        let (owner, target) = self.callers[call].targets[&attempt];
-        self.push_ask(call, owner, target, attempt, kind);
-    }
-
-    fn push_ask(
-        &mut self,
-        call: usize,
-        owner: usize,
-        target: u64,
-        attempt: AttemptId,
-        kind: AskKind,
-    ) {
+        let target = self.callers[call].targets[&attempt];
+        self.push_ask(call, target, attempt, kind);
+    }
+
+    fn push_ask(&mut self, call: usize, at: (usize, u64), attempt: AttemptId, kind: AskKind) {
+        let (owner, target) = at;
         let caller = &self.callers[call];
         let generation = self.generations[caller.entry][owner];
         let ask = Ask {
             attempt,
             target,
             generation: (kind != AskKind::Holder).then_some(generation),
-            deadline_us: 0,
+            deadline_us: caller.spec.deadline_us.saturating_sub(self.now_us),
             keyed: caller.key.is_some(),
         };
-        let remaining_us = caller.deadline_us.saturating_sub(self.now_us);
-        self.request(call, owner, attempt, Some(kind));
-        self.net
-            .push(Message::Ask(call, owner, ask, kind, remaining_us));
+        self.requests.push((call, owner, attempt, kind));
+        self.net.push(Message::Ask(call, owner, ask, kind));
     }
 
-    fn request(&mut self, call: usize, owner: usize, attempt: AttemptId, kind: Option<AskKind>) {
-        self.requests.push(Request {
-            call,
-            owner,
-            attempt,
-            kind,
-        });
+    pub(crate) fn caller_gone(&mut self, call: usize) {
+        self.event(call, Event::CallerGone);
     }
 
-    fn told(&mut self, call: usize, told: Result<(AttemptId, Arc<[u8]>), ErrorKind>) {
+    fn any_caller_gone(&mut self) {
+        let call = self.choose(self.callers.len());
+        self.caller_gone(call);
+    }
+
+    fn delivered(&mut self, call: usize, attempt: AttemptId, answer: &[u8]) {
         let caller = &mut self.callers[call];
-        let (own, key, executions) = (caller.call, caller.key, caller.executions);
-        let is_first = caller.told.replace(told.clone().map(|t| t.0)).is_none();
+        let is_first = caller.told.replace(Ok(attempt)).is_none();
+        let is_right = answer == answer_of(attempt, caller.key).as_bytes();
+        self.counts[3] += u64::from(attempt.call != caller.spec.call);
         self.check(is_first, "a call ended twice");
-        match told {
-            Ok((attempt, answer)) => {
-                let is_right = answer.as_ref() == answer_of(attempt, key).as_bytes();
-                self.check(is_right, "a caller got another call's answer");
-                self.counts[3] += u64::from(attempt.call != own);
-            }
-            Err(kind) if kind.row().outcome == Outcome::NotRun => {
-                self.check(executions == 0, "a call ran before not-run");
-                self.counts[1] += 1;
-            }
-            Err(_) => {}
-        }
+        self.check(is_right, "a caller got another call's answer");
+    }
+
+    fn failed(&mut self, call: usize, kind: ErrorKind) {
+        let caller = &mut self.callers[call];
+        let is_first = caller.told.replace(Err(kind)).is_none();
+        let is_not_run = kind.row().outcome == Outcome::NotRun;
+        let has_run = caller.executions > 0;
+        self.counts[1] += u64::from(is_not_run);
+        self.check(is_first, "a call ended twice");
+        self.check(!(is_not_run && has_run), "a call ran before not-run");
     }
 
-    // Owners.
+    // Owners and keepers.
 
     fn deliver(&mut self, message: Message) {
         match message {
-            Message::Attempt(call, owner, arrival, remaining_us) => {
-                self.on_attempt(call, owner, arrival, remaining_us);
+            Message::Attempt(call, owner, arrival) => self.on_attempt(call, owner, arrival),
+            Message::Ask(call, owner, ask, kind) => self.on_ask(call, owner, ask, kind),
+            Message::ToEntry(call, event) => {
+                let is_recovered = matches!(event, Event::Fate(_, Fate::Answered(_)));
+                self.counts[2] += u64::from(is_recovered);
+                self.event(call, event);
             }
-            Message::Ask(call, owner, ask, kind, remaining_us) => {
-                self.on_ask(call, owner, ask, kind, remaining_us);
-            }
-            Message::ToEntry(call, event) => self.reply(call, event),
             Message::Claim(call, round, keeper, claim) => {
                 let now_us = keeper_clock(self.now_us, keeper);
                 let reply = self.keepers[keeper].claim(now_us, &claim);
@@ -606,46 +551,29 @@
             }
             Message::ClaimReply(call, round, keeper, reply) => {
                 let now_us = self.now_us;
-                let (attempt, state) = &mut self.callers[call].rounds[round];
-                let attempt = *attempt;
+                let state = &mut self.callers[call].rounds[round].1;
                 let result = state.on_reply(now_us, keeper, reply);
-                self.round_result(call, attempt, result.as_ref());
+                self.round_result(call, round, result.as_ref());
             }
-            Message::CopyRequest(to, from, after, requested_us) => {
+            Message::CopyRequest(to, from, after, asked_us) => {
                 let copy = self.keepers[from].export(keeper_clock(self.now_us, from), after, 1);
-                self.net.push(Message::Copy(to, from, copy, requested_us));
+                self.net.push(Message::Copy(to, from, copy, asked_us));
             }
-            Message::Copy(to, from, copy, requested_us) => {
+            Message::Copy(to, from, copy, asked_us) => {
                 let now_us = keeper_clock(self.now_us, to);
-                self.keepers[to].import(now_us, requested_us, from, &copy);
+                self.keepers[to].import(now_us, asked_us, from, &copy);
                 if copy.next.is_some() {
-                    let next = Message::CopyRequest(to, from, copy.next, requested_us);
-                    self.net.push(next);
+                    self.net
+                        .push(Message::CopyRequest(to, from, copy.next, asked_us));
                 }
             }
         }
     }
 
-    fn reply(&mut self, call: usize, event: Event<usize>) {
-        let attempt = match &event {
-            Event::Fate(a, Fate::Answered(_)) => {
-                self.counts[2] += 1;
-                *a
-            }
-            Event::Fate(a, _) | Event::HolderFate(a, _) => *a,
-            Event::Answered(a, _) | Event::Refused(a, _) | Event::Failed(a, _) => *a,
-            _ => return,
-        };
-        let is_attempt = !matches!(event, Event::Fate(..) | Event::HolderFate(..));
-        self.requests
-            .retain(|r| r.call != call || r.attempt != attempt || r.kind.is_none() != is_attempt);
-        self.event(call, event);
-    }
-
-    fn on_attempt(&mut self, call: usize, owner: usize, mut arrival: Arrival, remaining_us: u64) {
+    fn on_attempt(&mut self, call: usize, owner: usize, mut arrival: Arrival) {
         let now_us = owner_clock(self.now_us, owner);
         let attempt = arrival.attempt;
-        arrival.deadline_us = now_us + remaining_us;
+        arrival.deadline_us += now_us;
         let state = &mut self.owners[owner];
         let begin = state.records.begin(now_us, &arrival);
         let noted = format!("owner {owner}: {attempt} {begin:?}");
@@ -667,29 +595,26 @@
         self.net.push(Message::ToEntry(call, event));
     }
 
-    fn on_ask(&mut self, call: usize, owner: usize, mut ask: Ask, kind: AskKind, rest_us: u64) {
+    fn on_ask(&mut self, call: usize, owner: usize, mut ask: Ask, kind: AskKind) {
         let now_us = owner_clock(self.now_us, owner);
-        ask.deadline_us = now_us + rest_us;
-        let state = &mut self.owners[owner];
         let attempt = ask.attempt;
-        let fate = if kind == AskKind::Cancel {
-            let fate = state.records.cancelled(now_us, &ask);
-            // A cancelled attempt stays in the queue now and then: `started` must stop it.
-            if fate == Fate::Running {
-                state.running.retain(|r| r.0 != attempt);
-                state
-                    .records
-                    .failed(now_us, attempt, ErrorKind::UpstreamLost);
-            }
-            fate
-        } else {
-            state.records.fate(now_us, &ask)
+        ask.deadline_us += now_us;
+        let Owner {
+            records, running, ..
+        } = &mut self.owners[owner];
+        // A cancelled attempt stays in the queue: `started` must stop it.
+        let fate = match kind {
+            AskKind::Cancel => records.cancelled(now_us, &ask),
+            _ => records.fate(now_us, &ask),
         };
+        if kind == AskKind::Cancel && fate == Fate::Running {
+            running.retain(|r| r.0 != attempt);
+            records.failed(now_us, attempt, ErrorKind::UpstreamLost);
+        }
         self.note(format!("owner {owner}: asked for {attempt}: {fate:?}"));
-        let event = if kind == AskKind::Holder {
-            Event::HolderFate(attempt, fate)
-        } else {
-            Event::Fate(attempt, fate)
+        let event = match kind {
+            AskKind::Holder => Event::HolderFate(attempt, fate),
+            _ => Event::Fate(attempt, fate),
         };
         self.net.push(Message::ToEntry(call, event));
         self.start_queued(owner);
@@ -702,14 +627,14 @@
             let Some((attempt, call)) = state.queue.pop_front() else {
                 return;
             };
-            if !state.records.started(now_us, attempt) {
+            if state.records.started(now_us, attempt) {
+                state.running.push((attempt, call));
+                self.executes(owner, call, attempt);
+            } else {
                 let fate = state.records.refused(now_us, attempt);
                 self.net
                     .push(Message::ToEntry(call, Event::Fate(attempt, fate)));
-                continue;
             }
-            state.running.push((attempt, call));
-            self.executes(owner, call, attempt);
         }
     }
 
@@ -718,10 +643,10 @@
         self.counts[0] += 1;
         let caller = &mut self.callers[call];
         caller.executions += 1;
+        let is_once = caller.spec.idempotent || caller.executions == 1;
         let told = caller.told;
-        let is_once = caller.idempotent || caller.executions == 1;
+        let was_not_run = matches!(told, Some(Err(k)) if k.row().outcome == Outcome::NotRun);
         let key = caller.key;
-        let was_not_run = matches!(told, Some(Err(kind)) if kind.row().outcome == Outcome::NotRun);
         let same_key = self
             .callers
             .iter()
@@ -732,16 +657,14 @@
         self.check(key_runs <= 1, "a key ran twice");
     }
 
-    fn finish_one(&mut self) {
-        let busy: Vec<usize> = (0..OWNERS)
-            .filter(|&o| !self.owners[o].running.is_empty())
-            .collect();
-        if busy.is_empty() {
-            return;
+    fn finish_any(&mut self) {
+        let is_busy = |&o: &usize| !self.owners[o].running.is_empty();
+        let busy: Vec<usize> = (0..OWNERS).filter(is_busy).collect();
+        if !busy.is_empty() {
+            let owner = busy[self.choose(busy.len())];
+            let index = self.choose(self.owners[owner].running.len());
+            self.finish(owner, index);
         }
-        let owner = busy[self.choose(busy.len())];
-        let index = self.choose(self.owners[owner].running.len());
-        self.finish(owner, index);
     }
 
     pub(crate) fn finish(&mut self, owner: usize, index: usize) {
@@ -760,43 +683,34 @@
 
     // Faults.
 
-    pub(crate) fn toggle_drain(&mut self, owner: usize) {
-        self.owners[owner].drains ^= true;
-    }
-
-    pub(crate) fn wait(&mut self, time_us: u64) {
-        self.now_us += time_us;
-        self.tick();
-    }
-
     /// Ends the requests of one entry to one owner; their messages may still arrive.
-    fn lose_connection(&mut self) {
-        let entry = self.choose(ENTRIES);
-        let owner = self.choose(OWNERS);
-        self.lose(entry, owner);
-    }
-
     pub(crate) fn lose(&mut self, entry: usize, owner: usize) {
         self.note(format!(
             "entry {entry} loses its connection to owner {owner}"
         ));
         self.generations[entry][owner] += 1;
         let callers = &self.callers;
-        let (lost, kept) = std::mem::take(&mut self.requests)
-            .into_iter()
-            .partition(|r| r.owner == owner && callers[r.call].entry == entry);
-        self.requests = kept;
-        let lost: Vec<Request> = lost;
-        for request in lost {
-            let event = match request.kind {
-                None => Event::ConnectionLost(request.attempt),
-                Some(AskKind::Holder) => Event::HolderUnavailable(request.attempt),
-                Some(_) => Event::FateUnavailable(request.attempt),
+        let is_lost = |r: &mut (usize, usize, _, _)| r.1 == owner && callers[r.0].entry == entry;
+        let lost: Vec<_> = self.requests.extract_if(.., is_lost).collect();
+        for (call, _, attempt, kind) in lost {
+            if self.callers[call].machine.is_done() {
+                continue;
+            }
+            let event = match kind {
+                AskKind::Attempt => Event::ConnectionLost(attempt),
+                AskKind::Holder => Event::HolderUnavailable(attempt),
+                AskKind::Fate | AskKind::Cancel => Event::FateUnavailable(attempt),
             };
-            self.event(request.call, event);
+            self.event(call, event);
         }
     }
 
+    fn lose_any(&mut self) {
+        let entry = self.choose(ENTRIES);
+        let owner = self.choose(OWNERS);
+        self.lose(entry, owner);
+    }
+
     pub(crate) fn restart_owner(&mut self, owner: usize) {
         self.note(format!("owner {owner} restarts"));
         self.owners[owner] = new_owner(self.owners[owner].incarnation + 1);
@@ -805,12 +719,26 @@
         }
     }
 
+    fn restart_any_owner(&mut self) {
+        let owner = self.choose(OWNERS);
+        self.restart_owner(owner);
+    }
+
+    pub(crate) fn toggle_drain(&mut self, owner: usize) {
+        self.owners[owner].drains ^= true;
+    }
+
+    fn drain_any(&mut self) {
+        let owner = self.choose(OWNERS);
+        self.toggle_drain(owner);
+    }
+
     fn crash_upstream(&mut self) {
         let owner = self.choose(OWNERS);
         self.note(format!("upstream {owner} crashes"));
         let now_us = owner_clock(self.now_us, owner);
+        let kind = ErrorKind::UpstreamLost;
         for (attempt, call) in std::mem::take(&mut self.owners[owner].running) {
-            let kind = ErrorKind::UpstreamLost;
             self.owners[owner].records.failed(now_us, attempt, kind);
             self.net
                 .push(Message::ToEntry(call, Event::Failed(attempt, kind)));
@@ -821,21 +749,24 @@
     pub(crate) fn restart_keeper(&mut self, keeper: usize) {
         self.note(format!("keeper {keeper} restarts"));
         let now_us = keeper_clock(self.now_us, keeper);
-        self.keepers[keeper] = ClaimTable::new(now_us, claims(), ClaimStart::Restarted);
+        self.keepers[keeper] =
+            ClaimTable::new(now_us, ClaimConfig::default(), ClaimStart::Restarted);
+    }
+
+    fn restart_any_keeper(&mut self) {
+        let keeper = self.choose(KEEPERS);
+        self.restart_keeper(keeper);
     }
 
     /// A warming keeper asks the others for copies as soon as it may.
     pub(crate) fn copy_claims(&mut self) {
         for to in 0..KEEPERS {
             let now_us = keeper_clock(self.now_us, to);
-            let Some(from_us) = self.keepers[to].copy_from_us() else {
-                continue;
-            };
-            if now_us < from_us {
-                continue;
-            }
-            for from in (0..KEEPERS).filter(|&k| k != to) {
-                self.net.push(Message::CopyRequest(to, from, None, now_us));
+            let from_us = self.keepers[to].copy_from_us();
+            if from_us.is_some_and(|from_us| from_us <= now_us) {
+                let others = (0..KEEPERS).filter(|&from| from != to);
+                let requests = others.map(|from| Message::CopyRequest(to, from, None, now_us));
+                self.net.extend(requests);
             }
         }
     }
@@ -860,17 +791,6 @@
     }
 }
 
-fn claims() -> ClaimConfig {
-    ClaimConfig::default()
-}
-
-fn node(owner: usize, incarnation: u64) -> NodeId {
-    NodeId {
-        mesh: ([127, 0, 0, 1], owner as u16).into(),
-        incarnation,
-    }
-}
-
 /// Clocks of different processes have different origins.
 fn owner_clock(now_us: u64, owner: usize) -> u64 {
     now_us + 7_000_000_000 * owner as u64
