--- /dev/null
+++ b/components/node/src/sync.rs
@@ -0,0 +1,285 @@
+//! Plug-in `sync`: pulls profiles from the control group, or from peers that have newer ones.
+
+use crate::context::NodeContext;
+use crossbeam::channel::{RecvTimeoutError, bounded};
+use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
+use mesh::{Channel, Inbound};
+use model::Revision;
+use registry::{Delta, Standing};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    thread::{self, Builder},
+    time::{Duration, Instant},
+};
+use wire::{
+    ControlReply, ControlRequest, InstanceReport, NodeReport, SyncReply, SyncRequest, decode,
+    encode,
+};
+
+/// Longest time that a control replica holds a pull without news.
+const HOLD_MS: u32 = 1_000;
+/// Time after the hold until a pull counts as lost.
+const PULL_GRACE: Duration = Duration::from_millis(750);
+/// Pause before the next replica is tried.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Age of the configuration from which the log warns, in milliseconds.
+const STALE_AFTER_MS: u64 = 5_000;
+/// Period of that warning.
+const STALE_WARNING: Duration = Duration::from_secs(10);
+/// Longest wait of a start for the first configuration.
+const FIRST_PULL: Duration = Duration::from_millis(1_500);
+
+inventory::submit! {
+    PluginEntry { name: "sync", role: Role::Node, order: 20, start }
+}
+
+struct Sync {
+    context: Arc<NodeContext>,
+}
+
+fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
+    let context = NodeContext::of(kernel);
+    let sync = Arc::new(Sync { context });
+    kernel.mesh.on(Channel::Sync, {
+        let sync = Arc::clone(&sync);
+        move |inbound| sync.answer(inbound)
+    });
+    let (first_sender, first) = bounded(1);
+    let pulling = spawn("sync-control", {
+        let sync = Arc::clone(&sync);
+        move || {
+            sync.pull_from_control(|| {
+                let _ = first_sender.try_send(());
+            });
+        }
+    })?;
+    let peering = spawn("sync-peers", {
+        let sync = Arc::clone(&sync);
+        move || sync.pull_from_peers()
+    })?;
+    // A node without profiles could only refuse calls; it starts all the same when the control
+    // group is away, since a peer may have them.
+    if first.recv_timeout(FIRST_PULL).is_err() {
+        log::warn!("sync: no profiles yet; the control group did not answer.");
+    }
+    Ok(Running::with_stop(move || {
+        let _ = pulling.join();
+        let _ = peering.join();
+    }))
+}
+
+fn spawn(
+    name: &'static str,
+    work: impl FnOnce() + Send + 'static,
+) -> Result<thread::JoinHandle<()>, StartError> {
+    Builder::new()
+        .name(name.to_owned())
+        .spawn(work)
+        .map_err(|error| StartError::new("sync", format!("no thread could be started: {error}")))
+}
+
+impl Sync {
+    /// Keeps one pull open at a control replica; moves on to the next when it is lost.
+    fn pull_from_control(&self, on_first: impl FnOnce()) {
+        let replicas = &self.context.kernel.node_settings().control;
+        if replicas.is_empty() {
+            return;
+        }
+        let mut on_first = Some(on_first);
+        let mut current = self.context.kernel.mesh.local().mesh.port() as usize % replicas.len();
+        let mut since_warning = Duration::ZERO;
+        while !self.context.kernel.ended.is_raised() {
+            let replica = replicas[current];
+            if self.pull_from_replica(replica) {
+                self.context
+                    .kernel
+                    .profiles
+                    .confirm(self.context.kernel.clock.now_us());
+                if let Some(on_first) = on_first.take() {
+                    on_first();
+                }
+                since_warning = Duration::ZERO;
+                continue;
+            }
+            log::debug!("sync: control replica {replica} did not answer; trying the next.");
+            current = (current + 1) % replicas.len();
+            since_warning += RETRY_PAUSE;
+            let age_ms = self
+                .context
+                .kernel
+                .profiles
+                .age_ms(self.context.kernel.clock.now_us());
+            if age_ms > STALE_AFTER_MS && since_warning >= STALE_WARNING {
+                since_warning = Duration::ZERO;
+                log::warn!(
+                    "sync: no control replica answered for {age_ms} ms; serving with revision {}.",
+                    self.context.kernel.profiles.revision()
+                );
+            }
+            if self.context.kernel.ended.wait(RETRY_PAUSE) {
+                return;
+            }
+        }
+    }
+
+    /// Pulls from peers that hold a newer configuration, as gossip tells.
+    fn pull_from_peers(&self) {
+        let offers = self.context.newer.receiver();
+        while !self.context.kernel.ended.is_raised() {
+            let offer = match offers.recv_timeout(RETRY_PAUSE) {
+                Ok(offer) => offer,
+                Err(RecvTimeoutError::Timeout) => continue,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let (peer, revision) = offer;
+            if revision > self.context.kernel.profiles.revision() && !self.pull_from_peer(peer) {
+                log::debug!("sync: peer {peer} did not hand over revision {revision}.");
+            }
+        }
+    }
+
+    /// One pull from a control replica; tells whether it knew the newest configuration.
+    fn pull_from_replica(&self, replica: SocketAddr) -> bool {
+        let (have, digest) = self.standing();
+        let request = ControlRequest::Pull {
+            have,
+            digest,
+            wait_ms: HOLD_MS,
+            report: Box::new(self.report()),
+        };
+        let wait = Duration::from_millis(u64::from(HOLD_MS)) + PULL_GRACE;
+        match self.ask(replica, Channel::Control, &request, wait) {
+            Some(ControlReply::Newer(delta)) => {
+                self.take(*delta, replica);
+                true
+            }
+            Some(ControlReply::Unchanged) => true,
+            _ => false,
+        }
+    }
+
+    /// One pull from a peer; tells whether it was answered.
+    fn pull_from_peer(&self, peer: SocketAddr) -> bool {
+        let (have, digest) = self.standing();
+        let request = SyncRequest::Pull { have, digest };
+        match self.ask(peer, Channel::Sync, &request, PULL_GRACE) {
+            Some(SyncReply::Newer(delta)) => {
+                self.take(*delta, peer);
+                true
+            }
+            Some(_) => true,
+            None => false,
+        }
+    }
+
+    /// Revision and digest in effect; a diverged set asks for everything.
+    fn standing(&self) -> (Revision, u64) {
+        let set = self.context.kernel.profiles.current();
+        let have = if set.needs_full() {
+            Revision::default()
+        } else {
+            set.revision()
+        };
+        (have, set.digest())
+    }
+
+    /// Sends a request and waits for its reply.
+    fn ask<T: DeserializeOwned + Send + 'static>(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        request: &impl Serialize,
+        wait: Duration,
+    ) -> Option<T> {
+        let (sender, receiver) = bounded(1);
+        let deadline = Instant::now() + wait;
+        self.context
+            .kernel
+            .mesh
+            .request(to, channel, encode(request), deadline, move |outcome| {
+                // The receiver is gone if the wait has ended.
+                let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
+            });
+        receiver.recv_timeout(wait).ok().flatten()
+    }
+
+    fn take(&self, delta: Delta, from: SocketAddr) {
+        let to = delta.to;
+        let kernel = &self.context.kernel;
+        if kernel.profiles.apply(delta) {
+            log::info!("sync: revision {to} from {from} is in effect.");
+            kernel.events.publish(&Event::ProfilesChanged(to));
+        }
+    }
+
+    fn answer(&self, inbound: Inbound) {
+        let reply = match decode(&inbound.payload) {
+            Ok(SyncRequest::Pull { have, digest }) => self.serve(have, digest),
+            Ok(SyncRequest::Drain { service, instance }) => {
+                let is_here = self
+                    .context
+                    .local
+                    .upstream()
+                    .is_some_and(|u| service.is_none_or(|service| service == u.service));
+                let drained = is_here
+                    && self
+                        .context
+                        .local
+                        .drain(&instance, "an operator asked for it");
+                SyncReply::Drained(drained)
+            }
+            Err(error) => {
+                log::warn!(
+                    "sync: a message from {} was dropped: {error}.",
+                    inbound.from
+                );
+                return;
+            }
+        };
+        if let Err(error) = inbound.reply.send(encode(&reply)) {
+            log::debug!(
+                "sync: a reply to {} could not be sent: {error}.",
+                inbound.from
+            );
+        }
+    }
+
+    /// Hands this node's profiles to a peer.
+    fn serve(&self, have: Revision, digest: u64) -> SyncReply {
+        let set = self.context.kernel.profiles.current();
+        match set.standing(have, digest) {
+            Standing::Ahead => SyncReply::Newer(Box::new(set.since(have))),
+            Standing::Diverged => SyncReply::Newer(Box::new(set.full())),
+            Standing::Behind | Standing::Equal => SyncReply::Unchanged,
+        }
+    }
+
+    fn report(&self) -> NodeReport {
+        let kernel = &self.context.kernel;
+        let settings = kernel.node_settings();
+        NodeReport {
+            node: kernel.mesh.local(),
+            host: settings.host.clone(),
+            availability_zone: settings.availability_zone.clone(),
+            revision: kernel.profiles.revision(),
+            age_ms: 0,
+            leaving: kernel.stop.is_raised(),
+            instance: self
+                .context
+                .local
+                .upstream()
+                .map(|upstream| InstanceReport {
+                    profiles: std::iter::once(&upstream.default_profile)
+                        .chain(upstream.rules.iter().map(|rule| &rule.profile))
+                        .cloned()
+                        .collect(),
+                    name: upstream.name,
+                    service: upstream.service,
+                    state: upstream.state,
+                    address: upstream.address,
+                }),
+        }
+    }
+}
