Report quarantined requests first; state limits of tombstones

Cause: suspect reports are cut to a number per message, newest first, so a burst of crashes could keep a quarantine from reaching every node. The docs did not say what happens to calls older than the tombstones.

Change: reports of refused requests come first; verdict takes &self; docs.

--- a/components/calls/src/lib.rs
+++ b/components/calls/src/lib.rs
@@ -28,6 +28,10 @@
 //! - A key may run again when its claims have expired, 10 minutes after the last grant.
 //! - The loss of a majority of keepers within one copy period stops keyed calls for 10 minutes.
 //! - Without a reply from an owner the outcome is unknown, even if the call never started.
+//! - An owner drops tombstones after 5 seconds and marks after 30 (both later for long deadlines),
+//!   and then refuses, or reports as forgotten, unknown attempts of calls that began before them at
+//!   the same entry. A call that is still looking for an owner after that time may thus be refused
+//!   as `Busy`, or end as unknown, without having run.
 
 mod budget;
 mod claims;
--- a/components/calls/src/suspects.rs
+++ b/components/calls/src/suspects.rs
@@ -112,7 +112,7 @@
     }
 
     /// What to do with a request.
-    pub fn verdict(&mut self, now_us: u64, fingerprint: &Fingerprint) -> Verdict {
+    pub fn verdict(&self, now_us: u64, fingerprint: &Fingerprint) -> Verdict {
         let Some(incidents) = self.requests.get(fingerprint) else {
             return Verdict::Clear;
         };
@@ -158,23 +158,25 @@
         incidents.iter().any(|i| i.id == report.incident)
     }
 
-    /// Reports for the peers, newest crash first, bounded in number.
+    /// Reports for the peers, bounded in number: refused requests first, then newest crash first.
     pub fn reports(&mut self, now_us: u64) -> Vec<SuspectReport> {
         self.purge(now_us);
-        let mut reports: Vec<SuspectReport> = self
-            .requests
-            .iter()
-            .flat_map(|(fingerprint, incidents)| incidents.iter().map(move |i| (fingerprint, i)))
-            .map(|(fingerprint, incident)| SuspectReport {
-                fingerprint: *fingerprint,
-                incident: incident.id,
-                age_ms: self.age_ms(now_us, incident.ends_us),
-                cleared: incident.cleared,
-            })
-            .collect();
-        reports.sort_by_key(|r| (r.age_ms, r.incident, r.fingerprint));
+        let mut reports: Vec<(bool, SuspectReport)> = Vec::new();
+        for (fingerprint, incidents) in &self.requests {
+            let is_refused = self.verdict(now_us, fingerprint) == Verdict::Refuse;
+            reports.extend(incidents.iter().map(|incident| {
+                let report = SuspectReport {
+                    fingerprint: *fingerprint,
+                    incident: incident.id,
+                    age_ms: self.age_ms(now_us, incident.ends_us),
+                    cleared: incident.cleared,
+                };
+                (!is_refused, report)
+            }));
+        }
+        reports.sort_by_key(|(rank, r)| (*rank, r.age_ms, r.incident, r.fingerprint));
         reports.truncate(self.config.max_reports);
-        reports
+        reports.into_iter().map(|(_, report)| report).collect()
     }
 
     fn age_ms(&self, now_us: u64, ends_us: u64) -> u32 {
@@ -193,7 +195,6 @@
         if self.requests.len() < self.config.max_fingerprints {
             return true;
         }
-        let is_refused = |f: &Fingerprint, s: &mut Self| s.verdict(now_us, f) == Verdict::Refuse;
         let mut candidates: Vec<(u64, Fingerprint)> = self
             .requests
             .iter()
@@ -201,7 +202,7 @@
             .collect();
         candidates.sort_unstable();
         for (_, fingerprint) in candidates {
-            if !is_refused(&fingerprint, self) {
+            if self.verdict(now_us, &fingerprint) != Verdict::Refuse {
                 self.requests.remove(&fingerprint);
                 return true;
             }
--- a/components/calls/tests/suite/crash_suspects.rs
+++ b/components/calls/tests/suite/crash_suspects.rs
@@ -49,7 +49,7 @@
         self.line("time passes");
     }
 
-    fn verdict(&mut self, node: usize, fingerprint: &Fingerprint) -> Verdict {
+    fn verdict(&self, node: usize, fingerprint: &Fingerprint) -> Verdict {
         self.nodes[node].verdict(self.clock(node), fingerprint)
     }
 
@@ -141,11 +141,13 @@
 }
 
 /// Guards against a table that grows without bound, that drops a quarantined request to take in a
-/// new one, and against reports over 64 bytes.
+/// new one, against reports over 64 bytes, and against newer crashes that crowd out the reports of
+/// a quarantined request.
 #[test]
 fn bounded_table() {
     let config = SuspectConfig {
         max_fingerprints: 4,
+        max_reports: 3,
         ..SuspectConfig::default()
     };
     let mut node = Suspects::new(config);
@@ -159,6 +161,8 @@
         );
     }
     assert_eq!(node.verdict(1_000, &POISON), Verdict::Refuse);
-    assert_eq!(node.reports(1_000).len(), 5);
+    let reports = node.reports(1_000);
+    assert_eq!(reports.len(), 3);
+    assert!(reports[..2].iter().all(|r| r.fingerprint == POISON));
     assert!(size_of::<SuspectReport>() < 64);
 }
