--- a/components/http/src/watch.rs
+++ b/components/http/src/watch.rs
@@ -1,5 +1,6 @@
 //! Non-blocking look at a connection.
 
+use crate::EarlyReply;
 use socket2::SockRef;
 use std::{io, mem::MaybeUninit, net::TcpStream};
 
@@ -30,15 +31,32 @@
     }
 }
 
+/// One write without blocking; 0 if the socket has no space.
+pub(crate) fn send_now(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    loop {
+        match SockRef::from(stream).send_with_flags(bytes, MSG_DONTWAIT) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(0),
+            other => return other,
+        }
+    }
+}
+
 /// Tells a handler whether its caller is still connected.
 #[derive(Debug)]
 pub struct CallerWatch<'a> {
     stream: &'a TcpStream,
+    early: EarlyReply,
 }
 
 impl<'a> CallerWatch<'a> {
-    pub(crate) fn new(stream: &'a TcpStream) -> Self {
-        CallerWatch { stream }
+    pub(crate) fn new(stream: &'a TcpStream, early: EarlyReply) -> Self {
+        CallerWatch { stream, early }
+    }
+
+    /// A way to answer this request from another thread, before the handler returns.
+    pub fn early_reply(&self) -> EarlyReply {
+        self.early.clone()
     }
 
     /// Whether the caller closed its connection; never blocks and takes no pipelined bytes.
