--- /dev/null
+++ b/components/bench/examples/gossip_slopes.rs
@@ -0,0 +1,566 @@
+//! Traffic, CPU time, memory and convergence of the gossip core for growing groups.
+//!
+//! Usage: `cargo run --release -p bench --example gossip_slopes [SEED] [MEMBERS...]`. The pure core
+//! runs on a simulated clock with an in-memory queue; bytes include 90 bytes of headers per
+//! datagram. Groups above 500 members are spread over 7 regions and 24 availability zones,
+//! smaller ones over 3 zones of one region.
+
+use members::{Datagram, MemberAction, MemberConfig, MemberState, Members, NodeInfo, TICK_MS};
+use model::{
+    AvailabilityZone, HostName, NodeId, ProfileName, Region, Revision, Rule, ServiceName, Upstream,
+    UpstreamName, UpstreamState,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    env, fs,
+    net::SocketAddr,
+    sync::Arc,
+    time::Instant,
+};
+
+const SECOND_US: u64 = 1_000_000;
+/// Step of the simulated clock.
+const STEP_US: u64 = 10_000;
+const STEPS_PER_TICK: u64 = TICK_MS as u64 * 1_000 / STEP_US;
+/// Transit time within a region and between regions.
+const LOCAL_US: u64 = 1_500;
+const REMOTE_US: u64 = 75_000;
+/// IP, UDP and mesh headers of one datagram.
+const HEADER_BYTES: u64 = 90;
+/// Restarts and configuration changes a day at 1,900 members.
+const RESTARTS_PER_DAY: u64 = 250;
+const CHANGES_PER_DAY: u64 = 3_400;
+const FULL_SIZE: u64 = 1_900;
+/// Upstream state changes a day at 1,900 members besides those of restarts.
+const STATE_CHANGES_PER_DAY: u64 = 1_000;
+const STEADY_S: u64 = 120;
+const TRIALS: u64 = 10;
+
+struct Node {
+    members: Members,
+    sent_bytes: u64,
+    received_bytes: u64,
+    second_bytes: u64,
+    peak_bytes: u64,
+}
+
+/// Which members have learnt of the watched event.
+#[derive(Default)]
+struct Watch {
+    subject: Option<SocketAddr>,
+    is_failure: bool,
+    seen_us: BTreeMap<usize, u64>,
+}
+
+struct Sim {
+    now_us: u64,
+    nodes: Vec<Option<Node>>,
+    queue: BinaryHeap<Reverse<(u64, u64, usize, usize)>>,
+    in_flight: BTreeMap<u64, Vec<u8>>,
+    sequence: u64,
+    datagrams: u64,
+    bytes: u64,
+    largest: usize,
+    cpu_ns: u128,
+    watch: Watch,
+    rng: Pcg64Mcg,
+    /// Loss of datagrams in percent.
+    loss_percent: u32,
+}
+
+fn address(index: usize) -> SocketAddr {
+    let (high, low) = (index / 250, index % 250 + 1);
+    SocketAddr::from(([10, 0, high as u8, low as u8], 7_000))
+}
+
+fn index(address: SocketAddr) -> usize {
+    let SocketAddr::V4(v4) = address else {
+        return usize::MAX;
+    };
+    let octets = v4.ip().octets();
+    usize::from(octets[2]) * 250 + usize::from(octets[3]) - 1
+}
+
+/// Region and availability zone of a member.
+fn place(index: usize, size: usize) -> (usize, usize) {
+    if size <= 500 {
+        return (0, index % 3);
+    }
+    let zone = index % 24;
+    (zone % 7, zone)
+}
+
+fn upstream(index: usize) -> Upstream {
+    let profile = |name| ProfileName::parse(name).expect("valid name");
+    let rule = |path: &str| Rule {
+        method: Some(Arc::from("POST")),
+        path_prefix: Arc::from(path),
+        profile: profile("record-once"),
+    };
+    Upstream {
+        name: UpstreamName::parse(format!("catalogue-{index}")).expect("valid name"),
+        service: ServiceName::parse(format!("service-{}", index % 110)).expect("valid name"),
+        availability_zone: AvailabilityZone::parse("z").expect("valid name"),
+        host: HostName::parse("h").expect("valid name"),
+        node: NodeId {
+            mesh: address(index),
+            incarnation: 0,
+        },
+        address: SocketAddr::from((address(index).ip(), 8_080)),
+        slots: 6,
+        connections: 260,
+        state: UpstreamState::Serving,
+        announced_ms: 1_790_000_000_000,
+        default_profile: profile("browse"),
+        rules: Arc::from([rule("/swaps"), rule("/loans")]),
+        version: 1,
+    }
+}
+
+impl Sim {
+    fn new(seed: u64, size: usize) -> Self {
+        Sim {
+            now_us: SECOND_US,
+            nodes: (0..size).map(|_| None).collect(),
+            queue: BinaryHeap::new(),
+            in_flight: BTreeMap::new(),
+            sequence: 0,
+            datagrams: 0,
+            bytes: 0,
+            largest: 0,
+            cpu_ns: 0,
+            watch: Watch::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            loss_percent: 0,
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let size = self.nodes.len();
+        let (region, zone) = place(index, size);
+        let zone = AvailabilityZone::parse(format!("zone-{zone}")).expect("valid name");
+        let region = Region::parse(format!("region-{region}")).expect("valid name");
+        // Contacts in three zones, as the control replicas of a deployment would be.
+        let config = MemberConfig::new(zone.clone(), region.clone()).contacts((0..3).map(address));
+        let info = NodeInfo {
+            node: NodeId {
+                mesh: address(index),
+                incarnation: 1_790_000_000_000_000 + self.now_us,
+            },
+            zone,
+            region,
+            host: HostName::parse(format!("host-{index}")).expect("valid name"),
+            upstreams: vec![upstream(index)],
+            revision: Revision::default(),
+            state: MemberState::Alive,
+        };
+        let seed = self.rng.random();
+        self.nodes[index] = Some(Node {
+            members: Members::new(config, info, seed),
+            sent_bytes: 0,
+            received_bytes: 0,
+            second_bytes: 0,
+            peak_bytes: 0,
+        });
+    }
+
+    fn perform(&mut self, from: usize, actions: Vec<MemberAction>) {
+        for action in actions {
+            match action {
+                MemberAction::Send { to, datagram } => self.send(from, index(to), &datagram),
+                MemberAction::Changed(info) => self.observe(from, &info, false),
+                MemberAction::Failed(info) => self.observe(from, &info, true),
+                MemberAction::NewerRevision { revision, .. } => {
+                    if let Some(node) = &mut self.nodes[from] {
+                        node.members.set_revision(self.now_us, revision);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn observe(&mut self, at: usize, info: &NodeInfo, is_failure: bool) {
+        let is_subject = self.watch.subject == Some(info.node.mesh);
+        let is_draining = info
+            .upstreams
+            .iter()
+            .any(|upstream| upstream.state == UpstreamState::Draining);
+        if is_subject && is_failure == self.watch.is_failure && (is_failure || is_draining) {
+            self.watch.seen_us.entry(at).or_insert(self.now_us);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, datagram: &Datagram) {
+        let started = Instant::now();
+        let bytes = postcard::to_stdvec(datagram).expect("datagram encodes");
+        self.cpu_ns += started.elapsed().as_nanos();
+        let length = bytes.len() as u64 + HEADER_BYTES;
+        self.datagrams += 1;
+        self.bytes += length;
+        self.largest = self.largest.max(bytes.len());
+        if let Some(node) = &mut self.nodes[from] {
+            node.sent_bytes += length;
+        }
+        if to >= self.nodes.len() || self.rng.random_range(0..100) < self.loss_percent {
+            return;
+        }
+        let size = self.nodes.len();
+        let is_local = place(from, size).0 == place(to, size).0;
+        let transit_us = if is_local { LOCAL_US } else { REMOTE_US };
+        self.sequence += 1;
+        self.in_flight.insert(self.sequence, bytes);
+        let key = (self.now_us + transit_us, self.sequence, from, to);
+        self.queue.push(Reverse(key));
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse((at_us, sequence, from, to))) = self.queue.peek().copied()
+            && at_us <= self.now_us
+        {
+            self.queue.pop();
+            let Some(bytes) = self.in_flight.remove(&sequence) else {
+                continue;
+            };
+            let Some(node) = &mut self.nodes[to] else {
+                continue;
+            };
+            let length = bytes.len() as u64 + HEADER_BYTES;
+            node.received_bytes += length;
+            node.second_bytes += length;
+            let started = Instant::now();
+            let datagram = postcard::from_bytes(&bytes).expect("datagram decodes");
+            let actions = node.members.receive(at_us, address(from), datagram);
+            self.cpu_ns += started.elapsed().as_nanos();
+            self.perform(to, actions);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now_us += STEP_US;
+        self.deliver();
+        let step = self.now_us / STEP_US;
+        for at in 0..self.nodes.len() {
+            if !(step + at as u64).is_multiple_of(STEPS_PER_TICK) {
+                continue;
+            }
+            let Some(node) = &mut self.nodes[at] else {
+                continue;
+            };
+            if self.now_us.is_multiple_of(SECOND_US) || step % 100 < STEPS_PER_TICK {
+                node.peak_bytes = node.peak_bytes.max(node.second_bytes);
+                node.second_bytes = 0;
+            }
+            let started = Instant::now();
+            let actions = node.members.tick(self.now_us);
+            self.cpu_ns += started.elapsed().as_nanos();
+            self.perform(at, actions);
+        }
+    }
+
+    fn run(&mut self, duration_us: u64) {
+        let end_us = self.now_us + duration_us;
+        while self.now_us < end_us {
+            self.step();
+        }
+    }
+
+    /// Runs until `is_done`, at most `limit_s`; returns the time taken.
+    fn run_until(&mut self, limit_s: u64, is_done: impl Fn(&Sim) -> bool) -> Option<f64> {
+        let start_us = self.now_us;
+        while !is_done(self) {
+            if self.now_us - start_us > limit_s * SECOND_US {
+                return None;
+            }
+            self.step();
+        }
+        Some((self.now_us - start_us) as f64 / SECOND_US as f64)
+    }
+
+    fn running(&self) -> usize {
+        self.nodes.iter().flatten().count()
+    }
+
+    fn knows_all(&self, at: usize) -> bool {
+        let known = self.nodes[at]
+            .as_ref()
+            .map_or(0, |node| node.members.snapshot().len());
+        known >= self.running()
+    }
+
+    fn watch(&mut self, subject: usize, is_failure: bool) {
+        self.watch = Watch {
+            subject: Some(address(subject)),
+            is_failure,
+            seen_us: BTreeMap::new(),
+        };
+    }
+
+    /// Time until the last member of the subject's region, and of any region, saw the event.
+    fn spread(&mut self, subject: usize, limit_s: u64) -> (Option<f64>, Option<f64>) {
+        let start_us = self.now_us;
+        let expected: Vec<usize> = (0..self.nodes.len())
+            .filter(|at| *at != subject && self.nodes[*at].is_some())
+            .collect();
+        let count = expected.len();
+        self.run_until(limit_s, |sim| sim.watch.seen_us.len() >= count);
+        let region = place(subject, self.nodes.len()).0;
+        let size = self.nodes.len();
+        let last = |list: &mut dyn Iterator<Item = usize>| {
+            let times: Option<Vec<u64>> = list
+                .map(|at| self.watch.seen_us.get(&at).copied())
+                .collect();
+            let last_us = times?.into_iter().max()?;
+            Some((last_us - start_us) as f64 / SECOND_US as f64)
+        };
+        let mut local = expected
+            .iter()
+            .copied()
+            .filter(|at| place(*at, size).0 == region);
+        let in_region = last(&mut local);
+        (in_region, last(&mut expected.iter().copied()))
+    }
+
+    fn set_upstream_state(&mut self, at: usize, state: UpstreamState) {
+        let Some(node) = &mut self.nodes[at] else {
+            return;
+        };
+        let mut info = node.members.local().clone();
+        info.upstreams[0].state = state;
+        info.upstreams[0].version += 1;
+        let actions = node
+            .members
+            .set_local(self.now_us, info)
+            .expect("record fits");
+        self.perform(at, actions);
+    }
+
+    fn leave(&mut self, at: usize) {
+        let Some(node) = &mut self.nodes[at] else {
+            return;
+        };
+        let actions = node.members.leave(self.now_us);
+        self.perform(at, actions);
+    }
+
+    fn random_member(&mut self) -> usize {
+        loop {
+            let at = self.rng.random_range(3..self.nodes.len());
+            if self.nodes[at].is_some() {
+                return at;
+            }
+        }
+    }
+}
+
+fn resident_bytes() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split(' ')
+        .nth(1)
+        .and_then(|field| field.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4_096
+}
+
+fn rate(per_day: u64, size: usize) -> f64 {
+    per_day as f64 / 86_400.0 * size as f64 / FULL_SIZE as f64
+}
+
+/// Runs with restarts, state changes and configuration changes at the rates of the design page.
+fn steady(sim: &mut Sim) {
+    let size = sim.nodes.len();
+    let (mut restarts, mut states, mut changes) = (0.0, 0.0, 0.0);
+    let mut revision = 0;
+    let mut stopping: BTreeSet<usize> = BTreeSet::new();
+    for _ in 0..STEADY_S {
+        // A restart takes two of these seconds: drain and leave, then start again.
+        for at in std::mem::take(&mut stopping) {
+            sim.start(at);
+        }
+        restarts += rate(RESTARTS_PER_DAY, size);
+        states += rate(STATE_CHANGES_PER_DAY, size);
+        changes += CHANGES_PER_DAY as f64 / 86_400.0;
+        while restarts >= 1.0 {
+            restarts -= 1.0;
+            let at = sim.random_member();
+            sim.set_upstream_state(at, UpstreamState::Draining);
+            sim.run(SECOND_US / 2);
+            sim.leave(at);
+            sim.run(SECOND_US / 2);
+            sim.nodes[at] = None;
+            stopping.insert(at);
+        }
+        while states >= 1.0 {
+            states -= 1.0;
+            let at = sim.random_member();
+            sim.set_upstream_state(at, UpstreamState::Starting);
+        }
+        while changes >= 1.0 {
+            changes -= 1.0;
+            revision += 1;
+            let held = Revision {
+                term: 1,
+                number: revision,
+            };
+            let now_us = sim.now_us;
+            for node in sim.nodes.iter_mut().flatten() {
+                node.members.set_revision(now_us, held);
+            }
+        }
+        sim.run(SECOND_US);
+    }
+    for at in stopping {
+        sim.start(at);
+    }
+}
+
+fn show(time: Option<f64>) -> String {
+    time.map_or_else(|| "not reached".to_owned(), |time| format!("{time:.2} s"))
+}
+
+fn worst(times: &[Option<f64>]) -> Option<f64> {
+    let all: Option<Vec<f64>> = times.iter().copied().collect();
+    all?.into_iter().reduce(f64::max)
+}
+
+fn cold_start(sim: &mut Sim) -> Option<f64> {
+    let size = sim.nodes.len();
+    for at in 0..size {
+        sim.start(at);
+        sim.run(SECOND_US / 50);
+    }
+    sim.run_until(600, |sim| (0..size).all(|at| sim.knows_all(at)))
+}
+
+fn report_steady(sim: &mut Sim) {
+    for node in sim.nodes.iter_mut().flatten() {
+        (node.sent_bytes, node.received_bytes, node.peak_bytes) = (0, 0, 0);
+    }
+    (sim.datagrams, sim.bytes, sim.cpu_ns) = (0, 0, 0);
+    let start_us = sim.now_us;
+    steady(sim);
+    let seconds = (sim.now_us - start_us) as f64 / SECOND_US as f64;
+    let node_seconds = seconds * sim.nodes.len() as f64;
+    let busiest = sim
+        .nodes
+        .iter()
+        .flatten()
+        .map(|node| node.sent_bytes.max(node.received_bytes))
+        .max()
+        .unwrap_or(0);
+    println!(
+        "  steady: {:.2} messages/s, {:.0} bytes/s sent per node (busiest {:.0}), \
+         CPU {:.1} us per node and second",
+        sim.datagrams as f64 / node_seconds,
+        sim.bytes as f64 / node_seconds,
+        busiest as f64 / seconds,
+        sim.cpu_ns as f64 / 1_000.0 / node_seconds,
+    );
+}
+
+fn report_drains(sim: &mut Sim) {
+    let (mut local, mut all) = (Vec::new(), Vec::new());
+    for _ in 0..TRIALS {
+        let subject = sim.random_member();
+        sim.watch(subject, false);
+        sim.set_upstream_state(subject, UpstreamState::Draining);
+        let (in_region, everywhere) = sim.spread(subject, 30);
+        local.push(in_region);
+        all.push(everywhere);
+        sim.set_upstream_state(subject, UpstreamState::Serving);
+        sim.run(3 * SECOND_US);
+    }
+    println!(
+        "  drain known: region {}, everywhere {} (worst of {TRIALS})",
+        show(worst(&local)),
+        show(worst(&all))
+    );
+}
+
+fn report_failures(sim: &mut Sim) {
+    let (mut local, mut all) = (Vec::new(), Vec::new());
+    for _ in 0..TRIALS {
+        let subject = sim.random_member();
+        sim.watch(subject, true);
+        sim.nodes[subject] = None;
+        let (in_region, everywhere) = sim.spread(subject, 60);
+        local.push(in_region);
+        all.push(everywhere);
+        sim.start(subject);
+        sim.run(10 * SECOND_US);
+    }
+    let mean = local.iter().flatten().sum::<f64>() / TRIALS as f64;
+    println!(
+        "  failure known: region {} (mean {mean:.2} s), everywhere {} (worst of {TRIALS})",
+        show(worst(&local)),
+        show(worst(&all))
+    );
+}
+
+fn report_join(sim: &mut Sim) {
+    let joiner = sim.random_member();
+    sim.leave(joiner);
+    sim.run(2 * SECOND_US);
+    sim.start(joiner);
+    let size = sim.nodes.len();
+    let region = place(joiner, size).0;
+    let in_region = (0..size).filter(|at| place(*at, size).0 == region).count();
+    let knows_region = move |sim: &Sim| {
+        let Some(node) = &sim.nodes[joiner] else {
+            return false;
+        };
+        let own = &node.members.local().region;
+        let snapshot = node.members.snapshot();
+        snapshot.iter().filter(|info| info.region == *own).count() >= in_region
+    };
+    let region_time = sim.run_until(60, knows_region);
+    let rest_time = sim.run_until(300, |sim| sim.knows_all(joiner));
+    sim.run(2 * SECOND_US);
+    let peak = sim.nodes[joiner].as_ref().map_or(0, |node| node.peak_bytes);
+    println!(
+        "  join: own region {}, the others {} later, at most {peak} bytes received in a second",
+        show(region_time),
+        show(rest_time)
+    );
+}
+
+fn main() {
+    let arguments: Vec<u64> = env::args()
+        .skip(1)
+        .filter_map(|text| text.parse().ok())
+        .collect();
+    let seed = arguments.first().copied().unwrap_or(1);
+    let sizes = match arguments.get(1..) {
+        Some(sizes) if !sizes.is_empty() => sizes.to_vec(),
+        _ => vec![10, 50, 100, 200, FULL_SIZE],
+    };
+    for size in sizes {
+        let size = usize::try_from(size).unwrap_or(usize::MAX);
+        let started = Instant::now();
+        let before = resident_bytes();
+        let mut sim = Sim::new(seed, size);
+        println!("{size} members, seed {seed}:");
+        let cold = cold_start(&mut sim);
+        let per_member = (resident_bytes() - before) as f64 / (size * size) as f64;
+        let total = sim.bytes as f64 / size as f64;
+        println!(
+            "  cold start of all: complete {} after the last start, {total:.0} bytes per node, \
+             {per_member:.0} bytes of memory per known member",
+            show(cold)
+        );
+        sim.run(30 * SECOND_US);
+        report_steady(&mut sim);
+        sim.run(30 * SECOND_US);
+        report_drains(&mut sim);
+        report_failures(&mut sim);
+        report_join(&mut sim);
+        println!(
+            "  largest datagram {} bytes; took {:.1} s",
+            sim.largest,
+            started.elapsed().as_secs_f64()
+        );
+    }
+}
--- a/components/members/src/config.rs
+++ b/components/members/src/config.rs
@@ -7,9 +7,12 @@
 const DEFAULT_PERIOD_MS: u32 = 1_000;
 /// Peers that each gossip round reaches.
 const DEFAULT_FAN_OUT: u8 = 3;
-/// Budget for gossip and synchronisation in bytes per second, headers included. Probes and their
+/// Budget for updates and synchronisation in bytes per second, headers included. Probes and their
 /// replies are outside it; they take below 600 bytes per second.
-const DEFAULT_BYTES_PER_S: u32 = 1_500;
+const DEFAULT_BYTES_PER_S: u32 = 1_800;
+/// Share of the budget for updates; the rest is for synchronisation, which repeats nothing and
+/// therefore must not be held up by updates after the start of many nodes at once.
+const UPDATES_PERCENT: u32 = 40;
 
 /// Where a node is, whom it contacts first, and how often it sends.
 #[derive(Clone, Debug)]
@@ -56,10 +59,18 @@
         self
     }
 
-    /// Budget for gossip and synchronisation in bytes per second.
+    /// Budget for updates and synchronisation in bytes per second.
     #[must_use]
     pub fn bytes_per_s(mut self, bytes_per_s: u32) -> Self {
         self.bytes_per_s = bytes_per_s.max(1);
         self
     }
+
+    pub(crate) fn update_bytes_per_s(&self) -> u32 {
+        (self.bytes_per_s / 100 * UPDATES_PERCENT).max(1)
+    }
+
+    pub(crate) fn sync_bytes_per_s(&self) -> u32 {
+        (self.bytes_per_s / 100 * (100 - UPDATES_PERCENT)).max(1)
+    }
 }
--- a/components/members/src/members.rs
+++ b/components/members/src/members.rs
@@ -9,11 +9,11 @@
     probes::Probes,
     rumors::Rumors,
     sync::Sync,
-    table::{Merge, Table},
+    table::{Merge, Table, record_hash},
     views::{self, Views},
-    wire::{Body, Claim, Datagram, Notice, Record},
+    wire::{Body, Claim, Datagram, Notice, Record, Stamp, UpstreamChange},
 };
-use model::{Region, Revision};
+use model::{NodeId, Region, Revision};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::{net::SocketAddr, sync::Arc};
@@ -29,6 +29,8 @@
 const REVISION_ROUNDS: u8 = 2;
 /// Time between two reports of the same newer revision, in case fetching it failed.
 const REVISION_REPEAT_US: u64 = 500_000;
+/// Time between two rebuilds of derived lists, for each member.
+const VIEW_PAUSE_US: u64 = 100;
 /// Time between two searches for expired dead records.
 const EXPIRY_US: u64 = 60_000_000;
 
@@ -37,17 +39,23 @@
 pub struct Members {
     pub(crate) config: MemberConfig,
     pub(crate) local: NodeInfo,
-    pub(crate) sequence: u32,
+    pub(crate) stamp: Stamp,
+    /// Local record that notices refer to.
+    base: NodeInfo,
     pub(crate) has_left: bool,
     pub(crate) table: Table,
     pub(crate) views: Views,
     pub(crate) rumors: Rumors,
     pub(crate) extras: Extras,
-    pub(crate) budget: Budget,
+    pub(crate) update_budget: Budget,
+    pub(crate) sync_budget: Budget,
     pub(crate) probes: Probes,
     pub(crate) sync: Sync,
     pub(crate) rng: Pcg64Mcg,
+    /// Time of the latest call.
+    pub(crate) now_us: u64,
     assembly: Assembly,
+    views_us: u64,
     last_tick_us: Option<u64>,
     next_round_us: u64,
     next_expiry_us: u64,
@@ -67,18 +75,26 @@
             local.upstreams.clear();
         }
         let mut members = Members {
+            base: local.clone(),
             local,
-            sequence: 1,
+            stamp: Stamp {
+                sequence: 1,
+                base: 1,
+                change: None,
+            },
             has_left: false,
             table: Table::default(),
             views: Views::default(),
             rumors: Rumors::default(),
             extras: Extras::default(),
-            budget: Budget::new(config.bytes_per_s),
+            update_budget: Budget::new(config.update_bytes_per_s()),
+            sync_budget: Budget::new(config.sync_bytes_per_s()),
             probes: Probes::default(),
             sync: Sync::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
+            now_us: 0,
             assembly: Assembly::default(),
+            views_us: 0,
             last_tick_us: None,
             next_round_us: 0,
             next_expiry_us: 0,
@@ -89,7 +105,8 @@
         };
         members.sync.is_synced = members.config.contacts.is_empty();
         members.normalize_local();
-        members.publish_local(&mut Vec::new());
+        members.base = members.local.clone();
+        members.publish_local(true, &mut Vec::new());
         members
     }
 
@@ -122,8 +139,10 @@
         let first_tick = self.last_tick_us.is_none();
         let gap_us = now_us.saturating_sub(self.last_tick_us.unwrap_or(now_us));
         self.last_tick_us = Some(now_us);
-        self.budget.refill(now_us);
-        self.refresh_views();
+        self.now_us = now_us;
+        self.update_budget.refill(now_us);
+        self.sync_budget.refill(now_us);
+        self.refresh_views(now_us);
         if first_tick {
             self.start(now_us);
         }
@@ -143,6 +162,7 @@
     }
 
     fn start(&mut self, now_us: u64) {
+        self.add_rumor(self.local.node.mesh, true, true);
         // Spreads the first probes and digests of nodes that start together.
         let period_us = self.config.period_us;
         self.probes
@@ -155,8 +175,11 @@
             return;
         }
         self.extras.expire(now_us);
-        let has_updates = !self.rumors.is_empty() || !self.extras.is_empty();
-        if !(has_updates || self.revision_rounds > 0) || !self.budget.has_tokens() {
+        self.rumors.expire(now_us);
+        let is_urgent =
+            self.rumors.has_urgent() || !self.extras.is_empty() || self.revision_rounds > 0;
+        let is_due = is_urgent || (!self.rumors.is_empty() && self.update_budget.has_plenty());
+        if !is_due || !self.update_budget.has_tokens() {
             return;
         }
         self.next_round_us = now_us + ROUND_US;
@@ -175,8 +198,9 @@
         if from == self.local.node.mesh || self.is_stale_sender(from, &datagram) {
             return actions;
         }
-        self.refresh_views();
-        self.budget.refill(now_us);
+        self.now_us = now_us;
+        self.update_budget.refill(now_us);
+        self.sync_budget.refill(now_us);
         let Datagram {
             incarnation,
             sequence,
@@ -188,7 +212,7 @@
         } = datagram;
         let is_repair = body == Body::Repair;
         for record in records {
-            self.receive_record(record, is_repair, &mut actions);
+            self.receive_record(from, record, is_repair, &mut actions);
         }
         for notice in notices {
             self.receive_notice(now_us, from, &notice, is_repair, &mut actions);
@@ -205,7 +229,6 @@
             revision,
             &mut actions,
         );
-        self.refresh_views();
         self.receive_body(now_us, from, body, &mut actions);
         actions
     }
@@ -233,20 +256,23 @@
                 self.relay_probe(now_us, from, nonce, target, actions);
             }
             Body::Summary { zones } => self.receive_summary(now_us, from, &zones, actions),
+            Body::Referral { peers } => self.receive_referral(now_us, &peers, actions),
             Body::Equal => self.sync.is_synced = true,
             Body::Page {
                 zone,
                 rank,
                 after,
                 last,
-                entries,
+                hashes,
             } => {
                 let range = (after, last);
-                self.receive_page(now_us, from, (zone, rank), range, &entries, actions);
+                self.receive_page(now_us, from, (zone, rank), range, &hashes, actions);
             }
-            Body::NextPage { zone, after } => self.send_page(now_us, from, zone, after, actions),
-            Body::Missing { entries } => self.receive_missing(from, &entries, actions),
-            Body::Want { members } => self.send_repair(from, &members, actions),
+            Body::NextPage { zone, after } => {
+                self.send_page(now_us, from, zone, Some(after), actions);
+            }
+            Body::Missing { hashes } => self.receive_missing(from, &hashes),
+            Body::Want { hashes } => self.receive_want(from, &hashes, actions),
         }
     }
 
@@ -259,6 +285,7 @@
         actions: &mut Vec<MemberAction>,
     ) {
         self.want_sender(from, version);
+        self.note_region(now_us, from);
         self.table.set_revision(from, revision);
         let (reported, reported_us) = self.reported_revision;
         let is_repeat = reported >= revision && now_us < reported_us + REVISION_REPEAT_US;
@@ -269,25 +296,34 @@
         actions.push(MemberAction::NewerRevision { at: from, revision });
     }
 
-    fn receive_record(&mut self, part: Record, is_repair: bool, actions: &mut Vec<MemberAction>) {
-        let Some((info, sequence)) = self.assembly.add(part) else {
+    fn receive_record(
+        &mut self,
+        from: SocketAddr,
+        part: Record,
+        is_repair: bool,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some((info, stamp)) = self.assembly.add(part) else {
             return;
         };
         let node = info.node;
         if node.mesh == self.local.node.mesh {
-            if (node.incarnation, sequence) > (self.local.node.incarnation, self.sequence) {
-                self.defend(node.incarnation, sequence, actions);
-            }
+            self.defend_record(node.incarnation, stamp.sequence, actions);
             return;
         }
         let is_own_region = info.region == self.config.region;
-        if self.table.merge_record(info, sequence, actions) != Merge::Newer {
+        self.sync.received(record_hash(node, stamp.sequence));
+        let merged = self.table.merge_record(info, stamp, actions);
+        if merged == Merge::Stale && is_repair && self.table.dead_notice(node.mesh).is_some() {
+            self.send_repair(from, &[node.mesh], actions);
+        }
+        if merged != Merge::Newer {
             return;
         }
         self.probes.forget(node.mesh);
         // A new node fetches all records; passing them on would repeat what its peers know.
         if !is_repair || self.sync.is_synced {
-            self.rumors.add(node.mesh, true, is_own_region);
+            self.add_rumor(node.mesh, true, is_own_region);
         }
     }
 
@@ -300,6 +336,15 @@
         actions: &mut Vec<MemberAction>,
     ) {
         let address = notice.node.mesh;
+        if let Claim::Alive { base, change } = notice.claim {
+            let stamp = Stamp {
+                sequence: notice.sequence,
+                base,
+                change,
+            };
+            self.receive_alive(from, notice.node, stamp, actions);
+            return;
+        }
         if address == self.local.node.mesh {
             self.defend(notice.node.incarnation, notice.sequence, actions);
             return;
@@ -320,7 +365,28 @@
         }
         if self.table.merge_dead(now_us, notice, actions) == Merge::Newer {
             self.probes.forget(address);
-            self.rumors.add(address, false, is_own_region);
+            self.add_rumor(address, false, is_own_region);
+        }
+    }
+
+    fn receive_alive(
+        &mut self,
+        from: SocketAddr,
+        node: NodeId,
+        stamp: Stamp,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if node.mesh == self.local.node.mesh {
+            self.defend_record(node.incarnation, stamp.sequence, actions);
+            return;
+        }
+        match self.table.merge_alive(node, stamp, actions) {
+            Merge::Newer => {
+                self.probes.forget(node.mesh);
+                self.add_rumor(node.mesh, false, self.is_own_region(node.mesh));
+            }
+            Merge::Missing => self.want_record(from, node, stamp.sequence),
+            Merge::Known | Merge::Stale => {}
         }
     }
 
@@ -331,24 +397,32 @@
             .is_some_and(|member| member.info.region == self.config.region)
     }
 
-    /// Answers an accusation, or a record that this process did not make, with a newer record.
+    /// Answers a record of the local address that this process did not make.
+    fn defend_record(&mut self, incarnation: u64, sequence: u32, actions: &mut Vec<MemberAction>) {
+        let own = (self.local.node.incarnation, self.stamp.sequence);
+        if (incarnation, sequence) > own {
+            self.defend(incarnation, sequence, actions);
+        }
+    }
+
+    /// Answers an accusation by a higher sequence.
     fn defend(&mut self, incarnation: u64, sequence: u32, actions: &mut Vec<MemberAction>) {
         let own = self.local.node.incarnation;
         if incarnation > own && !self.is_superseded {
             self.is_superseded = true;
             actions.push(MemberAction::Superseded {
-                by: model::NodeId {
+                by: NodeId {
                     mesh: self.local.node.mesh,
                     incarnation,
                 },
             });
         }
-        if incarnation != own || sequence < self.sequence || self.has_left {
+        if incarnation != own || sequence < self.stamp.sequence || self.has_left {
             return;
         }
-        self.sequence = sequence + 1;
+        self.stamp.sequence = sequence + 1;
         self.probes.raise_health();
-        self.publish_local(actions);
+        self.publish_local(false, actions);
     }
 
     /// Replaces the local record; a record equal but for its revision is not spread again.
@@ -359,6 +433,7 @@
     ) -> Result<Vec<MemberAction>, MemberError> {
         parts::check(&info)?;
         let mut actions = Vec::new();
+        self.now_us = now_us;
         if self.has_left {
             return Ok(actions);
         }
@@ -380,10 +455,17 @@
         if is_same {
             return Ok(actions);
         }
-        self.sequence += 1;
-        self.publish_local(&mut actions);
+        self.stamp.sequence += 1;
+        let change = state_change(&self.base, &self.local);
+        if let Some(change) = change {
+            self.stamp.change = change;
+        } else {
+            self.base = self.local.clone();
+            self.stamp.base = self.stamp.sequence;
+            self.stamp.change = None;
+        }
+        self.publish_local(change.is_none(), &mut actions);
         self.next_round_us = now_us;
-        self.refresh_views();
         self.tick_gossip(now_us, &mut actions);
         Ok(actions)
     }
@@ -408,12 +490,12 @@
         self.local.state = MemberState::Left;
         let notice = Notice {
             node: self.local.node,
-            sequence: self.sequence,
+            sequence: self.stamp.sequence,
             claim: Claim::Left,
         };
+        self.now_us = now_us;
         self.table.leave_local(now_us, &notice);
-        self.refresh_views();
-        self.rumors.add(self.local.node.mesh, false, true);
+        self.add_rumor(self.local.node.mesh, false, true);
         self.next_round_us = now_us;
         self.tick_gossip(now_us, &mut actions);
         actions
@@ -446,16 +528,21 @@
         }
     }
 
-    fn publish_local(&mut self, actions: &mut Vec<MemberAction>) {
+    fn publish_local(&mut self, with_record: bool, actions: &mut Vec<MemberAction>) {
         self.table
-            .set_local(self.local.clone(), self.sequence, actions);
-        self.rumors.add(self.local.node.mesh, true, true);
+            .set_local(self.local.clone(), self.stamp, actions);
+        self.add_rumor(self.local.node.mesh, with_record, true);
     }
 
-    pub(crate) fn refresh_views(&mut self) {
-        if !std::mem::take(&mut self.table.is_dirty) {
+    /// Rebuilds the derived lists, in larger groups less often: a new node learns of 1,900 members
+    /// one by one, and each rebuild visits all of them.
+    fn refresh_views(&mut self, now_us: u64) {
+        let pause_us = VIEW_PAUSE_US * self.table.len() as u64;
+        if !self.table.is_dirty || now_us < self.views_us + pause_us {
             return;
         }
+        self.table.is_dirty = false;
+        self.views_us = now_us;
         let zone = &self.config.availability_zone;
         self.views = views::build(&self.table, self.local.node, zone, &self.config.region);
     }
@@ -469,3 +556,32 @@
         self.table.get(address).map(|member| &member.info.region)
     }
 }
+
+/// What differs from the base record: nothing or one upstream's state; `None` if it is more.
+#[expect(
+    clippy::option_option,
+    reason = "the outer level tells whether a notice suffices"
+)]
+fn state_change(base: &NodeInfo, local: &NodeInfo) -> Option<Option<UpstreamChange>> {
+    if base.host != local.host || base.upstreams.len() != local.upstreams.len() {
+        return None;
+    }
+    let mut change = None;
+    for (index, (old, new)) in base.upstreams.iter().zip(&local.upstreams).enumerate() {
+        if old == new {
+            continue;
+        }
+        let mut expected = old.clone();
+        expected.state = new.state;
+        expected.version = new.version;
+        if expected != *new || change.is_some() {
+            return None;
+        }
+        change = Some(UpstreamChange {
+            index: u8::try_from(index).ok()?,
+            state: new.state,
+            version: new.version,
+        });
+    }
+    Some(change)
+}
--- a/components/members/src/parts.rs
+++ b/components/members/src/parts.rs
@@ -3,7 +3,7 @@
 use crate::{
     info::{MemberError, MemberState, NodeInfo},
     size,
-    wire::{Record, UpstreamRecord},
+    wire::{Record, Stamp, UpstreamRecord},
 };
 use model::{NodeId, Revision, Rule, Upstream};
 use std::{collections::BTreeMap, sync::Arc};
@@ -32,10 +32,10 @@
     }
 }
 
-fn record(info: &NodeInfo, sequence: u32) -> Record {
+fn record(info: &NodeInfo, stamp: Stamp) -> Record {
     Record {
         node: info.node,
-        sequence,
+        stamp,
         region: info.region.clone(),
         zone: info.zone.clone(),
         host: info.host.clone(),
@@ -64,8 +64,8 @@
 }
 
 /// The parts of a node's record, each of which fits a datagram.
-pub(crate) fn split(info: &NodeInfo, sequence: u32) -> Vec<Record> {
-    let base = record(info, sequence);
+pub(crate) fn split(info: &NodeInfo, stamp: Stamp) -> Vec<Record> {
+    let base = record(info, stamp);
     let base_bytes = size::bare_record(&base);
     let mut parts = vec![base.clone()];
     let mut used_bytes = base_bytes;
@@ -105,7 +105,12 @@
             });
         }
     }
-    let parts = split(info, u32::MAX).len();
+    let stamp = Stamp {
+        sequence: 0,
+        base: 0,
+        change: None,
+    };
+    let parts = split(info, stamp).len();
     if parts > MAX_PARTS {
         return Err(MemberError::RecordTooLong {
             parts,
@@ -171,22 +176,22 @@
 }
 
 impl Assembly {
-    /// Adds a part; returns the whole record with its sequence once no part is missing.
-    pub(crate) fn add(&mut self, part: Record) -> Option<(NodeInfo, u32)> {
-        let sequence = part.sequence;
+    /// Adds a part; returns the whole record with its stamp once no part is missing.
+    pub(crate) fn add(&mut self, part: Record) -> Option<(NodeInfo, Stamp)> {
+        let stamp = part.stamp;
         if part.parts <= 1 {
-            return Some((join(&[part]), sequence));
+            return Some((join(&[part]), stamp));
         }
         if part.part >= part.parts || usize::from(part.parts) > MAX_PARTS {
             return None;
         }
-        let key = (part.node, sequence);
+        let key = (part.node, stamp.sequence);
         let count = usize::from(part.parts);
         let known = self.incomplete.entry(key).or_default();
         known.insert(part.part, part);
         if known.len() == count {
             let parts: Vec<Record> = self.incomplete.remove(&key)?.into_values().collect();
-            return Some((join(&parts), sequence));
+            return Some((join(&parts), stamp));
         }
         if self.incomplete.len() > MAX_INCOMPLETE {
             self.incomplete.pop_first();
--- a/components/members/src/probes.rs
+++ b/components/members/src/probes.rs
@@ -22,8 +22,13 @@
 const CONFIRMATIONS: usize = 2;
 /// Members that are expected to check a suspicion by a probe of their own.
 const CHECKERS: u32 = 3;
-/// Shortest suspicion in periods; larger groups take the decimal logarithm of their size.
-const MIN_SUSPICION_PERIODS: f64 = 1.2;
+/// Shortest suspicion in periods, for one member and for each tenfold size. With the wait for the
+/// next probe (1 period), its timeouts (0.8) and gossip (0.5), a failure among 270 members is known
+/// within 5 periods; a pause of 2.5 periods is refuted in time.
+const SUSPICION_PERIODS: f64 = 1.8;
+const SUSPICION_PERIODS_PER_DIGIT: f64 = 0.35;
+/// Factor on the shortest suspicion while no other member confirms it.
+const UNCONFIRMED_FACTOR: f64 = 1.5;
 /// Highest local health score; timeouts are multiplied by the score plus one.
 const MAX_HEALTH: u64 = 8;
 /// Probes of failed members per period over the whole region, to find the end of a partition.
@@ -120,10 +125,12 @@
     }
 
     fn probe_successor(&mut self, now_us: u64, actions: &mut Vec<MemberAction>) {
-        let successors = &self.views.successors;
-        let target = successors
-            .iter()
-            .find(|peer| !self.probes.is_probing(**peer));
+        let is_alive = |peer: SocketAddr| {
+            let member = self.table.get(peer);
+            member.is_some_and(|member| member.info.state == MemberState::Alive)
+        };
+        let mut successors = self.views.successors.iter();
+        let target = successors.find(|peer| is_alive(**peer) && !self.probes.is_probing(**peer));
         if let Some(target) = target.copied() {
             self.probe(now_us, target, None, actions);
         }
@@ -268,7 +275,6 @@
         }
         if self.is_own_region(probe.target) {
             self.accuse(now_us, probe.target, self.local.node.mesh, actions);
-            self.refresh_views();
             self.probe_successor(now_us, actions);
         }
     }
@@ -289,7 +295,7 @@
         let is_full = suspicion.accusers.len() > CONFIRMATIONS;
         if !is_full && !suspicion.accusers.contains(&by) {
             suspicion.accusers.push(by);
-            self.rumors.add(subject, false, false);
+            self.add_rumor(subject, false, false);
         }
         is_first
     }
@@ -302,10 +308,10 @@
         actions: &mut Vec<MemberAction>,
     ) {
         let subject = notice.node.mesh;
-        let Some(entry) = self.table.entry(subject) else {
+        let Some(member) = self.table.get(subject) else {
             return;
         };
-        let held = (entry.node.incarnation, entry.sequence);
+        let held = (member.info.node.incarnation, member.stamp.sequence);
         if (notice.node.incarnation, notice.sequence) < held {
             return;
         }
@@ -321,7 +327,7 @@
 
     fn suspicion_us(&self, accusers: usize) -> u64 {
         let size = self.region_size();
-        let periods = (size as f64).log10().max(MIN_SUSPICION_PERIODS);
+        let periods = SUSPICION_PERIODS + SUSPICION_PERIODS_PER_DIGIT * (size as f64).log10();
         let needed = CONFIRMATIONS.min(size.saturating_sub(2));
         let confirmed = accusers.saturating_sub(1).min(needed);
         let share = if needed == 0 {
@@ -329,7 +335,8 @@
         } else {
             ((confirmed + 1) as f64).ln() / ((needed + 1) as f64).ln()
         };
-        (self.config.period_us as f64 * periods * (2.0 - share)) as u64
+        let factor = UNCONFIRMED_FACTOR - (UNCONFIRMED_FACTOR - 1.0) * share;
+        (self.config.period_us as f64 * periods * factor) as u64
     }
 
     fn check_suspicions(&mut self, now_us: u64, actions: &mut Vec<MemberAction>) {
@@ -353,13 +360,12 @@
             }
             let notice = Notice {
                 node: member.info.node,
-                sequence: member.sequence,
+                sequence: member.stamp.sequence,
                 claim: Claim::Failed,
             };
             if self.table.merge_dead(now_us, &notice, actions) == Merge::Newer {
-                self.rumors.add(subject, false, true);
+                self.add_rumor(subject, false, true);
             }
         }
-        self.refresh_views();
     }
 }
--- a/components/members/src/size.rs
+++ b/components/members/src/size.rs
@@ -1,14 +1,18 @@
 //! Encoded sizes in bytes under `postcard`, which this crate doesn't depend on.
 
-use crate::wire::{Body, Datagram, Entry, Extra, Notice, Record, UpstreamRecord};
+use crate::wire::{Body, Datagram, Extra, Notice, Record, UpstreamRecord};
 use model::Rule;
 use std::net::SocketAddr;
 
 /// Largest encoded socket address: variant, IPv6 octets, port.
 const MAX_ADDRESS_BYTES: usize = 20;
 
-/// Largest encoded page entry.
-pub(crate) const MAX_ENTRY_BYTES: usize = MAX_ADDRESS_BYTES + 10 + 5;
+/// Largest encoded 32-bit number.
+const MAX_U32_BYTES: usize = 5;
+/// Largest encoded stamp: two numbers and a change of up to 13 bytes.
+const MAX_STAMP_BYTES: usize = 2 * MAX_U32_BYTES + 13;
+/// Hashes that fit one datagram beside its header and a notice.
+pub(crate) const MAX_HASHES: usize = 190;
 
 pub(crate) fn varint(value: u64) -> usize {
     let bits = 64 - value.max(1).leading_zeros() as usize;
@@ -24,15 +28,8 @@
     1 + octets + varint(value.port().into())
 }
 
-/// Size of a page without its entries.
-pub(crate) const BARE_PAGE_BYTES: usize = 6 + 2 * (1 + MAX_ADDRESS_BYTES) + 2;
-
-pub(crate) fn entry(value: &Entry) -> usize {
-    address(value.node.mesh) + varint(value.node.incarnation) + varint(value.sequence.into())
-}
-
 pub(crate) fn notice(value: &Notice) -> usize {
-    // The claim takes one byte, and a suspicion names its accuser.
+    // The claim takes one byte. A suspicion names its accuser, which is longer than a change.
     let node = address(value.node.mesh) + varint(value.node.incarnation);
     node + varint(value.sequence.into()) + 1 + MAX_ADDRESS_BYTES
 }
@@ -65,7 +62,7 @@
 pub(crate) fn bare_record(value: &Record) -> usize {
     address(value.node.mesh)
         + varint(value.node.incarnation)
-        + varint(value.sequence.into())
+        + MAX_STAMP_BYTES
         + text(value.region.as_str())
         + text(value.zone.as_str())
         + text(value.host.as_str())
@@ -95,10 +92,10 @@
                 .map(|(key, hash)| varint((*key).into()) + varint((*hash).into()));
             2 + pairs.sum::<usize>()
         }
-        Body::Page { entries, .. } => BARE_PAGE_BYTES + entries.iter().map(entry).sum::<usize>(),
-        Body::NextPage { .. } => 5 + 1 + MAX_ADDRESS_BYTES,
-        Body::Missing { entries } => 2 + entries.iter().map(entry).sum::<usize>(),
-        Body::Want { members } => 2 + members.iter().copied().map(address).sum::<usize>(),
+        Body::Referral { peers } => 1 + peers.iter().copied().map(address).sum::<usize>(),
+        Body::Page { hashes, .. } => 1 + 5 * MAX_U32_BYTES + hashes.len() * MAX_U32_BYTES,
+        Body::NextPage { .. } => 2 * MAX_U32_BYTES,
+        Body::Missing { hashes } | Body::Want { hashes } => 2 + hashes.len() * MAX_U32_BYTES,
     }
 }
 
--- a/components/members/src/spread.rs
+++ b/components/members/src/spread.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     extras::MAX_PER_DATAGRAM,
-    info::{MAX_EXTRA_BYTES, MemberAction, MemberState},
+    info::{MAX_EXTRA_BYTES, MemberAction, MemberState, NodeInfo},
     members::Members,
     parts, size,
+    table::Member,
     wire::{Body, Claim, Datagram, MAX_DATAGRAM_BYTES, Notice, OVERHEAD_BYTES, Record},
 };
 use rand::{RngExt, seq::IndexedRandom};
@@ -22,6 +23,8 @@
 struct Draft {
     datagram: Datagram,
     room_bytes: usize,
+    /// Room before updates were attached.
+    bare_room_bytes: usize,
     /// Parts that need datagrams of their own.
     overflow: Vec<Record>,
 }
@@ -48,11 +51,22 @@
     }
 }
 
+fn alive_notice(member: &Member) -> Notice {
+    Notice {
+        node: member.info.node,
+        sequence: member.stamp.sequence,
+        claim: Claim::Alive {
+            base: member.stamp.base,
+            change: member.stamp.change,
+        },
+    }
+}
+
 impl Members {
     fn draft(&self, body: Body) -> Draft {
         let datagram = Datagram {
             incarnation: self.local.node.incarnation,
-            sequence: self.sequence,
+            sequence: self.stamp.sequence,
             revision: self.local.revision,
             body,
             notices: Vec::new(),
@@ -63,21 +77,35 @@
         Draft {
             datagram,
             room_bytes,
+            bare_room_bytes: room_bytes,
             overflow: Vec::new(),
         }
     }
 
     fn push(&mut self, to: SocketAddr, draft: Draft, actions: &mut Vec<MemberAction>) {
-        let bytes = MAX_DATAGRAM_BYTES - draft.room_bytes + OVERHEAD_BYTES;
-        if !matches!(draft.datagram.body, Body::Ping { .. } | Body::Ack { .. }) {
-            self.budget.spend(bytes);
+        let bare_bytes = MAX_DATAGRAM_BYTES - draft.bare_room_bytes + OVERHEAD_BYTES;
+        let update_bytes = draft.bare_room_bytes - draft.room_bytes;
+        match draft.datagram.body {
+            Body::Gossip => self.update_budget.spend(bare_bytes + update_bytes),
+            Body::Repair => self.sync_budget.spend(bare_bytes + update_bytes),
+            Body::Ping { .. } | Body::Ack { .. } | Body::Nack { .. } | Body::PingRequest { .. } => {
+                self.update_budget.spend(update_bytes);
+            }
+            _ => {
+                self.sync_budget.spend(bare_bytes);
+                self.update_budget.spend(update_bytes);
+            }
         }
+        let body = match draft.datagram.body {
+            Body::Repair => Body::Repair,
+            _ => Body::Gossip,
+        };
         actions.push(MemberAction::Send {
             to,
             datagram: draft.datagram,
         });
         for part in draft.overflow {
-            let mut follow_up = self.draft(Body::Gossip);
+            let mut follow_up = self.draft(body.clone());
             follow_up.add_record(part);
             self.push(to, follow_up, actions);
         }
@@ -95,7 +123,7 @@
         if let Some(notice) = self.notice_about_receiver(to) {
             draft.add_notice(notice);
         }
-        if self.budget.has_tokens() {
+        if self.update_budget.has_tokens() {
             self.attach_updates(now_us, to, &mut draft);
         }
         self.push(to, draft, actions);
@@ -110,10 +138,10 @@
     }
 
     fn suspect_notice(&self, subject: SocketAddr) -> Option<Notice> {
-        let entry = self.table.entry(subject)?;
+        let member = self.table.get(subject)?;
         Some(Notice {
-            node: entry.node,
-            sequence: entry.sequence,
+            node: member.info.node,
+            sequence: member.stamp.sequence,
             claim: Claim::Suspect {
                 by: self.probes.accuser(subject).unwrap_or(self.local.node.mesh),
             },
@@ -127,11 +155,37 @@
         u32::try_from(self.config.fan_out).unwrap_or(u32::MAX) * (2 + digits)
     }
 
+    /// Starts spreading an update about a member.
+    pub(crate) fn add_rumor(
+        &mut self,
+        subject: SocketAddr,
+        with_record: bool,
+        is_for_regions: bool,
+    ) {
+        let withdraws = |info: &NodeInfo| {
+            info.upstreams
+                .iter()
+                .any(|upstream| !upstream.state.accepts_calls())
+        };
+        let is_urgent = self
+            .table
+            .get(subject)
+            .is_none_or(|member| !with_record || withdraws(&member.info));
+        self.rumors
+            .add(self.now_us, subject, with_record, is_urgent, is_for_regions);
+    }
+
     fn attach_updates(&mut self, now_us: u64, to: SocketAddr, draft: &mut Draft) {
         let limit = self.transmit_limit();
-        for (subject, with_record) in self.rumors.order(false) {
+        let with_all = self.update_budget.has_plenty();
+        for (subject, with_record) in self.rumors.order(false, with_all) {
+            let parts_before = draft.overflow.len();
             if subject != to && self.attach_update(subject, with_record, draft) {
-                self.rumors.sent(subject, limit);
+                // A record of many parts is left to the digests after few transmissions.
+                let parts = (draft.overflow.len() - parts_before).max(1);
+                for _ in 0..parts {
+                    self.rumors.sent(subject, limit);
+                }
             }
         }
         if draft.room_bytes >= EXTRAS_BYTES {
@@ -155,14 +209,18 @@
         {
             return false;
         }
-        !with_record || self.attach_record(subject, draft)
+        if with_record {
+            return self.attach_record(subject, draft);
+        }
+        let is_alive = member.info.state == MemberState::Alive;
+        !is_alive || draft.add_notice(alive_notice(member))
     }
 
     fn attach_record(&self, subject: SocketAddr, draft: &mut Draft) -> bool {
-        let Some((info, sequence)) = self.table.announced(subject) else {
+        let Some((info, stamp)) = self.table.announced(subject) else {
             return true;
         };
-        let mut record_parts = parts::split(info, sequence);
+        let mut record_parts = parts::split(info, stamp);
         if record_parts.len() > 1 {
             draft.overflow.append(&mut record_parts);
             return true;
@@ -198,7 +256,7 @@
         }
         let mut draft = self.draft(Body::Gossip);
         let mut sent = Vec::new();
-        for (subject, with_record) in self.rumors.order(true) {
+        for (subject, with_record) in self.rumors.order(true, true) {
             if self.attach_update(subject, with_record, &mut draft) {
                 sent.push(subject);
             }
@@ -213,6 +271,7 @@
             let copy = Draft {
                 datagram: draft.datagram.clone(),
                 room_bytes: draft.room_bytes,
+                bare_room_bytes: draft.bare_room_bytes,
                 overflow: draft.overflow.clone(),
             };
             self.push(to, copy, actions);
@@ -246,7 +305,7 @@
     ) {
         let mut draft = self.draft(Body::Repair);
         for subject in subjects {
-            if !self.budget.has_tokens() {
+            if !self.sync_budget.has_tokens() {
                 return;
             }
             if self.attach_update(*subject, true, &mut draft) {
--- a/components/members/src/sync.rs
+++ b/components/members/src/sync.rs
@@ -4,9 +4,10 @@
     info::MemberAction,
     members::Members,
     size,
-    table::Merge,
-    wire::{Body, Entry, Rank},
+    table::{Merge, record_hash},
+    wire::{Body, Rank},
 };
+use model::{NodeId, Region};
 use rand::{RngExt, seq::IndexedRandom};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,26 +15,29 @@
     ops::Bound,
 };
 
-/// Time between digests of a node that has caught up.
+/// Time between digests of a node that caught up some time ago.
 const SUMMARY_US: u64 = 10_000_000;
 /// Time between digests of a new node.
 const JOIN_SUMMARY_US: u64 = 500_000;
+/// Time to the next digest after one that showed a difference.
+const REPEAT_SUMMARY_US: u64 = 1_000_000;
 /// Time between digests that a gateway sends to another region.
 const REMOTE_SUMMARY_US: u64 = 2_000_000;
 /// Time between attempts at contacts that are not members.
 const CONTACT_US: u64 = 15_000_000;
 /// Time between attempts at contacts while no member is known.
 const ALONE_US: u64 = 1_000_000;
+/// Members named to a new node by one that has spent its budget. After the start of 200 members
+/// with three contacts the last one waited 55 s for the contacts to answer.
+const REFERRED_PEERS: usize = 8;
 /// Contacts tried at once.
 const CONTACTS_AT_ONCE: usize = 2;
 /// Availability zones compared after one digest.
 const PAGES_PER_SUMMARY: usize = 4;
-/// Bytes of entries in one page; the rest of a datagram is left for its header and a notice.
-const PAGE_BYTES: usize = 900;
 /// Records asked for in one datagram; about two datagrams answer it.
 const WANTS_AT_ONCE: usize = 12;
-/// A new node asks for no further pages while it waits for this many records.
-const MAX_JOIN_BACKLOG: usize = 64;
+/// No further digest is sent while this many records are waited for.
+const MAX_BACKLOG: usize = 64;
 /// Time between two requests for records: 20 a second for the own region.
 const WANT_US: u64 = 50_000;
 /// Time between two requests for records of other regions.
@@ -41,13 +45,15 @@
 /// Time for the answer to a request before it goes to the member that listed the record.
 const WANT_RETRY_US: u64 = 1_000_000;
 /// Requests for one record before it is left to the next digest.
-const MAX_WANT_TRIES: u8 = 5;
+const MAX_WANT_TRIES: u8 = 3;
+/// Silence after which all members of another region count as failed. Regions may be partitioned
+/// from each other for an hour; until then a silent region can't be told from a partitioned one.
+const REGION_SILENCE_US: u64 = 3 * 3_600 * 1_000_000;
 /// Most records waited for.
 const MAX_WANTED: usize = 4_096;
 
 #[derive(Debug)]
 struct Wanted {
-    entry: Entry,
     source: SocketAddr,
     asked_us: Option<u64>,
     tries: u8,
@@ -57,13 +63,18 @@
 #[derive(Debug, Default)]
 pub(crate) struct Sync {
     pub(crate) is_synced: bool,
-    wanted: BTreeMap<(Rank, SocketAddr), Wanted>,
+    /// Records waited for, by rank and hash.
+    wanted: BTreeMap<(Rank, u32), Wanted>,
     next_summary_us: u64,
+    /// Time between the last two digests after which nothing differed.
+    quiet_us: u64,
     next_remote_us: u64,
     next_contact_us: u64,
     next_want_us: u64,
     summaries: u64,
     remote_turn: usize,
+    /// When this node last heard from each other region, or began to be its gateway.
+    heard_us: BTreeMap<Region, u64>,
 }
 
 impl Sync {
@@ -73,43 +84,48 @@
         self.next_contact_us = now_us;
     }
 
-    fn want(&mut self, rank: Rank, entry: Entry, source: SocketAddr) {
+    fn repeat_soon(&mut self, now_us: u64) {
+        self.quiet_us = 0;
+        self.next_summary_us = self.next_summary_us.min(now_us + REPEAT_SUMMARY_US);
+    }
+
+    fn want(&mut self, rank: Rank, record_hash: u32, source: SocketAddr) {
         if self.wanted.len() >= MAX_WANTED {
             return;
         }
-        let is_newer = |known: &Wanted| {
-            let held = (known.entry.node.incarnation, known.entry.sequence);
-            (entry.node.incarnation, entry.sequence) > held
-        };
-        let key = (rank, entry.node.mesh);
-        if self.wanted.get(&key).is_some_and(|known| !is_newer(known)) {
-            return;
-        }
         let wanted = Wanted {
-            entry,
             source,
             asked_us: None,
             tries: 0,
         };
-        self.wanted.insert(key, wanted);
+        self.wanted.entry((rank, record_hash)).or_insert(wanted);
+    }
+
+    /// Notes that a record arrived, whether or not it was newer than the table.
+    pub(crate) fn received(&mut self, record_hash: u32) {
+        for rank in [Rank::OwnZone, Rank::OwnRegion, Rank::Remote] {
+            self.wanted.remove(&(rank, record_hash));
+        }
     }
 }
 
 impl Members {
     /// Asks a sender for its own record if the table lacks it.
     pub(crate) fn want_sender(&mut self, from: SocketAddr, version: (u64, u32)) {
-        let entry = Entry {
-            node: model::NodeId {
-                mesh: from,
-                incarnation: version.0,
-            },
-            sequence: version.1,
+        let node = NodeId {
+            mesh: from,
+            incarnation: version.0,
         };
-        if !self.has_left && self.table.compare(&entry) == Merge::Missing {
-            self.sync.want(Rank::OwnZone, entry, from);
+        if !self.has_left && self.table.compare(node, version.1) == Merge::Missing {
+            self.want_record(from, node, version.1);
         }
     }
 
+    pub(crate) fn want_record(&mut self, from: SocketAddr, node: NodeId, sequence: u32) {
+        let hash = record_hash(node, sequence);
+        self.sync.want(Rank::OwnZone, hash, from);
+    }
+
     pub(crate) fn tick_sync(&mut self, now_us: u64, actions: &mut Vec<MemberAction>) {
         self.tick_contacts(now_us, actions);
         self.tick_summary(now_us, actions);
@@ -148,12 +164,15 @@
             return;
         }
         let wait_us = if self.sync.is_synced {
-            SUMMARY_US + self.rng.random_range(0..SUMMARY_US / 4)
+            // Doubles from one second on, because nodes that start together learn of each other
+            // in this time.
+            self.sync.quiet_us = (self.sync.quiet_us * 2).clamp(REPEAT_SUMMARY_US, SUMMARY_US);
+            self.sync.quiet_us + self.rng.random_range(0..self.sync.quiet_us / 4)
         } else {
             JOIN_SUMMARY_US
         };
         self.sync.next_summary_us = now_us + wait_us;
-        if !self.sync.is_synced && self.sync.wanted.len() > MAX_JOIN_BACKLOG {
+        if self.sync.wanted.len() > MAX_BACKLOG || !self.sync_budget.has_tokens() {
             return;
         }
         self.sync.summaries += 1;
@@ -174,8 +193,10 @@
         self.sync.next_remote_us =
             now_us + REMOTE_SUMMARY_US + self.rng.random_range(0..REMOTE_SUMMARY_US / 4);
         if !self.views.is_gateway {
+            self.sync.heard_us.clear();
             return;
         }
+        self.fail_silent_regions(now_us, actions);
         let targets = self.remote_targets();
         if targets.is_empty() {
             return;
@@ -184,6 +205,30 @@
         self.send_summary(now_us, targets[self.sync.remote_turn], actions);
     }
 
+    /// Notes that a member of another region is reachable.
+    pub(crate) fn note_region(&mut self, now_us: u64, from: SocketAddr) {
+        if let Some(region) = self.region_of(from)
+            && *region != self.config.region
+        {
+            let region = region.clone();
+            self.sync.heard_us.insert(region, now_us);
+        }
+    }
+
+    fn fail_silent_regions(&mut self, now_us: u64, actions: &mut Vec<MemberAction>) {
+        let regions: Vec<Region> = self.views.remote.keys().cloned().collect();
+        for region in regions {
+            let heard_us = *self.sync.heard_us.entry(region.clone()).or_insert(now_us);
+            if now_us < heard_us + REGION_SILENCE_US {
+                continue;
+            }
+            for notice in self.table.failure_notices(&region) {
+                self.table.merge_dead(now_us, &notice, actions);
+                self.add_rumor(notice.node.mesh, false, false);
+            }
+        }
+    }
+
     fn send_summary(&mut self, now_us: u64, to: SocketAddr, actions: &mut Vec<MemberAction>) {
         let zones = self.table.zones().iter();
         let zones = zones.map(|(key, zone)| (*key, zone.hash)).collect();
@@ -198,12 +243,10 @@
         if peer.zone_key == zone {
             return Rank::OwnZone;
         }
-        let first = self
-            .table
-            .zones()
-            .get(&zone)
-            .and_then(|zone| zone.members.first());
-        let region = first.and_then(|member| self.region_of(*member));
+        let first = self.zone_records(zone, (None, None)).next();
+        let region = first
+            .and_then(|hash| self.table.find(hash))
+            .and_then(|member| self.region_of(member));
         if region == Some(&peer.info.region) {
             Rank::OwnRegion
         } else {
@@ -230,6 +273,16 @@
             self.send(now_us, from, Body::Equal, actions);
             return;
         }
+        if !self.sync_budget.has_tokens() {
+            let peers: Vec<SocketAddr> = self
+                .views
+                .peers
+                .sample(&mut self.rng, REFERRED_PEERS)
+                .copied()
+                .collect();
+            self.send(now_us, from, Body::Referral { peers }, actions);
+            return;
+        }
         unequal.sort_unstable();
         for (_, zone) in unequal.into_iter().take(PAGES_PER_SUMMARY) {
             self.send_page(now_us, from, zone, None, actions);
@@ -241,53 +294,42 @@
         now_us: u64,
         to: SocketAddr,
         zone: u32,
-        after: Option<SocketAddr>,
+        after: Option<u32>,
         actions: &mut Vec<MemberAction>,
     ) {
-        if !self.budget.has_tokens() {
+        if !self.sync_budget.has_tokens() {
             return;
         }
-        let mut entries = Vec::new();
-        let mut used_bytes = 0;
-        let mut last = None;
-        for address in self.zone_members(zone, (after, None)) {
-            let Some(entry) = self.table.entry(address) else {
-                continue;
-            };
-            used_bytes += size::entry(&entry);
-            if used_bytes > PAGE_BYTES {
-                last = entries.last().map(|entry: &Entry| entry.node.mesh);
-                break;
-            }
-            entries.push(entry);
-        }
+        let mut hashes: Vec<u32> = self
+            .zone_records(zone, (after, None))
+            .take(size::MAX_HASHES + 1)
+            .collect();
+        let is_complete = hashes.len() <= size::MAX_HASHES;
+        hashes.truncate(size::MAX_HASHES);
+        let last = hashes.last().copied().filter(|_| !is_complete);
         let body = Body::Page {
             zone,
             rank: self.rank_for(to, zone),
             after,
             last,
-            entries,
+            hashes,
         };
         self.send(now_us, to, body, actions);
     }
 
-    /// Members of a zone after the first and up to the second bound.
-    fn zone_members(
+    /// Hashes of a zone's records after the first and up to the second bound.
+    fn zone_records(
         &self,
         zone: u32,
-        range: (Option<SocketAddr>, Option<SocketAddr>),
-    ) -> Vec<SocketAddr> {
+        range: (Option<u32>, Option<u32>),
+    ) -> impl Iterator<Item = u32> {
         let (after, last) = range;
-        if after.zip(last).is_some_and(|(after, last)| after >= last) {
-            return Vec::new();
-        }
         let low = after.map_or(Bound::Unbounded, Bound::Excluded);
         let high = last.map_or(Bound::Unbounded, Bound::Included);
-        self.table
-            .zones()
-            .get(&zone)
-            .map(|zone| zone.members.range((low, high)).copied().collect())
-            .unwrap_or_default()
+        let is_empty = after.zip(last).is_some_and(|(after, last)| after >= last);
+        let zone = self.table.zones().get(&zone).filter(|_| !is_empty);
+        zone.into_iter()
+            .flat_map(move |zone| zone.records.range((low, high)).copied())
     }
 
     pub(crate) fn receive_page(
@@ -295,65 +337,57 @@
         now_us: u64,
         from: SocketAddr,
         (zone, rank): (u32, Rank),
-        range: (Option<SocketAddr>, Option<SocketAddr>),
-        entries: &[Entry],
+        range: (Option<u32>, Option<u32>),
+        hashes: &[u32],
         actions: &mut Vec<MemberAction>,
     ) {
-        self.compare_entries(from, rank, entries, actions);
-        let listed: BTreeSet<SocketAddr> = entries.iter().map(|entry| entry.node.mesh).collect();
-        let lacking: Vec<Entry> = self
-            .zone_members(zone, range)
-            .into_iter()
-            .filter(|address| !listed.contains(address))
-            .filter_map(|address| self.table.entry(address))
+        self.sync.repeat_soon(now_us);
+        self.want_unknown(from, rank, hashes);
+        let listed: BTreeSet<u32> = hashes.iter().copied().collect();
+        let lacking: Vec<u32> = self
+            .zone_records(zone, range)
+            .filter(|hash| !listed.contains(hash))
             .collect();
-        let per_page = PAGE_BYTES / size::MAX_ENTRY_BYTES;
-        for chunk in lacking.chunks(per_page) {
-            if self.budget.has_tokens() {
-                let entries = chunk.to_vec();
-                self.send(now_us, from, Body::Missing { entries }, actions);
+        for chunk in lacking.chunks(size::MAX_HASHES) {
+            if self.sync_budget.has_tokens() {
+                let hashes = chunk.to_vec();
+                self.send(now_us, from, Body::Missing { hashes }, actions);
             }
         }
-        if range.1.is_some() {
-            let body = Body::NextPage {
-                zone,
-                after: range.1,
-            };
-            self.send(now_us, from, body, actions);
+        if let Some(after) = range.1 {
+            self.send(now_us, from, Body::NextPage { zone, after }, actions);
         }
     }
 
-    pub(crate) fn receive_missing(
-        &mut self,
-        from: SocketAddr,
-        entries: &[Entry],
-        actions: &mut Vec<MemberAction>,
-    ) {
+    pub(crate) fn receive_missing(&mut self, from: SocketAddr, hashes: &[u32]) {
         let is_own = self.is_own_region(from);
         let rank = if is_own {
             Rank::OwnRegion
         } else {
             Rank::Remote
         };
-        self.compare_entries(from, rank, entries, actions);
+        self.want_unknown(from, rank, hashes);
     }
 
-    fn compare_entries(
+    fn want_unknown(&mut self, from: SocketAddr, rank: Rank, hashes: &[u32]) {
+        for hash in hashes {
+            if self.table.find(*hash).is_none() {
+                self.sync.want(rank, *hash, from);
+            }
+        }
+    }
+
+    pub(crate) fn receive_want(
         &mut self,
         from: SocketAddr,
-        rank: Rank,
-        entries: &[Entry],
+        hashes: &[u32],
         actions: &mut Vec<MemberAction>,
     ) {
-        let mut stale = Vec::new();
-        for entry in entries {
-            match self.table.compare(entry) {
-                Merge::Missing => self.sync.want(rank, *entry, from),
-                Merge::Stale => stale.push(entry.node.mesh),
-                Merge::Newer | Merge::Known => {}
-            }
-        }
-        self.send_repair(from, &stale, actions);
+        let members: Vec<SocketAddr> = hashes
+            .iter()
+            .filter_map(|hash| self.table.find(*hash))
+            .collect();
+        self.send_repair(from, &members, actions);
     }
 
     fn tick_wants(&mut self, now_us: u64, actions: &mut Vec<MemberAction>) {
@@ -361,8 +395,8 @@
             return;
         }
         let table = &self.table;
-        self.sync.wanted.retain(|_, wanted| {
-            wanted.tries < MAX_WANT_TRIES && table.compare(&wanted.entry) == Merge::Missing
+        self.sync.wanted.retain(|(_, hash), wanted| {
+            wanted.tries < MAX_WANT_TRIES && table.find(*hash).is_none()
         });
         let is_due = |wanted: &Wanted| {
             let asked_us = wanted.asked_us;
@@ -372,28 +406,48 @@
         let Some(((rank, _), first)) = first else {
             return;
         };
-        let (rank, source, is_retry) = (*rank, first.source, first.tries > 0);
+        let (rank, source, is_retry) = (*rank, first.source, first.tries % 2 == 1);
         let is_remote = rank == Rank::Remote;
         self.sync.next_want_us = now_us + if is_remote { REMOTE_WANT_US } else { WANT_US };
-        let mut members = Vec::new();
+        let mut hashes = Vec::new();
         let due = self.sync.wanted.iter_mut().filter(|((known, _), wanted)| {
             *known == rank && wanted.source == source && is_due(wanted)
         });
-        for ((_, address), wanted) in due.take(WANTS_AT_ONCE) {
+        for ((_, hash), wanted) in due.take(WANTS_AT_ONCE) {
             wanted.asked_us = Some(now_us);
             wanted.tries += 1;
-            members.push(*address);
+            hashes.push(*hash);
         }
-        let to = self.helper_for(source, members.len(), is_retry);
-        self.send(now_us, to, Body::Want { members }, actions);
+        let to = self.helper_for(source, is_retry);
+        self.send(now_us, to, Body::Want { hashes }, actions);
     }
 
-    /// Spreads a new node's first requests over its peers; the others go to the source.
-    fn helper_for(&mut self, source: SocketAddr, count: usize, is_retry: bool) -> SocketAddr {
-        let is_spread = !self.sync.is_synced && !is_retry && count == WANTS_AT_ONCE;
-        if !is_spread {
+    /// Spreads a new node's requests over its peers; every second try goes to the source.
+    fn helper_for(&mut self, source: SocketAddr, is_retry: bool) -> SocketAddr {
+        if self.sync.is_synced || is_retry {
             return source;
         }
         self.random_peer(true).unwrap_or(source)
     }
+
+    /// Asks one of the named members, unless this node already knows whom to ask.
+    pub(crate) fn receive_referral(
+        &mut self,
+        now_us: u64,
+        peers: &[SocketAddr],
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let local = self.local.node.mesh;
+        if self.sync.is_synced || !self.views.peers.is_empty() {
+            return;
+        }
+        let others: Vec<SocketAddr> = peers
+            .iter()
+            .copied()
+            .filter(|peer| *peer != local)
+            .collect();
+        if let Some(peer) = others.choose(&mut self.rng).copied() {
+            self.send_summary(now_us, peer, actions);
+        }
+    }
 }
--- a/components/members/src/table.rs
+++ b/components/members/src/table.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     info::{MemberAction, MemberState, NodeInfo},
-    wire::{Claim, Entry, Notice},
+    wire::{Claim, Notice, Stamp},
 };
 use model::{AvailabilityZone, NodeId, Region, Revision, ServiceName, UpstreamName};
 use std::{
@@ -44,7 +44,8 @@
     )
 }
 
-fn entry_hash(node: NodeId, sequence: u32) -> u32 {
+/// Hash that stands for one record in digests.
+pub(crate) fn record_hash(node: NodeId, sequence: u32) -> u32 {
     (node_hash(node) ^ stable_hash(sequence.to_be_bytes())) as u32
 }
 
@@ -61,24 +62,29 @@
     announced: Arc<NodeInfo>,
     /// Without the upstreams whose names a newer incarnation took over.
     pub(crate) info: Arc<NodeInfo>,
-    pub(crate) sequence: u32,
+    pub(crate) stamp: Stamp,
     pub(crate) zone_key: u32,
+    /// Place in the ring and among the candidates for gateways.
+    pub(crate) node_hash: u64,
 }
 
 /// A member that failed or left.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Dead {
-    pub(crate) incarnation: u64,
-    pub(crate) sequence: u32,
-    pub(crate) has_left: bool,
+#[derive(Debug)]
+struct Dead {
+    incarnation: u64,
+    sequence: u32,
+    has_left: bool,
     since_us: u64,
+    /// Last record of a failed member, which it can return to by a notice.
+    record: Option<(Arc<NodeInfo>, u32)>,
 }
 
 /// Digest of one availability zone.
 #[derive(Debug, Default)]
 pub(crate) struct Zone {
+    /// Exclusive or of the hashes of all records.
     pub(crate) hash: u32,
-    pub(crate) members: BTreeSet<SocketAddr>,
+    pub(crate) records: BTreeSet<u32>,
 }
 
 /// Result of merging a claim.
@@ -102,6 +108,7 @@
     live: BTreeMap<SocketAddr, Member>,
     dead: BTreeMap<SocketAddr, Dead>,
     zones: BTreeMap<u32, Zone>,
+    by_hash: BTreeMap<u32, SocketAddr>,
     names: BTreeMap<UpstreamId, BTreeSet<SocketAddr>>,
     /// Whether the set of live members or their standing changed since the last look.
     pub(crate) is_dirty: bool,
@@ -128,11 +135,14 @@
             .map(|(address, _)| *address)
     }
 
-    pub(crate) fn entry(&self, address: SocketAddr) -> Option<Entry> {
-        self.live.get(&address).map(|member| Entry {
-            node: member.info.node,
-            sequence: member.sequence,
-        })
+    /// Number of live members.
+    pub(crate) fn len(&self) -> usize {
+        self.live.len()
+    }
+
+    /// The live member whose record has this hash.
+    pub(crate) fn find(&self, record_hash: u32) -> Option<SocketAddr> {
+        self.by_hash.get(&record_hash).copied()
     }
 
     /// What this table claims about a member that failed or left.
@@ -151,18 +161,31 @@
         })
     }
 
-    /// Compares an entry of another table with this one.
-    pub(crate) fn compare(&self, entry: &Entry) -> Merge {
-        let offered = (entry.node.incarnation, entry.sequence);
-        if let Some(member) = self.live.get(&entry.node.mesh) {
-            let held = (member.info.node.incarnation, member.sequence);
+    /// Claims that all live members of a region failed.
+    pub(crate) fn failure_notices(&self, region: &Region) -> Vec<Notice> {
+        self.live
+            .values()
+            .filter(|member| member.info.region == *region)
+            .map(|member| Notice {
+                node: member.info.node,
+                sequence: member.stamp.sequence,
+                claim: Claim::Failed,
+            })
+            .collect()
+    }
+
+    /// Compares a record known elsewhere with this table.
+    pub(crate) fn compare(&self, node: NodeId, sequence: u32) -> Merge {
+        let offered = (node.incarnation, sequence);
+        if let Some(member) = self.live.get(&node.mesh) {
+            let held = (member.info.node.incarnation, member.stamp.sequence);
             return match offered.cmp(&held) {
                 std::cmp::Ordering::Greater => Merge::Missing,
                 std::cmp::Ordering::Equal => Merge::Known,
                 std::cmp::Ordering::Less => Merge::Stale,
             };
         }
-        match self.dead.get(&entry.node.mesh) {
+        match self.dead.get(&node.mesh) {
             Some(dead) if !dead.admits(offered.0, offered.1) => Merge::Stale,
             _ => Merge::Missing,
         }
@@ -172,14 +195,10 @@
     pub(crate) fn merge_record(
         &mut self,
         info: NodeInfo,
-        sequence: u32,
+        stamp: Stamp,
         actions: &mut Vec<MemberAction>,
     ) -> Merge {
-        let entry = Entry {
-            node: info.node,
-            sequence,
-        };
-        let verdict = self.compare(&entry);
+        let verdict = self.compare(info.node, stamp.sequence);
         if verdict != Merge::Missing {
             return verdict;
         }
@@ -201,7 +220,7 @@
             None => false,
         };
         let address = info.node.mesh;
-        let mut changed = self.insert(info, sequence);
+        let mut changed = self.insert(info, stamp);
         changed.extend(self.show(&dropped));
         let shown = self.live[&address].info.clone();
         actions.push(if is_known {
@@ -213,6 +232,39 @@
         Merge::Newer
     }
 
+    /// Merges the claim that a member is alive with a change to its base record.
+    pub(crate) fn merge_alive(
+        &mut self,
+        node: NodeId,
+        stamp: Stamp,
+        actions: &mut Vec<MemberAction>,
+    ) -> Merge {
+        let verdict = self.compare(node, stamp.sequence);
+        if verdict != Merge::Missing {
+            return verdict;
+        }
+        let held = match (self.live.get(&node.mesh), self.dead.get(&node.mesh)) {
+            (Some(member), _) => Some((&member.announced, member.stamp.base)),
+            (None, Some(dead)) => dead.record.as_ref().map(|(info, base)| (info, *base)),
+            (None, None) => None,
+        };
+        let Some((announced, _)) =
+            held.filter(|(info, base)| info.node == node && *base == stamp.base)
+        else {
+            return Merge::Missing;
+        };
+        let mut info = NodeInfo::clone(announced);
+        info.state = MemberState::Alive;
+        if let Some(change) = stamp.change {
+            let Some(upstream) = info.upstreams.get_mut(usize::from(change.index)) else {
+                return Merge::Missing;
+            };
+            upstream.state = change.state;
+            upstream.version = change.version;
+        }
+        self.merge_record(info, stamp, actions)
+    }
+
     /// Merges the claim that a live member is suspect, at the sequence held here.
     pub(crate) fn suspect(&mut self, address: SocketAddr, actions: &mut Vec<MemberAction>) -> bool {
         let Some(member) = self.live.get_mut(&address) else {
@@ -241,9 +293,10 @@
             sequence: notice.sequence,
             has_left: notice.claim == Claim::Left,
             since_us: now_us,
+            record: None,
         };
         if let Some(member) = self.live.get(&address) {
-            if claim.admits(member.info.node.incarnation, member.sequence) {
+            if claim.admits(member.info.node.incarnation, member.stamp.sequence) {
                 return Merge::Stale;
             }
             self.bury(address, claim, actions);
@@ -260,13 +313,17 @@
         if is_first { Merge::Known } else { Merge::Newer }
     }
 
-    fn bury(&mut self, address: SocketAddr, dead: Dead, actions: &mut Vec<MemberAction>) {
+    fn bury(&mut self, address: SocketAddr, mut dead: Dead, actions: &mut Vec<MemberAction>) {
         let Some(member) = self.remove(address) else {
             return;
         };
+        let has_left = dead.has_left;
+        if !has_left && dead.incarnation == member.info.node.incarnation {
+            dead.record = Some((Arc::clone(&member.announced), member.stamp.base));
+        }
         self.dead.insert(address, dead);
         self.trim_dead();
-        actions.push(if dead.has_left {
+        actions.push(if has_left {
             MemberAction::Left(with_state(&member.info, MemberState::Left))
         } else {
             MemberAction::Failed(with_state(&member.info, MemberState::Failed))
@@ -307,13 +364,13 @@
     pub(crate) fn set_local(
         &mut self,
         info: NodeInfo,
-        sequence: u32,
+        stamp: Stamp,
         actions: &mut Vec<MemberAction>,
     ) {
         let address = info.node.mesh;
         self.dead.remove(&address);
         let names = self.remove(address).map(|old| upstream_ids(&old.announced));
-        let mut changed = self.insert(info, sequence);
+        let mut changed = self.insert(info, stamp);
         changed.extend(self.show(&names.unwrap_or_default()));
         self.push_changed(changed, address, actions);
     }
@@ -325,25 +382,29 @@
             sequence: notice.sequence,
             has_left: true,
             since_us: now_us,
+            record: None,
         };
         self.bury(notice.node.mesh, dead, &mut Vec::new());
     }
 
-    fn insert(&mut self, info: NodeInfo, sequence: u32) -> BTreeSet<SocketAddr> {
+    fn insert(&mut self, info: NodeInfo, stamp: Stamp) -> BTreeSet<SocketAddr> {
         let address = info.node.mesh;
         let key = zone_key(&info.region, &info.zone);
         let zone = self.zones.entry(key).or_default();
-        zone.hash ^= entry_hash(info.node, sequence);
-        zone.members.insert(address);
+        let hash = record_hash(info.node, stamp.sequence);
+        zone.hash ^= hash;
+        zone.records.insert(hash);
+        self.by_hash.insert(hash, address);
         let names = upstream_ids(&info);
         for name in &names {
             self.names.entry(name.clone()).or_default().insert(address);
         }
         let announced = Arc::new(info);
         let member = Member {
+            node_hash: node_hash(announced.node),
             info: Arc::clone(&announced),
             announced,
-            sequence,
+            stamp,
             zone_key: key,
         };
         self.live.insert(address, member);
@@ -354,9 +415,11 @@
     fn remove(&mut self, address: SocketAddr) -> Option<Member> {
         let member = self.live.remove(&address)?;
         if let Some(zone) = self.zones.get_mut(&member.zone_key) {
-            zone.hash ^= entry_hash(member.info.node, member.sequence);
-            zone.members.remove(&address);
-            if zone.members.is_empty() {
+            let hash = record_hash(member.info.node, member.stamp.sequence);
+            zone.hash ^= hash;
+            zone.records.remove(&hash);
+            self.by_hash.remove(&hash);
+            if zone.records.is_empty() {
                 self.zones.remove(&member.zone_key);
             }
         }
@@ -432,21 +495,21 @@
     }
 
     /// The record as the member announced it.
-    pub(crate) fn announced(&self, address: SocketAddr) -> Option<(&NodeInfo, u32)> {
+    pub(crate) fn announced(&self, address: SocketAddr) -> Option<(&NodeInfo, Stamp)> {
         self.live
             .get(&address)
-            .map(|member| (member.announced.as_ref(), member.sequence))
+            .map(|member| (member.announced.as_ref(), member.stamp))
     }
 }
 
 impl Dead {
     /// Whether a record of this incarnation and sequence is newer than the death.
-    pub(crate) fn admits(self, incarnation: u64, sequence: u32) -> bool {
+    fn admits(&self, incarnation: u64, sequence: u32) -> bool {
         incarnation > self.incarnation
             || (incarnation == self.incarnation && !self.has_left && sequence > self.sequence)
     }
 
-    fn rank(self) -> (u64, bool, u32) {
+    fn rank(&self) -> (u64, bool, u32) {
         (self.incarnation, self.has_left, self.sequence)
     }
 }
--- a/components/members/src/views.rs
+++ b/components/members/src/views.rs
@@ -34,7 +34,9 @@
 
 /// The `GATEWAYS` members with the lowest hash.
 fn gateways(members: &mut [(u64, SocketAddr)]) -> Vec<SocketAddr> {
-    members.sort_unstable();
+    if members.len() > GATEWAYS {
+        members.select_nth_unstable(GATEWAYS);
+    }
     members
         .iter()
         .take(GATEWAYS)
@@ -57,7 +59,7 @@
         .filter(|member| member.info.node.mesh != local.mesh)
     {
         let info = &member.info;
-        let ranked = (node_hash(info.node), info.node.mesh);
+        let ranked = (member.node_hash, info.node.mesh);
         if info.region != *region {
             remote.entry(info.region.clone()).or_default().push(ranked);
             continue;
--- a/components/members/src/wire.rs
+++ b/components/members/src/wire.rs
@@ -45,23 +45,22 @@
     Summary { zones: Vec<(u32, u32)> },
     /// All digests of a `Summary` are equal to the sender's.
     Equal,
-    /// Live members of one availability zone, complete after `after` and up to `last`.
+    /// Members to ask instead, because the sender has answered too many digests.
+    Referral { peers: Vec<SocketAddr> },
+    /// Hashes of the records of one availability zone, complete after `after` and up to `last`.
     Page {
         zone: u32,
         rank: Rank,
-        after: Option<SocketAddr>,
-        last: Option<SocketAddr>,
-        entries: Vec<Entry>,
+        after: Option<u32>,
+        last: Option<u32>,
+        hashes: Vec<u32>,
     },
     /// Asks for the page that follows.
-    NextPage {
-        zone: u32,
-        after: Option<SocketAddr>,
-    },
-    /// Live members that a `Page` of the receiver lacked.
-    Missing { entries: Vec<Entry> },
-    /// Asks for the records of these members.
-    Want { members: Vec<SocketAddr> },
+    NextPage { zone: u32, after: u32 },
+    /// Hashes of records that a `Page` of the receiver lacked.
+    Missing { hashes: Vec<u32> },
+    /// Asks for the records with these hashes.
+    Want { hashes: Vec<u32> },
     /// Carries what the receiver lacked, as found by the messages above.
     Repair,
 }
@@ -77,18 +76,31 @@
     Remote,
 }
 
-/// A live member as listed in a `Page`.
+/// Version of a member's record within one incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Entry {
-    pub(crate) node: NodeId,
+pub(crate) struct Stamp {
+    /// Grows with each change and refutation.
     pub(crate) sequence: u32,
+    /// Sequence of the base record, which a notice can refer to.
+    pub(crate) base: u32,
+    /// What differs from the base record.
+    pub(crate) change: Option<UpstreamChange>,
+}
+
+/// New state of one upstream. A drain spreads as a notice with this instead of a whole record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UpstreamChange {
+    /// Place of the upstream in the base record.
+    pub(crate) index: u8,
+    pub(crate) state: UpstreamState,
+    pub(crate) version: u64,
 }
 
 /// Whole record of a member, or one part of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Record {
     pub(crate) node: NodeId,
-    pub(crate) sequence: u32,
+    pub(crate) stamp: Stamp,
     pub(crate) region: Region,
     pub(crate) zone: AvailabilityZone,
     pub(crate) host: HostName,
@@ -120,9 +132,14 @@
     pub(crate) claim: Claim,
 }
 
-/// What a notice claims; the order decides between notices on one sequence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+/// What a notice claims about the member at the notice's sequence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Claim {
+    /// The member is alive with this change to its base record.
+    Alive {
+        base: u32,
+        change: Option<UpstreamChange>,
+    },
     /// The member missed the probe of `by`.
     Suspect { by: SocketAddr },
     /// The member did not refute a suspicion in time.
--- /dev/null
+++ b/components/members/tests/large_records.rs
@@ -0,0 +1,72 @@
+//! Guards the datagram limit: long records must be split and joined, too long ones refused.
+
+mod support;
+
+use members::{MemberError, Members};
+use model::{ProfileName, Rule, UpstreamState};
+use std::sync::Arc;
+use support::{Net, SECOND_US, info, upstream};
+
+fn rules(count: usize, path_bytes: usize) -> Arc<[Rule]> {
+    (0..count)
+        .map(|index| Rule {
+            method: Some(Arc::from("POST")),
+            path_prefix: Arc::from(format!("/{index:0>path_bytes$}")),
+            profile: ProfileName::parse("record").unwrap(),
+        })
+        .collect()
+}
+
+#[test]
+fn split_record() {
+    let mut net = Net::new(14);
+    for port in 1..=3 {
+        net.start(port, ("r", "a"), &[1], None);
+    }
+    net.run(3 * SECOND_US);
+    net.change(2, |info| {
+        info.upstreams = (0..20)
+            .map(|index| upstream(&format!("order-{index}"), UpstreamState::Serving))
+            .collect();
+        info.upstreams[3].rules = rules(60, 40);
+        info.upstreams[9].rules = rules(3, 400);
+    });
+    net.loss_percent = 20;
+    net.run(20 * SECOND_US);
+    net.assert_agreement();
+    // A new member fetches the parts by synchronisation.
+    net.start(4, ("r", "a"), &[1], None);
+    net.run(10 * SECOND_US);
+    net.loss_percent = 0;
+    net.run(10 * SECOND_US);
+    net.assert_agreement();
+}
+
+#[test]
+fn refused_record() {
+    let mut large = info(1, 1, vec![upstream("order-1", UpstreamState::Serving)]);
+    large.upstreams[0].rules = rules(1, 600);
+    let error = Members::check(&large).unwrap_err();
+    assert!(matches!(error, MemberError::RuleTooLong { .. }), "{error}");
+    large.upstreams[0].rules = rules(2_000, 40);
+    let error = Members::check(&large).unwrap_err();
+    assert!(
+        matches!(error, MemberError::RecordTooLong { .. }),
+        "{error}"
+    );
+}
+
+#[test]
+fn longest_names() {
+    let mut net = Net::new(15);
+    net.start(1, ("r", "a"), &[], None);
+    net.start(2, (&"r".repeat(63), &"z".repeat(63)), &[1], None);
+    net.run(SECOND_US);
+    net.change(2, |info| {
+        let mut longest = upstream(&"u".repeat(63), UpstreamState::Serving);
+        longest.rules = rules(4, 420);
+        info.upstreams = vec![longest];
+    });
+    net.run(5 * SECOND_US);
+    net.assert_agreement();
+}
--- a/components/members/tests/support/mod.rs
+++ b/components/members/tests/support/mod.rs
@@ -74,6 +74,8 @@
     /// Pairs of availability zones that can't reach each other.
     pub(crate) cuts: BTreeSet<(String, String)>,
     pub(crate) loss_percent: u32,
+    /// Whether members fetch each newer configuration at once.
+    pub(crate) adopts_revisions: bool,
     pub(crate) duplicate_percent: u32,
     pub(crate) max_extra_delay_us: u64,
     pub(crate) events: Vec<String>,
@@ -94,6 +96,7 @@
             paused: BTreeSet::new(),
             cuts: BTreeSet::new(),
             loss_percent: 0,
+            adopts_revisions: false,
             duplicate_percent: 0,
             max_extra_delay_us: 0,
             events: Vec::new(),
@@ -229,6 +232,12 @@
                 assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{datagram:?}");
                 self.send(port, to.port(), &bytes);
             } else {
+                if let MemberAction::NewerRevision { revision, .. } = &action
+                    && self.adopts_revisions
+                    && let Some(node) = self.nodes.get_mut(&port)
+                {
+                    node.set_revision(self.now_us, *revision);
+                }
                 let line = describe(&action);
                 let at_ms = self.now_us / 1_000 - 1_000;
                 self.events.push(format!("{at_ms:>6} ms  {port}: {line}"));
