--- /dev/null
+++ b/components/client/src/api.rs
@@ -0,0 +1,155 @@
+//! JSON bodies of the operator port.
+
+use model::{
+    AvailabilityZone, HostName, Profile, ProfileName, Revision, ServiceName, UpstreamName,
+    UpstreamState,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Answer to `GET /v1/profiles`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProfileList {
+    /// Newest accepted revision.
+    pub revision: Revision,
+    /// Live profiles.
+    pub profiles: Vec<ProfileEntry>,
+}
+
+/// Answer to `GET /v1/profiles/NAME`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProfileEntry {
+    /// The profile.
+    pub profile: Profile,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// Grows each time a retired name is added again.
+    pub generation: u64,
+}
+
+/// Body of `POST /v1/changes`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRequest {
+    /// Same for all resends of one change.
+    pub change_id: String,
+    /// Revision that the profile must have.
+    pub expect_revision: Option<u64>,
+    /// What to do.
+    pub op: ChangeOp,
+}
+
+/// What a change does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ChangeOp {
+    /// Adds a profile.
+    Add(Profile),
+    /// Replaces a profile.
+    Update(Profile),
+    /// Retires a profile.
+    Retire {
+        /// Profile to retire.
+        name: ProfileName,
+        /// Profile that takes over its calls.
+        successor: Option<ProfileName>,
+    },
+}
+
+/// Answer to an accepted `POST /v1/changes`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeAnswer {
+    /// Revision that the change made.
+    pub revision: Revision,
+    /// Revision of the profile, for `--expect-revision`.
+    pub profile_revision: u64,
+    /// Id of the change.
+    pub change_id: String,
+}
+
+/// Body of `POST /v1/drain`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainRequest {
+    /// Instance to drain.
+    pub instance: UpstreamName,
+    /// Its service, needed if several services have an instance of that name.
+    pub service: Option<ServiceName>,
+}
+
+/// Answer to `GET /v1/status`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Number of the leading replica.
+    pub leader: Option<u32>,
+    /// Newest accepted revision.
+    pub revision: Revision,
+    /// Replicas of the control group.
+    pub replicas: Vec<ReplicaStatus>,
+    /// Nodes that reported.
+    pub nodes: Vec<NodeStatus>,
+}
+
+/// One replica of the control group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaStatus {
+    /// Number of the replica.
+    pub replica: u32,
+    /// Its mesh address.
+    pub address: SocketAddr,
+    /// Its part in the group.
+    pub role: String,
+    /// Identity of its data directory, if known to the replica that answered.
+    pub disk_id: Option<String>,
+    /// Last log index that it holds, if known.
+    pub matched: Option<u64>,
+    /// Whether it answered the replica that answered.
+    pub reachable: bool,
+}
+
+/// One node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Its mesh address.
+    pub node: SocketAddr,
+    /// Its host.
+    pub host: HostName,
+    /// Its availability zone.
+    pub availability_zone: AvailabilityZone,
+    /// Revision in effect on it.
+    pub revision: Revision,
+    /// Whether that is the newest one.
+    pub in_effect: bool,
+    /// Age of its report in milliseconds.
+    pub age_ms: u64,
+    /// Whether the report is too old to count the node as live.
+    pub stale: bool,
+    /// Upstreams beside it.
+    pub instances: Vec<InstanceStatus>,
+}
+
+/// One upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// Name of the instance.
+    pub name: UpstreamName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its life cycle.
+    pub state: UpstreamState,
+    /// Address where it serves.
+    pub address: SocketAddr,
+}
+
+/// Body of every refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// Code from the error table.
+    pub error: String,
+    /// What happened.
+    pub message: String,
+    /// What it is about.
+    #[serde(default)]
+    pub detail: String,
+    /// What to do next.
+    #[serde(default)]
+    pub advice: String,
+}
--- /dev/null
+++ b/components/client/src/failure.rs
@@ -0,0 +1,103 @@
+//! Ways in which a command ends without success.
+
+use crate::api::ErrorBody;
+use model::Revision;
+use serde_json::{Value, json};
+use snafu::Snafu;
+
+/// Why a command did not succeed.
+#[derive(Debug, Snafu)]
+pub(crate) enum Failure {
+    /// The command line is wrong.
+    #[snafu(display("{reason}"))]
+    Usage { reason: String },
+    /// The control group refused the request.
+    #[snafu(display("refused ({}): {}{}\n{}", body.error, body.message, detail(&body.detail), body.advice))]
+    Refused { body: Box<ErrorBody> },
+    /// No replica answered.
+    #[snafu(display(
+        "no replica of the control group answered:\n{}\n\
+         Check --control-operator and that the replicas run.",
+        attempts.join("\n")
+    ))]
+    Unreachable { attempts: Vec<String> },
+    /// A change may or may not have been accepted.
+    #[snafu(display(
+        "the control group did not confirm the change:\n{}\n\
+         It may have been accepted. Resend the same command with {resend} to learn its result.",
+        attempts.join("\n")
+    ))]
+    Unconfirmed {
+        attempts: Vec<String>,
+        resend: String,
+    },
+    /// A change is accepted but not in effect on every live node.
+    #[snafu(display(
+        "revision {revision} is accepted but not in effect on {}\n\
+         The nodes fetch it by themselves; check them with `gyard status`.",
+        lagging.join(", ")
+    ))]
+    NotInEffect {
+        revision: Revision,
+        lagging: Vec<String>,
+    },
+    /// The output can't be written.
+    #[snafu(display("the output can't be written: {reason}"))]
+    Output { reason: String },
+}
+
+fn detail(text: &str) -> String {
+    if text.is_empty() {
+        return String::new();
+    }
+    format!(" {text}")
+}
+
+impl Failure {
+    pub(crate) fn usage(reason: impl Into<String>) -> Self {
+        Failure::Usage {
+            reason: reason.into(),
+        }
+    }
+
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Failure::Refused { .. } | Failure::Output { .. } => 1,
+            Failure::Usage { .. } => 2,
+            Failure::Unreachable { .. } | Failure::Unconfirmed { .. } => 3,
+            Failure::NotInEffect { .. } => 4,
+        }
+    }
+
+    /// The failure for programs.
+    pub(crate) fn json(&self) -> Value {
+        match self {
+            Failure::Refused { body } => json!(body),
+            Failure::Usage { reason } => json!({ "error": "usage", "message": reason }),
+            Failure::Unreachable { attempts } => {
+                json!({ "error": "unreachable", "message": self.to_string(), "attempts": attempts })
+            }
+            Failure::Unconfirmed { attempts, resend } => json!({
+                "error": "unconfirmed",
+                "message": self.to_string(),
+                "attempts": attempts,
+                "resend": resend,
+            }),
+            Failure::NotInEffect { revision, lagging } => json!({
+                "error": "not-in-effect",
+                "message": self.to_string(),
+                "revision": revision,
+                "lagging": lagging,
+            }),
+            Failure::Output { reason } => json!({ "error": "output", "message": reason }),
+        }
+    }
+}
+
+impl From<std::io::Error> for Failure {
+    fn from(error: std::io::Error) -> Self {
+        Failure::Output {
+            reason: error.to_string(),
+        }
+    }
+}
