Keep retries for refused calls and test admission, budgets and routing

Change: reservations leave 25 of the 50 saved retries. The first service time is taken as a whole, and the typical service time is the lower median, because the golden sessions showed one slow upstream of two as typical and an owner that thought itself five times as fast as its first call.

--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -301,6 +301,10 @@
             SERVICE_FORGET_US,
         );
         self.learned_us = now_us;
+        if self.service_us == 0 {
+            self.service_us = service_time_us;
+            return;
+        }
         let kept_us = (SERVICE_FORGET_US - weight_us).saturating_mul(self.service_us);
         let added_us = weight_us.saturating_mul(service_time_us);
         self.service_us = kept_us.saturating_add(added_us) / SERVICE_FORGET_US;
--- a/components/limits/src/retry.rs
+++ b/components/limits/src/retry.rs
@@ -7,6 +7,9 @@
 /// Most retries that successes save up, so that an old surplus can't feed a retry storm.
 const MAX_SAVED_RETRIES: u32 = 50;
 
+/// Saved retries that reservations leave for calls that are refused or fail outright.
+const KEPT_RETRIES: u32 = 25;
+
 /// Allows retries as a percentage of successes, plus a small constant rate.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -30,14 +33,10 @@
         self.saved = (self.saved + self.percent).min(MAX_SAVED_RETRIES * UNITS_PER_RETRY);
     }
 
-    /// Takes one saved retry ahead of an attempt that its owner may refuse for waiting, so that
+    /// Takes one saved retry, but none of the last few, ahead of an attempt that its owner may refuse for waiting, so that
     /// the refusal can't end the call.
     pub fn try_reserve(&mut self) -> bool {
-        let has_retry = self.saved >= UNITS_PER_RETRY;
-        if has_retry {
-            self.saved -= UNITS_PER_RETRY;
-        }
-        has_retry
+        self.take_above(KEPT_RETRIES)
     }
 
     /// Returns a reserved retry that was not needed.
@@ -47,6 +46,14 @@
 
     /// Takes one retry from the budget.
     pub fn try_retry(&mut self, now_us: u64) -> bool {
-        self.try_reserve() || self.floor.try_take(now_us, 1)
+        self.take_above(0) || self.floor.try_take(now_us, 1)
+    }
+
+    fn take_above(&mut self, kept_retries: u32) -> bool {
+        let has_retry = self.saved >= (kept_retries + 1) * UNITS_PER_RETRY;
+        if has_retry {
+            self.saved -= UNITS_PER_RETRY;
+        }
+        has_retry
     }
 }
--- /dev/null
+++ b/components/limits/tests/admission_bounds.rs
@@ -0,0 +1,155 @@
+//! Guards the owner's promises: never more running than slots, and "not run" is final.
+
+use limits::{Admission, AdmissionConfig, CancelEffect, Offer, Step, Ticket};
+use model::{AttemptId, CallId, Priority, UpstreamState};
+use proptest::{collection::vec, prelude::Strategy, prop_assert, prop_oneof, proptest};
+use std::collections::{HashMap, HashSet};
+
+#[derive(Clone, Debug)]
+enum Action {
+    Offer {
+        priority: u8,
+        deadline_us: u64,
+        patience_us: u64,
+        queue_limit: u32,
+    },
+    Finish(usize, u64),
+    Cancel(u64),
+    Expire,
+    Drain(bool),
+    Slots(u32),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        5 => (0u8..3, 0u64..40_000, 0u64..40_000, 0u32..8).prop_map(
+            |(priority, deadline_us, patience_us, queue_limit)| Action::Offer {
+                priority, deadline_us, patience_us, queue_limit,
+            }
+        ),
+        4 => (0usize..8, 0u64..20_000).prop_map(|(index, us)| Action::Finish(index, us)),
+        2 => (0u64..60).prop_map(Action::Cancel),
+        2 => proptest::strategy::Just(Action::Expire),
+        1 => proptest::bool::ANY.prop_map(Action::Drain),
+        1 => (1u32..5).prop_map(Action::Slots),
+    ]
+}
+
+fn id(sequence: u64) -> AttemptId {
+    AttemptId {
+        call: CallId {
+            origin: 1,
+            sequence,
+        },
+        attempt: 0,
+    }
+}
+
+/// What the attempts went through, as a caller of `Admission` sees it.
+#[derive(Default)]
+struct Ledger {
+    deadlines_us: HashMap<AttemptId, u64>,
+    running: Vec<AttemptId>,
+    ended: HashSet<AttemptId>,
+}
+
+impl Ledger {
+    fn start(&mut self, now_us: u64, attempt: AttemptId) {
+        assert!(
+            !self.ended.contains(&attempt),
+            "{attempt} started after its end"
+        );
+        assert!(!self.running.contains(&attempt), "{attempt} started twice");
+        assert!(
+            now_us < self.deadlines_us[&attempt],
+            "{attempt} started after its deadline"
+        );
+        self.running.push(attempt);
+    }
+
+    fn end(&mut self, attempt: AttemptId) {
+        assert!(
+            !self.running.contains(&attempt),
+            "{attempt} was refused while it ran"
+        );
+        assert!(self.ended.insert(attempt), "{attempt} ended twice");
+    }
+
+    fn steps(&mut self, now_us: u64, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Start(attempt) => self.start(now_us, attempt),
+                Step::Refuse(attempt, kind) => {
+                    assert!(kind.is_not_run(), "{kind} does not claim not-run");
+                    self.end(attempt);
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn random_sessions(actions in vec((0u64..5_000, action()), 1..200)) {
+        let mut admission = Admission::new(AdmissionConfig { slots: 2, queue_limit: 5 });
+        let mut ledger = Ledger::default();
+        let mut now_us = 0;
+        for (sequence, (gap_us, action)) in (0u64..).zip(actions) {
+            now_us += gap_us;
+            let running_before = ledger.running.len();
+            match action {
+                Action::Offer { priority, deadline_us, patience_us, queue_limit } => {
+                    let ticket = Ticket {
+                        attempt: id(sequence),
+                        priority: [Priority::Low, Priority::Normal, Priority::High]
+                            [usize::from(priority)],
+                        deadline_us: now_us + deadline_us,
+                        start_by_us: now_us + patience_us,
+                        expected_us: 0,
+                        queue_limit,
+                    };
+                    ledger.deadlines_us.insert(ticket.attempt, ticket.deadline_us);
+                    match admission.offer(now_us, ticket) {
+                        Offer::Start => ledger.start(now_us, ticket.attempt),
+                        Offer::Queued => {}
+                        Offer::QueuedInstead(shed) => ledger.end(shed),
+                        Offer::Refused(kind) => {
+                            prop_assert!(kind.is_not_run());
+                            ledger.end(ticket.attempt);
+                        }
+                    }
+                }
+                Action::Finish(index, service_us) if !ledger.running.is_empty() => {
+                    let attempt = ledger.running.remove(index % running_before);
+                    ledger.ended.insert(attempt);
+                    ledger.steps(now_us, admission.finished(now_us, attempt, service_us));
+                }
+                Action::Finish(..) => {}
+                Action::Cancel(sequence) => {
+                    let attempt = id(sequence);
+                    match admission.cancel(attempt) {
+                        CancelEffect::NotStarted => ledger.end(attempt),
+                        CancelEffect::Running => prop_assert!(ledger.running.contains(&attempt)),
+                        CancelEffect::Unknown => prop_assert!(!ledger.running.contains(&attempt)),
+                    }
+                }
+                Action::Expire => {
+                    ledger.steps(now_us, admission.expire(now_us));
+                    prop_assert!(admission.next_deadline_us().is_none_or(|us| us > now_us));
+                }
+                Action::Drain(on) => {
+                    let state = if on { UpstreamState::Draining } else { UpstreamState::Serving };
+                    ledger.steps(now_us, admission.set_state(state));
+                    prop_assert!(!on || admission.queued() == 0);
+                }
+                Action::Slots(slots) => {
+                    ledger.steps(now_us, admission.set_slots(now_us, slots));
+                }
+            }
+            let running = ledger.running.len();
+            prop_assert!(running <= running_before || running <= admission.slots() as usize);
+            prop_assert!(admission.in_flight() as usize == running);
+            prop_assert!(admission.queued() <= 5);
+        }
+    }
+}
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -201,13 +201,13 @@
         self.latency.quantile_us(percent)
     }
 
-    /// Averages over the upstreams; the median service time, because a slow minority must not
-    /// pass for typical.
+    /// Averages over the upstreams; the lower median of the service times, because slow
+    /// upstreams must not pass for typical.
     fn typical(&mut self) -> Typical {
         self.service_times_us.clear();
         self.service_times_us
             .extend(self.members.values().filter_map(Member::service_us));
-        let middle = self.service_times_us.len() / 2;
+        let middle = self.service_times_us.len().saturating_sub(1) / 2;
         let service_us = if self.service_times_us.is_empty() {
             DEFAULT_SERVICE_US
         } else {
--- /dev/null
+++ b/components/routing/tests/choice_session.rs
@@ -0,0 +1,52 @@
+//! Guards the whole decision of a short session, as a golden file.
+
+mod common;
+
+use common::{MS, request, router, signal, zone};
+use routing::Finish;
+use std::fmt::Write;
+
+#[test]
+fn golden_session() {
+    let (mut router, keys) = router(3, 42);
+    let zone = zone("a");
+    let mut log = String::new();
+    let start_us = 10_000 * MS;
+    for i in 0..12u64 {
+        let now_us = start_us + i * 2 * MS;
+        let choice = router.choose(now_us, &request(&zone)).expect("an upstream");
+        let name = router
+            .upstream(choice.upstream)
+            .expect("a member")
+            .name
+            .clone();
+        let weighed: Vec<String> = router
+            .candidates()
+            .iter()
+            .map(|c| format!("{:.1}/{}us", c.load, c.expected_us))
+            .collect();
+        writeln!(
+            log,
+            "{:>2} ms: {name} {:?} patience {:?} of {}",
+            i * 2,
+            choice.reason,
+            choice.patience_us,
+            weighed.join(" ")
+        )
+        .expect("a string");
+        router.sent(now_us, choice.upstream);
+        match i {
+            3 => router.finished(
+                now_us,
+                keys[0],
+                Finish::Ok,
+                6 * MS,
+                Some(signal(3, 6_000, 1)),
+            ),
+            6 => router.observe(now_us, keys[1], signal(4, 30_000, 1)),
+            8 => router.finished(now_us, keys[2], Finish::Failed, 2 * MS, None),
+            _ => {}
+        }
+    }
+    insta::assert_snapshot!(log);
+}
--- /dev/null
+++ b/components/routing/tests/fast_failure.rs
@@ -0,0 +1,86 @@
+//! Guards against an upstream that fails fast and so seems idle.
+
+mod common;
+
+use common::{MS, call, request, router, zone};
+use routing::{Finish, Reason, RouteRequest};
+
+#[test]
+fn bad_upstream() {
+    let (mut router, keys) = router(4, 1);
+    let bad = keys[2];
+    let fails = |key| {
+        if key == bad {
+            (Finish::Failed, 100)
+        } else {
+            (Finish::Ok, 5 * MS)
+        }
+    };
+    let start_us = 10_000 * MS;
+    let calls = 1_000;
+    let hits = (0..calls).filter(|i| call(&mut router, start_us + i * 5 * MS, fails) == bad);
+    // Two failures eject it; the trials double their distance, about five in five seconds.
+    assert!(hits.count() <= 10, "a failing upstream attracts calls");
+}
+
+#[test]
+fn whole_service() {
+    let (mut router, _) = router(4, 2);
+    let start_us = 10_000 * MS;
+    for i in 0..200 {
+        call(&mut router, start_us + i * MS, |_| (Finish::Failed, 100));
+    }
+    let zone = zone("a");
+    let now_us = start_us + 200 * MS;
+    router
+        .choose(now_us, &request(&zone))
+        .expect("the service must never be ejected as a whole");
+    let ejected = router
+        .candidates()
+        .iter()
+        .filter(|candidate| candidate.ejected)
+        .count();
+    assert_eq!(ejected, 2, "the cap is half of the upstreams");
+}
+
+#[test]
+fn trial_call() {
+    let (mut router, keys) = router(2, 3);
+    let zone = zone("a");
+    let start_us = 10_000 * MS;
+    for _ in 0..2 {
+        router.sent(start_us, keys[0]);
+        router.finished(start_us, keys[0], Finish::Failed, 100, None);
+    }
+    let early = router
+        .choose(start_us + 100 * MS, &request(&zone))
+        .expect("the other one");
+    assert_eq!(early.upstream, keys[1], "an ejected upstream gets no calls");
+    let due_us = start_us + 300 * MS;
+    let risky = RouteRequest {
+        idempotent: false,
+        ..request(&zone)
+    };
+    let kept = router.choose(due_us, &risky).expect("the other one");
+    assert_eq!(
+        kept.upstream, keys[1],
+        "a non-repeatable call must not make the first trial"
+    );
+    let trial = router.choose(due_us, &request(&zone)).expect("the trial");
+    assert_eq!((trial.upstream, trial.reason), (keys[0], Reason::Trial));
+    let second = router
+        .choose(due_us, &request(&zone))
+        .expect("the other one");
+    assert_eq!(second.upstream, keys[1], "one trial at a time");
+    router.sent(due_us, keys[0]);
+    router.finished(due_us + 5 * MS, keys[0], Finish::Ok, 5 * MS, None);
+    router
+        .choose(due_us + 6 * MS, &request(&zone))
+        .expect("any");
+    assert!(
+        router
+            .candidates()
+            .iter()
+            .all(|candidate| !candidate.ejected)
+    );
+}
--- /dev/null
+++ b/components/routing/tests/member_changes.rs
@@ -0,0 +1,123 @@
+//! Guards the choice against draining, excluded, removed and cold upstreams.
+
+mod common;
+
+use common::{MS, request, router, signal, upstream, zone};
+use errors::ErrorKind;
+use model::UpstreamState;
+use routing::{Finish, RouteRequest};
+
+#[test]
+fn draining_upstream() {
+    let (mut router, keys) = router(2, 1);
+    let zone = zone("a");
+    let mut leaving = upstream(0);
+    leaving.state = UpstreamState::Draining;
+    assert_eq!(router.upsert(MS, &leaving), keys[0]);
+    for i in 0..50 {
+        let choice = router
+            .choose(10_000 * MS + i, &request(&zone))
+            .expect("an upstream");
+        assert_eq!(choice.upstream, keys[1], "a draining upstream got a call");
+    }
+    router.remove(&upstream(1).name);
+    assert_eq!(
+        router.choose(10_001 * MS, &request(&zone)),
+        Err(ErrorKind::NoUpstream)
+    );
+}
+
+#[test]
+fn excluded_upstream() {
+    let (mut router, keys) = router(2, 2);
+    let zone = zone("a");
+    let retry = RouteRequest {
+        exclude: &keys[..1],
+        ..request(&zone)
+    };
+    assert_eq!(
+        router.choose(MS, &retry).expect("the other one").upstream,
+        keys[1]
+    );
+    let last = RouteRequest {
+        exclude: &keys,
+        ..request(&zone)
+    };
+    assert_eq!(router.choose(MS, &last), Err(ErrorKind::NoUpstream));
+}
+
+#[test]
+fn stale_key() {
+    let (mut router, keys) = router(2, 3);
+    router.sent(MS, keys[0]);
+    let mut restarted = upstream(0);
+    restarted.node.incarnation = 2;
+    let key = router.upsert(2 * MS, &restarted);
+    assert_ne!(
+        key, keys[0],
+        "a restarted upstream must not inherit its past"
+    );
+    router.finished(3 * MS, keys[0], Finish::Failed, MS, None);
+    assert!(router.upstream(keys[0]).is_none());
+    assert_eq!(router.upstream(key), Some(&restarted));
+}
+
+#[test]
+fn cold_start() {
+    let (mut router, _) = router(1, 4);
+    let zone = zone("a");
+    let warm = router.key(&upstream(0).name).expect("the first one");
+    let now_us = 10_000 * MS;
+    let cold = router.upsert(now_us, &upstream(1));
+    for key in [warm, cold] {
+        router.observe(now_us, key, signal(2, 8_000, 1));
+    }
+    router.choose(now_us, &request(&zone)).expect("an upstream");
+    let expected = |key| {
+        let candidate = router.candidates().iter().find(|c| c.upstream == key);
+        candidate.expect("a candidate").expected_us
+    };
+    assert!(
+        expected(cold) > expected(warm),
+        "a cold upstream must count for fewer slots"
+    );
+}
+
+#[test]
+fn full_hedge() {
+    let (mut router, keys) = router(2, 5);
+    let zone = zone("a");
+    let now_us = 10_000 * MS;
+    let hedge = RouteRequest {
+        exclude: &keys[..1],
+        hedge: true,
+        ..request(&zone)
+    };
+    router.observe(now_us, keys[1], signal(1, 8_000, 1));
+    assert!(router.choose(now_us, &hedge).is_ok());
+    router.observe(now_us, keys[1], signal(4, 8_000, 2));
+    assert_eq!(router.choose(now_us, &hedge), Err(ErrorKind::Overloaded));
+}
+
+#[test]
+fn other_zone() {
+    let (mut router, keys) = router(1, 6);
+    let mut far = upstream(1);
+    far.availability_zone = zone("b");
+    let far_key = router.upsert(0, &far);
+    let zone = zone("a");
+    let now_us = 10_000 * MS;
+    router.observe(now_us, keys[0], signal(1, 8_000, 1));
+    router.observe(now_us, far_key, signal(1, 8_000, 1));
+    let near = router.choose(now_us, &request(&zone)).expect("an upstream");
+    assert_eq!(
+        near.upstream, keys[0],
+        "equal upstreams: the own zone is nearer"
+    );
+    router.observe(now_us, keys[0], signal(8, 8_000, 2));
+    let fast = router.choose(now_us, &request(&zone)).expect("an upstream");
+    assert_eq!(
+        fast.upstream, far_key,
+        "zone preference must not cost latency"
+    );
+}
--- /dev/null
+++ b/components/routing/tests/probe_budget.rs
@@ -0,0 +1,73 @@
+//! Guards the budget of measuring messages per call and per second.
+
+mod common;
+
+use common::{MS, request, router, zone};
+use model::Measure;
+use routing::RouteRequest;
+
+/// Measuring messages of `calls` calls, `gap_us` apart, and the most in any one second.
+fn messages(measure: Measure, calls: u64, gap_us: u64) -> (u64, usize) {
+    let (mut router, _) = router(5, 1);
+    let zone = zone("a");
+    let mut times_us = Vec::new();
+    for i in 0..calls {
+        let now_us = i * gap_us;
+        let call = RouteRequest {
+            measure,
+            ..request(&zone)
+        };
+        router.choose(now_us, &call).expect("an upstream");
+        for key in router.probe_due(now_us) {
+            times_us.extend([now_us; 2]);
+            router.probe_lost(now_us, key);
+        }
+    }
+    let peak = times_us.iter().map(|&start| {
+        times_us
+            .iter()
+            .filter(|&&at| (start..start + 1_000 * MS).contains(&at))
+            .count()
+    });
+    (times_us.len() as u64, peak.max().unwrap_or(0))
+}
+
+#[test]
+fn per_call() {
+    assert_eq!(messages(Measure::None, 1_000, 20 * MS).0, 0);
+    let (economical, _) = messages(Measure::Economical, 1_000, 20 * MS);
+    assert!(
+        (90..=100).contains(&economical),
+        "{economical} messages for 1000 calls"
+    );
+    let (fast, _) = messages(Measure::Fast, 1_000, 20 * MS);
+    assert!(
+        (900..=1_000).contains(&fast),
+        "{fast} messages for 1000 calls"
+    );
+}
+
+#[test]
+fn per_second() {
+    // Ten thousand calls per second earn far more than the budget of 100 messages.
+    let (_, peak) = messages(Measure::Fast, 20_000, 100);
+    assert!((80..=100).contains(&peak), "{peak} messages in one second");
+}
+
+#[test]
+fn retries_earn_nothing() {
+    let (mut router, keys) = router(5, 2);
+    let zone = zone("a");
+    for i in 0..1_000 {
+        let retry = RouteRequest {
+            measure: Measure::Fast,
+            exclude: &keys[..1],
+            ..request(&zone)
+        };
+        router.choose(i * MS, &retry).expect("an upstream");
+        assert!(
+            router.probe_due(i * MS).is_empty(),
+            "the retry of a call paid for a probe"
+        );
+    }
+}
