Release the mesh handlers of an ended kernel

Cause: plug-in handlers in the mesh hold the kernel and the kernel holds the mesh, so the UDP socket of a killed or stopped kernel stayed open and a restart in the same process failed with 'address in use'. The TCP listener was ruled out: its thread is joined at the stop. Change: a stopped or aborted kernel replaces its handlers, which ends the cycle.

--- a/components/kernel/src/run.rs
+++ b/components/kernel/src/run.rs
@@ -10,7 +10,7 @@
     stop::{StopSignal, lock},
     suspects::SuspectTable,
 };
-use mesh::Mesh;
+use mesh::{Channel, Mesh};
 use settings::{ControlSettings, NodeSettings};
 use std::{
     any::{Any, TypeId},
@@ -148,6 +148,16 @@
         lock(&self.addresses).get(plugin).copied()
     }
 
+    /// Drops what plug-ins left here. Their mesh handlers hold the kernel and with it the mesh,
+    /// whose UDP socket would otherwise keep its port until the process ends.
+    fn release(&self) {
+        for channel in Channel::ALL {
+            self.mesh.on(channel, |_| ());
+        }
+        self.events.clear();
+        lock(&self.shared).clear();
+    }
+
     fn roles(&self) -> Vec<Role> {
         match &self.settings {
             Settings::Control(_) => vec![Role::Control],
@@ -202,8 +212,7 @@
             stop();
         }
         self.kernel.mesh.stop();
-        self.kernel.events.clear();
-        lock(&self.kernel.shared).clear();
+        self.kernel.release();
         log::info!("kernel: stopped.");
     }
 
@@ -215,8 +224,7 @@
         for (_, running) in self.running.drain(..).rev() {
             (running.stop)();
         }
-        self.kernel.events.clear();
-        lock(&self.kernel.shared).clear();
+        self.kernel.release();
     }
 }
 
