--- a/components/control/src/host.rs
+++ b/components/control/src/host.rs
@@ -54,7 +54,7 @@
                     replica,
                     writes,
                 }
-                .run()
+                .run();
             }
         })?;
         Ok(Host {
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -220,7 +220,7 @@
             op,
             in_use,
         };
-        let result = self.submit(change);
+        let result = self.submit(&change);
         match &result {
             Ok(revision) => {
                 log::info!("operator: change {change_id} of {name} accepted as {revision}.");
@@ -236,7 +236,7 @@
     }
 
     /// Submits the change to the leader, again if the leader is lost; its id makes that safe.
-    fn submit(&self, change: Change) -> Result<Revision, Refusal> {
+    fn submit(&self, change: &Change) -> Result<Revision, Refusal> {
         let until = Instant::now() + REQUEST_TIMEOUT;
         loop {
             let result = self.submit_once(change.clone());
