Let a deployment be disturbed from several threads

Cause: failure tests kill replicas while operators in other threads submit. Change: Operators, a client that outlives the borrow of the deployment; settings of a node and a replica; a restart waits for the ports of its predecessor; a dropped deployment ends its processes without a drain; change takes its operation by reference (clippy).

--- a/components/bench/src/demo.rs
+++ b/components/bench/src/demo.rs
@@ -235,7 +235,7 @@
     thread::sleep(step);
     browse.deadline_ms = 900;
     let started = Instant::now();
-    let number = deployment.change("demo-change", None, json!({ "update": browse }))?;
+    let number = deployment.change("demo-change", None, &json!({ "update": browse }))?;
     deployment.wait_in_effect(number)?;
     let change_time = started.elapsed();
     println!("  profile browse changed, revision {number}");
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -18,6 +18,8 @@
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause between looks at a condition.
 const POLL: Duration = Duration::from_millis(10);
+/// Longest wait for the ports of a killed process.
+const RELEASE_LIMIT: Duration = Duration::from_secs(10);
 /// Longest wait for a condition.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -132,7 +134,7 @@
     pub fn start_replica(&mut self, index: usize) -> Result<(), DeploymentError> {
         let place = &mut self.replicas[index];
         let settings = Settings::Control(Box::new(place.settings.clone()));
-        place.handle = Some(Kernel::start(settings)?);
+        place.handle = Some(start(&settings)?);
         Ok(())
     }
 
@@ -142,7 +144,7 @@
         control::register();
         let place = &mut self.nodes[index];
         let settings = Settings::Node(Box::new(place.settings.clone()));
-        place.handle = Some(Kernel::start(settings)?);
+        place.handle = Some(start(&settings)?);
         Ok(())
     }
 
@@ -209,6 +211,32 @@
             .collect()
     }
 
+    /// A client of all replicas' operator ports, running or not, for other threads.
+    pub fn operator_client(&self) -> Operators {
+        Operators {
+            addresses: self
+                .replicas
+                .iter()
+                .map(|place| place.settings.operator_listen)
+                .collect(),
+        }
+    }
+
+    /// Mesh address of a replica.
+    pub fn replica_address(&self, index: usize) -> SocketAddr {
+        self.replicas[index].settings.listen
+    }
+
+    /// Settings of a node, for a changed restart or for another process beside it.
+    pub fn node_settings(&mut self, index: usize) -> &mut NodeSettings {
+        &mut self.nodes[index].settings
+    }
+
+    /// Settings of a replica, for a changed restart or for another process beside it.
+    pub fn replica_settings(&mut self, index: usize) -> &mut ControlSettings {
+        &mut self.replicas[index].settings
+    }
+
     /// Index of the leading replica.
     pub fn leader(&self) -> Result<usize, DeploymentError> {
         let status = self.status()?;
@@ -221,7 +249,7 @@
     /// Adds a profile and returns the revision number.
     pub fn add_profile(&self, profile: &Profile) -> Result<u64, DeploymentError> {
         let id = format!("add-{}", profile.name);
-        self.change(&id, None, json!({ "add": profile }))
+        self.change(&id, None, &json!({ "add": profile }))
     }
 
     /// Submits a change until it is answered, with one change id for all tries.
@@ -229,7 +257,7 @@
         &self,
         change_id: &str,
         expect: Option<u64>,
-        op: Value,
+        op: &Value,
     ) -> Result<u64, DeploymentError> {
         let body = json!({ "change_id": change_id, "expect_revision": expect, "op": op });
         let answer = self.operator("POST", "/v1/changes", Some(&body))?;
@@ -304,26 +332,51 @@
             .map(|handle| handle.kernel().as_ref())
     }
 
-    /// Sends an operator's request to the replicas in turn until one answers it for good.
+    /// Sends an operator's request to the running replicas in turn until one answers it for good.
     pub fn operator(
         &self,
         method: &str,
         path: &str,
         body: Option<&Value>,
     ) -> Result<Value, DeploymentError> {
+        let addresses = self.operators();
+        match (Operators { addresses }).send(method, path, body)? {
+            (200, value) => Ok(value),
+            (_, value) => Err(DeploymentError::Operator {
+                reason: value.to_string(),
+            }),
+        }
+    }
+}
+
+impl Drop for Deployment {
+    /// Ends what still runs as a crash would, since nothing of it is used again.
+    fn drop(&mut self) {
+        (0..self.nodes.len()).for_each(|index| self.kill_node(index));
+        (0..self.replicas.len()).for_each(|index| self.kill_replica(index));
+    }
+}
+
+/// Operator ports that are tried in turn.
+#[derive(Clone, Debug)]
+pub struct Operators {
+    addresses: Vec<SocketAddr>,
+}
+
+impl Operators {
+    /// Sends a request until one replica answers with a status below 500.
+    pub fn send(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<(u16, Value), DeploymentError> {
         let until = Instant::now() + PATIENCE;
         let mut reason = "no replica runs".to_owned();
         while Instant::now() < until {
-            for address in self.operators() {
-                match ask_operator(address, method, path, body) {
-                    Ok((status, value)) if status < 500 => {
-                        if status == 200 {
-                            return Ok(value);
-                        }
-                        return Err(DeploymentError::Operator {
-                            reason: value.to_string(),
-                        });
-                    }
+            for address in &self.addresses {
+                match ask_operator(*address, method, path, body) {
+                    Ok((status, value)) if status < 500 => return Ok((status, value)),
                     Ok((_, value)) => reason = value.to_string(),
                     Err(error) => reason = error.to_string(),
                 }
@@ -334,6 +387,19 @@
     }
 }
 
+/// Starts a process, again while threads of its killed predecessor still hold its ports.
+fn start(settings: &Settings) -> Result<KernelHandle, StartError> {
+    let until = Instant::now() + RELEASE_LIMIT;
+    loop {
+        match Kernel::start(settings.clone()) {
+            Err(error) if error.to_string().contains("in use") && Instant::now() < until => {
+                thread::sleep(POLL);
+            }
+            result => return result,
+        }
+    }
+}
+
 fn ask_operator(
     address: SocketAddr,
     method: &str,
