Try ejected upstreams sooner and forget failures after a good trial

Cause: at 90 % a recovered instance stayed out for up to twice its outage, and the failures before a successful trial kept raising its estimate.

Change: the first ejection takes 100 ms instead of 200, and a successful trial clears the averages of predicted and observed latency.

--- a/components/routing/src/ejection.rs
+++ b/components/routing/src/ejection.rs
@@ -5,7 +5,7 @@
 /// Failures in a row after which an upstream is ejected.
 const FAILURES_TO_EJECT: u32 = 2;
 /// First ejection time in microseconds; doubles with each failed trial.
-const BASE_EJECTION_US: u64 = 200_000;
+const BASE_EJECTION_US: u64 = 100_000;
 /// Longest ejection time in microseconds.
 const MAX_EJECTION_US: u64 = 10_000_000;
 /// Wait beyond the ejection time before a non-idempotent call makes the trial, in microseconds.
--- a/components/routing/src/member.rs
+++ b/components/routing/src/member.rs
@@ -109,6 +109,11 @@
             .min_by_key(|&index| self.outstanding[index].sent_us.abs_diff(sent_us));
         let Some(index) = closest else { return };
         let attempt = self.outstanding.swap_remove(index);
+        if finish == Finish::Ok && self.ejection.is_ejected() {
+            // The trial succeeded: the failures before it say nothing about the upstream now.
+            self.results = None;
+            return;
+        }
         let observed_us = match finish {
             Finish::Ok => latency_us as f64,
             Finish::Failed | Finish::TimedOut => FAILURE_US.max(latency_us as f64),
