Serve the operators' client and share the operator port's types

Cause: the operator port and its client described the same JSON twice; a claim round could count a late reply of an earlier round; a request that only ran out of time counted as a lost connection; one test depended on speed and on ports that others could take. Change: crate api for the JSON bodies; gyard runs the client; rounds have numbers; mesh tells TimedOut from Lost; deployments listen on ports that the system chooses; replica_kill waits for its kills.

--- a/components/client/src/api.rs
+++ b/components/api/src/lib.rs
@@ -1,4 +1,4 @@
-//! JSON bodies of the operator port.
+//! JSON bodies of the operator port, shared by the control replica and the operators' client.
 
 use model::{
     AvailabilityZone, HostName, Profile, ProfileName, Revision, ServiceName, UpstreamName,
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -7,13 +7,16 @@
 use settings::{ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings};
 use snafu::Snafu;
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     thread,
     time::{Duration, Instant},
 };
 use tempfile::TempDir;
 
+/// Loopback with a port that the system chooses. A port looked up beforehand can be taken by an
+/// outgoing connection of another test before it is used.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Longest wait for an operator's request.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause between looks at a condition.
@@ -108,11 +111,7 @@
         }
         let first_peer = free_address()?;
         for (index, zone) in plan.zones.iter().enumerate() {
-            let mesh = if index == 0 {
-                first_peer
-            } else {
-                free_address()?
-            };
+            let mesh = if index == 0 { first_peer } else { ANY_PORT };
             let mut settings = node_settings(index, zone, mesh, first_peer, &group)?;
             settings.decision_log_percent = plan.decision_log_percent;
             deployment.nodes.push(Place {
@@ -134,7 +133,12 @@
     pub fn start_replica(&mut self, index: usize) -> Result<(), DeploymentError> {
         let place = &mut self.replicas[index];
         let settings = Settings::Control(Box::new(place.settings.clone()));
-        place.handle = Some(start(&settings)?);
+        let handle = start(&settings)?;
+        keep(
+            &mut place.settings.operator_listen,
+            handle.kernel().address("operator"),
+        );
+        place.handle = Some(handle);
         Ok(())
     }
 
@@ -144,7 +148,15 @@
         control::register();
         let place = &mut self.nodes[index];
         let settings = Settings::Node(Box::new(place.settings.clone()));
-        place.handle = Some(start(&settings)?);
+        let handle = start(&settings)?;
+        let kernel = handle.kernel();
+        place.settings.mesh_listen = kernel.mesh.local().mesh;
+        keep(&mut place.settings.call_listen, kernel.address("entry"));
+        keep(
+            &mut place.settings.platform_listen,
+            kernel.address("platform"),
+        );
+        place.handle = Some(handle);
         Ok(())
     }
 
@@ -421,6 +433,13 @@
     ))
 }
 
+/// Keeps the address that a process got, so that it has the same one after a restart.
+fn keep(setting: &mut SocketAddr, bound: Option<SocketAddr>) {
+    if let Some(bound) = bound {
+        *setting = bound;
+    }
+}
+
 /// An address whose port is free for TCP and UDP at this moment.
 fn free_address() -> std::io::Result<SocketAddr> {
     loop {
@@ -446,7 +465,7 @@
 ) -> Result<ControlSettings, DeploymentError> {
     Ok(ControlSettings {
         listen: group[number - 1],
-        operator_listen: free_address()?,
+        operator_listen: ANY_PORT,
         data_dir,
         replica: number as u32,
         group: group.to_vec(),
@@ -465,9 +484,9 @@
     group: &[SocketAddr],
 ) -> Result<NodeSettings, DeploymentError> {
     Ok(NodeSettings {
-        call_listen: free_address()?,
+        call_listen: ANY_PORT,
         mesh_listen: mesh,
-        platform_listen: free_address()?,
+        platform_listen: ANY_PORT,
         availability_zone: name(zone),
         region: Region::parse("default").expect("a valid name"),
         host: HostName::parse(format!("host-{}", index + 1)).expect("a valid name"),
--- a/components/bench/tests/replica_kill.rs
+++ b/components/bench/tests/replica_kill.rs
@@ -54,6 +54,12 @@
 fn operate(operators: &Operators, me: usize, shared: &Race) -> Vec<Answered> {
     let mut all = Vec::new();
     for round in 0..ROUNDS {
+        // The last round is held until replicas were killed during the earlier ones.
+        if round + 1 == ROUNDS {
+            eventually("two replicas were killed", || {
+                shared.kills.load(Ordering::Acquire) >= 2
+            });
+        }
         shared.start.wait();
         let expect = shared.expect.load(Ordering::Acquire);
         let mut raced = profile("raced");
@@ -103,10 +109,11 @@
     start: Barrier,
     expect: AtomicUsize,
     winners: AtomicUsize,
+    kills: AtomicUsize,
 }
 
 /// Kills one replica after the other, each second time the leader, and restarts it.
-fn kill_in_turn(deployment: &mut Deployment, done: &AtomicBool) -> usize {
+fn kill_in_turn(deployment: &mut Deployment, done: &AtomicBool, race: &Race) -> usize {
     let mut kills = 0;
     while !done.load(Ordering::Acquire) {
         let Ok(leader) = deployment.leader() else {
@@ -121,6 +128,7 @@
         thread::sleep(Duration::from_millis(300));
         deployment.start_replica(victim).unwrap();
         kills += 1;
+        race.kills.store(kills, Ordering::Release);
         // A second replica must not go before the first one is back: two of three must live.
         eventually("all replicas are reachable", || {
             deployment.status().is_ok_and(|status| {
@@ -145,6 +153,7 @@
         start: Barrier::new(OPERATORS),
         expect: AtomicUsize::new(first as usize),
         winners: AtomicUsize::new(0),
+        kills: AtomicUsize::new(0),
     };
     let operators = deployment.operator_client();
     let done = AtomicBool::new(false);
@@ -155,7 +164,7 @@
                 scope.spawn(move || operate(&operators, me, race))
             })
             .collect();
-        let killer = scope.spawn(|| kill_in_turn(&mut deployment, &done));
+        let killer = scope.spawn(|| kill_in_turn(&mut deployment, &done, &race));
         let answers: Vec<Answered> = threads
             .into_iter()
             .flat_map(|thread| thread.join().expect("the operator ends"))
--- a/components/client/src/change.rs
+++ b/components/client/src/change.rs
@@ -1,11 +1,11 @@
 //! Changes of profiles: built from flags or a file, sent under one change id.
 
 use crate::{
-    api::{ChangeAnswer, ChangeOp, ChangeRequest, ProfileEntry},
     failure::Failure,
     operators::{Failed, Operators},
     options::{EditFlags, RetireFlags, Submission, single},
 };
+use api::{ChangeAnswer, ChangeOp, ChangeRequest, ProfileEntry};
 use model::{FieldError, Profile, ProfileName};
 use registry::ChangeId;
 use std::{
--- a/components/client/src/failure.rs
+++ b/components/client/src/failure.rs
@@ -1,6 +1,6 @@
 //! Ways in which a command ends without success.
 
-use crate::api::ErrorBody;
+use api::ErrorBody;
 use model::Revision;
 use serde_json::{Value, json};
 use snafu::Snafu;
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -3,7 +3,6 @@
 //! Exit codes: 0 done, 1 refused, 2 wrong usage, 3 control group unreachable or change
 //! unconfirmed, 4 accepted but not in effect on every live node when `--wait` ran out.
 
-pub mod api;
 mod change;
 mod failure;
 mod operators;
--- a/components/client/src/operators.rs
+++ b/components/client/src/operators.rs
@@ -1,6 +1,7 @@
 //! Requests to the operator ports of the control group, with fail-over.
 
-use crate::{api::ErrorBody, failure::Failure};
+use crate::failure::Failure;
+use api::ErrorBody;
 use attohttpc::{Method, ProxySettings, RequestBuilder};
 use errors::{ErrorKind, Outcome};
 use serde::{Serialize, de::DeserializeOwned};
--- a/components/client/src/output.rs
+++ b/components/client/src/output.rs
@@ -1,6 +1,6 @@
 //! Tables for human readers.
 
-use crate::api::{ChangeAnswer, NodeStatus, ProfileEntry, ProfileList, Status};
+use api::{ChangeAnswer, NodeStatus, ProfileEntry, ProfileList, Status};
 use std::io::{self, Write};
 
 /// Writes rows under a header, each column as wide as its longest cell.
--- a/components/client/src/run.rs
+++ b/components/client/src/run.rs
@@ -1,13 +1,13 @@
 //! Runs one command.
 
 use crate::{
-    api::{ChangeAnswer, DrainRequest, ProfileEntry, ProfileList, Status},
     change,
     failure::Failure,
     operators::{Failed, Operators},
     options::{Command, DrainFlags, Flags, ProfileCommand, Submission, hoist_common, single},
     output, wait,
 };
+use api::{ChangeAnswer, DrainRequest, ProfileEntry, ProfileList, Status};
 use gumdrop::{Options, ParsingStyle};
 use model::{ServiceName, UpstreamName};
 use serde::Serialize;
--- a/components/client/src/wait.rs
+++ b/components/client/src/wait.rs
@@ -1,10 +1,7 @@
 //! `--wait`: until a change is in effect on every live node.
 
-use crate::{
-    api::{NodeStatus, Status},
-    failure::Failure,
-    operators::Operators,
-};
+use crate::{failure::Failure, operators::Operators};
+use api::{NodeStatus, Status};
 use model::Revision;
 use std::{
     thread,
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -2,15 +2,19 @@
 
 use crate::{
     reports::{STALE_AFTER_MS, merge, node_of, profiles_in_use},
-    shared::{Control, REQUEST_TIMEOUT, Refusal},
+    shared::{Control, REQUEST_TIMEOUT, Refusal, Standing},
+};
+use api::{
+    ChangeAnswer, ChangeOp, ChangeRequest, DrainRequest, InstanceStatus, NodeStatus, ProfileEntry,
+    ProfileList, ReplicaStatus, Status,
 };
 use crossbeam::channel::bounded;
 use errors::ErrorKind;
 use kernel::{Kernel, PluginEntry, Role, Running, StartError};
 use mesh::Channel;
-use model::{FieldError, Profile, ProfileName, Revision};
+use model::{FieldError, Profile, Revision, ServiceName};
 use registry::{Change, ChangeId, Delta, Op, Record};
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use std::{
     io::{Cursor, Read},
@@ -40,35 +44,6 @@
 
 type Answer = Response<Cursor<Vec<u8>>>;
 
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ChangeBody {
-    change_id: String,
-    #[serde(default)]
-    expect_revision: Option<u64>,
-    op: OpBody,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum OpBody {
-    Add(Profile),
-    Update(Profile),
-    Retire {
-        name: ProfileName,
-        #[serde(default)]
-        successor: Option<ProfileName>,
-    },
-}
-
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct DrainBody {
-    instance: model::UpstreamName,
-    #[serde(default)]
-    service: Option<model::ServiceName>,
-}
-
 struct Operator {
     control: Arc<Control>,
     token: Option<String>,
@@ -173,18 +148,23 @@
 
     fn profiles(&self) -> Result<Value, Refusal> {
         let newest = self.newest()?;
-        let profiles: Vec<Value> = newest.records.iter().filter_map(profile_json).collect();
-        Ok(json!({ "revision": newest.to, "profiles": profiles }))
+        let profiles = newest.records.iter().filter_map(profile_entry).collect();
+        Ok(json!(ProfileList {
+            revision: newest.to,
+            profiles
+        }))
     }
 
     fn profile(&self, name: &str) -> Result<Value, Refusal> {
         let newest = self.newest()?;
-        newest
+        let record = newest
             .records
             .iter()
-            .find(|record| record.name().as_str() == name)
-            .and_then(profile_json)
-            .ok_or_else(|| (ErrorKind::UnknownProfile, name.to_owned()))
+            .find(|record| record.name().as_str() == name);
+        match record.and_then(profile_entry) {
+            Some(entry) => Ok(json!(entry)),
+            None => Err((ErrorKind::UnknownProfile, name.to_owned())),
+        }
     }
 
     /// The newest configuration, from the leader.
@@ -201,13 +181,13 @@
         }
     }
 
-    fn change(&self, body: ChangeBody) -> Result<Value, Refusal> {
+    fn change(&self, body: ChangeRequest) -> Result<Value, Refusal> {
         let change_id = ChangeId::parse(&body.change_id)
             .map_err(|error| (ErrorKind::MalformedRequest, error.to_string()))?;
         let op = match body.op {
-            OpBody::Add(profile) => Op::Add(checked(profile)?),
-            OpBody::Update(profile) => Op::Update(checked(profile)?),
-            OpBody::Retire { name, successor } => Op::Retire { name, successor },
+            ChangeOp::Add(profile) => Op::Add(checked(profile)?),
+            ChangeOp::Update(profile) => Op::Update(checked(profile)?),
+            ChangeOp::Retire { name, successor } => Op::Retire { name, successor },
         };
         let in_use = match &op {
             Op::Retire { .. } => profiles_in_use(&self.reports()),
@@ -228,10 +208,10 @@
             Err((kind, _)) => log::info!("operator: change {change_id} of {name} refused, {kind}."),
         }
         let revision = result?;
-        Ok(json!({
-            "revision": revision,
-            "profile_revision": revision.number,
-            "change_id": body.change_id,
+        Ok(json!(ChangeAnswer {
+            revision,
+            profile_revision: revision.number,
+            change_id: body.change_id,
         }))
     }
 
@@ -269,9 +249,9 @@
         }
     }
 
-    fn drain(&self, body: &DrainBody) -> Result<Value, Refusal> {
+    fn drain(&self, body: &DrainRequest) -> Result<Value, Refusal> {
         let reports = self.reports();
-        let service = body.service.as_ref().map(model::ServiceName::as_str);
+        let service = body.service.as_ref().map(ServiceName::as_str);
         let nodes = node_of(&reports, body.instance.as_str(), service);
         let [node] = nodes[..] else {
             let detail = match nodes.len() {
@@ -305,46 +285,41 @@
 
     fn status(&self) -> Result<Value, Refusal> {
         let newest = self.newest()?.to;
-        let standing = self.control.standing();
-        let nodes: Vec<Value> = self
-            .reports()
-            .iter()
-            .map(|report| node_json(report, newest))
-            .collect();
-        Ok(json!({
-            "leader": standing.leader.map(|id| id.number),
-            "revision": newest,
-            "replicas": self.replicas_json(),
-            "nodes": nodes,
+        Ok(json!(Status {
+            leader: self
+                .control
+                .standing()
+                .leader
+                .map(|id| u32::from(id.number)),
+            revision: newest,
+            replicas: self.replicas(),
+            nodes: self
+                .reports()
+                .iter()
+                .map(|report| node_status(report, newest))
+                .collect(),
         }))
     }
 
-    fn replicas_json(&self) -> Vec<Value> {
-        let standing = self.control.standing();
-        let settings = self.control.kernel.control_settings();
-        let Some(settings) = settings else {
+    fn replicas(&self) -> Vec<ReplicaStatus> {
+        let Some(settings) = self.control.kernel.control_settings() else {
             return Vec::new();
         };
+        let standing = self.control.standing();
         let leader = standing.leader.map(|id| u32::from(id.number));
-        settings
-            .group
-            .iter()
-            .zip(1u32..)
-            .map(|(address, number)| {
-                let is_self = number == settings.replica;
-                let reachable = is_self
-                    || self
-                        .ask(*address, &ControlRequest::Reports, PEER_TIMEOUT)
-                        .is_some();
-                json!({
-                    "replica": number,
-                    "address": address,
-                    "role": if leader == Some(number) { "leader" } else { "follower" },
-                    "disk_id": is_self.then(|| format!("{:016x}", standing.disk)),
-                    "matched": is_self.then_some(standing.applied),
-                    "reachable": reachable,
-                    "error": if is_self { standing.storage_error.clone() } else { None },
-                })
+        (1u32..)
+            .zip(settings.group)
+            .map(|(replica, address)| {
+                let is_self = replica == settings.replica;
+                let answers = || self.ask(address, &ControlRequest::Reports, PEER_TIMEOUT);
+                ReplicaStatus {
+                    replica,
+                    address,
+                    role: role_name(leader == Some(replica), is_self.then_some(&standing)),
+                    disk_id: is_self.then(|| format!("{:016x}", standing.disk)),
+                    matched: is_self.then_some(standing.applied),
+                    reachable: is_self || answers().is_some(),
+                }
             })
             .collect()
     }
@@ -442,38 +417,42 @@
         .map_err(|error| (ErrorKind::MalformedRequest, format!("body: {error}")))
 }
 
-fn profile_json(record: &Record) -> Option<Value> {
-    let profile = record.live()?;
-    Some(json!({
-        "profile": profile,
-        "revision": record.revision,
-        "generation": record.generation,
-    }))
+fn profile_entry(record: &Record) -> Option<ProfileEntry> {
+    Some(ProfileEntry {
+        profile: record.live()?.clone(),
+        revision: record.revision,
+        generation: record.generation,
+    })
 }
 
-fn node_json(report: &NodeReport, newest: Revision) -> Value {
-    let instances: Vec<Value> = report
-        .instance
-        .iter()
-        .map(|instance| {
-            json!({
-                "name": instance.name,
-                "service": instance.service,
-                "state": instance.state,
-                "address": instance.address,
-            })
-        })
-        .collect();
-    json!({
-        "node": report.node.mesh,
-        "host": report.host,
-        "availability_zone": report.availability_zone,
-        "revision": report.revision,
-        "in_effect": report.revision >= newest,
-        "age_ms": report.age_ms,
-        "stale": report.age_ms > STALE_AFTER_MS,
-        "instances": instances,
-    })
+/// Part of a replica in the group; of itself a replica also knows whether it votes.
+fn role_name(is_leader: bool, own: Option<&Standing>) -> String {
+    let role = match own {
+        _ if is_leader => "leader",
+        Some(standing) if standing.storage_error.is_some() => "follower, disk full",
+        Some(standing) if !standing.is_voter => "joining",
+        _ => "follower",
+    };
+    role.to_owned()
+}
+
+fn node_status(report: &NodeReport, newest: Revision) -> NodeStatus {
+    let instances = report.instance.iter().map(|instance| InstanceStatus {
+        name: instance.name.clone(),
+        service: instance.service.clone(),
+        state: instance.state,
+        address: instance.address,
+    });
+    NodeStatus {
+        node: report.node.mesh,
+        host: report.host.clone(),
+        availability_zone: report.availability_zone.clone(),
+        revision: report.revision,
+        in_effect: report.revision >= newest,
+        age_ms: report.age_ms,
+        stale: report.age_ms > STALE_AFTER_MS,
+        instances: instances.collect(),
+    }
 }
 
 fn json_answer(status: u16, value: &Value) -> Answer {
--- a/components/mesh/src/error.rs
+++ b/components/mesh/src/error.rs
@@ -52,7 +52,10 @@
     /// No byte of the request left this host.
     #[snafu(display("the request was not sent"))]
     NotSent,
-    /// The request may have arrived.
-    #[snafu(display("the request may have arrived and has no reply"))]
+    /// The request may have arrived; its connection has ended.
+    #[snafu(display("the request may have arrived and its connection is lost"))]
     Lost,
+    /// The request may have arrived; no reply came in time over a connection that still works.
+    #[snafu(display("the request may have arrived and has no reply"))]
+    TimedOut,
 }
--- a/components/mesh/src/link.rs
+++ b/components/mesh/src/link.rs
@@ -502,7 +502,7 @@
                 let error = if withdrawn {
                     RequestError::NotSent
                 } else {
-                    RequestError::Lost
+                    RequestError::TimedOut
                 };
                 due.push((pending.on_reply, error));
             }
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -39,7 +39,8 @@
     Event(Event<UpstreamKey>),
     /// The reply of one keeper to a claim round.
     Keeper {
-        attempt: AttemptId,
+        /// Number of the round within the call; an attempt may need several.
+        round: u64,
         keeper: usize,
         reply: Option<ClaimReply>,
     },
@@ -67,7 +68,8 @@
 
 struct State {
     machine: EntryCall<UpstreamKey>,
-    rounds: HashMap<AttemptId, ClaimRound>,
+    rounds: HashMap<u64, (AttemptId, ClaimRound)>,
+    next_round: u64,
     owners: HashMap<AttemptId, NodeId>,
     /// Attempts that the owner may refuse for waiting, each with a retry set aside.
     reserved: HashSet<AttemptId>,
@@ -104,6 +106,7 @@
             state: Mutex::new(State {
                 machine: EntryCall::new(spec),
                 rounds: HashMap::new(),
+                next_round: 0,
                 owners: HashMap::new(),
                 reserved: HashSet::new(),
                 freed_retries: 0,
@@ -184,14 +187,17 @@
             }
             Notice::Event(event) => self.feed(state, event),
             Notice::Keeper {
-                attempt,
+                round,
                 keeper,
                 reply,
             } => {
                 let now_us = self.now_us();
-                let round = state.rounds.get_mut(&attempt);
-                if let Some(result) = round.and_then(|r| r.on_reply(now_us, keeper, reply)) {
-                    self.end_round(state, attempt, &result);
+                let result = state
+                    .rounds
+                    .get_mut(&round)
+                    .and_then(|(_, open)| open.on_reply(now_us, keeper, reply));
+                if let Some(result) = result {
+                    self.end_round(state, round, &result);
                 }
             }
             Notice::Tick => self.tick(state),
@@ -200,25 +206,27 @@
 
     fn tick(self: &Arc<Self>, state: &mut State) {
         let now_us = self.now_us();
-        let ended: Vec<(AttemptId, RoundResult)> = state
+        let ended: Vec<(u64, RoundResult)> = state
             .rounds
             .iter_mut()
-            .filter_map(|(attempt, round)| Some((*attempt, round.tick(now_us)?)))
+            .filter_map(|(round, (_, open))| Some((*round, open.tick(now_us)?)))
             .collect();
-        for (attempt, result) in ended {
-            self.end_round(state, attempt, &result);
+        for (round, result) in ended {
+            self.end_round(state, round, &result);
         }
         self.feed(state, Event::Tick);
     }
 
-    fn end_round(self: &Arc<Self>, state: &mut State, attempt: AttemptId, result: &RoundResult) {
+    fn end_round(self: &Arc<Self>, state: &mut State, round: u64, result: &RoundResult) {
+        let Some((attempt, _)) = state.rounds.remove(&round) else {
+            return;
+        };
         let event = match result {
             RoundResult::Granted => Event::Claimed(attempt),
             RoundResult::Held(holder) => Event::ClaimHeld(attempt, *holder),
             RoundResult::Reused => Event::ClaimFailed(attempt, ErrorKind::KeyReused),
             RoundResult::Unconfirmed => Event::ClaimFailed(attempt, ErrorKind::KeyUnconfirmed),
         };
-        state.rounds.remove(&attempt);
         self.feed(state, event);
     }
 
@@ -361,11 +369,13 @@
             owner: target.node,
             over,
         };
-        let round = keys::new_round(&self.entry.context, &claim);
-        self.set_wake(self.wake_us().min(round.ends_us()));
-        let ends_us = round.ends_us();
-        state.rounds.insert(attempt, round);
-        keys::ask_keepers(&self.entry.context, &claim, ends_us, self);
+        let open = keys::new_round(&self.entry.context, &claim);
+        let ends_us = open.ends_us();
+        self.set_wake(self.wake_us().min(ends_us));
+        state.next_round += 1;
+        let round = state.next_round;
+        state.rounds.insert(round, (attempt, open));
+        keys::ask_keepers(&self.entry.context, &claim, ends_us, round, self);
         None
     }
 
--- a/components/node/src/entry/keys.rs
+++ b/components/node/src/entry/keys.rs
@@ -14,12 +14,18 @@
 }
 
 /// Asks all keepers for the key; their replies arrive as notices.
-pub(crate) fn ask_keepers(context: &NodeContext, claim: &Claim, ends_us: u64, drive: &Arc<Drive>) {
+pub(crate) fn ask_keepers(
+    context: &NodeContext,
+    claim: &Claim,
+    ends_us: u64,
+    round: u64,
+    drive: &Arc<Drive>,
+) {
     let kernel = &context.kernel;
     let deadline = kernel.clock.instant(ends_us);
     let message = encode(&KeeperRequest::Claim(claim.clone()));
     for (keeper, address) in kernel.node_settings().control.iter().enumerate() {
-        let (drive, attempt) = (Arc::clone(drive), claim.attempt);
+        let drive = Arc::clone(drive);
         kernel.mesh.request(
             *address,
             Channel::Keeper,
@@ -31,7 +37,7 @@
                     _ => None,
                 };
                 drive.notify(Notice::Keeper {
-                    attempt,
+                    round,
                     keeper,
                     reply,
                 });
--- a/components/node/src/entry/reply.rs
+++ b/components/node/src/entry/reply.rs
@@ -42,6 +42,12 @@
                     Event::ConnectionLost(self.attempt),
                 )
             }
+            // The connection works, so later attempts on it are not in doubt.
+            Err(RequestError::TimedOut) => (
+                self.failure(now_us),
+                None,
+                Event::ConnectionLost(self.attempt),
+            ),
             Ok(bytes) => match decode(bytes) {
                 Ok(CallReply::Ran { signal, result }) => {
                     let (finish, event) = self.ended(result, now_us);
--- a/src/bin/gyard.rs
+++ b/src/bin/gyard.rs
@@ -1,9 +1,13 @@
-//! Thin entry point of the operators' command line.
+//! The operators' client: profiles, status and drains.
 
 use std::{env, io, process::ExitCode};
 
 fn main() -> ExitCode {
-    let variable = |name: &str| env::var(name).ok();
-    let (mut out, mut err) = (io::stdout().lock(), io::stderr().lock());
-    client::run(env::args().skip(1), variable, &mut out, &mut err)
+    let lookup = |name: &str| env::var(name).ok();
+    client::run(
+        env::args().skip(1),
+        lookup,
+        &mut io::stdout(),
+        &mut io::stderr(),
+    )
 }
