--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -7,17 +7,22 @@
 use settings::{ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings};
 use snafu::Snafu;
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     thread,
     time::{Duration, Instant},
 };
 use tempfile::TempDir;
 
+/// Loopback with a port that the system chooses. A port looked up beforehand can be taken by an
+/// outgoing connection of another test before it is used.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Longest wait for an operator's request.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause between looks at a condition.
 const POLL: Duration = Duration::from_millis(10);
+/// Longest wait for the ports of a killed process.
+const RELEASE_LIMIT: Duration = Duration::from_secs(10);
 /// Longest wait for a condition.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -106,11 +111,7 @@
         }
         let first_peer = free_address()?;
         for (index, zone) in plan.zones.iter().enumerate() {
-            let mesh = if index == 0 {
-                first_peer
-            } else {
-                free_address()?
-            };
+            let mesh = if index == 0 { first_peer } else { ANY_PORT };
             let mut settings = node_settings(index, zone, mesh, first_peer, &group)?;
             settings.decision_log_percent = plan.decision_log_percent;
             deployment.nodes.push(Place {
@@ -132,7 +133,12 @@
     pub fn start_replica(&mut self, index: usize) -> Result<(), DeploymentError> {
         let place = &mut self.replicas[index];
         let settings = Settings::Control(Box::new(place.settings.clone()));
-        place.handle = Some(Kernel::start(settings)?);
+        let handle = start(&settings)?;
+        keep(
+            &mut place.settings.operator_listen,
+            handle.kernel().address("operator"),
+        );
+        place.handle = Some(handle);
         Ok(())
     }
 
@@ -142,7 +148,15 @@
         control::register();
         let place = &mut self.nodes[index];
         let settings = Settings::Node(Box::new(place.settings.clone()));
-        place.handle = Some(Kernel::start(settings)?);
+        let handle = start(&settings)?;
+        let kernel = handle.kernel();
+        place.settings.mesh_listen = kernel.mesh.local().mesh;
+        keep(&mut place.settings.call_listen, kernel.address("entry"));
+        keep(
+            &mut place.settings.platform_listen,
+            kernel.address("platform"),
+        );
+        place.handle = Some(handle);
         Ok(())
     }
 
@@ -209,6 +223,32 @@
             .collect()
     }
 
+    /// A client of all replicas' operator ports, running or not, for other threads.
+    pub fn operator_client(&self) -> Operators {
+        Operators {
+            addresses: self
+                .replicas
+                .iter()
+                .map(|place| place.settings.operator_listen)
+                .collect(),
+        }
+    }
+
+    /// Mesh address of a replica.
+    pub fn replica_address(&self, index: usize) -> SocketAddr {
+        self.replicas[index].settings.listen
+    }
+
+    /// Settings of a node, for a changed restart or for another process beside it.
+    pub fn node_settings(&mut self, index: usize) -> &mut NodeSettings {
+        &mut self.nodes[index].settings
+    }
+
+    /// Settings of a replica, for a changed restart or for another process beside it.
+    pub fn replica_settings(&mut self, index: usize) -> &mut ControlSettings {
+        &mut self.replicas[index].settings
+    }
+
     /// Index of the leading replica.
     pub fn leader(&self) -> Result<usize, DeploymentError> {
         let status = self.status()?;
@@ -221,7 +261,7 @@
     /// Adds a profile and returns the revision number.
     pub fn add_profile(&self, profile: &Profile) -> Result<u64, DeploymentError> {
         let id = format!("add-{}", profile.name);
-        self.change(&id, None, json!({ "add": profile }))
+        self.change(&id, None, &json!({ "add": profile }))
     }
 
     /// Submits a change until it is answered, with one change id for all tries.
@@ -229,7 +269,7 @@
         &self,
         change_id: &str,
         expect: Option<u64>,
-        op: Value,
+        op: &Value,
     ) -> Result<u64, DeploymentError> {
         let body = json!({ "change_id": change_id, "expect_revision": expect, "op": op });
         let answer = self.operator("POST", "/v1/changes", Some(&body))?;
@@ -304,26 +344,51 @@
             .map(|handle| handle.kernel().as_ref())
     }
 
-    /// Sends an operator's request to the replicas in turn until one answers it for good.
+    /// Sends an operator's request to the running replicas in turn until one answers it for good.
     pub fn operator(
         &self,
         method: &str,
         path: &str,
         body: Option<&Value>,
     ) -> Result<Value, DeploymentError> {
+        let addresses = self.operators();
+        match (Operators { addresses }).send(method, path, body)? {
+            (200, value) => Ok(value),
+            (_, value) => Err(DeploymentError::Operator {
+                reason: value.to_string(),
+            }),
+        }
+    }
+}
+
+impl Drop for Deployment {
+    /// Ends what still runs as a crash would, since nothing of it is used again.
+    fn drop(&mut self) {
+        (0..self.nodes.len()).for_each(|index| self.kill_node(index));
+        (0..self.replicas.len()).for_each(|index| self.kill_replica(index));
+    }
+}
+
+/// Operator ports that are tried in turn.
+#[derive(Clone, Debug)]
+pub struct Operators {
+    addresses: Vec<SocketAddr>,
+}
+
+impl Operators {
+    /// Sends a request until one replica answers with a status below 500.
+    pub fn send(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<(u16, Value), DeploymentError> {
         let until = Instant::now() + PATIENCE;
         let mut reason = "no replica runs".to_owned();
         while Instant::now() < until {
-            for address in self.operators() {
-                match ask_operator(address, method, path, body) {
-                    Ok((status, value)) if status < 500 => {
-                        if status == 200 {
-                            return Ok(value);
-                        }
-                        return Err(DeploymentError::Operator {
-                            reason: value.to_string(),
-                        });
-                    }
+            for address in &self.addresses {
+                match ask_operator(*address, method, path, body) {
+                    Ok((status, value)) if status < 500 => return Ok((status, value)),
                     Ok((_, value)) => reason = value.to_string(),
                     Err(error) => reason = error.to_string(),
                 }
@@ -334,6 +399,19 @@
     }
 }
 
+/// Starts a process, again while threads of its killed predecessor still hold its ports.
+fn start(settings: &Settings) -> Result<KernelHandle, StartError> {
+    let until = Instant::now() + RELEASE_LIMIT;
+    loop {
+        match Kernel::start(settings.clone()) {
+            Err(error) if error.to_string().contains("in use") && Instant::now() < until => {
+                thread::sleep(POLL);
+            }
+            result => return result,
+        }
+    }
+}
+
 fn ask_operator(
     address: SocketAddr,
     method: &str,
@@ -355,6 +433,13 @@
     ))
 }
 
+/// Keeps the address that a process got, so that it has the same one after a restart.
+fn keep(setting: &mut SocketAddr, bound: Option<SocketAddr>) {
+    if let Some(bound) = bound {
+        *setting = bound;
+    }
+}
+
 /// An address whose port is free for TCP and UDP at this moment.
 fn free_address() -> std::io::Result<SocketAddr> {
     loop {
@@ -380,7 +465,7 @@
 ) -> Result<ControlSettings, DeploymentError> {
     Ok(ControlSettings {
         listen: group[number - 1],
-        operator_listen: free_address()?,
+        operator_listen: ANY_PORT,
         data_dir,
         replica: number as u32,
         group: group.to_vec(),
@@ -399,9 +484,9 @@
     group: &[SocketAddr],
 ) -> Result<NodeSettings, DeploymentError> {
     Ok(NodeSettings {
-        call_listen: free_address()?,
+        call_listen: ANY_PORT,
         mesh_listen: mesh,
-        platform_listen: free_address()?,
+        platform_listen: ANY_PORT,
         availability_zone: name(zone),
         region: Region::parse("default").expect("a valid name"),
         host: HostName::parse(format!("host-{}", index + 1)).expect("a valid name"),
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -1,8 +1,11 @@
 //! HTTP/1.1 messages, the caller-facing server loop and the pooled client.
 
+mod alarm;
+mod async_pool;
 mod body;
 mod cancel;
 mod converse;
+mod early;
 mod head;
 mod headers;
 mod message;
@@ -11,8 +14,10 @@
 mod watch;
 mod wire;
 
+pub use async_pool::AsyncPool;
 pub use body::{BodyDecoder, Framing};
 pub use cancel::CancelToken;
+pub use early::EarlyReply;
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request_head, parse_response_head};
 pub use headers::{Headers, strip_hop_by_hop};
 pub use message::{Request, Response, error_response};
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -1,4 +1,5 @@
-//! Runs one admitted call at the instance.
+//! Runs one admitted call at the instance. Nothing here blocks: the thread that admits a call
+//! writes it to the instance, and the thread that reads the response sends the reply.
 
 use super::state::{Job, Owner};
 use errors::ErrorKind;
@@ -10,7 +11,7 @@
 const FIRST_FAILURE_STATUS: u16 = 500;
 
 /// Sends the call to the instance and hands its result to the owner.
-pub(crate) fn run_job(owner: &Owner, job: Job) {
+pub(crate) fn run_job(owner: &Arc<Owner>, job: Job) {
     let started_us = owner.now_us();
     if started_us >= job.deadline_us {
         owner.finish(job, RunResult::Refused(ErrorKind::DeadlineExpired), None);
@@ -22,7 +23,14 @@
     }
     let request = upstream_request(&job, started_us);
     let deadline = owner.context.kernel.clock.instant(job.deadline_us);
-    let outcome = job.pool.call(&request, deadline, &job.cancel);
+    let (pool, cancel) = (Arc::clone(&job.pool), job.cancel.clone());
+    let owner = Arc::clone(owner);
+    pool.start(&request, deadline, &cancel, move |outcome| {
+        end_job(&owner, job, started_us, outcome);
+    });
+}
+
+fn end_job(owner: &Arc<Owner>, job: Job, started_us: u64, outcome: Result<Response, CallError>) {
     let service_us = owner.now_us() - started_us;
     log::trace!(
         "owner: call {} waited {} us and ran {service_us} us.",
@@ -35,7 +43,7 @@
     }
 }
 
-fn finish_answer(owner: &Owner, job: Job, mut response: Response, service_us: u64) {
+fn finish_answer(owner: &Arc<Owner>, job: Job, mut response: Response, service_us: u64) {
     http::strip_hop_by_hop(&mut response.headers);
     owner.note_answered(&job.call.fingerprint);
     // A fast failure must not look like a fast upstream.
@@ -51,11 +59,14 @@
         headers: response.headers.iter().map(own).collect(),
         body: response.body,
     };
-    let bytes: Arc<[u8]> = encode(&message).into();
-    owner.finish(job, RunResult::Answer(bytes), Some(counted_us));
+    let result = RunResult::Answer {
+        status: response.status,
+        message: encode(&message).into(),
+    };
+    owner.finish(job, result, Some(counted_us));
 }
 
-fn finish_error(owner: &Owner, job: Job, error: CallError) {
+fn finish_error(owner: &Arc<Owner>, job: Job, error: CallError) {
     let lost = matches!(error, CallError::Lost | CallError::Truncated);
     if lost {
         owner.note_crash(&job.call);
