--- /dev/null
+++ b/components/calls/tests/suite/world.rs
@@ -0,0 +1,801 @@
+//! Entries, owners and keepers around the real state machines, driven by a tape of choices.
+//!
+//! Choice 0 is always the benign one, so a shrunk tape has few faults in it.
+
+use calls::{
+    Action, Arrival, Ask, Begin, CallRecords, CallSpec, Claim, ClaimConfig, ClaimCopy, ClaimReply,
+    ClaimRound, ClaimStart, ClaimTable, EntryCall, Event, Fate, Key, RecordsConfig, RoundResult,
+};
+use errors::{ErrorKind, Outcome};
+use model::{AttemptId, CallId, NodeId};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
+
+const ENTRIES: usize = 2;
+const OWNERS: usize = 3;
+const KEEPERS: usize = 3;
+const SLOTS: usize = 2;
+/// Sum of long pauses stays below the retention of claims, within which a key must not run twice.
+const MAX_PAUSES: u32 = 8;
+const PAUSE_US: u64 = 35_000_000;
+
+struct Caller {
+    machine: EntryCall<usize>,
+    spec: CallSpec,
+    entry: usize,
+    key: Option<u8>,
+    wake_us: u64,
+    told: Option<Result<AttemptId, ErrorKind>>,
+    executions: u32,
+    /// Owner and its incarnation, by attempt.
+    targets: HashMap<AttemptId, (usize, u64)>,
+    rounds: Vec<(AttemptId, ClaimRound)>,
+}
+
+struct Owner {
+    records: CallRecords,
+    incarnation: u64,
+    queue: VecDeque<(AttemptId, usize)>,
+    running: Vec<(AttemptId, usize)>,
+    drains: bool,
+}
+
+/// The first number is the call, or the keeper that copies. `deadline_us` of an attempt or a
+/// question is the remaining time while the message is on the way.
+#[derive(Clone)]
+enum Message {
+    Attempt(usize, usize, Arrival),
+    Ask(usize, usize, Ask, AskKind),
+    ToEntry(usize, Event<usize>),
+    Claim(usize, usize, usize, Claim),
+    ClaimReply(usize, usize, usize, Option<ClaimReply>),
+    CopyRequest(usize, usize, Option<Key>, u64),
+    Copy(usize, usize, ClaimCopy, u64),
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum AskKind {
+    Attempt,
+    Fate,
+    Cancel,
+    Holder,
+}
+
+type Fault = fn(&mut World);
+
+/// Which faults a run favours: all; keepers lost one after the other, with copies under way; or
+/// duplicates and lost connections around the end of the records' life.
+const MIXES: [[Fault; 9]; 3] = [
+    [
+        World::lose_any,
+        World::lose_any,
+        World::restart_any_owner,
+        World::crash_upstream,
+        World::restart_any_keeper,
+        World::copy_claims,
+        World::drain_any,
+        World::any_caller_gone,
+        World::pause,
+    ],
+    [
+        World::restart_any_keeper,
+        World::restart_any_keeper,
+        World::restart_any_keeper,
+        World::copy_claims,
+        World::copy_claims,
+        World::copy_claims,
+        World::copy_claims,
+        World::wait_for_copies,
+        World::lose_any,
+    ],
+    [
+        World::duplicate,
+        World::duplicate,
+        World::duplicate,
+        World::duplicate,
+        World::lose_any,
+        World::lose_any,
+        World::pause,
+        World::pause,
+        World::finish_any,
+    ],
+];
+
+pub(crate) struct World {
+    tape: VecDeque<u16>,
+    mix: usize,
+    now_us: u64,
+    callers: Vec<Caller>,
+    owners: Vec<Owner>,
+    keepers: Vec<ClaimTable>,
+    generations: [[u64; OWNERS]; ENTRIES],
+    /// Requests of entries, which end when the connection is lost: call, owner, attempt, kind.
+    requests: Vec<(usize, usize, AttemptId, AskKind)>,
+    net: Vec<Message>,
+    pauses: u32,
+    log: Vec<String>,
+    violation: Option<String>,
+    /// What the run exercised: executions, not-run, recovered answers, answers by key.
+    counts: [u64; 4],
+}
+
+impl World {
+    pub(crate) fn new(tape: impl IntoIterator<Item = u16>) -> Self {
+        let now_us = 1_000_000;
+        let keeper = |k| {
+            ClaimTable::new(
+                keeper_clock(now_us, k),
+                ClaimConfig::default(),
+                ClaimStart::NewGroup,
+            )
+        };
+        World {
+            tape: tape.into_iter().collect(),
+            mix: 0,
+            now_us,
+            callers: Vec::new(),
+            owners: (0..OWNERS).map(|_| new_owner(1)).collect(),
+            keepers: (0..KEEPERS).map(keeper).collect(),
+            generations: [[0; OWNERS]; ENTRIES],
+            requests: Vec::new(),
+            net: Vec::new(),
+            pauses: 0,
+            log: Vec::new(),
+            violation: None,
+            counts: [0; 4],
+        }
+    }
+
+    /// Plays the tape, then lets every call end without further faults.
+    pub(crate) fn run(mut self) -> [u64; 4] {
+        self.mix = self.choose(MIXES.len());
+        self.new_call();
+        while !self.tape.is_empty() {
+            self.step();
+        }
+        let is_done = |world: &Self| world.callers.iter().all(|c| c.machine.is_done());
+        for _ in 0..10_000 {
+            if self.net.is_empty() && is_done(&self) {
+                break;
+            }
+            self.deliver_or_advance();
+        }
+        self.check(is_done(&self), "a call never ended");
+        if self.violation.is_some() {
+            self.trace();
+        }
+        self.counts
+    }
+
+    /// The log of the run with short names; fails on a violation.
+    pub(crate) fn trace(&self) -> String {
+        let mut log = self.log.join("\n");
+        if let Some(violation) = &self.violation {
+            panic!("{violation}\n{log}");
+        }
+        for caller in &self.callers {
+            let call = caller.spec.call;
+            for attempt in (0..4).map(|attempt| AttemptId { call, attempt }) {
+                let name = format!("{}.{}", call.sequence, attempt.attempt);
+                let answer = format!("{:?}", answer_of(attempt, caller.key).as_bytes());
+                log = log
+                    .replace(&format!("{attempt:?}"), &name)
+                    .replace(&attempt.to_string(), &name)
+                    .replace(&answer, &format!("answer of {name}"));
+            }
+        }
+        for key in 0..2 {
+            log = log.replace(&format!("{:?}", [key; 16]), &key.to_string());
+        }
+        log.replace("NodeId { mesh: 127.0.0.1:", "Node { number: ")
+    }
+
+    fn check(&mut self, is_right: bool, what: &str) {
+        if !is_right {
+            self.violation.get_or_insert(what.to_owned());
+        }
+    }
+
+    fn note(&mut self, text: impl AsRef<str>) {
+        self.log
+            .push(format!("{:>10} {}", self.now_us, text.as_ref()));
+    }
+
+    fn choose(&mut self, options: usize) -> usize {
+        usize::from(self.tape.pop_front().unwrap_or(0)) % options
+    }
+
+    /// True in one of `rate` cases.
+    fn fault(&mut self, rate: usize) -> bool {
+        self.choose(rate) == rate - 1
+    }
+
+    fn step(&mut self) {
+        match self.choose(32) {
+            0..=13 => self.deliver_or_advance(),
+            14..=16 => self.finish_any(),
+            17..=19 => self.new_call(),
+            20 => self.advance(),
+            21 => self.duplicate(),
+            22 => self.pause(),
+            fault => MIXES[self.mix][fault - 23](self),
+        }
+    }
+
+    // Messages and time.
+
+    fn deliver_or_advance(&mut self) {
+        if !self.net.is_empty() {
+            // Any message may be the next one, early ones are likelier.
+            let window = self.net.len().min(1 + self.choose(12));
+            let index = self.choose(window);
+            self.deliver_at(index);
+        } else if self.owners.iter().any(|o| !o.running.is_empty()) && !self.fault(3) {
+            self.finish_any();
+        } else {
+            self.advance();
+        }
+    }
+
+    pub(crate) fn deliver_at(&mut self, index: usize) {
+        let message = self.net.remove(index);
+        self.now_us += 200;
+        self.deliver(message);
+    }
+
+    /// Delivers the messages from `index` on and those that follow from them.
+    pub(crate) fn deliver_from(&mut self, index: usize) {
+        while self.net.len() > index {
+            self.deliver_at(index);
+        }
+    }
+
+    pub(crate) fn deliver_all(&mut self) {
+        self.deliver_from(0);
+    }
+
+    pub(crate) fn drop_message(&mut self, index: usize) {
+        self.net.remove(index);
+    }
+
+    pub(crate) fn drop_all(&mut self) {
+        self.net.clear();
+    }
+
+    fn duplicate(&mut self) {
+        if !self.net.is_empty() {
+            let index = self.choose(self.net.len());
+            let copy = self.net[index].clone();
+            if !matches!(copy, Message::ClaimReply(..) | Message::Copy(..)) {
+                self.net.push(copy);
+            }
+        }
+    }
+
+    /// Moves to the next time that a call or a round has asked for.
+    pub(crate) fn advance(&mut self) {
+        let calls = self.callers.iter().filter(|c| !c.machine.is_done());
+        let next = calls
+            .flat_map(|c| c.rounds.iter().map(|r| r.1.ends_us()).chain([c.wake_us]))
+            .filter(|&at| at > self.now_us)
+            .min();
+        let next_us = next.unwrap_or(self.now_us + 10_000);
+        self.wait(next_us - self.now_us);
+    }
+
+    pub(crate) fn wait(&mut self, time_us: u64) {
+        self.now_us += time_us;
+        for (index, owner) in self.owners.iter_mut().enumerate() {
+            owner.records.tick(owner_clock(self.now_us, index));
+        }
+        for call in 0..self.callers.len() {
+            if self.callers[call].wake_us <= self.now_us {
+                self.event(call, Event::Tick);
+            }
+            for round in 0..self.callers[call].rounds.len() {
+                let result = self.callers[call].rounds[round].1.tick(self.now_us);
+                self.round_result(call, round, result.as_ref());
+            }
+        }
+    }
+
+    /// Lets time pass: with the processes running, or paused and without ticks.
+    fn pause(&mut self) {
+        if self.pauses >= MAX_PAUSES {
+            return;
+        }
+        self.pauses += 1;
+        match self.choose(3) {
+            0 => self.now_us += 2_500_000,
+            1 => self.now_us += PAUSE_US,
+            _ => (0..PAUSE_US / 1_000_000).for_each(|_| self.wait(1_000_000)),
+        }
+    }
+
+    fn wait_for_copies(&mut self) {
+        self.now_us += 2_000_000;
+    }
+
+    // Callers and entries.
+
+    fn new_call(&mut self) {
+        let kind = match self.mix {
+            1 => [3, 3, 3, 7][self.choose(4)],
+            _ => self.choose(8),
+        };
+        let entry = self.choose(ENTRIES);
+        let key = (kind >= 3).then_some(u8::from(kind == 7));
+        let rest_us = [300_000, 1_000_000, 40_000_000][self.choose(3)];
+        self.call(entry, kind == 2, key, rest_us);
+    }
+
+    /// Begins a call with `rest_us` until its deadline.
+    pub(crate) fn call(&mut self, entry: usize, idempotent: bool, key: Option<u8>, rest_us: u64) {
+        let number = self.callers.len();
+        let spec = CallSpec {
+            call: CallId {
+                origin: entry as u64,
+                sequence: number as u64,
+            },
+            idempotent,
+            keyed: key.is_some(),
+            suspected: false,
+            deadline_us: self.now_us + rest_us,
+            attempts: 4,
+            hedge_after_us: Some(20_000),
+        };
+        let mut machine = EntryCall::new(spec);
+        let actions = machine.start(self.now_us);
+        self.callers.push(Caller {
+            machine,
+            spec,
+            entry,
+            key,
+            wake_us: u64::MAX,
+            told: None,
+            executions: 0,
+            targets: HashMap::new(),
+            rounds: Vec::new(),
+        });
+        self.note(format!("call {number} at entry {entry}, key {key:?}"));
+        self.perform(number, actions);
+    }
+
+    fn event(&mut self, call: usize, event: Event<usize>) {
+        if event != Event::Tick {
+            self.note(format!("call {call} <- {event:?}"));
+        }
+        let actions = self.callers[call].machine.on_event(self.now_us, event);
+        self.perform(call, actions);
+    }
+
+    fn perform(&mut self, call: usize, actions: Vec<Action<usize>>) {
+        for action in actions {
+            if !matches!(action, Action::WakeAt(_)) {
+                self.note(format!("call {call} -> {action:?}"));
+            }
+            match action {
+                Action::Route { exclude } => self.route(call, &exclude),
+                Action::Claim {
+                    attempt,
+                    upstream,
+                    over,
+                } => self.claim(call, attempt, upstream, &over),
+                Action::Send { attempt, upstream } => self.send(call, attempt, upstream),
+                Action::Cancel(attempt) => self.ask(call, attempt, AskKind::Cancel),
+                Action::AskFate(attempt) => self.ask(call, attempt, AskKind::Fate),
+                Action::AskHolder(holder) => {
+                    let owner = usize::from(holder.owner.mesh.port());
+                    let target = (owner, holder.owner.incarnation);
+                    self.push_ask(call, target, holder.attempt, AskKind::Holder);
+                }
+                Action::AskRetryBudget => {
+                    let allowed = !self.fault(12);
+                    self.event(call, Event::RetryAllowed(allowed));
+                }
+                Action::AskHedgeBudget => {
+                    let allowed = !self.fault(4);
+                    self.event(call, Event::HedgeAllowed(allowed));
+                }
+                Action::WakeAt(at_us) => self.callers[call].wake_us = at_us,
+                Action::Deliver(attempt, answer) => self.delivered(call, attempt, &answer),
+                Action::Fail(kind) => self.failed(call, kind),
+            }
+        }
+    }
+
+    fn route(&mut self, call: usize, exclude: &[usize]) {
+        let mut free: Vec<usize> = (0..OWNERS).filter(|o| !exclude.contains(o)).collect();
+        if free.is_empty() {
+            free = (0..OWNERS).collect();
+        }
+        let event = if self.fault(24) {
+            Event::NoRoute(ErrorKind::NoUpstream)
+        } else {
+            Event::Routed(free[self.choose(free.len())])
+        };
+        self.event(call, event);
+    }
+
+    fn claim(&mut self, call: usize, attempt: AttemptId, upstream: usize, over: &[AttemptId]) {
+        let incarnation = self.owners[upstream].incarnation;
+        let caller = &mut self.callers[call];
+        caller.targets.insert(attempt, (upstream, incarnation));
+        let key = [caller.key.unwrap_or(0); 16];
+        let round = caller.rounds.len();
+        let state = ClaimRound::new(self.now_us, KEEPERS, key);
+        caller.rounds.push((attempt, state));
+        let mesh = ([127, 0, 0, 1], upstream as u16).into();
+        let claim = Claim {
+            key,
+            fingerprint: key,
+            attempt,
+            owner: NodeId { mesh, incarnation },
+            over: over.to_vec(),
+        };
+        for keeper in 0..KEEPERS {
+            let message = if self.fault(12) {
+                Message::ClaimReply(call, round, keeper, None)
+            } else {
+                Message::Claim(call, round, keeper, claim.clone())
+            };
+            self.net.push(message);
+        }
+    }
+
+    fn round_result(&mut self, call: usize, round: usize, result: Option<&RoundResult>) {
+        let attempt = self.callers[call].rounds[round].0;
+        let event = match result {
+            None => return,
+            Some(RoundResult::Granted) => Event::Claimed(attempt),
+            Some(RoundResult::Held(holder)) => Event::ClaimHeld(attempt, *holder),
+            Some(RoundResult::Reused) => Event::ClaimFailed(attempt, ErrorKind::KeyReused),
+            Some(RoundResult::Unconfirmed) => {
+                Event::ClaimFailed(attempt, ErrorKind::KeyUnconfirmed)
+            }
+        };
+        self.event(call, event);
+    }
+
+    fn send(&mut self, call: usize, attempt: AttemptId, owner: usize) {
+        if self.fault(16) {
+            self.event(call, Event::SendFailed(attempt));
+            return;
+        }
+        let incarnation = self.owners[owner].incarnation;
+        let caller = &mut self.callers[call];
+        let target = caller
+            .targets
+            .entry(attempt)
+            .or_insert((owner, incarnation));
+        let arrival = Arrival {
+            attempt,
+            target: target.1,
+            generation: self.generations[caller.entry][owner],
+            deadline_us: caller.spec.deadline_us - self.now_us,
+            keyed: caller.key.is_some(),
+            keep_answer: !caller.spec.idempotent,
+        };
+        self.requests.push((call, owner, attempt, AskKind::Attempt));
+        self.net.push(Message::Attempt(call, owner, arrival));
+    }
+
+    fn ask(&mut self, call: usize, attempt: AttemptId, kind: AskKind) {
+        let target = self.callers[call].targets[&attempt];
+        self.push_ask(call, target, attempt, kind);
+    }
+
+    fn push_ask(&mut self, call: usize, at: (usize, u64), attempt: AttemptId, kind: AskKind) {
+        let (owner, target) = at;
+        let caller = &self.callers[call];
+        let generation = self.generations[caller.entry][owner];
+        let ask = Ask {
+            attempt,
+            target,
+            generation: (kind != AskKind::Holder).then_some(generation),
+            deadline_us: caller.spec.deadline_us.saturating_sub(self.now_us),
+            keyed: caller.key.is_some(),
+        };
+        self.requests.push((call, owner, attempt, kind));
+        self.net.push(Message::Ask(call, owner, ask, kind));
+    }
+
+    pub(crate) fn caller_gone(&mut self, call: usize) {
+        self.event(call, Event::CallerGone);
+    }
+
+    fn any_caller_gone(&mut self) {
+        let call = self.choose(self.callers.len());
+        self.caller_gone(call);
+    }
+
+    fn delivered(&mut self, call: usize, attempt: AttemptId, answer: &[u8]) {
+        let caller = &mut self.callers[call];
+        let is_first = caller.told.replace(Ok(attempt)).is_none();
+        let is_right = answer == answer_of(attempt, caller.key).as_bytes();
+        self.counts[3] += u64::from(attempt.call != caller.spec.call);
+        self.check(is_first, "a call ended twice");
+        self.check(is_right, "a caller got another call's answer");
+    }
+
+    fn failed(&mut self, call: usize, kind: ErrorKind) {
+        let caller = &mut self.callers[call];
+        let is_first = caller.told.replace(Err(kind)).is_none();
+        let is_not_run = kind.row().outcome == Outcome::NotRun;
+        let has_run = caller.executions > 0;
+        self.counts[1] += u64::from(is_not_run);
+        self.check(is_first, "a call ended twice");
+        self.check(!(is_not_run && has_run), "a call ran before not-run");
+    }
+
+    // Owners and keepers.
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Attempt(call, owner, arrival) => self.on_attempt(call, owner, arrival),
+            Message::Ask(call, owner, ask, kind) => self.on_ask(call, owner, ask, kind),
+            Message::ToEntry(call, event) => {
+                let is_recovered = matches!(event, Event::Fate(_, Fate::Answered(_)));
+                self.counts[2] += u64::from(is_recovered);
+                self.event(call, event);
+            }
+            Message::Claim(call, round, keeper, claim) => {
+                let now_us = keeper_clock(self.now_us, keeper);
+                let reply = self.keepers[keeper].claim(now_us, &claim);
+                self.note(format!("keeper {keeper}: {} {reply:?}", claim.attempt));
+                let reply = (!self.fault(16)).then_some(reply);
+                self.net
+                    .push(Message::ClaimReply(call, round, keeper, reply));
+            }
+            Message::ClaimReply(call, round, keeper, reply) => {
+                let now_us = self.now_us;
+                let state = &mut self.callers[call].rounds[round].1;
+                let result = state.on_reply(now_us, keeper, reply);
+                self.round_result(call, round, result.as_ref());
+            }
+            Message::CopyRequest(to, from, after, asked_us) => {
+                let copy = self.keepers[from].export(keeper_clock(self.now_us, from), after, 1);
+                self.net.push(Message::Copy(to, from, copy, asked_us));
+            }
+            Message::Copy(to, from, copy, asked_us) => {
+                let now_us = keeper_clock(self.now_us, to);
+                self.keepers[to].import(now_us, asked_us, from, &copy);
+                if copy.next.is_some() {
+                    self.net
+                        .push(Message::CopyRequest(to, from, copy.next, asked_us));
+                }
+            }
+        }
+    }
+
+    fn on_attempt(&mut self, call: usize, owner: usize, mut arrival: Arrival) {
+        let now_us = owner_clock(self.now_us, owner);
+        let attempt = arrival.attempt;
+        arrival.deadline_us += now_us;
+        let state = &mut self.owners[owner];
+        let begin = state.records.begin(now_us, &arrival);
+        let noted = format!("owner {owner}: {attempt} {begin:?}");
+        let event = match begin {
+            Begin::Duplicate(fate) => Event::Fate(attempt, fate),
+            Begin::Refused(kind) => Event::Refused(attempt, kind),
+            Begin::Fresh if state.drains => match state.records.refused(now_us, attempt) {
+                Fate::NotStarted => Event::Refused(attempt, ErrorKind::Stopping),
+                fate => Event::Fate(attempt, fate),
+            },
+            Begin::Fresh => {
+                state.queue.push_back((attempt, call));
+                self.note(noted);
+                self.start_queued(owner);
+                return;
+            }
+        };
+        self.note(noted);
+        self.net.push(Message::ToEntry(call, event));
+    }
+
+    fn on_ask(&mut self, call: usize, owner: usize, mut ask: Ask, kind: AskKind) {
+        let now_us = owner_clock(self.now_us, owner);
+        let attempt = ask.attempt;
+        ask.deadline_us += now_us;
+        let Owner {
+            records, running, ..
+        } = &mut self.owners[owner];
+        // A cancelled attempt stays in the queue: `started` must stop it.
+        let fate = match kind {
+            AskKind::Cancel => records.cancelled(now_us, &ask),
+            _ => records.fate(now_us, &ask),
+        };
+        if kind == AskKind::Cancel && fate == Fate::Running {
+            running.retain(|r| r.0 != attempt);
+            records.failed(now_us, attempt, ErrorKind::UpstreamLost);
+        }
+        self.note(format!("owner {owner}: asked for {attempt}: {fate:?}"));
+        let event = match kind {
+            AskKind::Holder => Event::HolderFate(attempt, fate),
+            _ => Event::Fate(attempt, fate),
+        };
+        self.net.push(Message::ToEntry(call, event));
+        self.start_queued(owner);
+    }
+
+    fn start_queued(&mut self, owner: usize) {
+        while self.owners[owner].running.len() < SLOTS {
+            let now_us = owner_clock(self.now_us, owner);
+            let state = &mut self.owners[owner];
+            let Some((attempt, call)) = state.queue.pop_front() else {
+                return;
+            };
+            if state.records.started(now_us, attempt) {
+                state.running.push((attempt, call));
+                self.executes(owner, call, attempt);
+            } else {
+                let fate = state.records.refused(now_us, attempt);
+                self.net
+                    .push(Message::ToEntry(call, Event::Fate(attempt, fate)));
+            }
+        }
+    }
+
+    fn executes(&mut self, owner: usize, call: usize, attempt: AttemptId) {
+        self.note(format!("owner {owner}: runs {attempt}"));
+        self.counts[0] += 1;
+        let caller = &mut self.callers[call];
+        caller.executions += 1;
+        let is_once = caller.spec.idempotent || caller.executions == 1;
+        let told = caller.told;
+        let was_not_run = matches!(told, Some(Err(k)) if k.row().outcome == Outcome::NotRun);
+        let key = caller.key;
+        let same_key = self
+            .callers
+            .iter()
+            .filter(|c| key.is_some() && c.key == key);
+        let key_runs: u32 = same_key.map(|c| c.executions).sum();
+        self.check(!was_not_run, "a call ran after not-run");
+        self.check(is_once, "a call ran twice");
+        self.check(key_runs <= 1, "a key ran twice");
+    }
+
+    fn finish_any(&mut self) {
+        let is_busy = |&o: &usize| !self.owners[o].running.is_empty();
+        let busy: Vec<usize> = (0..OWNERS).filter(is_busy).collect();
+        if !busy.is_empty() {
+            let owner = busy[self.choose(busy.len())];
+            let index = self.choose(self.owners[owner].running.len());
+            self.finish(owner, index);
+        }
+    }
+
+    pub(crate) fn finish(&mut self, owner: usize, index: usize) {
+        let (attempt, call) = self.owners[owner].running.remove(index);
+        let answer: Arc<[u8]> = answer_of(attempt, self.callers[call].key)
+            .into_bytes()
+            .into();
+        self.now_us += 1_000;
+        let now_us = owner_clock(self.now_us, owner);
+        let records = &mut self.owners[owner].records;
+        records.finished(now_us, attempt, Arc::clone(&answer));
+        self.net
+            .push(Message::ToEntry(call, Event::Answered(attempt, answer)));
+        self.start_queued(owner);
+    }
+
+    // Faults.
+
+    /// Ends the requests of one entry to one owner; their messages may still arrive.
+    pub(crate) fn lose(&mut self, entry: usize, owner: usize) {
+        self.note(format!(
+            "entry {entry} loses its connection to owner {owner}"
+        ));
+        self.generations[entry][owner] += 1;
+        let callers = &self.callers;
+        let is_lost = |r: &mut (usize, usize, _, _)| r.1 == owner && callers[r.0].entry == entry;
+        let lost: Vec<_> = self.requests.extract_if(.., is_lost).collect();
+        for (call, _, attempt, kind) in lost {
+            if self.callers[call].machine.is_done() {
+                continue;
+            }
+            let event = match kind {
+                AskKind::Attempt => Event::ConnectionLost(attempt),
+                AskKind::Holder => Event::HolderUnavailable(attempt),
+                AskKind::Fate | AskKind::Cancel => Event::FateUnavailable(attempt),
+            };
+            self.event(call, event);
+        }
+    }
+
+    fn lose_any(&mut self) {
+        let entry = self.choose(ENTRIES);
+        let owner = self.choose(OWNERS);
+        self.lose(entry, owner);
+    }
+
+    pub(crate) fn restart_owner(&mut self, owner: usize) {
+        self.note(format!("owner {owner} restarts"));
+        self.owners[owner] = new_owner(self.owners[owner].incarnation + 1);
+        for entry in 0..ENTRIES {
+            self.lose(entry, owner);
+        }
+    }
+
+    fn restart_any_owner(&mut self) {
+        let owner = self.choose(OWNERS);
+        self.restart_owner(owner);
+    }
+
+    pub(crate) fn toggle_drain(&mut self, owner: usize) {
+        self.owners[owner].drains ^= true;
+    }
+
+    fn drain_any(&mut self) {
+        let owner = self.choose(OWNERS);
+        self.toggle_drain(owner);
+    }
+
+    fn crash_upstream(&mut self) {
+        let owner = self.choose(OWNERS);
+        self.note(format!("upstream {owner} crashes"));
+        let now_us = owner_clock(self.now_us, owner);
+        let kind = ErrorKind::UpstreamLost;
+        for (attempt, call) in std::mem::take(&mut self.owners[owner].running) {
+            self.owners[owner].records.failed(now_us, attempt, kind);
+            self.net
+                .push(Message::ToEntry(call, Event::Failed(attempt, kind)));
+        }
+        self.start_queued(owner);
+    }
+
+    pub(crate) fn restart_keeper(&mut self, keeper: usize) {
+        self.note(format!("keeper {keeper} restarts"));
+        let now_us = keeper_clock(self.now_us, keeper);
+        self.keepers[keeper] =
+            ClaimTable::new(now_us, ClaimConfig::default(), ClaimStart::Restarted);
+    }
+
+    fn restart_any_keeper(&mut self) {
+        let keeper = self.choose(KEEPERS);
+        self.restart_keeper(keeper);
+    }
+
+    /// A warming keeper asks the others for copies as soon as it may.
+    pub(crate) fn copy_claims(&mut self) {
+        for to in 0..KEEPERS {
+            let now_us = keeper_clock(self.now_us, to);
+            let from_us = self.keepers[to].copy_from_us();
+            if from_us.is_some_and(|from_us| from_us <= now_us) {
+                let others = (0..KEEPERS).filter(|&from| from != to);
+                let requests = others.map(|from| Message::CopyRequest(to, from, None, now_us));
+                self.net.extend(requests);
+            }
+        }
+    }
+}
+
+/// The answer names its attempt and key, so that a foreign answer is noticed.
+fn answer_of(attempt: AttemptId, key: Option<u8>) -> String {
+    format!("{attempt} for {key:?}")
+}
+
+fn new_owner(incarnation: u64) -> Owner {
+    Owner {
+        records: CallRecords::new(RecordsConfig {
+            incarnation,
+            max_records: 12,
+            ..RecordsConfig::default()
+        }),
+        incarnation,
+        queue: VecDeque::new(),
+        running: Vec::new(),
+        drains: false,
+    }
+}
+
+/// Clocks of different processes have different origins.
+fn owner_clock(now_us: u64, owner: usize) -> u64 {
+    now_us + 7_000_000_000 * owner as u64
+}
+
+fn keeper_clock(now_us: u64, keeper: usize) -> u64 {
+    now_us + 90_000_000_000 * keeper as u64
+}
--- /dev/null
+++ b/components/http/src/watch.rs
@@ -0,0 +1,66 @@
+//! Non-blocking look at a connection.
+
+use crate::EarlyReply;
+use socket2::SockRef;
+use std::{io, mem::MaybeUninit, net::TcpStream};
+
+const MSG_PEEK: i32 = 0x02;
+#[cfg(any(target_os = "linux", target_os = "android"))]
+const MSG_DONTWAIT: i32 = 0x40;
+#[cfg(not(any(target_os = "linux", target_os = "android")))]
+const MSG_DONTWAIT: i32 = 0x80;
+
+/// What a connection holds right now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Peeked {
+    Quiet,
+    Unread,
+    Closed,
+}
+
+/// Looks without blocking and without consuming bytes.
+pub(crate) fn peek(stream: &TcpStream) -> Peeked {
+    let mut byte = [MaybeUninit::<u8>::uninit(); 1];
+    match SockRef::from(stream).recv_with_flags(&mut byte, MSG_PEEK | MSG_DONTWAIT) {
+        Ok(0) => Peeked::Closed,
+        Ok(_) => Peeked::Unread,
+        Err(error) => match error.kind() {
+            io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => Peeked::Quiet,
+            _ => Peeked::Closed,
+        },
+    }
+}
+
+/// One write without blocking; 0 if the socket has no space.
+pub(crate) fn send_now(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    loop {
+        match SockRef::from(stream).send_with_flags(bytes, MSG_DONTWAIT) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(0),
+            other => return other,
+        }
+    }
+}
+
+/// Tells a handler whether its caller is still connected.
+#[derive(Debug)]
+pub struct CallerWatch<'a> {
+    stream: &'a TcpStream,
+    early: EarlyReply,
+}
+
+impl<'a> CallerWatch<'a> {
+    pub(crate) fn new(stream: &'a TcpStream, early: EarlyReply) -> Self {
+        CallerWatch { stream, early }
+    }
+
+    /// A way to answer this request from another thread, before the handler returns.
+    pub fn early_reply(&self) -> EarlyReply {
+        self.early.clone()
+    }
+
+    /// Whether the caller closed its connection; never blocks and takes no pipelined bytes.
+    pub fn is_gone(&self) -> bool {
+        peek(self.stream) == Peeked::Closed
+    }
+}
--- /dev/null
+++ b/components/node/src/entry/drive.rs
@@ -0,0 +1,661 @@
+//! Carries out the actions of one call's state machine.
+//!
+//! Events come from the caller's thread and from reader threads of the mesh. Whichever thread
+//! brings an event also carries out what follows from it and sends the response, so that no
+//! further thread has to wake up on the way.
+
+use super::{Entry, call::Prepared, keys, reply::RunReply, routes::ServiceRoutes};
+use calls::{
+    Action, CallSpec, ClaimReply, ClaimRound, EntryCall, Event, Fate, Holder, RoundResult,
+};
+use errors::ErrorKind;
+use http::{CallerWatch, EarlyReply, Headers, Response};
+use kernel::KindLabels;
+use mesh::Channel;
+use model::{AttemptId, NodeId, Upstream};
+use routing::{Choice, RouteRequest, Router, UpstreamKey};
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError, TryLockError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use wire::{CallReply, CallRequest, FateRequest, RunCall, WireMessage, decode, encode};
+
+/// How often a waiting call looks whether its caller is still there.
+const CALLER_CHECK: Duration = Duration::from_millis(50);
+/// Time after the deadline that a request to an owner stays open, so that its reply can arrive.
+const REPLY_GRACE_US: u64 = 200_000;
+/// Longest wait for the reply to a fate request.
+const FATE_TIMEOUT_US: u64 = 1_000_000;
+
+/// What reaches a call.
+pub(crate) enum Notice {
+    /// The call begins.
+    Start,
+    /// An event for the state machine.
+    Event(Event<UpstreamKey>),
+    /// The reply of one keeper to a claim round.
+    Keeper {
+        /// Number of the round within the call; an attempt may need several.
+        round: u64,
+        keeper: usize,
+        reply: Option<ClaimReply>,
+    },
+    /// The time to wake has come.
+    Tick,
+}
+
+#[derive(Default)]
+struct Inbox {
+    notices: VecDeque<Notice>,
+    result: Option<Result<Response, ErrorKind>>,
+}
+
+/// One call while it is driven.
+pub(crate) struct Drive {
+    entry: Arc<Entry>,
+    call: Prepared,
+    routes: Arc<ServiceRoutes>,
+    early: EarlyReply,
+    state: Mutex<State>,
+    inbox: Mutex<Inbox>,
+    changed: Condvar,
+    wake_us: AtomicU64,
+}
+
+struct State {
+    machine: EntryCall<UpstreamKey>,
+    rounds: HashMap<u64, (AttemptId, ClaimRound)>,
+    next_round: u64,
+    owners: HashMap<AttemptId, NodeId>,
+    /// Attempts that the owner may refuse for waiting, each with a retry set aside.
+    reserved: HashSet<AttemptId>,
+    /// Retries set aside whose attempt was refused or failed.
+    freed_retries: u32,
+    is_hedge: bool,
+    /// Wait at the owner that the last choice allowed.
+    patience: Option<(UpstreamKey, u64)>,
+    is_over: bool,
+}
+
+impl Drive {
+    pub(crate) fn new(entry: &Arc<Entry>, call: Prepared, watch: &CallerWatch<'_>) -> Arc<Self> {
+        let routes = entry.routes.of(&call.service);
+        let hedge_after_us = hedge_delay_us(&call, &routes);
+        let spec = CallSpec {
+            call: call.call,
+            idempotent: call.profile.idempotent,
+            keyed: call.key.is_some(),
+            suspected: call.suspected,
+            deadline_us: call.deadline_us,
+            attempts: call.profile.attempts,
+            hedge_after_us,
+        };
+        if hedge_after_us.is_some() {
+            routes.with_budgets(&call.profile, |budgets| budgets.hedge.on_call());
+        }
+        Arc::new(Drive {
+            entry: Arc::clone(entry),
+            early: watch.early_reply(),
+            wake_us: AtomicU64::new(call.deadline_us),
+            call,
+            routes,
+            state: Mutex::new(State {
+                machine: EntryCall::new(spec),
+                rounds: HashMap::new(),
+                next_round: 0,
+                owners: HashMap::new(),
+                reserved: HashSet::new(),
+                freed_retries: 0,
+                is_hedge: false,
+                patience: None,
+                is_over: false,
+            }),
+            inbox: Mutex::default(),
+            changed: Condvar::new(),
+        })
+    }
+
+    /// Runs the call to its end in the caller's thread; the response may have been sent already.
+    pub(crate) fn run(self: &Arc<Self>, watch: &CallerWatch<'_>) -> Result<Response, ErrorKind> {
+        self.notify(Notice::Start);
+        let mut is_gone = false;
+        loop {
+            let until = self.entry.context.kernel.clock.instant(self.wake_us());
+            if let Some(result) = self.wait(until.min(Instant::now() + CALLER_CHECK)) {
+                return result;
+            }
+            if self.now_us() >= self.wake_us() {
+                self.notify(Notice::Tick);
+            } else if !is_gone && watch.is_gone() {
+                is_gone = true;
+                self.notify(Notice::Event(Event::CallerGone));
+            }
+        }
+    }
+
+    /// Hands a notice to the call; carried out in this thread unless another one is at it.
+    pub(crate) fn notify(self: &Arc<Self>, notice: Notice) {
+        self.lock_inbox().notices.push_back(notice);
+        loop {
+            // A thread that holds the state looks at the inbox again after letting go of it.
+            let mut state = match self.state.try_lock() {
+                Ok(state) => state,
+                Err(TryLockError::Poisoned(poisoned)) => poisoned.into_inner(),
+                Err(TryLockError::WouldBlock) => return,
+            };
+            while let Some(notice) = self.next_notice() {
+                self.take(&mut state, notice);
+            }
+            drop(state);
+            if self.lock_inbox().notices.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn next_notice(&self) -> Option<Notice> {
+        self.lock_inbox().notices.pop_front()
+    }
+
+    /// Waits for the result until the given time.
+    fn wait(&self, until: Instant) -> Option<Result<Response, ErrorKind>> {
+        let mut inbox = self.lock_inbox();
+        loop {
+            if inbox.result.is_some() {
+                return inbox.result.take();
+            }
+            let pause = until.saturating_duration_since(Instant::now());
+            if pause.is_zero() {
+                return None;
+            }
+            inbox = match self.changed.wait_timeout(inbox, pause) {
+                Ok((inbox, _)) => inbox,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+    }
+
+    fn take(self: &Arc<Self>, state: &mut State, notice: Notice) {
+        match notice {
+            Notice::Start => {
+                let actions = state.machine.start(self.now_us());
+                self.carry_out(state, actions);
+            }
+            Notice::Event(event) => self.feed(state, event),
+            Notice::Keeper {
+                round,
+                keeper,
+                reply,
+            } => {
+                let now_us = self.now_us();
+                let result = state
+                    .rounds
+                    .get_mut(&round)
+                    .and_then(|(_, open)| open.on_reply(now_us, keeper, reply));
+                if let Some(result) = result {
+                    self.end_round(state, round, &result);
+                }
+            }
+            Notice::Tick => self.tick(state),
+        }
+    }
+
+    fn tick(self: &Arc<Self>, state: &mut State) {
+        let now_us = self.now_us();
+        let ended: Vec<(u64, RoundResult)> = state
+            .rounds
+            .iter_mut()
+            .filter_map(|(round, (_, open))| Some((*round, open.tick(now_us)?)))
+            .collect();
+        for (round, result) in ended {
+            self.end_round(state, round, &result);
+        }
+        self.feed(state, Event::Tick);
+    }
+
+    fn end_round(self: &Arc<Self>, state: &mut State, round: u64, result: &RoundResult) {
+        let Some((attempt, _)) = state.rounds.remove(&round) else {
+            return;
+        };
+        let event = match result {
+            RoundResult::Granted => Event::Claimed(attempt),
+            RoundResult::Held(holder) => Event::ClaimHeld(attempt, *holder),
+            RoundResult::Reused => Event::ClaimFailed(attempt, ErrorKind::KeyReused),
+            RoundResult::Unconfirmed => Event::ClaimFailed(attempt, ErrorKind::KeyUnconfirmed),
+        };
+        self.feed(state, event);
+    }
+
+    fn feed(self: &Arc<Self>, state: &mut State, event: Event<UpstreamKey>) {
+        state.settle(&event, || self.release_retry());
+        let actions = state.machine.on_event(self.now_us(), event);
+        self.carry_out(state, actions);
+    }
+
+    fn carry_out(self: &Arc<Self>, state: &mut State, actions: Vec<Action<UpstreamKey>>) {
+        let mut queue = VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            if let Some(event) = self.act(state, action) {
+                queue.extend(state.machine.on_event(self.now_us(), event));
+            }
+        }
+    }
+
+    /// Carries out one action; the event is the reply of actions that are answered at once.
+    fn act(
+        self: &Arc<Self>,
+        state: &mut State,
+        action: Action<UpstreamKey>,
+    ) -> Option<Event<UpstreamKey>> {
+        match action {
+            Action::Route { exclude } => return Some(self.route(state, &exclude)),
+            Action::Claim {
+                attempt,
+                upstream,
+                over,
+            } => {
+                return self.claim(state, attempt, upstream, over);
+            }
+            Action::Send { attempt, upstream } => return self.send(state, attempt, upstream),
+            Action::Cancel(attempt) => return self.ask(state, attempt, CallRequest::Cancel),
+            Action::AskFate(attempt) => return self.ask(state, attempt, CallRequest::Fate),
+            Action::AskHolder(holder) => self.ask_holder(holder),
+            Action::AskRetryBudget => return Some(Event::RetryAllowed(self.may_retry(state))),
+            Action::AskHedgeBudget => {
+                state.is_hedge = self.may_hedge();
+                return Some(Event::HedgeAllowed(state.is_hedge));
+            }
+            Action::WakeAt(at_us) => self.set_wake(at_us),
+            Action::Deliver(_, answer) => {
+                let now_us = self.now_us();
+                self.routes
+                    .with_budgets(&self.call.profile, |b| b.retry.on_success(now_us));
+                self.end(state, response_of(&answer));
+            }
+            Action::Fail(kind) => self.end(state, Err(kind)),
+        }
+        None
+    }
+
+    fn route(self: &Arc<Self>, state: &mut State, exclude: &[UpstreamKey]) -> Event<UpstreamKey> {
+        let kernel = &self.entry.context.kernel;
+        let request = RouteRequest {
+            zone: &kernel.node_settings().availability_zone,
+            exclude,
+            measure: self.call.profile.measure,
+            zone_preference: self.call.profile.zone_preference,
+            idempotent: self.call.profile.idempotent,
+            hedge: std::mem::take(&mut state.is_hedge),
+        };
+        let now_us = kernel.clock.now_us();
+        let mut router = self.routes.router();
+        let choice = match router.choose(now_us, &request) {
+            Ok(choice) => choice,
+            Err(kind) => {
+                log::info!("entry: call {} has no route, {kind}.", self.call.call);
+                return Event::NoRoute(kind);
+            }
+        };
+        if self.is_logged(exclude) {
+            log_decision(&self.call, &router, &choice, exclude.len());
+        }
+        let due = router.probe_due(now_us);
+        let targets: Vec<(UpstreamKey, NodeId)> = due
+            .iter()
+            .filter_map(|key| Some((*key, router.upstream(*key)?.node)))
+            .collect();
+        drop(router);
+        for (key, node) in targets {
+            self.probe(key, node);
+        }
+        state.patience = choice
+            .patience_us
+            .map(|patience_us| (choice.upstream, patience_us));
+        Event::Routed(choice.upstream)
+    }
+
+    /// Retries are always logged, first attempts as often as the settings say.
+    fn is_logged(&self, exclude: &[UpstreamKey]) -> bool {
+        let percent = u64::from(
+            self.entry
+                .context
+                .kernel
+                .node_settings()
+                .decision_log_percent,
+        );
+        !exclude.is_empty() || self.call.call.sequence % 100 < percent
+    }
+
+    fn probe(&self, key: UpstreamKey, node: NodeId) {
+        let context = &self.entry.context;
+        let (routes, clock) = (Arc::clone(&self.routes), context.kernel.clock);
+        let was_sent = context.probes.ask(
+            node.mesh,
+            Box::new(move |reply| match reply {
+                Some((signal, round_trip_us)) => {
+                    routes
+                        .router()
+                        .probe_reply(clock.now_us(), key, signal, round_trip_us);
+                }
+                None => routes.router().probe_lost(clock.now_us(), key),
+            }),
+        );
+        if !was_sent {
+            self.routes.router().probe_lost(self.now_us(), key);
+        }
+    }
+
+    fn claim(
+        self: &Arc<Self>,
+        state: &mut State,
+        attempt: AttemptId,
+        upstream: UpstreamKey,
+        over: Vec<AttemptId>,
+    ) -> Option<Event<UpstreamKey>> {
+        let Some(target) = self.upstream(upstream) else {
+            return Some(Event::SendFailed(attempt));
+        };
+        let Some(key) = self.call.key else {
+            return Some(Event::ClaimFailed(attempt, ErrorKind::Internal));
+        };
+        let claim = calls::Claim {
+            key,
+            fingerprint: self.call.fingerprint,
+            attempt,
+            owner: target.node,
+            over,
+        };
+        let open = keys::new_round(&self.entry.context, &claim);
+        let ends_us = open.ends_us();
+        self.set_wake(self.wake_us().min(ends_us));
+        state.next_round += 1;
+        let round = state.next_round;
+        state.rounds.insert(round, (attempt, open));
+        keys::ask_keepers(&self.entry.context, &claim, ends_us, round, self);
+        None
+    }
+
+    fn send(
+        self: &Arc<Self>,
+        state: &mut State,
+        attempt: AttemptId,
+        key: UpstreamKey,
+    ) -> Option<Event<UpstreamKey>> {
+        let Some(upstream) = self.upstream(key) else {
+            return Some(Event::SendFailed(attempt));
+        };
+        let kernel = &self.entry.context.kernel;
+        let now_us = kernel.clock.now_us();
+        if attempt.attempt > 0 {
+            kernel
+                .metrics
+                .extra_attempts
+                .get_or_create(&KindLabels { kind: "attempt" })
+                .inc();
+        }
+        state.owners.insert(attempt, upstream.node);
+        let message = self.run_message(state, attempt, key, &upstream, now_us);
+        self.routes.router().sent(now_us, key);
+        let reply = RunReply {
+            attempt,
+            key,
+            owner: upstream.node,
+            sent_us: now_us,
+            deadline_us: self.call.deadline_us,
+            routes: Arc::clone(&self.routes),
+            drive: Arc::clone(self),
+            context: Arc::clone(&self.entry.context),
+        };
+        kernel.mesh.request(
+            upstream.node.mesh,
+            Channel::Call,
+            message,
+            kernel.clock.instant(self.call.deadline_us + REPLY_GRACE_US),
+            move |outcome| reply.take(outcome),
+        );
+        None
+    }
+
+    fn run_message(
+        &self,
+        state: &mut State,
+        attempt: AttemptId,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        now_us: u64,
+    ) -> Vec<u8> {
+        let profile = &self.call.profile;
+        let may_move = attempt.attempt + 1 < profile.attempts;
+        let patience = state
+            .patience
+            .take()
+            .filter(|(chosen, _)| may_move && *chosen == key);
+        let patience_us = patience
+            .map(|(_, patience_us)| patience_us)
+            .filter(|_| self.routes.with_budgets(profile, |b| b.retry.try_reserve()));
+        if patience_us.is_some() {
+            state.reserved.insert(attempt);
+        }
+        encode(&CallRequest::Run(RunCall {
+            attempt,
+            owner: upstream.node,
+            generation: self.entry.context.generations.current(upstream.node),
+            upstream: upstream.name.clone(),
+            keyed: self.call.key.is_some(),
+            idempotent: profile.idempotent,
+            priority: profile.priority,
+            queue_limit: profile.queue_limit,
+            remaining_us: self.call.deadline_us.saturating_sub(now_us),
+            patience_us,
+            fingerprint: self.call.fingerprint,
+            request: self.call.request.clone(),
+        }))
+    }
+
+    fn ask(
+        self: &Arc<Self>,
+        state: &State,
+        attempt: AttemptId,
+        request: impl Fn(FateRequest) -> CallRequest,
+    ) -> Option<Event<UpstreamKey>> {
+        let Some(owner) = state.owners.get(&attempt) else {
+            return Some(Event::FateUnavailable(attempt));
+        };
+        let generation = Some(self.entry.context.generations.current(*owner));
+        let request = request(self.fate_request(attempt, *owner, generation));
+        self.ask_owner(*owner, &request, move |fate| match fate {
+            Some(fate) => Event::Fate(attempt, fate),
+            None => Event::FateUnavailable(attempt),
+        });
+        None
+    }
+
+    fn ask_holder(self: &Arc<Self>, holder: Holder) {
+        let request = CallRequest::Fate(self.fate_request(holder.attempt, holder.owner, None));
+        self.ask_owner(holder.owner, &request, move |fate| match fate {
+            Some(fate) => Event::HolderFate(holder.attempt, fate),
+            None => Event::HolderUnavailable(holder.attempt),
+        });
+    }
+
+    fn fate_request(
+        &self,
+        attempt: AttemptId,
+        owner: NodeId,
+        generation: Option<u64>,
+    ) -> FateRequest {
+        FateRequest {
+            attempt,
+            owner,
+            generation,
+            remaining_us: self.call.deadline_us.saturating_sub(self.now_us()),
+            keyed: self.call.key.is_some(),
+        }
+    }
+
+    fn ask_owner(
+        self: &Arc<Self>,
+        owner: NodeId,
+        request: &CallRequest,
+        event: impl FnOnce(Option<Fate>) -> Event<UpstreamKey> + Send + 'static,
+    ) {
+        let kernel = &self.entry.context.kernel;
+        let drive = Arc::clone(self);
+        kernel.mesh.request(
+            owner.mesh,
+            Channel::Call,
+            encode(request),
+            kernel
+                .clock
+                .instant(kernel.clock.now_us() + FATE_TIMEOUT_US),
+            move |outcome| {
+                let fate = match outcome.map(decode::<CallReply>) {
+                    Ok(Ok(CallReply::Fate(fate))) => Some(fate),
+                    _ => None,
+                };
+                drive.notify(Notice::Event(event(fate)));
+            },
+        );
+    }
+
+    fn may_retry(&self, state: &mut State) -> bool {
+        if state.freed_retries > 0 {
+            state.freed_retries -= 1;
+            return true;
+        }
+        let now_us = self.now_us();
+        let allowed = self
+            .routes
+            .with_budgets(&self.call.profile, |b| b.retry.try_retry(now_us));
+        if !allowed {
+            log::warn!(
+                "entry: call {} is not retried; the retry budget of {} is spent.",
+                self.call.call,
+                self.call.service
+            );
+        }
+        allowed
+    }
+
+    fn may_hedge(&self) -> bool {
+        self.routes
+            .with_budgets(&self.call.profile, |budgets| budgets.hedge.try_hedge())
+    }
+
+    fn release_retry(&self) {
+        self.routes
+            .with_budgets(&self.call.profile, |budgets| budgets.retry.release());
+    }
+
+    /// Ends the call: sends the response at once and wakes the caller's thread.
+    fn end(&self, state: &mut State, result: Result<Response, ErrorKind>) {
+        if std::mem::replace(&mut state.is_over, true) {
+            return;
+        }
+        for _ in 0..state.reserved.len() as u32 + std::mem::take(&mut state.freed_retries) {
+            self.release_retry();
+        }
+        state.reserved.clear();
+        if let Ok(response) = &result {
+            self.early.send(response);
+        }
+        self.lock_inbox().result = Some(result);
+        self.changed.notify_one();
+    }
+
+    /// Sets the time of the next tick; wakes the caller's thread if it would sleep too long.
+    fn set_wake(&self, at_us: u64) {
+        let before_us = self.wake_us.swap(at_us, Ordering::AcqRel);
+        if at_us < before_us {
+            let _inbox = self.lock_inbox();
+            self.changed.notify_one();
+        }
+    }
+
+    fn upstream(&self, key: UpstreamKey) -> Option<Upstream> {
+        self.routes.router().upstream(key).cloned()
+    }
+
+    fn wake_us(&self) -> u64 {
+        self.wake_us.load(Ordering::Acquire)
+    }
+
+    fn now_us(&self) -> u64 {
+        self.entry.context.kernel.clock.now_us()
+    }
+
+    fn lock_inbox(&self) -> MutexGuard<'_, Inbox> {
+        self.inbox.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Frees the retry set aside for an attempt that has ended.
+    fn settle(&mut self, event: &Event<UpstreamKey>, release: impl FnOnce()) {
+        match event {
+            Event::Refused(attempt, _) | Event::Failed(attempt, _) => {
+                if self.reserved.remove(attempt) {
+                    self.freed_retries += 1;
+                }
+            }
+            Event::Answered(attempt, _) if self.reserved.remove(attempt) => release(),
+            _ => (),
+        }
+    }
+}
+
+fn hedge_delay_us(call: &Prepared, routes: &ServiceRoutes) -> Option<u64> {
+    if !call.profile.hedge.enabled {
+        return None;
+    }
+    routes
+        .router()
+        .latency_quantile_us(call.profile.hedge.quantile_percent)
+}
+
+fn response_of(answer: &[u8]) -> Result<Response, ErrorKind> {
+    let message: WireMessage = decode(answer).map_err(|_| ErrorKind::Internal)?;
+    let status = message.start.0.parse().map_err(|_| ErrorKind::Internal)?;
+    let mut headers = Headers::new();
+    for (name, value) in message.headers {
+        headers.append(name, value);
+    }
+    Ok(Response {
+        status,
+        reason: message.start.1,
+        headers,
+        body: message.body,
+    })
+}
+
+fn log_decision(call: &Prepared, router: &Router, choice: &Choice, earlier_attempts: usize) {
+    if !log::log_enabled!(log::Level::Info) {
+        return;
+    }
+    let name = |key| {
+        router
+            .upstream(key)
+            .map_or("?", |upstream| upstream.name.as_str())
+    };
+    let weighed: Vec<String> = router
+        .candidates()
+        .iter()
+        .map(|c| {
+            let mark = if c.ejected { " ejected" } else { "" };
+            format!("{}={}us{mark}", name(c.upstream), c.expected_us)
+        })
+        .collect();
+    log::info!(
+        "entry: call {} service {} profile {} attempt {earlier_attempts} weighed {} chose {}, {:?}.",
+        call.call,
+        call.service,
+        call.profile.name,
+        weighed.join(" "),
+        name(choice.upstream),
+        choice.reason
+    );
+}
--- a/src/bin/gyard.rs
+++ b/src/bin/gyard.rs
@@ -1,3 +1,13 @@
-//! Thin entry point.
+//! The operators' client: profiles, status and drains.
 
-fn main() {}
+use std::{env, io, process::ExitCode};
+
+fn main() -> ExitCode {
+    let lookup = |name: &str| env::var(name).ok();
+    client::run(
+        env::args().skip(1),
+        lookup,
+        &mut io::stdout(),
+        &mut io::stderr(),
+    )
+}
