--- a/components/consensus/src/follower.rs
+++ b/components/consensus/src/follower.rs
@@ -62,10 +62,17 @@
         let first_new = entries.iter().position(differs).unwrap_or(entries.len());
         let mut fresh = entries;
         fresh.drain(..first_new);
+        let waits_for_disk = !fresh.is_empty();
         self.append_entries(fresh);
         self.verified = self.verified.max(last);
         self.commit_to(commit.min(self.verified));
-        self.acknowledge(from);
+        // New entries are acknowledged once they are on disk; an acknowledgement before that would
+        // carry no news. Messages without new entries are answered at once, also on a stuck disk.
+        if waits_for_disk {
+            self.ack_due = true;
+        } else {
+            self.acknowledge(from);
+        }
     }
 
     pub(crate) fn on_install(&mut self, from: ReplicaId, snapshot: Arc<Snapshot>) {
--- /dev/null
+++ b/components/store/tests/start_up.rs
@@ -0,0 +1,107 @@
+//! Guards against a start that takes longer with every change ever made, and against answers and
+//! profiles that a restart after thousands of changes forgets.
+
+mod memory;
+
+use consensus::{Input, Output, Recovered, Replica, ReplicaConfig, Reply, Role};
+use memory::MemoryDisk;
+use model::{Profile, ProfileName};
+use registry::{Applied, Change, ChangeId, Op};
+use store::{Disk, Store};
+
+const CHANGES: u64 = 5_000;
+const PROFILES: u64 = 50;
+
+fn update(id: u64) -> Change {
+    let name = ProfileName::parse(format!("p{}", id % PROFILES)).unwrap();
+    let profile = Profile::with_defaults(name);
+    Change {
+        change_id: ChangeId::from_u128(u128::from(id)),
+        expect: None,
+        op: if id < PROFILES {
+            Op::Add(profile)
+        } else {
+            Op::Update(profile)
+        },
+        in_use: Vec::new(),
+    }
+}
+
+struct Single {
+    replica: Replica,
+    store: Store,
+    now_us: u64,
+    answers: Vec<Reply>,
+}
+
+impl Single {
+    fn start(store: Store, recovered: Recovered) -> Self {
+        let mut single = Single {
+            replica: Replica::new(0, ReplicaConfig::new(1, [1]), recovered, 1),
+            store,
+            now_us: 0,
+            answers: Vec::new(),
+        };
+        while single.replica.role() != Role::Leader {
+            single.now_us += 100_000;
+            single.input(Input::Tick);
+        }
+        single
+    }
+
+    fn input(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in self.replica.on_event(self.now_us, input) {
+                match output {
+                    Output::Persist { sequence, write } => {
+                        self.store.persist([&write]).unwrap();
+                        inputs.push(Input::Persisted { upto: sequence });
+                    }
+                    Output::Answer { reply, .. } => self.answers.push(reply),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn change(&mut self, id: u64) -> Reply {
+        let change = update(id);
+        self.input(Input::Propose { token: id, change });
+        self.answers.pop().expect("is answered")
+    }
+}
+
+#[test]
+fn bounded_by_profiles() {
+    let disk = MemoryDisk::new();
+    let (store, recovered) = Store::open_on(Box::new(disk.clone())).unwrap();
+    let mut single = Single::start(store, recovered);
+    for id in 0..CHANGES {
+        let reply = single.change(id);
+        let is_accepted = matches!(reply, Reply::Applied(Applied::Accepted { .. }));
+        assert!(is_accepted, "{reply:?}");
+    }
+    let first = single.change(7);
+    drop(single);
+
+    let (store, recovered) = Store::open_on(Box::new(disk.clone())).unwrap();
+    let config = ReplicaConfig::new(1, [1]);
+    assert!((recovered.entries.len() as u64) < config.snapshot_entries);
+    let names = disk.list().unwrap();
+    let bytes: usize = names
+        .iter()
+        .map(|name| disk.read(name).unwrap().len())
+        .sum();
+    // A kept answer takes about 30 bytes, a log entry about 70; nothing else may grow.
+    assert!(
+        bytes < 30 * 5_000 + 100 * 2_048 + 256 * 1_024,
+        "{bytes} bytes in {names:?}"
+    );
+
+    let mut single = Single::start(store, recovered);
+    assert_eq!(single.replica.registry().revision().number, CHANGES);
+    assert_eq!(single.change(7), first);
+    let live = single.replica.registry().profiles().live().count();
+    assert_eq!(live as u64, PROFILES);
+}
