Use the owner's own load and refusals of leaving owners in the choice

Cause: the routing measurements assume that an entry knows the load of the instance beside it without a message, and that a refusal by a leaving owner counts at once; the node did neither. Change: the entry reads the local owner's signal before each choice, and takes an upstream out of the choice when its owner answers stopping.

--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -7,7 +7,8 @@
 use calls::{Fingerprint, IncidentId};
 use kernel::{Event, Kernel, KindLabels};
 use mesh::Channel;
-use std::sync::Arc;
+use model::LoadSignal;
+use std::sync::{Arc, OnceLock};
 
 /// Shared by the plug-ins of one node, owned by the kernel.
 pub(crate) struct NodeContext {
@@ -16,8 +17,13 @@
     pub(crate) probes: ProbeTable,
     pub(crate) generations: Generations,
     pub(crate) newer: NewerOffers,
+    /// Load of the local instance, as its owner counts it.
+    pub(crate) own_load: OnceLock<OwnLoad>,
 }
 
+/// Reads the load of the local instance.
+pub(crate) type OwnLoad = Box<dyn Fn() -> Option<LoadSignal> + Send + Sync>;
+
 impl NodeContext {
     /// The context of this kernel's node.
     pub(crate) fn of(kernel: &Arc<Kernel>) -> Arc<NodeContext> {
@@ -27,6 +33,7 @@
             probes: ProbeTable::new(kernel),
             generations: Generations::default(),
             newer: NewerOffers::new(),
+            own_load: OnceLock::new(),
         })
     }
 
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -12,7 +12,7 @@
 use http::{CallerWatch, EarlyReply, Headers, Response};
 use kernel::KindLabels;
 use mesh::Channel;
-use model::{AttemptId, NodeId, Upstream};
+use model::{AttemptId, LoadSignal, NodeId, Upstream, UpstreamName};
 use routing::{Choice, RouteRequest, Router, UpstreamKey};
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -292,7 +292,13 @@
             hedge: std::mem::take(&mut state.is_hedge),
         };
         let now_us = kernel.clock.now_us();
+        let own_load = self.own_load();
         let mut router = self.routes.router();
+        if let Some((name, signal)) = own_load
+            && let Some(key) = router.key(&name)
+        {
+            router.observe(now_us, key, signal);
+        }
         let choice = match router.choose(now_us, &request) {
             Ok(choice) => choice,
             Err(kind) => {
@@ -318,6 +324,17 @@
         Event::Routed(choice.upstream)
     }
 
+    /// Load of the instance beside this node, if it is one of the called service.
+    fn own_load(&self) -> Option<(UpstreamName, LoadSignal)> {
+        let context = &self.entry.context;
+        let upstream = context.local.upstream()?;
+        if upstream.service != self.call.service {
+            return None;
+        }
+        let signal = context.own_load.get().and_then(|load| load())?;
+        Some((upstream.name, signal))
+    }
+
     /// Retries are always logged, first attempts as often as the settings say.
     fn is_logged(&self, exclude: &[UpstreamKey]) -> bool {
         let percent = u64::from(
@@ -597,10 +614,10 @@
     /// Frees the retry set aside for an attempt that has ended.
     fn settle(&mut self, event: &Event<UpstreamKey>, release: impl FnOnce()) {
         match event {
-            Event::Refused(attempt, _) | Event::Failed(attempt, _) => {
-                if self.reserved.remove(attempt) {
-                    self.freed_retries += 1;
-                }
+            Event::Refused(attempt, _) | Event::Failed(attempt, _)
+                if self.reserved.remove(attempt) =>
+            {
+                self.freed_retries += 1;
             }
             Event::Answered(attempt, _) if self.reserved.remove(attempt) => release(),
             _ => (),
--- a/components/node/src/entry/reply.rs
+++ b/components/node/src/entry/reply.rs
@@ -56,6 +56,9 @@
                 _ => (Finish::Failed, None, Event::ConnectionLost(self.attempt)),
             },
         };
+        if matches!(event, Event::Refused(_, ErrorKind::Stopping)) {
+            self.routes.note_draining(now_us, self.key);
+        }
         self.drive.notify(Notice::Event(event));
         self.routes
             .router()
--- a/components/node/src/entry/routes.rs
+++ b/components/node/src/entry/routes.rs
@@ -3,8 +3,8 @@
 use crate::context::NodeContext;
 use calls::HedgeBudget;
 use limits::RetryBudget;
-use model::{Profile, ProfileName, ServiceName, Upstream, UpstreamName};
-use routing::{Router, RouterConfig, subset};
+use model::{Profile, ProfileName, ServiceName, Upstream, UpstreamName, UpstreamState};
+use routing::{Router, RouterConfig, UpstreamKey, subset};
 use std::{
     collections::{HashMap, HashSet, hash_map::DefaultHasher},
     hash::{Hash, Hasher},
@@ -65,6 +65,15 @@
         action(entry)
     }
 
+    /// Takes an upstream whose owner refuses new calls out of the choice, ahead of gossip.
+    pub(crate) fn note_draining(&self, now_us: u64, key: UpstreamKey) {
+        let mut router = self.router();
+        if let Some(mut upstream) = router.upstream(key).cloned() {
+            upstream.state = UpstreamState::Draining;
+            router.upsert(now_us, &upstream);
+        }
+    }
+
     /// Makes the router track exactly the chosen upstreams.
     fn track(&self, now_us: u64, chosen: &[&Upstream]) {
         let mut tracked = self.tracked.lock().unwrap_or_else(PoisonError::into_inner);
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -32,6 +32,13 @@
     let (wake_sender, wake) = unbounded();
     let owner = Arc::new(Owner::new(&context, wake_sender));
 
+    let own_load = {
+        let owner = Arc::clone(&owner);
+        Box::new(move || owner.signal())
+    };
+    if context.own_load.set(own_load).is_err() {
+        return Err(StartError::new("owner", "it runs twice in this process"));
+    }
     kernel.mesh.on(Channel::Call, {
         let owner = Arc::clone(&owner);
         move |inbound: Inbound| owner.handle(inbound)
