Treat every refusal for want of a leader as unconfirmed

Cause: a follower passes a change on and may answer not-leader after it lost the leader's answer, so that the client told the operator that nothing was sent. Change: only failed connections count as not sent; the attempts are listed once.

--- a/components/client/src/failure.rs
+++ b/components/client/src/failure.rs
@@ -14,18 +14,18 @@
     /// The control group refused the request.
     #[snafu(display("refused ({}): {}{}\n{}", body.error, body.message, detail(&body.detail), body.advice))]
     Refused { body: Box<ErrorBody> },
-    /// No replica answered.
+    /// No replica could serve the request.
     #[snafu(display(
-        "no replica of the control group answered:\n{}\n\
-         Check --control-operator and that the replicas run.",
-        attempts.join("\n")
+        "no replica of the control group could serve the request:\n{}\n\
+         Check --control-operator and that a majority of the replicas run.",
+        indent(attempts)
     ))]
     Unreachable { attempts: Vec<String> },
     /// A change may or may not have been accepted.
     #[snafu(display(
         "the control group did not confirm the change:\n{}\n\
          It may have been accepted. Resend the same command with {resend} to learn its result.",
-        attempts.join("\n")
+        indent(attempts)
     ))]
     Unconfirmed {
         attempts: Vec<String>,
@@ -46,6 +46,11 @@
     Output { reason: String },
 }
 
+fn indent(attempts: &[String]) -> String {
+    let lines: Vec<String> = attempts.iter().map(|line| format!("  {line}")).collect();
+    lines.join("\n")
+}
+
 fn detail(text: &str) -> String {
     if text.is_empty() {
         return String::new();
--- a/components/client/src/operators.rs
+++ b/components/client/src/operators.rs
@@ -93,15 +93,17 @@
                     Attempt::Answered(answer) => return Ok(answer),
                     Attempt::Refused(body) => return Err(Failed::Refused(Box::new(body))),
                     Attempt::Elsewhere(body) => {
-                        let line = format!("  {address}: {} {}", body.message, body.detail);
+                        let line = format!("{address}: {} {}", body.message, body.detail);
                         attempts.push(line.trim_end().to_owned());
-                        is_unsent &= outcome(&body.error) == Outcome::NotRun;
+                        // A replica passes a change on to the leader and may have lost its
+                        // answer before it refused, so that even "not leader" is no proof.
+                        is_unsent = false;
                         prefer_leader(&mut queue, &tried, &body);
                     }
-                    Attempt::Unsent(reason) => attempts.push(format!("  {address}: {reason}")),
+                    Attempt::Unsent(reason) => attempts.push(format!("{address}: {reason}")),
                     Attempt::Lost(reason) => {
                         is_unsent = false;
-                        attempts.push(format!("  {address}: {reason}"));
+                        attempts.push(format!("{address}: {reason}"));
                     }
                 }
             }
@@ -172,10 +174,6 @@
     kinds.find(|kind| kind.row().code == code)
 }
 
-fn outcome(code: &str) -> Outcome {
-    kind(code).map_or(Outcome::Unknown, |kind| kind.row().outcome)
-}
-
 fn may_succeed_elsewhere(body: &ErrorBody) -> bool {
     let Some(kind) = kind(&body.error) else {
         return false;
--- a/components/client/tests/fail_over.rs
+++ b/components/client/tests/fail_over.rs
@@ -59,6 +59,18 @@
     );
 }
 
+#[test]
+fn no_leader() {
+    // A follower that lost the leader's answer says the same, so that the change may be accepted.
+    let fake = Fake::start((0..40).map(|_| refusal(503, "not-leader", "")).collect());
+    let text = session(&[fake.address], &format!("{ADD} --change-id c-8"));
+    assert!(
+        text.contains("Resend the same command with --change-id c-8"),
+        "{text}"
+    );
+    assert!(text.contains("exit code 3"), "{text}");
+}
+
 #[test]
 fn random_ids() {
     let fake = Fake::start(vec![accepted(4), accepted(5)]);
