--- a/components/bench/examples/gossip_slopes.rs
+++ b/components/bench/examples/gossip_slopes.rs
@@ -297,7 +297,7 @@
     fn knows_all(&self, at: usize) -> bool {
         let known = self.nodes[at]
             .as_ref()
-            .map_or(0, |node| node.members.snapshot().len());
+            .map_or(0, |node| node.members.live_count());
         known >= self.running()
     }
 
--- a/components/members/src/members.rs
+++ b/components/members/src/members.rs
@@ -127,6 +127,11 @@
             .collect()
     }
 
+    /// Number of live members, the local one included.
+    pub fn live_count(&self) -> usize {
+        self.table.len()
+    }
+
     /// The local record.
     pub fn local(&self) -> &NodeInfo {
         &self.local
--- a/components/members/src/sync.rs
+++ b/components/members/src/sync.rs
@@ -171,7 +171,7 @@
             return;
         }
         let wait_us = if self.sync.is_synced {
-            // Doubles from one second on, because nodes that start together learn of each other
+            // Doubles from two seconds on, because nodes that start together learn of each other
             // in this time.
             self.sync.quiet_us = (self.sync.quiet_us * 2).clamp(REPEAT_SUMMARY_US, SUMMARY_US);
             self.sync.quiet_us + self.rng.random_range(0..self.sync.quiet_us / 4)
