Wait for space when a replica starts on a full disk

Cause: a replica that was restarted while its disk was full ended with a start error, and nobody is on hand to start it again. Change: the start logs the error and tries again every second.

--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -1,19 +1,23 @@
 //! Plug-in `replica`: one replica of the control group.
 
 use crate::{host::Host, shared::Control};
-use consensus::{Input, ReplicaConfig};
+use consensus::{Input, Recovered, ReplicaConfig};
+use errors::ErrorKind;
 use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
 use mesh::{Channel, Inbound};
 use std::{
+    path::Path,
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
-use store::Store;
+use store::{Store, StoreError};
 use wire::{ControlReply, ControlRequest, decode, encode};
 
 /// Period in which held pulls are looked at.
 const PULL_CHECK: Duration = Duration::from_millis(50);
+/// Pause before a full disk is tried again.
+const FULL_DISK_PAUSE: Duration = Duration::from_secs(1);
 /// Time that a stopping leader has to hand over.
 const HAND_OVER_TIME: Duration = Duration::from_millis(200);
 
@@ -26,7 +30,7 @@
     let settings = kernel
         .control_settings()
         .ok_or_else(|| fail(&"this process has no control settings"))?;
-    let (store, recovered) = Store::open(&settings.data_dir).map_err(|error| fail(&error))?;
+    let (store, recovered) = open_store(&settings.data_dir).map_err(|error| fail(&error))?;
     let number = u16::try_from(settings.replica).map_err(|error| fail(&error))?;
     let numbers = 1..=u16::try_from(settings.group.len()).map_err(|error| fail(&error))?;
     let control = Control::of(kernel);
@@ -85,6 +89,20 @@
     ))
 }
 
+/// Opens the data directory; waits while the disk is full, since nobody may be there to start the
+/// process again once there is space.
+fn open_store(path: &Path) -> Result<(Store, Recovered), StoreError> {
+    loop {
+        match Store::open(path) {
+            Err(error) if error.kind() == ErrorKind::StorageFull => {
+                log::error!("replica: {error}; trying again.");
+                thread::sleep(FULL_DISK_PAUSE);
+            }
+            result => return result,
+        }
+    }
+}
+
 fn answer(control: &Arc<Control>, inbound: Inbound) {
     let request = match decode(&inbound.payload) {
         Ok(request) => request,
@@ -125,8 +143,7 @@
             let receiver = control.propose(*change);
             thread::spawn(move || {
                 let result = receiver.recv_timeout(crate::shared::REQUEST_TIMEOUT);
-                let result =
-                    result.unwrap_or_else(|_| Err((errors::ErrorKind::NoQuorum, String::new())));
+                let result = result.unwrap_or_else(|_| Err((ErrorKind::NoQuorum, String::new())));
                 reply(inbound, &ControlReply::Proposed(result));
             });
         }
