--- a/components/control/src/keeper.rs
+++ b/components/control/src/keeper.rs
@@ -2,14 +2,13 @@
 
 use crate::shared::Control;
 use calls::{ClaimConfig, ClaimCopy, ClaimReply, ClaimStart, ClaimTable, Key};
-use crossbeam::channel::bounded;
 use kernel::{Kernel, PluginEntry, Role, Running, StartError};
 use mesh::{Channel, Inbound};
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 use wire::{KeeperReply, KeeperRequest, decode, encode};
 
@@ -178,15 +177,12 @@
     }
 
     fn ask_page(&self, peer: SocketAddr, from: Option<Key>) -> Option<ClaimCopy> {
-        let (sender, receiver) = bounded(1);
-        let request = encode(&KeeperRequest::Copy { from });
-        let deadline = Instant::now() + PAGE_TIMEOUT;
-        let mesh = &self.control.kernel.mesh;
-        mesh.request(peer, Channel::Keeper, request, deadline, move |outcome| {
-            // The receiver is gone if the wait has ended.
-            let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
-        });
-        match receiver.recv_timeout(PAGE_TIMEOUT).ok().flatten() {
+        let request = KeeperRequest::Copy { from };
+        match self
+            .control
+            .kernel
+            .ask(peer, Channel::Keeper, &request, PAGE_TIMEOUT)
+        {
             Some(KeeperReply::Copy(copy)) => Some(copy),
             _ => None,
         }
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -4,11 +4,11 @@
     reports::{STALE_AFTER_MS, merge, node_of, profiles_in_use},
     shared::{Control, REQUEST_TIMEOUT, Refusal, Standing},
 };
+use admin::{Answer, error_answer, json_answer, metrics_answer, read_body};
 use api::{
     ChangeAnswer, ChangeOp, ChangeRequest, DrainRequest, InstanceStatus, NodeStatus, ProfileEntry,
     ProfileList, ReplicaStatus, Status,
 };
-use crossbeam::channel::bounded;
 use errors::ErrorKind;
 use kernel::{Kernel, PluginEntry, Role, Running, StartError};
 use mesh::Channel;
@@ -17,18 +17,15 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use std::{
-    io::{Cursor, Read},
     net::SocketAddr,
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 use subtle::ConstantTimeEq;
-use tiny_http::{Header, Method, Request, Response, Server};
-use wire::{ControlReply, ControlRequest, NodeReport, SyncReply, SyncRequest, decode, encode};
+use tiny_http::{Method, Request, Server};
+use wire::{ControlReply, ControlRequest, NodeReport, SyncReply, SyncRequest};
 
-/// Largest body of an operator's request.
-const MAX_BODY_BYTES: u64 = 64 << 10;
 /// Threads that serve operators; a change waits for a quorum.
 const THREADS: usize = 4;
 /// Pause before a change is submitted again.
@@ -42,8 +39,6 @@
     PluginEntry { name: "operator", role: Role::Control, order: 7, start }
 }
 
-type Answer = Response<Cursor<Vec<u8>>>;
-
 struct Operator {
     control: Arc<Control>,
     token: Option<String>,
@@ -97,7 +92,7 @@
     fn answer(&self, request: &mut Request) -> Answer {
         if !self.is_allowed(request) {
             log::warn!("operator: a request without a valid token was refused.");
-            return error_answer(&(ErrorKind::Unauthorized, String::new()));
+            return error_answer(ErrorKind::Unauthorized, "");
         }
         let path = request.url().split('?').next().unwrap_or("").to_owned();
         let result = match (request.method(), path.as_str()) {
@@ -113,7 +108,7 @@
         };
         match result {
             Ok(value) => json_answer(200, &value),
-            Err(refusal) => error_answer(&refusal),
+            Err((kind, detail)) => error_answer(kind, detail),
         }
     }
 
@@ -138,12 +133,7 @@
             .metrics
             .revision
             .set(kernel.profiles.revision().number as i64);
-        let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-        with_type(
-            Response::from_string(kernel.metrics.render()),
-            200,
-            content_type,
-        )
+        metrics_answer(kernel.metrics.render())
     }
 
     fn profiles(&self) -> Result<Value, Refusal> {
@@ -218,11 +208,23 @@
     /// Submits the change to the leader, again if the leader is lost; its id makes that safe.
     fn submit(&self, change: &Change) -> Result<Revision, Refusal> {
         let until = Instant::now() + REQUEST_TIMEOUT;
+        let mut is_unconfirmed = false;
         loop {
-            let result = self.submit_once(change.clone());
-            let is_final = !matches!(result, Err((ErrorKind::NoQuorum | ErrorKind::NotLeader, _)));
-            if is_final || Instant::now() + SUBMIT_PAUSE >= until {
-                return result;
+            let (kind, detail) = match self.submit_once(change.clone()) {
+                Err((kind @ (ErrorKind::NoQuorum | ErrorKind::NotLeader), detail)) => {
+                    (kind, detail)
+                }
+                result => return result,
+            };
+            is_unconfirmed |= kind == ErrorKind::NoQuorum;
+            if Instant::now() + SUBMIT_PAUSE >= until {
+                // An earlier submission may still be accepted, so "not run" would be false.
+                let kind = if is_unconfirmed {
+                    ErrorKind::NoQuorum
+                } else {
+                    kind
+                };
+                return Err((kind, detail));
             }
             thread::sleep(SUBMIT_PAUSE);
         }
@@ -267,7 +269,11 @@
             service: body.service.clone(),
             instance: body.instance.clone(),
         };
-        match self.ask_on(node.mesh, Channel::Sync, &request, PEER_TIMEOUT) {
+        match self
+            .control
+            .kernel
+            .ask(node.mesh, Channel::Sync, &request, PEER_TIMEOUT)
+        {
             Some(SyncReply::Drained(true)) => {
                 log::info!("operator: instance {} is draining.", body.instance);
                 Ok(json!({ "instance": body.instance, "node": node.mesh, "state": "draining" }))
@@ -367,26 +373,7 @@
         request: &ControlRequest,
         wait: Duration,
     ) -> Option<ControlReply> {
-        self.ask_on(to, Channel::Control, request, wait)
-    }
-
-    fn ask_on<T: DeserializeOwned + Send + 'static>(
-        &self,
-        to: SocketAddr,
-        channel: Channel,
-        request: &impl serde::Serialize,
-        wait: Duration,
-    ) -> Option<T> {
-        let (sender, receiver) = bounded(1);
-        let deadline = Instant::now() + wait;
-        self.control
-            .kernel
-            .mesh
-            .request(to, channel, encode(request), deadline, move |outcome| {
-                // The receiver is gone if the wait has ended.
-                let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
-            });
-        receiver.recv_timeout(wait).ok().flatten()
+        self.control.kernel.ask(to, Channel::Control, request, wait)
     }
 }
 
@@ -401,18 +388,7 @@
 }
 
 fn body<T: DeserializeOwned>(request: &mut Request) -> Result<T, Refusal> {
-    let mut bytes = Vec::new();
-    request
-        .as_reader()
-        .take(MAX_BODY_BYTES + 1)
-        .read_to_end(&mut bytes)
-        .map_err(|error| (ErrorKind::MalformedRequest, error.to_string()))?;
-    if bytes.len() as u64 > MAX_BODY_BYTES {
-        return Err((
-            ErrorKind::BodyTooLarge,
-            "a request has at most 64 KiB".to_owned(),
-        ));
-    }
+    let bytes = read_body(request)?;
     serde_json::from_slice(&bytes)
         .map_err(|error| (ErrorKind::MalformedRequest, format!("body: {error}")))
 }
@@ -454,29 +430,3 @@
         instances: instances.collect(),
     }
 }
-
-fn json_answer(status: u16, value: &Value) -> Answer {
-    with_type(
-        Response::from_string(format!("{value}\n")),
-        status,
-        "application/json",
-    )
-}
-
-fn error_answer((kind, detail): &Refusal) -> Answer {
-    let row = kind.row();
-    json_answer(
-        row.status,
-        &json!({
-            "error": row.code,
-            "message": row.message,
-            "detail": detail,
-            "advice": row.advice,
-        }),
-    )
-}
-
-fn with_type(answer: Answer, status: u16, content_type: &str) -> Answer {
-    let header = Header::from_bytes("content-type", content_type).expect("a valid header");
-    answer.with_status_code(status).with_header(header)
-}
--- a/components/kernel/src/run.rs
+++ b/components/kernel/src/run.rs
@@ -10,7 +10,9 @@
     stop::{StopSignal, lock},
     suspects::SuspectTable,
 };
+use crossbeam::channel::bounded;
 use mesh::{Channel, Mesh};
+use serde::{Serialize, de::DeserializeOwned};
 use settings::{ControlSettings, NodeSettings};
 use std::{
     any::{Any, TypeId},
@@ -19,6 +21,7 @@
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
+use wire::{decode, encode};
 
 /// Longest wait of a stopping control replica for requests in flight.
 const CONTROL_STOP_TIMEOUT_MS: u64 = 2_000;
@@ -138,6 +141,24 @@
         value.downcast().expect("the map is keyed by type")
     }
 
+    /// Sends a request to another process and waits for its reply, at most for `wait`.
+    pub fn ask<T: DeserializeOwned + Send + 'static>(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        request: &impl Serialize,
+        wait: Duration,
+    ) -> Option<T> {
+        let (sender, receiver) = bounded(1);
+        let deadline = Instant::now() + wait;
+        self.mesh
+            .request(to, channel, encode(request), deadline, move |outcome| {
+                // The receiver is gone if the wait has ended.
+                let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
+            });
+        receiver.recv_timeout(wait).ok().flatten()
+    }
+
     /// Notes the address that a plug-in listens on, which differs from its setting for port 0.
     pub fn set_address(&self, plugin: &'static str, address: SocketAddr) {
         lock(&self.addresses).insert(plugin, address);
--- /dev/null
+++ b/components/node/src/entry/asks.rs
@@ -0,0 +1,82 @@
+//! Fate and cancel requests of a call to the owners of its attempts.
+
+use super::drive::{Drive, Notice, State};
+use calls::{Event, Fate, Holder};
+use mesh::Channel;
+use model::{AttemptId, NodeId};
+use routing::UpstreamKey;
+use std::sync::Arc;
+use wire::{CallReply, CallRequest, FateRequest, decode, encode};
+
+/// Longest wait for the reply to a fate request.
+const FATE_TIMEOUT_US: u64 = 1_000_000;
+
+impl Drive {
+    /// Asks the owner of an attempt of this call.
+    pub(super) fn ask(
+        self: &Arc<Self>,
+        state: &State,
+        attempt: AttemptId,
+        request: impl Fn(FateRequest) -> CallRequest,
+    ) -> Option<Event<UpstreamKey>> {
+        let Some(owner) = state.owners.get(&attempt) else {
+            return Some(Event::FateUnavailable(attempt));
+        };
+        let generation = Some(self.entry.context.generations.current(*owner));
+        let request = request(self.fate_request(attempt, *owner, generation));
+        self.ask_owner(*owner, &request, move |fate| match fate {
+            Some(fate) => Event::Fate(attempt, fate),
+            None => Event::FateUnavailable(attempt),
+        });
+        None
+    }
+
+    /// Asks the owner of another call's attempt that holds the key.
+    pub(super) fn ask_holder(self: &Arc<Self>, holder: Holder) {
+        let request = CallRequest::Fate(self.fate_request(holder.attempt, holder.owner, None));
+        self.ask_owner(holder.owner, &request, move |fate| match fate {
+            Some(fate) => Event::HolderFate(holder.attempt, fate),
+            None => Event::HolderUnavailable(holder.attempt),
+        });
+    }
+
+    fn fate_request(
+        &self,
+        attempt: AttemptId,
+        owner: NodeId,
+        generation: Option<u64>,
+    ) -> FateRequest {
+        FateRequest {
+            attempt,
+            owner,
+            generation,
+            remaining_us: self.call.deadline_us.saturating_sub(self.now_us()),
+            keyed: self.call.key.is_some(),
+        }
+    }
+
+    fn ask_owner(
+        self: &Arc<Self>,
+        owner: NodeId,
+        request: &CallRequest,
+        event: impl FnOnce(Option<Fate>) -> Event<UpstreamKey> + Send + 'static,
+    ) {
+        let kernel = &self.entry.context.kernel;
+        let drive = Arc::clone(self);
+        kernel.mesh.request(
+            owner.mesh,
+            Channel::Call,
+            encode(request),
+            kernel
+                .clock
+                .instant(kernel.clock.now_us() + FATE_TIMEOUT_US),
+            move |outcome| {
+                let fate = match outcome.map(decode::<CallReply>) {
+                    Ok(Ok(CallReply::Fate(fate))) => Some(fate),
+                    _ => None,
+                };
+                drive.notify(Notice::Event(event(fate)));
+            },
+        );
+    }
+}
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -4,16 +4,16 @@
 //! brings an event also carries out what follows from it and sends the response, so that no
 //! further thread has to wake up on the way.
 
-use super::{Entry, call::Prepared, keys, reply::RunReply, routes::ServiceRoutes};
-use calls::{
-    Action, CallSpec, ClaimReply, ClaimRound, EntryCall, Event, Fate, Holder, RoundResult,
+use super::{
+    Entry, call::Prepared, decision::log_decision, keys, reply::RunReply, routes::ServiceRoutes,
 };
+use calls::{Action, CallSpec, ClaimReply, ClaimRound, EntryCall, Event, RoundResult};
 use errors::ErrorKind;
 use http::{CallerWatch, EarlyReply, Headers, Response};
 use kernel::KindLabels;
 use mesh::Channel;
 use model::{AttemptId, LoadSignal, NodeId, Upstream, UpstreamName};
-use routing::{Choice, RouteRequest, Router, UpstreamKey};
+use routing::{RouteRequest, UpstreamKey};
 use std::{
     collections::{HashMap, HashSet, VecDeque},
     sync::{
@@ -22,14 +22,12 @@
     },
     time::{Duration, Instant},
 };
-use wire::{CallReply, CallRequest, FateRequest, RunCall, WireMessage, decode, encode};
+use wire::{CallRequest, RunCall, WireMessage, decode, encode};
 
 /// How often a waiting call looks whether its caller is still there.
 const CALLER_CHECK: Duration = Duration::from_millis(50);
 /// Time after the deadline that a request to an owner stays open, so that its reply can arrive.
 const REPLY_GRACE_US: u64 = 200_000;
-/// Longest wait for the reply to a fate request.
-const FATE_TIMEOUT_US: u64 = 1_000_000;
 
 /// What reaches a call.
 pub(crate) enum Notice {
@@ -56,8 +54,8 @@
 
 /// One call while it is driven.
 pub(crate) struct Drive {
-    entry: Arc<Entry>,
-    call: Prepared,
+    pub(super) entry: Arc<Entry>,
+    pub(super) call: Prepared,
     routes: Arc<ServiceRoutes>,
     early: EarlyReply,
     state: Mutex<State>,
@@ -66,11 +64,11 @@
     wake_us: AtomicU64,
 }
 
-struct State {
+pub(super) struct State {
     machine: EntryCall<UpstreamKey>,
     rounds: HashMap<u64, (AttemptId, ClaimRound)>,
     next_round: u64,
-    owners: HashMap<AttemptId, NodeId>,
+    pub(super) owners: HashMap<AttemptId, NodeId>,
     /// Attempts that the owner may refuse for waiting, each with a retry set aside.
     reserved: HashSet<AttemptId>,
     /// Retries set aside whose attempt was refused or failed.
@@ -473,72 +471,6 @@
         }))
     }
 
-    fn ask(
-        self: &Arc<Self>,
-        state: &State,
-        attempt: AttemptId,
-        request: impl Fn(FateRequest) -> CallRequest,
-    ) -> Option<Event<UpstreamKey>> {
-        let Some(owner) = state.owners.get(&attempt) else {
-            return Some(Event::FateUnavailable(attempt));
-        };
-        let generation = Some(self.entry.context.generations.current(*owner));
-        let request = request(self.fate_request(attempt, *owner, generation));
-        self.ask_owner(*owner, &request, move |fate| match fate {
-            Some(fate) => Event::Fate(attempt, fate),
-            None => Event::FateUnavailable(attempt),
-        });
-        None
-    }
-
-    fn ask_holder(self: &Arc<Self>, holder: Holder) {
-        let request = CallRequest::Fate(self.fate_request(holder.attempt, holder.owner, None));
-        self.ask_owner(holder.owner, &request, move |fate| match fate {
-            Some(fate) => Event::HolderFate(holder.attempt, fate),
-            None => Event::HolderUnavailable(holder.attempt),
-        });
-    }
-
-    fn fate_request(
-        &self,
-        attempt: AttemptId,
-        owner: NodeId,
-        generation: Option<u64>,
-    ) -> FateRequest {
-        FateRequest {
-            attempt,
-            owner,
-            generation,
-            remaining_us: self.call.deadline_us.saturating_sub(self.now_us()),
-            keyed: self.call.key.is_some(),
-        }
-    }
-
-    fn ask_owner(
-        self: &Arc<Self>,
-        owner: NodeId,
-        request: &CallRequest,
-        event: impl FnOnce(Option<Fate>) -> Event<UpstreamKey> + Send + 'static,
-    ) {
-        let kernel = &self.entry.context.kernel;
-        let drive = Arc::clone(self);
-        kernel.mesh.request(
-            owner.mesh,
-            Channel::Call,
-            encode(request),
-            kernel
-                .clock
-                .instant(kernel.clock.now_us() + FATE_TIMEOUT_US),
-            move |outcome| {
-                let fate = match outcome.map(decode::<CallReply>) {
-                    Ok(Ok(CallReply::Fate(fate))) => Some(fate),
-                    _ => None,
-                };
-                drive.notify(Notice::Event(event(fate)));
-            },
-        );
-    }
-
     fn may_retry(&self, state: &mut State) -> bool {
         if state.freed_retries > 0 {
             state.freed_retries -= 1;
@@ -601,7 +533,7 @@
         self.wake_us.load(Ordering::Acquire)
     }
 
-    fn now_us(&self) -> u64 {
+    pub(super) fn now_us(&self) -> u64 {
         self.entry.context.kernel.clock.now_us()
     }
 
@@ -648,31 +580,3 @@
         body: message.body,
     })
 }
-
-fn log_decision(call: &Prepared, router: &Router, choice: &Choice, earlier_attempts: usize) {
-    if !log::log_enabled!(log::Level::Info) {
-        return;
-    }
-    let name = |key| {
-        router
-            .upstream(key)
-            .map_or("?", |upstream| upstream.name.as_str())
-    };
-    let weighed: Vec<String> = router
-        .candidates()
-        .iter()
-        .map(|c| {
-            let mark = if c.ejected { " ejected" } else { "" };
-            format!("{}={}us{mark}", name(c.upstream), c.expected_us)
-        })
-        .collect();
-    log::info!(
-        "entry: call {} service {} profile {} attempt {earlier_attempts} weighed {} chose {}, {:?}.",
-        call.call,
-        call.service,
-        call.profile.name,
-        weighed.join(" "),
-        name(choice.upstream),
-        choice.reason
-    );
-}
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -1,6 +1,8 @@
 //! Plug-in `entry`: takes calls from callers and brings them to an owner.
 
+mod asks;
 mod call;
+mod decision;
 mod drive;
 mod keys;
 mod reply;
--- /dev/null
+++ b/components/node/src/owner/instance.rs
@@ -0,0 +1,133 @@
+//! The local instance: its connections, its admission, and the calls that wait or run.
+
+use errors::ErrorKind;
+use http::{AsyncPool, CancelToken, PoolConfig};
+use limits::{Admission, AdmissionConfig, Step};
+use mesh::ReplyTo;
+use model::{AttemptId, Upstream, UpstreamState};
+use std::{collections::HashMap, sync::Arc};
+use wire::RunCall;
+
+/// Most calls waiting at one owner, whatever their profiles allow.
+const MAX_QUEUE: u32 = 10_000;
+/// Time to open a connection to the instance, which runs on the same host.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Connections kept free for the instance's other clients.
+const SPARE_CONNECTIONS: u32 = 4;
+
+/// An admitted or waiting call.
+pub(crate) struct Job {
+    pub(crate) call: RunCall,
+    pub(crate) deadline_us: u64,
+    pub(crate) arrived_us: u64,
+    pub(crate) cancel: CancelToken,
+    pub(crate) pool: Arc<AsyncPool>,
+    pub(crate) reply: ReplyTo,
+}
+
+/// What is kept of a running call, for cancellation.
+pub(super) struct Active {
+    pub(super) cancel: CancelToken,
+}
+
+/// The local instance and its calls, under one lock since a node has one instance.
+pub(super) struct Instance {
+    pub(super) upstream: Upstream,
+    pub(super) pool: Arc<AsyncPool>,
+    pub(super) admission: Admission,
+    pub(super) waiting: HashMap<AttemptId, Job>,
+    pub(super) running: HashMap<AttemptId, Active>,
+}
+
+impl Instance {
+    /// State for a newly announced instance; none if its pool can't be started.
+    pub(super) fn new(upstream: &Upstream, max_body_bytes: usize) -> Option<Self> {
+        let max_connections = upstream
+            .connections
+            .saturating_sub(SPARE_CONNECTIONS)
+            .max(1);
+        let config = PoolConfig {
+            max_connections: max_connections as usize,
+            connect_timeout_ms: CONNECT_TIMEOUT_MS,
+            max_body_bytes,
+            ..PoolConfig::new(upstream.address)
+        };
+        let mut admission = Admission::new(AdmissionConfig {
+            slots: upstream.slots,
+            queue_limit: MAX_QUEUE,
+        });
+        admission.set_state(upstream.state);
+        let pool = match AsyncPool::new(config) {
+            Ok(pool) => Arc::new(pool),
+            Err(error) => {
+                log::error!("owner: no thread could be started for the instance: {error}.");
+                return None;
+            }
+        };
+        Some(Instance {
+            upstream: upstream.clone(),
+            pool,
+            admission,
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+        })
+    }
+
+    /// Whether `next` is a later record of the same running instance.
+    pub(super) fn is_same(&self, next: &Upstream) -> bool {
+        self.upstream.name == next.name
+            && self.upstream.service == next.service
+            && self.upstream.address == next.address
+            && self.upstream.connections == next.connections
+    }
+
+    pub(super) fn update(&mut self, now_us: u64, next: &Upstream) -> Vec<Step> {
+        self.upstream = next.clone();
+        let mut steps = self.admission.set_state(next.state);
+        steps.extend(self.admission.set_slots(now_us, next.slots));
+        steps
+    }
+
+    pub(super) fn refuse_waiting(&mut self) -> Vec<Step> {
+        self.admission.set_state(UpstreamState::Stopping)
+    }
+
+    pub(super) fn note_running(&mut self, job: &Job) {
+        self.running.insert(
+            job.call.attempt,
+            Active {
+                cancel: job.cancel.clone(),
+            },
+        );
+    }
+
+    pub(super) fn take_started(&mut self, steps: &[Step]) -> Vec<Job> {
+        let mut started = Vec::new();
+        for step in steps {
+            if let Step::Start(attempt) = step
+                && let Some(job) = self.waiting.remove(attempt)
+            {
+                self.note_running(&job);
+                started.push(job);
+            }
+        }
+        started
+    }
+}
+
+/// Removes the waiting calls that admission refused.
+pub(super) fn take_refused(
+    instance: Option<&mut Instance>,
+    steps: &[Step],
+) -> Vec<(Job, ErrorKind)> {
+    let Some(instance) = instance else {
+        return Vec::new();
+    };
+    steps
+        .iter()
+        .filter_map(|step| match step {
+            Step::Refuse(attempt, kind) => Some((instance.waiting.remove(attempt)?, *kind)),
+            Step::Start(_) => None,
+        })
+        .collect()
+}
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Plug-in `owner`: admits calls to the local instance, runs them and keeps their records.
 
 mod crash;
+mod instance;
 mod run;
 mod state;
 
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -1,7 +1,7 @@
 //! Runs one admitted call at the instance. Nothing here blocks: the thread that admits a call
 //! writes it to the instance, and the thread that reads the response sends the reply.
 
-use super::state::{Job, Owner};
+use super::{instance::Job, state::Owner};
 use errors::ErrorKind;
 use http::{CallError, Headers, Request, Response};
 use std::sync::Arc;
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -1,16 +1,20 @@
 //! State of the owner: admission, records and the calls that wait or run.
 
-use super::{crash::CrashGroup, run::run_job};
+use super::{
+    crash::CrashGroup,
+    instance::{Instance, Job, take_refused},
+    run::run_job,
+};
 use crate::context::NodeContext;
 use calls::{Arrival, Begin, CallRecords, Fate, Fingerprint, IncidentId, RecordsConfig, Verdict};
 use crossbeam::channel::Sender;
 use errors::ErrorKind;
-use http::{AsyncPool, CancelToken, PoolConfig};
-use limits::{Admission, AdmissionConfig, CancelEffect, Offer, Step, Ticket};
+use http::CancelToken;
+use limits::{CancelEffect, Offer, Step, Ticket};
 use mesh::{Inbound, ReplyTo};
 use model::{AttemptId, LoadSignal, Upstream};
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::VecDeque,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, TryLockError,
         atomic::{AtomicBool, Ordering},
@@ -19,37 +23,6 @@
 };
 use wire::{CallReply, CallRequest, FateRequest, RunCall, RunResult, decode, encode};
 
-/// Most calls waiting at one owner, whatever their profiles allow.
-const MAX_QUEUE: u32 = 10_000;
-/// Time to open a connection to the instance, which runs on the same host.
-const CONNECT_TIMEOUT_MS: u64 = 250;
-/// Connections kept free for the instance's other clients.
-const SPARE_CONNECTIONS: u32 = 4;
-
-/// An admitted or waiting call.
-pub(crate) struct Job {
-    pub(crate) call: RunCall,
-    pub(crate) deadline_us: u64,
-    pub(crate) arrived_us: u64,
-    pub(crate) cancel: CancelToken,
-    pub(crate) pool: Arc<AsyncPool>,
-    pub(crate) reply: ReplyTo,
-}
-
-/// What is kept of a running call, for cancellation.
-struct Active {
-    cancel: CancelToken,
-}
-
-/// The local instance and its calls, under one lock since a node has one instance.
-struct Instance {
-    upstream: Upstream,
-    pool: Arc<AsyncPool>,
-    admission: Admission,
-    waiting: HashMap<AttemptId, Job>,
-    running: HashMap<AttemptId, Active>,
-}
-
 /// Owner of the calls to the local instance.
 pub(crate) struct Owner {
     pub(crate) context: Arc<NodeContext>,
@@ -495,95 +468,6 @@
     }
 }
 
-impl Instance {
-    /// State for a newly announced instance; none if its pool can't be started.
-    fn new(upstream: &Upstream, max_body_bytes: usize) -> Option<Self> {
-        let max_connections = upstream
-            .connections
-            .saturating_sub(SPARE_CONNECTIONS)
-            .max(1);
-        let config = PoolConfig {
-            max_connections: max_connections as usize,
-            connect_timeout_ms: CONNECT_TIMEOUT_MS,
-            max_body_bytes,
-            ..PoolConfig::new(upstream.address)
-        };
-        let mut admission = Admission::new(AdmissionConfig {
-            slots: upstream.slots,
-            queue_limit: MAX_QUEUE,
-        });
-        admission.set_state(upstream.state);
-        let pool = match AsyncPool::new(config) {
-            Ok(pool) => Arc::new(pool),
-            Err(error) => {
-                log::error!("owner: no thread could be started for the instance: {error}.");
-                return None;
-            }
-        };
-        Some(Instance {
-            upstream: upstream.clone(),
-            pool,
-            admission,
-            waiting: HashMap::new(),
-            running: HashMap::new(),
-        })
-    }
-
-    /// Whether `next` is a later record of the same running instance.
-    fn is_same(&self, next: &Upstream) -> bool {
-        self.upstream.name == next.name
-            && self.upstream.service == next.service
-            && self.upstream.address == next.address
-            && self.upstream.connections == next.connections
-    }
-
-    fn update(&mut self, now_us: u64, next: &Upstream) -> Vec<Step> {
-        self.upstream = next.clone();
-        let mut steps = self.admission.set_state(next.state);
-        steps.extend(self.admission.set_slots(now_us, next.slots));
-        steps
-    }
-
-    fn refuse_waiting(&mut self) -> Vec<Step> {
-        self.admission.set_state(model::UpstreamState::Stopping)
-    }
-
-    fn note_running(&mut self, job: &Job) {
-        self.running.insert(
-            job.call.attempt,
-            Active {
-                cancel: job.cancel.clone(),
-            },
-        );
-    }
-
-    fn take_started(&mut self, steps: &[Step]) -> Vec<Job> {
-        let mut started = Vec::new();
-        for step in steps {
-            if let Step::Start(attempt) = step
-                && let Some(job) = self.waiting.remove(attempt)
-            {
-                self.note_running(&job);
-                started.push(job);
-            }
-        }
-        started
-    }
-}
-
-fn take_refused(instance: Option<&mut Instance>, steps: &[Step]) -> Vec<(Job, ErrorKind)> {
-    let Some(instance) = instance else {
-        return Vec::new();
-    };
-    steps
-        .iter()
-        .filter_map(|step| match step {
-            Step::Refuse(attempt, kind) => Some((instance.waiting.remove(attempt)?, *kind)),
-            Step::Start(_) => None,
-        })
-        .collect()
-}
-
 fn arrival(call: &RunCall, deadline_us: u64) -> Arrival {
     Arrival {
         attempt: call.attempt,
--- a/components/node/src/platform.rs
+++ b/components/node/src/platform.rs
@@ -1,14 +1,13 @@
 //! Plug-in `platform`: the port for the local instance, for metrics and for the state of the node.
 
 use crate::{announce::Announcement, context::NodeContext};
+use admin::{Answer, error_answer, json_answer, metrics_answer, read_body};
 use errors::ErrorKind;
 use kernel::{Kernel, PluginEntry, Role, Running, StartError};
 use serde_json::json;
-use std::{io::Read, sync::Arc, thread, time::Duration};
-use tiny_http::{Header, Method, Request, Response, Server};
+use std::{sync::Arc, thread, time::Duration};
+use tiny_http::{Method, Request, Server};
 
-/// Largest body of an announcement.
-const MAX_BODY_BYTES: u64 = 64 << 10;
 /// Period of the lease check.
 const LEASE_CHECK: Duration = Duration::from_millis(100);
 
@@ -16,8 +15,6 @@
     PluginEntry { name: "platform", role: Role::Node, order: 40, start }
 }
 
-type Answer = Response<std::io::Cursor<Vec<u8>>>;
-
 fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
     let context = NodeContext::of(kernel);
     let address = kernel.node_settings().platform_listen;
@@ -77,7 +74,7 @@
         (Method::Get, "/v1/state") => json_answer(200, &state(context)),
         (Method::Get, "/metrics") => {
             context.refresh_metrics();
-            text_answer(&context.kernel.metrics.render())
+            metrics_answer(context.kernel.metrics.render())
         }
         (Method::Get, "/healthz") if !context.kernel.stop.is_raised() => {
             json_answer(200, &json!({ "ok": true }))
@@ -88,21 +85,10 @@
 }
 
 fn announce(request: &mut Request, context: &NodeContext) -> Answer {
-    let mut body = Vec::new();
-    if request
-        .as_reader()
-        .take(MAX_BODY_BYTES + 1)
-        .read_to_end(&mut body)
-        .is_err()
-    {
-        return error_answer(ErrorKind::MalformedRequest, "the body could not be read");
-    }
-    if body.len() as u64 > MAX_BODY_BYTES {
-        return error_answer(
-            ErrorKind::BodyTooLarge,
-            "an announcement has at most 64 KiB",
-        );
-    }
+    let body = match read_body(request) {
+        Ok(body) => body,
+        Err((kind, detail)) => return error_answer(kind, detail),
+    };
     let announcement = match Announcement::parse(&body) {
         Ok(announcement) => announcement,
         Err(reason) => return error_answer(ErrorKind::MalformedRequest, &reason),
@@ -140,34 +126,3 @@
         "upstreams": kernel.directory.all(),
     })
 }
-
-fn json_answer(status: u16, body: &serde_json::Value) -> Answer {
-    with_type(
-        Response::from_string(format!("{body}\n")),
-        status,
-        "application/json",
-    )
-}
-
-fn text_answer(body: &str) -> Answer {
-    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-    with_type(Response::from_string(body), 200, content_type)
-}
-
-fn error_answer(kind: ErrorKind, detail: &str) -> Answer {
-    let row = kind.row();
-    json_answer(
-        row.status,
-        &json!({
-            "error": row.code,
-            "message": row.message,
-            "detail": detail,
-            "advice": row.advice,
-        }),
-    )
-}
-
-fn with_type(answer: Answer, status: u16, content_type: &str) -> Answer {
-    let header = Header::from_bytes("content-type", content_type).expect("a valid header");
-    answer.with_status_code(status).with_header(header)
-}
--- a/components/node/src/sync.rs
+++ b/components/node/src/sync.rs
@@ -6,12 +6,11 @@
 use mesh::{Channel, Inbound};
 use model::Revision;
 use registry::{Delta, Standing};
-use serde::{Serialize, de::DeserializeOwned};
 use std::{
     net::SocketAddr,
     sync::Arc,
     thread::{self, Builder},
-    time::{Duration, Instant},
+    time::Duration,
 };
 use wire::{
     ControlReply, ControlRequest, InstanceReport, NodeReport, SyncReply, SyncRequest, decode,
@@ -150,7 +149,11 @@
             report: Box::new(self.report()),
         };
         let wait = Duration::from_millis(u64::from(HOLD_MS)) + PULL_GRACE;
-        match self.ask(replica, Channel::Control, &request, wait) {
+        match self
+            .context
+            .kernel
+            .ask(replica, Channel::Control, &request, wait)
+        {
             Some(ControlReply::Newer(delta)) => {
                 self.take(*delta, replica);
                 true
@@ -164,7 +167,11 @@
     fn pull_from_peer(&self, peer: SocketAddr) -> bool {
         let (have, digest) = self.standing();
         let request = SyncRequest::Pull { have, digest };
-        match self.ask(peer, Channel::Sync, &request, PULL_GRACE) {
+        match self
+            .context
+            .kernel
+            .ask(peer, Channel::Sync, &request, PULL_GRACE)
+        {
             Some(SyncReply::Newer(delta)) => {
                 self.take(*delta, peer);
                 true
@@ -185,26 +192,6 @@
         (have, set.digest())
     }
 
-    /// Sends a request and waits for its reply.
-    fn ask<T: DeserializeOwned + Send + 'static>(
-        &self,
-        to: SocketAddr,
-        channel: Channel,
-        request: &impl Serialize,
-        wait: Duration,
-    ) -> Option<T> {
-        let (sender, receiver) = bounded(1);
-        let deadline = Instant::now() + wait;
-        self.context
-            .kernel
-            .mesh
-            .request(to, channel, encode(request), deadline, move |outcome| {
-                // The receiver is gone if the wait has ended.
-                let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
-            });
-        receiver.recv_timeout(wait).ok().flatten()
-    }
-
     fn take(&self, delta: Delta, from: SocketAddr) {
         let to = delta.to;
         let kernel = &self.context.kernel;
