Publish a replica's vote when its membership changes

Cause: gyard status showed a replica with a new disk as joining until the next profile change, because membership entries have no Apply output and the standing was not published. Seen for 12 s after it had caught up, follower only after a change. Change: the replica's loop publishes its standing when is_voter changes.

--- a/components/control/src/host.rs
+++ b/components/control/src/host.rs
@@ -53,6 +53,7 @@
                     control,
                     replica,
                     writes,
+                    was_voter: false,
                 }
                 .run();
             }
@@ -73,6 +74,8 @@
     control: Arc<Control>,
     replica: Replica,
     writes: Sender<Batch>,
+    /// Whether the published standing says that this replica votes.
+    was_voter: bool,
 }
 
 impl Loop {
@@ -102,6 +105,10 @@
         for output in outputs {
             self.carry_out(output);
         }
+        // Membership entries have no output of their own.
+        if self.replica.is_voter() != self.was_voter {
+            self.publish();
+        }
     }
 
     fn carry_out(&mut self, output: Output) {
@@ -158,7 +165,8 @@
         self.publish();
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
+        self.was_voter = self.replica.is_voter();
         let replica = &self.replica;
         self.control.update_standing(|standing| {
             standing.role = Some(replica.role());
