End a call whose caller is gone

Cause: after CallerGone the state machine ends without a last action; the entry's thread then spun on a wake time in the past, for ever. Found by the test entry_killed; ruled out: a stopped mesh, a lock held elsewhere. Change: the drive ends the call when the machine is done.

--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -241,6 +241,10 @@
                 queue.extend(state.machine.on_event(self.now_us(), event));
             }
         }
+        // A call whose caller is gone ends without an answer.
+        if state.machine.is_done() {
+            self.end(state, Err(ErrorKind::Cancelled));
+        }
     }
 
     /// Carries out one action; the event is the reply of actions that are answered at once.
