--- a/components/bench/tests/system/mod.rs
+++ b/components/bench/tests/system/mod.rs
@@ -99,6 +99,17 @@
     }
 }
 
+/// Waits until calls through the node reach an instance.
+pub(crate) fn serves(deployment: &Deployment, node: usize) {
+    eventually("the node serves", || {
+        let answer = send(
+            deployment.call_address(node),
+            &request("ping", "GET", &[], ""),
+        );
+        answer.is_ok_and(|response| response.status == 200)
+    });
+}
+
 /// Sends over a connection of its own.
 pub(crate) fn send(address: SocketAddr, request: &Request) -> Result<Response, CallError> {
     let pool = Pool::new(PoolConfig::new(address));
