--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Plug-in `owner`: admits calls to the local instance, runs them and keeps their records.
 
 mod crash;
+mod instance;
 mod run;
 mod state;
 
@@ -32,6 +33,13 @@
     let (wake_sender, wake) = unbounded();
     let owner = Arc::new(Owner::new(&context, wake_sender));
 
+    let own_load = {
+        let owner = Arc::clone(&owner);
+        Box::new(move || owner.signal())
+    };
+    if context.own_load.set(own_load).is_err() {
+        return Err(StartError::new("owner", "it runs twice in this process"));
+    }
     kernel.mesh.on(Channel::Call, {
         let owner = Arc::clone(&owner);
         move |inbound: Inbound| owner.handle(inbound)
