--- /dev/null
+++ b/components/bench/tests/graceful_stop.rs
@@ -0,0 +1,115 @@
+//! Guards that leaving loses nothing: a drained instance gets no new call after 3 s, a stopping
+//! node finishes its calls in flight, and no answer is cut off.
+
+mod system;
+
+use bench::load::{self, LoadConfig, LoadReport};
+use serde_json::json;
+use std::{thread, time::Duration};
+use system::{SERVICE, alone, assert_safe, deployment, eventually, instances, request, send_later};
+
+/// Time after the start of a drain from which no new call may arrive, in microseconds.
+const DRAIN_LIMIT_US: u64 = 3_000_000;
+/// Longer than the drain limit, so that a late call would be seen.
+const LOAD_MS: u64 = 5_000;
+
+fn load_on(targets: Vec<std::net::SocketAddr>, method: &str) -> load::Running {
+    load::start(&LoadConfig {
+        targets,
+        rate_per_s: 60.0,
+        duration_ms: LOAD_MS,
+        service: SERVICE.to_owned(),
+        method: method.to_owned(),
+        deadline_ms: 5_000,
+        records: true,
+        run: format!("stop-{method}"),
+        ..LoadConfig::default()
+    })
+}
+
+fn assert_none_lost(report: &LoadReport) {
+    assert_eq!(
+        report.counts.ok,
+        report.counts.total(),
+        "{} {:?}",
+        report.to_text(),
+        report.codes
+    );
+}
+
+#[test]
+fn drained_instance() {
+    let _alone = alone();
+    let deployment = deployment(3);
+    let upstreams = instances(&deployment, 3);
+    let targets: Vec<_> = (0..3).map(|node| deployment.call_address(node)).collect();
+    let loads = ["GET", "POST"].map(|method| load_on(targets.clone(), method));
+    eventually("the instance is used", || {
+        !upstreams[0].executions().is_empty()
+    });
+    let name = format!("{SERVICE}-1");
+    // The control group learns of an instance with its node's next pull.
+    eventually("the group knows the instance", || {
+        deployment
+            .status()
+            .unwrap()
+            .to_string()
+            .contains(&format!("\"{name}\""))
+    });
+    deployment
+        .operator("POST", "/v1/drain", Some(&json!({ "instance": name })))
+        .unwrap();
+    upstreams[0].control(|switches| switches.drain = true);
+    for load in loads {
+        let report = load.join();
+        assert_safe(&report, &upstreams);
+        assert_none_lost(&report);
+    }
+    let late = upstreams[0].executions();
+    let late = late
+        .iter()
+        .filter(|run| run.draining_us > Some(DRAIN_LIMIT_US))
+        .count();
+    assert_eq!(late, 0, "new calls reached a leaving instance");
+}
+
+#[test]
+fn stopped_node() {
+    let _alone = alone();
+    let mut deployment = deployment(3);
+    let upstreams = instances(&deployment, 3);
+    // Callers of a stopping node go to another one; these use the nodes that stay.
+    let targets: Vec<_> = (1..3).map(|node| deployment.call_address(node)).collect();
+    let loads = ["GET", "POST"].map(|method| load_on(targets.clone(), method));
+    eventually("the instance is used", || {
+        !upstreams[0].executions().is_empty()
+    });
+    deployment.stop_node(0);
+    deployment.start_node(0).unwrap();
+    for load in loads {
+        let report = load.join();
+        assert_safe(&report, &upstreams);
+        assert_none_lost(&report);
+    }
+}
+
+#[test]
+fn call_in_flight() {
+    let _alone = alone();
+    let mut deployment = deployment(1);
+    let upstreams = instances(&deployment, 1);
+    upstreams[0].control(|switches| switches.silent = true);
+    let call = request("in-flight", "POST", &[], "an order");
+    let waiting = send_later(deployment.call_address(0), call);
+    eventually("the call runs", || upstreams[0].load().0 == 1);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::sleep(Duration::from_millis(300));
+            upstreams[0].control(|switches| switches.silent = false);
+        });
+        deployment.stop_node(0);
+    });
+    let answer = waiting.join().unwrap().expect("the answer arrives whole");
+    assert_eq!(answer.status, 200);
+    assert_eq!(upstreams[0].executions().len(), 1);
+}
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -75,6 +75,8 @@
     reserved: HashSet<AttemptId>,
     /// Retries set aside whose attempt was refused or failed.
     freed_retries: u32,
+    /// Retries that cost no budget.
+    free_retries: u32,
     is_hedge: bool,
     /// Wait at the owner that the last choice allowed.
     patience: Option<(UpstreamKey, u64)>,
@@ -110,6 +112,7 @@
                 owners: HashMap::new(),
                 reserved: HashSet::new(),
                 freed_retries: 0,
+                free_retries: 0,
                 is_hedge: false,
                 patience: None,
                 is_over: false,
@@ -492,6 +495,10 @@
     }
 
     fn may_retry(&self, state: &mut State) -> bool {
+        if state.free_retries > 0 {
+            state.free_retries -= 1;
+            return true;
+        }
         if state.freed_retries > 0 {
             state.freed_retries -= 1;
             return true;
@@ -566,6 +573,13 @@
     /// Frees the retry set aside for an attempt that has ended.
     fn settle(&mut self, event: &Event<UpstreamKey>, release: impl FnOnce()) {
         match event {
+            // An owner that leaves is no sign of overload, so moving on costs no budget.
+            Event::Refused(attempt, ErrorKind::Stopping | ErrorKind::NoUpstream) => {
+                if self.reserved.remove(attempt) {
+                    release();
+                }
+                self.free_retries += 1;
+            }
             Event::Refused(attempt, _) | Event::Failed(attempt, _)
                 if self.reserved.remove(attempt) =>
             {
--- a/components/node/src/entry/routes.rs
+++ b/components/node/src/entry/routes.rs
@@ -80,9 +80,12 @@
         }
     }
 
+    fn tracked(&self) -> MutexGuard<'_, HashSet<UpstreamName>> {
+        self.tracked.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Makes the router track exactly the chosen upstreams.
-    fn track(&self, now_us: u64, chosen: &[&Upstream]) {
-        let mut tracked = self.tracked.lock().unwrap_or_else(PoisonError::into_inner);
+    fn track(&self, tracked: &mut HashSet<UpstreamName>, now_us: u64, chosen: &[&Upstream]) {
         let next: HashSet<UpstreamName> = chosen.iter().map(|u| u.name.clone()).collect();
         let mut router = self.router();
         for gone in tracked.difference(&next) {
@@ -119,20 +122,26 @@
         let config = RouterConfig {
             probe_budget_per_s: self.context.kernel.node_settings().probe_budget_per_s,
         };
-        let made = {
-            let mut services = self.lock(service);
-            let fresh = || Arc::new(ServiceRoutes::new(config));
-            Arc::clone(services.entry(service.clone()).or_insert_with(fresh))
-        };
-        self.refresh(service);
+        // Filled before others see it: a concurrent first call would find no upstream.
+        let fresh = Arc::new(ServiceRoutes::new(config));
+        self.fill(service, &fresh);
+        let made = Arc::clone(self.lock(service).entry(service.clone()).or_insert(fresh));
+        // Changes between the two steps were not told to these routes.
+        self.fill(service, &made);
         made
     }
 
     /// Follows a change of the service's upstreams; does nothing for a service not called here.
     pub(crate) fn refresh(&self, service: &ServiceName) {
-        let Some(routes) = self.known(service) else {
-            return;
-        };
+        if let Some(routes) = self.known(service) {
+            self.fill(service, &routes);
+        }
+    }
+
+    /// Makes the routes track a stable subset of the upstreams that take calls.
+    fn fill(&self, service: &ServiceName, routes: &ServiceRoutes) {
+        // Held over reading and tracking, so that an older list can't replace a newer one.
+        let mut tracked = routes.tracked();
         let upstreams = self.context.kernel.directory.upstreams(service);
         let names: Vec<UpstreamName> = upstreams
             .iter()
@@ -147,7 +156,7 @@
             .iter()
             .filter(|upstream| names.contains(&upstream.name))
             .collect();
-        routes.track(self.context.kernel.clock.now_us(), &chosen);
+        routes.track(&mut tracked, self.context.kernel.clock.now_us(), &chosen);
     }
 
     fn known(&self, service: &ServiceName) -> Option<Arc<ServiceRoutes>> {
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -25,7 +25,7 @@
 const DRAIN_POLL: Duration = Duration::from_millis(5);
 
 inventory::submit! {
-    PluginEntry { name: "owner", role: Role::Node, order: 30, start }
+    PluginEntry { name: "owner", role: Role::Node, order: 8, start }
 }
 
 fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
