--- /dev/null
+++ b/components/node/src/entry/choose.rs
@@ -0,0 +1,114 @@
+//! The choice of an upstream for one attempt, with its probes and its log line.
+
+use super::{
+    decision::log_decision,
+    drive::{Drive, State},
+};
+use calls::Event;
+use model::{LoadSignal, NodeId, UpstreamName};
+use routing::{RouteRequest, UpstreamKey};
+use std::sync::Arc;
+
+/// Messages of one probe: the question and its reply.
+const MESSAGES_PER_PROBE: u32 = 2;
+
+impl Drive {
+    /// Chooses an upstream and sends the probes that are due.
+    pub(super) fn route(
+        self: &Arc<Self>,
+        state: &mut State,
+        exclude: &[UpstreamKey],
+    ) -> Event<UpstreamKey> {
+        let kernel = &self.entry.context.kernel;
+        let request = RouteRequest {
+            zone: &kernel.node_settings().availability_zone,
+            exclude,
+            measure: self.call.profile.measure,
+            zone_preference: self.call.profile.zone_preference,
+            idempotent: self.call.profile.idempotent,
+            hedge: state.is_hedge,
+        };
+        let now_us = kernel.clock.now_us();
+        let own_load = self.own_load();
+        let mut router = self.routes.router();
+        if let Some((name, signal)) = own_load
+            && let Some(key) = router.key(&name)
+        {
+            router.observe(now_us, key, signal);
+        }
+        let choice = match router.choose(now_us, &request) {
+            Ok(choice) => choice,
+            Err(kind) => {
+                log::info!("entry: call {} has no route, {kind}.", self.call.call);
+                return Event::NoRoute(kind);
+            }
+        };
+        if self.is_logged(exclude) {
+            log_decision(&self.call, &router, &choice, exclude.len());
+        }
+        let due = router.probe_due(now_us);
+        let targets: Vec<(UpstreamKey, NodeId)> = due
+            .iter()
+            .filter_map(|key| Some((*key, router.upstream(*key)?.node)))
+            .collect();
+        drop(router);
+        for (key, node) in targets {
+            self.probe(key, node);
+        }
+        state.patience = choice
+            .patience_us
+            .map(|patience_us| (choice.upstream, patience_us));
+        Event::Routed(choice.upstream)
+    }
+
+    /// Load of the instance beside this node, if it is one of the called service.
+    fn own_load(&self) -> Option<(UpstreamName, LoadSignal)> {
+        let context = &self.entry.context;
+        let upstream = context.local.upstream()?;
+        if upstream.service != self.call.service {
+            return None;
+        }
+        let signal = context.own_load.get().and_then(|load| load())?;
+        Some((upstream.name, signal))
+    }
+
+    /// Retries are always logged, first attempts as often as the settings say.
+    fn is_logged(&self, exclude: &[UpstreamKey]) -> bool {
+        let percent = u64::from(
+            self.entry
+                .context
+                .kernel
+                .node_settings()
+                .decision_log_percent,
+        );
+        !exclude.is_empty() || self.call.call.sequence % 100 < percent
+    }
+
+    fn probe(&self, key: UpstreamKey, node: NodeId) {
+        let context = &self.entry.context;
+        let now_us = self.now_us();
+        let in_budget = self.routes.with_budgets(&self.call.profile, |b| {
+            b.probes.try_take(now_us, MESSAGES_PER_PROBE)
+        });
+        if !in_budget {
+            context.kernel.metrics.probes_held_back.inc();
+            self.routes.router().probe_lost(now_us, key);
+            return;
+        }
+        let (routes, clock) = (Arc::clone(&self.routes), context.kernel.clock);
+        let was_sent = context.probes.ask(
+            node.mesh,
+            Box::new(move |reply| match reply {
+                Some((signal, round_trip_us)) => {
+                    routes
+                        .router()
+                        .probe_reply(clock.now_us(), key, signal, round_trip_us);
+                }
+                None => routes.router().probe_lost(clock.now_us(), key),
+            }),
+        );
+        if !was_sent {
+            self.routes.router().probe_lost(self.now_us(), key);
+        }
+    }
+}
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod asks;
 mod call;
+mod choose;
 mod decision;
 mod drive;
 mod keys;
