--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -7,7 +7,7 @@
 };
 use gumdrop::Options;
 use model::{AvailabilityZone, HostName, Region};
-use std::{net::SocketAddr, path::PathBuf};
+use std::{fmt, net::SocketAddr, path::PathBuf};
 
 /// Default limit of a request or response body.
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
@@ -162,7 +162,7 @@
 }
 
 /// A control replica that runs inside a node.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct EmbeddedControl {
     /// Data directory.
     pub data_dir: PathBuf,
@@ -174,6 +174,17 @@
     pub operator_token: Option<String>,
 }
 
+/// Leaves the operator token out, so that no log or panic message can show it.
+impl fmt::Debug for EmbeddedControl {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EmbeddedControl")
+            .field("data_dir", &self.data_dir)
+            .field("operator_listen", &self.operator_listen)
+            .field("replica", &self.replica)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Checked settings of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeSettings {
--- a/components/settings/tests/node_settings.rs
+++ b/components/settings/tests/node_settings.rs
@@ -53,6 +53,23 @@
     assert!(!error.contains("short-secret"), "{error}");
 }
 
+/// The operator token must not reach a log line through the settings' debug form.
+#[test]
+fn hidden_token() {
+    let mut flags = complete();
+    flags.control = Some("127.0.0.1:8081".into());
+    flags.control_data_dir = Some("/tmp/x".into());
+    flags.control_operator_listen = Some("127.0.0.1:8083".into());
+    flags.control_replica = Some("1".into());
+    let source = Source::new(|name: &str| {
+        (name == "GYARD_OPERATOR_TOKEN").then(|| "operator-secret".to_owned())
+    });
+    let settings = NodeSettings::read(&flags, &source).unwrap();
+    let embedded = settings.control_replica.as_ref().unwrap();
+    assert_eq!(embedded.operator_token.as_deref(), Some("operator-secret"));
+    assert!(!format!("{settings:?}").contains("operator-secret"));
+}
+
 #[test]
 fn replica_number() {
     let flags = ControlFlags {
