--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -42,18 +42,36 @@
     with_type(Response::from_string(text), 200, METRICS_TYPE)
 }
 
+/// An answer without a body.
+pub fn empty_answer(status: u16) -> Answer {
+    Response::from_data(Vec::new()).with_status_code(status)
+}
+
+/// An answer with a body that is JSON already.
+pub fn json_bytes_answer(status: u16, body: impl Into<Vec<u8>>) -> Answer {
+    with_type(Response::from_data(body), status, "application/json")
+}
+
 /// Reads a body of at most [`MAX_BODY_BYTES`].
 pub fn read_body(request: &mut Request) -> Result<Vec<u8>, (ErrorKind, String)> {
+    read_body_up_to(request, MAX_BODY_BYTES)
+}
+
+/// Reads a body of at most `max_bytes`.
+pub fn read_body_up_to(
+    request: &mut Request,
+    max_bytes: u64,
+) -> Result<Vec<u8>, (ErrorKind, String)> {
     let mut bytes = Vec::new();
     request
         .as_reader()
-        .take(MAX_BODY_BYTES + 1)
+        .take(max_bytes + 1)
         .read_to_end(&mut bytes)
         .map_err(|error| (ErrorKind::MalformedRequest, error.to_string()))?;
-    if bytes.len() as u64 > MAX_BODY_BYTES {
+    if bytes.len() as u64 > max_bytes {
         return Err((
             ErrorKind::BodyTooLarge,
-            "a request has at most 64 KiB".to_owned(),
+            format!("a request has at most {max_bytes} bytes"),
         ));
     }
     Ok(bytes)
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -4,7 +4,7 @@
 use log::LevelFilter;
 use model::{AvailabilityZone, HostName, Profile, Region};
 use serde_json::{Value, json};
-use settings::{ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings};
+use settings::{CallHeaders, ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings};
 use snafu::Snafu;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
@@ -484,6 +484,7 @@
     data_dir: PathBuf,
 ) -> Result<ControlSettings, DeploymentError> {
     Ok(ControlSettings {
+        open: None,
         listen: group[number - 1],
         operator_listen: ANY_PORT,
         data_dir,
@@ -504,6 +505,10 @@
     group: &[SocketAddr],
 ) -> Result<NodeSettings, DeploymentError> {
     Ok(NodeSettings {
+        require_configuration: false,
+        stop_notice_ms: 0,
+        headers: CallHeaders::default(),
+        service: None,
         call_listen: ANY_PORT,
         mesh_listen: mesh,
         platform_listen: ANY_PORT,
--- /dev/null
+++ b/components/config/tests/route_match.rs
@@ -0,0 +1,126 @@
+//! Guards against calls that take a wrong route: host case and ports, and prefixes that overlap.
+
+use config::{
+    CallerLimits, Configuration, Destination, Route, RouteTable, Service, VirtualHost, Weight,
+    WeightedService,
+};
+use model::{Priority, ServiceName};
+use std::sync::Arc;
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::parse(name).unwrap()
+}
+
+fn route(name: &str, prefix: &str, rank: u32) -> Route {
+    Route {
+        name: name.into(),
+        path_prefix: prefix.into(),
+        idempotent: true,
+        timeout_ms: 800,
+        latency_target_ms: 200,
+        rank,
+        attempts: 2,
+        destination: Destination::Service(service("catalogue")),
+    }
+}
+
+fn configuration(routes: Vec<Route>) -> Configuration {
+    Configuration {
+        version: 1,
+        services: ["catalogue", "lending"]
+            .map(|name| Service {
+                name: service(name),
+                health_path: "/health".into(),
+                max_connections: 260,
+                protocol: "h1".into(),
+                tls: false,
+            })
+            .into(),
+        limits: CallerLimits {
+            max_head_bytes: 16_384,
+            max_body_bytes: 1 << 20,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        hosts: vec![VirtualHost {
+            host: "Scores.example".into(),
+            routes,
+        }],
+    }
+}
+
+#[test]
+fn longest_prefix_wins() {
+    let routes = vec![route("all", "/", 2), route("browse", "/browse/", 1)];
+    let table = RouteTable::new(Arc::new(configuration(routes)), 0);
+    let found = |host: &str, path: &str| table.find(host, path).map(|m| m.route.name.to_string());
+    assert_eq!(
+        found("scores.example", "/browse/1").as_deref(),
+        Some("browse")
+    );
+    assert_eq!(found("SCORES.example:80", "/other").as_deref(), Some("all"));
+    assert_eq!(found("other.example", "/browse/1"), None);
+}
+
+#[test]
+fn rank_sets_priority() {
+    let routes = vec![
+        route("a", "/a/", 1),
+        route("b", "/b/", 4),
+        route("c", "/c/", 9),
+    ];
+    let table = RouteTable::new(Arc::new(configuration(routes)), 0);
+    let priority = |path| table.find("scores.example", path).unwrap().profile.priority;
+    assert_eq!(
+        [priority("/a/"), priority("/b/"), priority("/c/")],
+        [Priority::High, Priority::Normal, Priority::Low]
+    );
+}
+
+#[test]
+fn split_keeps_weights() {
+    let mut split = route("swap", "/swap/", 1);
+    split.destination = Destination::Split(
+        [("catalogue", 90), ("lending", 10)]
+            .map(|(name, weight)| WeightedService {
+                service: service(name),
+                weight: Weight::whole(weight),
+            })
+            .into(),
+    );
+    let table = RouteTable::new(Arc::new(configuration(vec![split])), 17);
+    let matched = table.find("scores.example", "/swap/1").unwrap();
+    let chosen = (0..200).filter_map(|_| matched.next_service());
+    let lending = chosen.filter(|name| *name == service("lending")).count();
+    assert!((19..=21).contains(&lending), "{lending} of 200");
+}
+
+/// Accepting a configuration that can't be obeyed would put it in effect everywhere.
+#[test]
+fn bad_fields_refused() {
+    type Spoil = fn(&mut Route);
+    let cases: [(&str, Spoil); 6] = [
+        ("starts without a slash", |r| {
+            r.path_prefix = "browse/".into()
+        }),
+        ("no attempts", |r| r.attempts = 0),
+        ("long timeout", |r| r.timeout_ms = 600_001),
+        ("target far over timeout", |r| r.latency_target_ms = 60_800),
+        ("unknown service", |r| {
+            r.destination = Destination::Service(service("gone"));
+        }),
+        ("negative weight", |r| {
+            r.destination = Destination::Split(vec![WeightedService {
+                service: service("lending"),
+                weight: Weight::whole(-1),
+            }]);
+        }),
+    ];
+    assert!(configuration(vec![route("ok", "/ok/", 1)]).check().is_ok());
+    for (what, spoil) in cases {
+        let mut spoiled = route("bad", "/bad/", 1);
+        spoil(&mut spoiled);
+        let errors = configuration(vec![spoiled]).check().expect_err(what);
+        assert_eq!(errors.len(), 1, "{what}: {errors:?}");
+    }
+}
--- a/components/consensus/src/formation.rs
+++ b/components/consensus/src/formation.rs
@@ -33,6 +33,8 @@
     pub(crate) hello_due_us: u64,
     seen: BTreeMap<ReplicaNumber, Seen>,
     accepted: BTreeSet<ReplicaId>,
+    /// Voters of a working open group, as one of them told.
+    told: BTreeSet<ReplicaNumber>,
 }
 
 impl Replica {
@@ -42,7 +44,22 @@
     }
 
     fn is_coordinator(&self) -> bool {
-        self.config.group.first() == Some(&self.id.number)
+        // A formation on the disk shows that this disk was there when the group might start.
+        let may_form = self.config.open.is_none_or(|open| open.may_form);
+        let was_forming = self.hard.formation.is_some();
+        self.config.group.first() == Some(&self.id.number) && (may_form || was_forming)
+    }
+
+    /// Founders, and in an open group also the voters that are known.
+    fn contacts(&self) -> BTreeSet<ReplicaNumber> {
+        let mut contacts = self.config.group.clone();
+        if self.config.open.is_some() {
+            let voters = &self.log.membership().voters;
+            contacts.extend(voters.iter().map(|id| id.number));
+            contacts.extend(&self.forming.told);
+        }
+        contacts.remove(&self.id.number);
+        contacts
     }
 
     pub(crate) fn tick_formation(&mut self, now_us: u64) {
@@ -55,14 +72,13 @@
             return;
         }
         let group: Vec<ReplicaNumber> = self.config.group.iter().copied().collect();
-        let own = self.id.number;
-        for number in group.iter().filter(|number| **number != own) {
+        for number in self.contacts() {
             let body = Body::Hello {
                 group: group.clone(),
                 formation: self.hard.formation.clone(),
                 empty: self.is_empty(),
             };
-            self.send_to_number(*number, body);
+            self.send_to_number(number, body);
         }
         if self.is_empty() && self.is_coordinator() {
             self.try_form(now_us);
@@ -79,6 +95,10 @@
     ) {
         if self.leading.is_some() {
             self.welcome(now_us, from);
+        } else if self.config.open.is_some() && self.hard.formed {
+            // The newcomer may know only a few replicas, and none of them may lead.
+            let voters = self.log.membership().clone();
+            self.send(from, self.hard.term, Body::Voters(voters));
         }
         if self.hard.formed && empty {
             let own = self.hard.formation.clone();
@@ -88,7 +108,7 @@
             return;
         }
         let same_group = group.iter().eq(self.config.group.iter());
-        if !empty || !same_group {
+        if !empty || !same_group || !self.config.group.contains(&from.number) {
             self.forming.seen.remove(&from.number);
             return;
         }
@@ -133,6 +153,11 @@
         self.start_group_if_accepted(now_us);
     }
 
+    pub(crate) fn on_voters(&mut self, membership: &Membership) {
+        let numbers = membership.voters.iter().map(|id| id.number);
+        self.forming.told = numbers.collect();
+    }
+
     pub(crate) fn on_form(&mut self, from: ReplicaId, formation: Formation) {
         let numbers = formation.members.voters.iter().map(|id| id.number);
         let fits = formation.members.contains(self.id)
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -7,6 +7,7 @@
     state::{Entry, Payload, ReplicaId},
 };
 use errors::ErrorKind;
+use model::Revision;
 use registry::{Applied, Change};
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -95,6 +96,7 @@
         let refused = match &self.leading {
             None => Some(ErrorKind::NotLeader),
             Some(_) if self.storage_full => Some(ErrorKind::StorageFull),
+            Some(_) if self.is_growing() => Some(ErrorKind::NoQuorum),
             Some(leading) if leading.handing_over_until_us.is_some() => Some(ErrorKind::NotLeader),
             Some(leading) if leading.proposals.len() >= self.config.max_uncommitted => {
                 Some(ErrorKind::Busy)
@@ -114,6 +116,16 @@
         self.advance_commit(now_us);
     }
 
+    /// Whether an open group has never had all its voters. A change that it accepted before could
+    /// be lost with fewer disks than the group is meant to survive.
+    fn is_growing(&self) -> bool {
+        let Some(open) = self.config.open else {
+            return false;
+        };
+        let is_fresh = self.registry.revision() == Revision::default();
+        is_fresh && self.committed_membership().voters.len() < open.voters
+    }
+
     pub(crate) fn answer_applied(&mut self, index: u64, applied: Applied) {
         let Some(leading) = &mut self.leading else {
             return;
--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -16,7 +16,7 @@
 mod state;
 
 pub use message::{Body, Message};
-pub use replica::{Input, Output, Replica, ReplicaConfig, Reply, Role, Write};
+pub use replica::{Input, OpenGroup, Output, Replica, ReplicaConfig, Reply, Role, Write};
 pub use state::{
     Entry, Formation, HardState, Membership, Payload, Recovered, ReplicaId, ReplicaNumber, Snapshot,
 };
--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -14,14 +14,16 @@
     state::{Membership, Payload, ReplicaId},
 };
 
+/// Time without a message after which a voter of a full open group gives way to a newcomer. Hosts
+/// that restart, or come back from a short partition, keep their place.
+const GONE_AFTER_US: u64 = 4_000_000;
 /// Time without a message after which the leader forgets a non-voter.
 const LEARNER_SILENCE_US: u64 = 10_000_000;
 
 impl Replica {
     /// Starts sending the log to an identity that announced itself and does not vote.
     pub(crate) fn welcome(&mut self, now_us: u64, id: ReplicaId) {
-        let is_configured = self.config.group.contains(&id.number);
-        if !is_configured || self.log.membership().contains(id) {
+        if !self.may_join(id) || self.log.membership().contains(id) {
             return;
         }
         let next = self.log.last_index() + 1;
@@ -31,6 +33,11 @@
         }
     }
 
+    /// Whether the settings allow this identity in the group.
+    fn may_join(&self, id: ReplicaId) -> bool {
+        self.config.open.is_some() || self.config.group.contains(&id.number)
+    }
+
     pub(crate) fn drop_silent_learners(&mut self, now_us: u64) {
         let membership = self.log.membership();
         if let Some(leading) = &mut self.leading {
@@ -61,13 +68,25 @@
         let silent_us = |p: &Progress| now_us.saturating_sub(p.heard_us);
         let ready = |id: &ReplicaId, p: &Progress| {
             !membership.contains(*id)
-                && self.config.group.contains(&id.number)
+                && self.may_join(*id)
                 && p.matched >= self.commit
                 && silent_us(p) < self.config.election_min_us
         };
         for (id, _) in leading.progress.iter().filter(|(id, p)| ready(id, p)) {
             let Some(old) = membership.by_number(id.number) else {
-                return Some(membership.with(*id));
+                let limit = self.config.open.map_or(usize::MAX, |open| open.voters);
+                if membership.voters.len() < limit {
+                    return Some(membership.with(*id));
+                }
+                // A full open group gives the place of a host that seems gone to the newcomer.
+                let gone = membership.voters.iter().copied().find(|voter| {
+                    let heard = leading.progress.get(voter);
+                    *voter != self.id && heard.is_none_or(|p| silent_us(p) >= GONE_AFTER_US)
+                });
+                match gone {
+                    Some(gone) => return Some(membership.without(gone)),
+                    None => continue,
+                }
             };
             // Two processes with one number: the voter that still answers keeps its place.
             let old_progress = leading.progress.get(&old);
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between replicas.
 
-use crate::state::{Entry, Formation, ReplicaId, ReplicaNumber, Snapshot};
+use crate::state::{Entry, Formation, Membership, ReplicaId, ReplicaNumber, Snapshot};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -29,6 +29,8 @@
         /// Whether it has no log and knows of no formed group.
         empty: bool,
     },
+    /// Tells a replica that is not a voter whom else to announce itself to.
+    Voters(Membership),
     /// The first configured replica asks an empty one to accept a formation.
     Form(Formation),
     /// The formation with this ballot is accepted and saved.
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -19,13 +19,24 @@
 /// Most messages that wait for the hard state to be on disk; the oldest are dropped as if lost.
 const MAX_HELD_MESSAGES: usize = 256;
 
+/// A group that starts from a few founders and grows to a size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenGroup {
+    /// Voters that the group grows to. No change is accepted before it first has them.
+    pub voters: usize,
+    /// Whether this replica may start a new group; false if one may have existed before.
+    pub may_form: bool,
+}
+
 /// Limits and times of a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaConfig {
     /// Own replica number.
     pub number: ReplicaNumber,
-    /// All configured replica numbers, the own one included.
+    /// Replicas that form the group. In a fixed group these are all of them.
     pub group: BTreeSet<ReplicaNumber>,
+    /// Whether replicas beyond `group` may join.
+    pub open: Option<OpenGroup>,
     /// Shortest time without a leader before a campaign.
     pub election_min_us: u64,
     /// Longest time without a leader before a campaign; a leader without a quorum for this long
@@ -43,6 +54,8 @@
     pub max_uncommitted: usize,
     /// Applied entries after which a snapshot is taken.
     pub snapshot_entries: u64,
+    /// Bytes of applied entries after which a snapshot is taken.
+    pub snapshot_bytes: usize,
     /// Entries kept in memory behind a snapshot for replicas that are a little behind.
     pub keep_entries: u64,
 }
@@ -53,6 +66,7 @@
         ReplicaConfig {
             number,
             group: group.into_iter().collect(),
+            open: None,
             election_min_us: 600_000,
             election_max_us: 1_200_000,
             heartbeat_us: 100_000,
@@ -61,6 +75,7 @@
             max_in_flight_bytes: 256 * 1024,
             max_uncommitted: 1_024,
             snapshot_entries: 2_048,
+            snapshot_bytes: 4 << 20,
             keep_entries: 512,
         }
     }
@@ -214,6 +229,8 @@
     pub(crate) acked: Option<u64>,
     pub(crate) ack_due: bool,
     pub(crate) storage_full: bool,
+    /// Bytes of entries applied since the last snapshot.
+    applied_bytes: usize,
     persisted_index: u64,
     persisted_sequence: u64,
     last_sequence: u64,
@@ -264,6 +281,7 @@
             acked: None,
             ack_due: false,
             storage_full: false,
+            applied_bytes: 0,
             persisted_index: log.last_index(),
             persisted_sequence: 0,
             last_sequence: 0,
@@ -382,6 +400,7 @@
                 formation,
                 empty,
             } => self.on_hello(now_us, from, &group, formation, empty),
+            Body::Voters(membership) => self.on_voters(&membership),
             Body::Form(formation) => self.on_form(from, formation),
             Body::FormAccepted { ballot } => self.on_form_accepted(now_us, from, ballot),
             Body::Formed(formation) => self.on_formed(now_us, from, formation),
@@ -614,6 +633,7 @@
                 return;
             };
             let term = entry.term;
+            self.applied_bytes += entry.size_bytes();
             let applied = match &entry.payload {
                 Payload::Change(change) => Some(self.registry.apply(term, index, change)),
                 Payload::Empty | Payload::Membership(_) => None,
@@ -634,7 +654,8 @@
 
     fn take_snapshot_if_due(&mut self) {
         let last = self.snapshot.as_ref().map_or(0, |s| s.index);
-        if self.applied - last < self.config.snapshot_entries {
+        let is_large = self.applied_bytes >= self.config.snapshot_bytes;
+        if !is_large && self.applied - last < self.config.snapshot_entries {
             return;
         }
         let Some(term) = self.log.term(self.applied) else {
@@ -647,7 +668,14 @@
             registry: self.registry.clone(),
         });
         self.snapshot = Some(snapshot.clone());
-        let keep_from = snapshot.index.saturating_sub(self.config.keep_entries);
+        self.applied_bytes = 0;
+        // Large entries are not kept: a replica that is behind gets the snapshot instead.
+        let kept = if is_large {
+            0
+        } else {
+            self.config.keep_entries
+        };
+        let keep_from = snapshot.index.saturating_sub(kept);
         self.log.compact_to(keep_from);
         self.persist_snapshot(snapshot, false);
     }
--- a/components/consensus/src/state.rs
+++ b/components/consensus/src/state.rs
@@ -1,11 +1,12 @@
 //! What a replica keeps on disk.
 
-use registry::{Change, Registry};
+use registry::{Change, Op, Registry};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, fmt, sync::Arc};
 
-/// Position of a replica in the configured group.
-pub type ReplicaNumber = u16;
+/// Number of a replica: its position in a fixed group, or a number made from its address in an open
+/// one.
+pub type ReplicaNumber = u64;
 
 /// A replica together with the disk that holds its promises.
 ///
@@ -107,6 +108,8 @@
 
 /// Approximate encoded size of an entry without its names and lists, in bytes.
 const ENTRY_BASE_BYTES: usize = 96;
+/// Approximate encoded size of one route or service of a configuration, in bytes.
+const ROUTE_BYTES: usize = 80;
 
 impl Entry {
     /// Approximate encoded size in bytes, for batch and flow limits.
@@ -114,12 +117,24 @@
         let variable = match &self.payload {
             Payload::Empty => 0,
             Payload::Membership(membership) => membership.voters.len() * 16,
-            Payload::Change(change) => change.in_use.iter().map(|n| n.as_str().len() + 1).sum(),
+            Payload::Change(change) => {
+                let names: usize = change.in_use.iter().map(|n| n.as_str().len() + 1).sum();
+                names + configuration_bytes(&change.op)
+            }
         };
         ENTRY_BASE_BYTES + variable
     }
 }
 
+/// Approximate encoded size of a configuration in bytes; 0 for other operations.
+fn configuration_bytes(op: &Op) -> usize {
+    let Op::Configure(configuration) = op else {
+        return 0;
+    };
+    let routes: usize = configuration.hosts.iter().map(|h| h.routes.len()).sum();
+    ROUTE_BYTES * (routes + configuration.services.len())
+}
+
 /// State after applying the log up to an index.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/components/control/src/host.rs
+++ b/components/control/src/host.rs
@@ -1,7 +1,7 @@
 //! Hosts the replica's state machine: its loop, its disk thread and its messages.
 
 use crate::shared::Control;
-use consensus::{Input, Message, Output, Recovered, Replica, ReplicaConfig, Write};
+use consensus::{Input, Message, Output, Recovered, Replica, ReplicaConfig, ReplicaNumber, Write};
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use kernel::Event;
 use mesh::Channel;
@@ -54,6 +54,7 @@
                     replica,
                     writes,
                     was_voter: false,
+                    voters: Vec::new(),
                 }
                 .run();
             }
@@ -76,6 +77,8 @@
     writes: Sender<Batch>,
     /// Whether the published standing says that this replica votes.
     was_voter: bool,
+    /// Voters in the published standing.
+    voters: Vec<ReplicaNumber>,
 }
 
 impl Loop {
@@ -106,7 +109,7 @@
             self.carry_out(output);
         }
         // Membership entries have no output of their own.
-        if self.replica.is_voter() != self.was_voter {
+        if self.replica.is_voter() != self.was_voter || self.voters != self.voter_numbers() {
             self.publish();
         }
     }
@@ -132,7 +135,7 @@
         }
     }
 
-    fn send(&self, to: u16, message: &Message) {
+    fn send(&self, to: ReplicaNumber, message: &Message) {
         if let Some(address) = self.control.address_of(to) {
             // The protocol repeats what is lost.
             let _ = self
@@ -167,16 +170,23 @@
 
     fn publish(&mut self) {
         self.was_voter = self.replica.is_voter();
+        self.voters = self.voter_numbers();
         let replica = &self.replica;
         self.control.update_standing(|standing| {
             standing.role = Some(replica.role());
             standing.term = replica.term();
             standing.leader = replica.leader();
             standing.is_voter = replica.is_voter();
+            standing.voters.clone_from(&self.voters);
             standing.is_founder = replica.is_founder();
         });
     }
 
+    fn voter_numbers(&self) -> Vec<ReplicaNumber> {
+        let voters = &self.replica.membership().voters;
+        voters.iter().map(|id| id.number).collect()
+    }
+
     fn now_us(&self) -> u64 {
         self.control.kernel.clock.now_us()
     }
--- a/components/control/src/keeper.rs
+++ b/components/control/src/keeper.rs
@@ -37,7 +37,7 @@
     let settings = kernel
         .control_settings()
         .ok_or_else(|| StartError::new("keeper", "this process has no control settings"))?;
-    let own = settings.replica as usize - 1;
+    let own = (settings.replica as usize).saturating_sub(1);
     let control = Control::of(kernel);
     let keeper = Arc::new(Keeper {
         table: Mutex::new(None),
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,10 +3,15 @@
 mod host;
 mod keeper;
 mod operator;
+mod operators;
 mod pulls;
 mod replica;
 mod reports;
 mod shared;
+mod submit;
+
+pub use operators::Operators;
+pub use shared::Refusal;
 
 /// Makes the linker keep this crate, whose plug-ins register themselves.
 pub fn register() {}
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     reports::{STALE_AFTER_MS, merge, node_of, profiles_in_use},
-    shared::{Control, REQUEST_TIMEOUT, Refusal, Standing},
+    shared::{Control, Refusal, Standing},
 };
 use admin::{Answer, error_answer, json_answer, metrics_answer, read_body};
 use api::{
@@ -13,25 +13,16 @@
 use kernel::{Kernel, PluginEntry, Role, Running, StartError};
 use mesh::Channel;
 use model::{FieldError, Profile, Revision, ServiceName};
-use registry::{Change, ChangeId, Delta, Op, Record};
+use registry::{Change, ChangeId, Op, Record};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    thread,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 use subtle::ConstantTimeEq;
 use tiny_http::{Method, Request, Server};
 use wire::{ControlReply, ControlRequest, NodeReport, SyncReply, SyncRequest};
 
 /// Threads that serve operators; a change waits for a quorum.
 const THREADS: usize = 4;
-/// Pause before a change is submitted again.
-const SUBMIT_PAUSE: Duration = Duration::from_millis(100);
-/// Longest wait for the leader's answer to one submission.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest wait for another process.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -137,7 +128,7 @@
     }
 
     fn profiles(&self) -> Result<Value, Refusal> {
-        let newest = self.newest()?;
+        let newest = self.control.newest()?;
         let profiles = newest.records.iter().filter_map(profile_entry).collect();
         Ok(json!(ProfileList {
             revision: newest.to,
@@ -146,7 +137,7 @@
     }
 
     fn profile(&self, name: &str) -> Result<Value, Refusal> {
-        let newest = self.newest()?;
+        let newest = self.control.newest()?;
         let record = newest
             .records
             .iter()
@@ -157,20 +148,6 @@
         }
     }
 
-    /// The newest configuration, from the leader.
-    fn newest(&self) -> Result<Box<Delta>, Refusal> {
-        let Some(leader) = self.other_leader() else {
-            return self.control.read();
-        };
-        match self.ask(leader, &ControlRequest::Read, REQUEST_TIMEOUT) {
-            Some(ControlReply::Configuration(result)) => result,
-            _ => Err((
-                ErrorKind::NoQuorum,
-                format!("the leader at {leader} did not answer"),
-            )),
-        }
-    }
-
     fn change(&self, body: ChangeRequest) -> Result<Value, Refusal> {
         let change_id = ChangeId::parse(&body.change_id)
             .map_err(|error| (ErrorKind::MalformedRequest, error.to_string()))?;
@@ -183,21 +160,13 @@
             Op::Retire { .. } => profiles_in_use(&self.reports()),
             _ => Vec::new(),
         };
-        let name = op.name().clone();
         let change = Change {
             change_id,
             expect: body.expect_revision,
             op,
             in_use,
         };
-        let result = self.submit(&change);
-        match &result {
-            Ok(revision) => {
-                log::info!("operator: change {change_id} of {name} accepted as {revision}.");
-            }
-            Err((kind, _)) => log::info!("operator: change {change_id} of {name} refused, {kind}."),
-        }
-        let revision = result?;
+        let revision = self.control.submit(&change)?;
         Ok(json!(ChangeAnswer {
             revision,
             profile_revision: revision.number,
@@ -205,52 +174,6 @@
         }))
     }
 
-    /// Submits the change to the leader, again if the leader is lost; its id makes that safe.
-    fn submit(&self, change: &Change) -> Result<Revision, Refusal> {
-        let until = Instant::now() + REQUEST_TIMEOUT;
-        let mut is_unconfirmed = false;
-        loop {
-            let (kind, detail) = match self.submit_once(change.clone()) {
-                Err((kind @ (ErrorKind::NoQuorum | ErrorKind::NotLeader), detail)) => {
-                    (kind, detail)
-                }
-                result => return result,
-            };
-            is_unconfirmed |= kind == ErrorKind::NoQuorum;
-            if Instant::now() + SUBMIT_PAUSE >= until {
-                // An earlier submission may still be accepted, so "not run" would be false.
-                let kind = if is_unconfirmed {
-                    ErrorKind::NoQuorum
-                } else {
-                    kind
-                };
-                return Err((kind, detail));
-            }
-            thread::sleep(SUBMIT_PAUSE);
-        }
-    }
-
-    fn submit_once(&self, change: Change) -> Result<Revision, Refusal> {
-        let unconfirmed = || {
-            let detail = "the change may still be accepted; resend it with the same change id";
-            Err((ErrorKind::NoQuorum, detail.to_owned()))
-        };
-        let Some(leader) = self.other_leader() else {
-            let receiver = self.control.propose(change);
-            return receiver
-                .recv_timeout(REQUEST_TIMEOUT)
-                .unwrap_or_else(|_| unconfirmed());
-        };
-        match self.ask(
-            leader,
-            &ControlRequest::Propose(Box::new(change)),
-            LEADER_TIMEOUT,
-        ) {
-            Some(ControlReply::Proposed(result)) => result,
-            _ => unconfirmed(),
-        }
-    }
-
     fn drain(&self, body: &DrainRequest) -> Result<Value, Refusal> {
         let reports = self.reports();
         let service = body.service.as_ref().map(ServiceName::as_str);
@@ -290,13 +213,13 @@
     }
 
     fn status(&self) -> Result<Value, Refusal> {
-        let newest = self.newest()?.to;
+        let newest = self.control.newest()?.to;
         Ok(json!(Status {
             leader: self
                 .control
                 .standing()
                 .leader
-                .map(|id| u32::from(id.number)),
+                .and_then(|id| self.control.position_of(id.number)),
             revision: newest,
             replicas: self.replicas(),
             nodes: self
@@ -308,15 +231,15 @@
     }
 
     fn replicas(&self) -> Vec<ReplicaStatus> {
-        let Some(settings) = self.control.kernel.control_settings() else {
-            return Vec::new();
-        };
         let standing = self.control.standing();
-        let leader = standing.leader.map(|id| u32::from(id.number));
+        let leader = standing
+            .leader
+            .and_then(|id| self.control.position_of(id.number));
+        let own = self.control.kernel.mesh.local().mesh;
         (1u32..)
-            .zip(settings.group)
+            .zip(self.control.replicas())
             .map(|(replica, address)| {
-                let is_self = replica == settings.replica;
+                let is_self = address == own;
                 let answers = || self.ask(address, &ControlRequest::Reports, PEER_TIMEOUT);
                 ReplicaStatus {
                     replica,
@@ -346,27 +269,13 @@
 
     fn peers(&self) -> Vec<SocketAddr> {
         let own = self.control.kernel.mesh.local().mesh;
-        let group = self
-            .control
-            .kernel
-            .control_settings()
-            .map(|s| s.group)
-            .unwrap_or_default();
-        group
+        self.control
+            .replicas()
             .into_iter()
             .filter(|address| *address != own)
             .collect()
     }
 
-    /// Address of the leader, if it is another replica.
-    fn other_leader(&self) -> Option<SocketAddr> {
-        let standing = self.control.standing();
-        if standing.is_leader() {
-            return None;
-        }
-        self.control.address_of(standing.leader?.number)
-    }
-
     fn ask(
         &self,
         to: SocketAddr,
--- /dev/null
+++ b/components/control/src/operators.rs
@@ -0,0 +1,55 @@
+//! What operators may ask of the control group, for plug-ins that speak another protocol to them.
+
+use crate::shared::{Control, Refusal};
+use config::Configuration;
+use errors::ErrorKind;
+use kernel::Kernel;
+use model::{FieldError, Revision};
+use registry::{Change, ChangeId, Op};
+use std::sync::Arc;
+
+/// Whole configurations, from any replica.
+pub struct Operators {
+    control: Arc<Control>,
+}
+
+impl Operators {
+    /// The operators' requests at this process.
+    pub fn of(kernel: &Arc<Kernel>) -> Self {
+        Operators {
+            control: Control::of(kernel),
+        }
+    }
+
+    /// Submits a configuration. It is durable at a quorum when this returns a revision; one whose
+    /// version is not the highest is accepted without effect.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidProfile` with every field to mend, or the reason why the group did not confirm.
+    pub fn configure(&self, configuration: Configuration) -> Result<Revision, Refusal> {
+        let version = configuration.version;
+        if let Err(errors) = configuration.check() {
+            let lines: Vec<String> = errors.iter().map(FieldError::to_string).collect();
+            let detail = lines.join("; ");
+            log::info!("operator: configuration version {version} refused, {detail}.");
+            return Err((ErrorKind::InvalidProfile, detail));
+        }
+        let change = Change {
+            change_id: ChangeId::from_u128(rand::random()),
+            expect: None,
+            op: Op::Configure(Arc::new(configuration)),
+            in_use: Vec::new(),
+        };
+        self.control.submit(&change)
+    }
+
+    /// The newest configuration, confirmed by a quorum; none if there is none yet.
+    ///
+    /// # Errors
+    ///
+    /// The reason why no quorum confirmed it.
+    pub fn configuration(&self) -> Result<Option<Arc<Configuration>>, Refusal> {
+        Ok(self.control.newest()?.configuration)
+    }
+}
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -1,10 +1,14 @@
 //! Plug-in `replica`: one replica of the control group.
 
-use crate::{host::Host, shared::Control};
-use consensus::{Input, Recovered, ReplicaConfig};
+use crate::{
+    host::Host,
+    shared::{Control, number_of_address},
+};
+use consensus::{Input, OpenGroup, Recovered, ReplicaConfig};
 use errors::ErrorKind;
 use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
 use mesh::{Channel, Inbound};
+use settings::ControlSettings;
 use std::{
     path::Path,
     sync::Arc,
@@ -31,8 +35,8 @@
         .control_settings()
         .ok_or_else(|| fail(&"this process has no control settings"))?;
     let (store, recovered) = open_store(&settings.data_dir).map_err(|error| fail(&error))?;
-    let number = u16::try_from(settings.replica).map_err(|error| fail(&error))?;
-    let numbers = 1..=u16::try_from(settings.group.len()).map_err(|error| fail(&error))?;
+    let config = replica_config(&settings)
+        .ok_or_else(|| fail(&"the addresses of an open group must be IPv4"))?;
     let control = Control::of(kernel);
 
     kernel.mesh.on(Channel::Consensus, {
@@ -59,13 +63,7 @@
             }
         }
     });
-    let host = Host::start(
-        &control,
-        ReplicaConfig::new(number, numbers),
-        store,
-        recovered,
-    )
-    .map_err(|error| fail(&error))?;
+    let host = Host::start(&control, config, store, recovered).map_err(|error| fail(&error))?;
     let checking = thread::spawn({
         let control = Arc::clone(&control);
         move || {
@@ -89,6 +87,21 @@
     ))
 }
 
+fn replica_config(settings: &ControlSettings) -> Option<ReplicaConfig> {
+    let Some(open) = &settings.open else {
+        let numbers = 1..=settings.group.len() as u64;
+        return Some(ReplicaConfig::new(u64::from(settings.replica), numbers));
+    };
+    let founders: Option<Vec<_>> = open.seeds.iter().copied().map(number_of_address).collect();
+    Some(ReplicaConfig {
+        open: Some(OpenGroup {
+            voters: open.voters,
+            may_form: open.may_form,
+        }),
+        ..ReplicaConfig::new(number_of_address(settings.listen)?, founders?)
+    })
+}
+
 /// Opens the data directory; waits while the disk is full, since nobody may be there to start the
 /// process again once there is space.
 fn open_store(path: &Path) -> Result<(Store, Recovered), StoreError> {
@@ -138,6 +151,10 @@
             let reports = control.reports.list(control.kernel.clock.now_us());
             reply(inbound, &ControlReply::Reports(reports));
         }
+        ControlRequest::Replicas => {
+            let replicas = control.replicas();
+            reply(inbound, &ControlReply::Replicas(replicas));
+        }
         // These wait for a quorum, which a reader thread of the mesh must not.
         ControlRequest::Propose(change) => {
             let receiver = control.propose(*change);
--- a/components/control/src/shared.rs
+++ b/components/control/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the plug-ins of one control replica share beside the kernel.
 
 use crate::{pulls::Pulls, reports::Reports};
-use consensus::{Input, ReplicaId, Reply, Role};
+use consensus::{Input, ReplicaId, ReplicaNumber, Reply, Role};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use errors::ErrorKind;
 use kernel::Kernel;
@@ -9,7 +9,7 @@
 use registry::{Applied, Change, Delta};
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -21,7 +21,7 @@
 pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A refused request and its detail.
-pub(crate) type Refusal = (ErrorKind, String);
+pub type Refusal = (ErrorKind, String);
 
 /// Role of this replica and what it knows of the others.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +31,7 @@
     pub(crate) leader: Option<ReplicaId>,
     pub(crate) disk: u64,
     pub(crate) is_voter: bool,
+    pub(crate) voters: Vec<ReplicaNumber>,
     pub(crate) is_founder: bool,
     pub(crate) applied: u64,
     pub(crate) storage_error: Option<String>,
@@ -100,9 +101,36 @@
     }
 
     /// Mesh address of a replica.
-    pub(crate) fn address_of(&self, number: u16) -> Option<SocketAddr> {
-        let group = self.kernel.control_settings()?.group;
-        group.get(usize::from(number).checked_sub(1)?).copied()
+    pub(crate) fn address_of(&self, number: ReplicaNumber) -> Option<SocketAddr> {
+        let settings = self.kernel.control_settings()?;
+        match settings.open {
+            Some(_) => address_of_number(number),
+            None => {
+                let index = usize::try_from(number).ok()?.checked_sub(1)?;
+                settings.group.get(index).copied()
+            }
+        }
+    }
+
+    /// Position of a replica in `replicas`, from 1, as operators see it.
+    pub(crate) fn position_of(&self, number: ReplicaNumber) -> Option<u32> {
+        let address = self.address_of(number)?;
+        let index = self.replicas().iter().position(|other| *other == address)?;
+        u32::try_from(index + 1).ok()
+    }
+
+    /// Mesh addresses of the replicas: the fixed group, or the voters of an open one.
+    pub(crate) fn replicas(&self) -> Vec<SocketAddr> {
+        let settings = self.kernel.control_settings();
+        match settings {
+            Some(settings) if settings.open.is_none() => settings.group,
+            _ => self
+                .standing()
+                .voters
+                .iter()
+                .filter_map(|number| address_of_number(*number))
+                .collect(),
+        }
     }
 
     /// Proposes a change at this replica; refused with `NotLeader` if it does not lead.
@@ -177,3 +205,19 @@
         self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Number of a replica of an open group; the address is in it, so that no list is needed.
+pub(crate) fn number_of_address(address: SocketAddr) -> Option<ReplicaNumber> {
+    match address {
+        SocketAddr::V4(v4) => {
+            Some(u64::from(u32::from(*v4.ip())) << u16::BITS | u64::from(v4.port()))
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
+
+fn address_of_number(number: ReplicaNumber) -> Option<SocketAddr> {
+    let ip = u32::try_from(number >> u16::BITS).ok()?;
+    let port = u16::try_from(number & u64::from(u16::MAX)).ok()?;
+    Some(SocketAddr::from((Ipv4Addr::from(ip), port)))
+}
--- /dev/null
+++ b/components/control/src/submit.rs
@@ -0,0 +1,109 @@
+//! Hands changes and reads to the leader, from any replica.
+
+use crate::shared::{Control, REQUEST_TIMEOUT, Refusal};
+use errors::ErrorKind;
+use mesh::Channel;
+use model::Revision;
+use registry::{Change, Delta};
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+use wire::{ControlReply, ControlRequest};
+
+/// Pause before a change is submitted again.
+const SUBMIT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for the leader's answer to one submission.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+impl Control {
+    /// The newest configuration, from the leader.
+    pub(crate) fn newest(&self) -> Result<Box<Delta>, Refusal> {
+        let Some(leader) = self.other_leader() else {
+            return self.read();
+        };
+        match self.ask(leader, &ControlRequest::Read, REQUEST_TIMEOUT) {
+            Some(ControlReply::Configuration(result)) => result,
+            _ => Err((
+                ErrorKind::NoQuorum,
+                format!("the leader at {leader} did not answer"),
+            )),
+        }
+    }
+
+    /// Submits the change to the leader, again if the leader is lost; its id makes that safe.
+    pub(crate) fn submit(&self, change: &Change) -> Result<Revision, Refusal> {
+        let result = self.submit_until(change, Instant::now() + REQUEST_TIMEOUT);
+        let (id, op) = (change.change_id, &change.op);
+        match &result {
+            Ok(revision) => log::info!("operator: change {id} ({op}) accepted as {revision}."),
+            Err((kind, detail)) => {
+                log::info!("operator: change {id} ({op}) refused, {kind} {detail}.");
+            }
+        }
+        result
+    }
+
+    fn submit_until(&self, change: &Change, until: Instant) -> Result<Revision, Refusal> {
+        let mut is_unconfirmed = false;
+        loop {
+            let (kind, detail) = match self.submit_once(change.clone()) {
+                Err((kind @ (ErrorKind::NoQuorum | ErrorKind::NotLeader), detail)) => {
+                    (kind, detail)
+                }
+                result => return result,
+            };
+            is_unconfirmed |= kind == ErrorKind::NoQuorum;
+            if Instant::now() + SUBMIT_PAUSE >= until {
+                // An earlier submission may still be accepted, so "not run" would be false.
+                let kind = if is_unconfirmed {
+                    ErrorKind::NoQuorum
+                } else {
+                    kind
+                };
+                return Err((kind, detail));
+            }
+            thread::sleep(SUBMIT_PAUSE);
+        }
+    }
+
+    fn submit_once(&self, change: Change) -> Result<Revision, Refusal> {
+        let unconfirmed = || {
+            let detail = "the change may still be accepted; resend it with the same change id";
+            Err((ErrorKind::NoQuorum, detail.to_owned()))
+        };
+        let Some(leader) = self.other_leader() else {
+            let receiver = self.propose(change);
+            return receiver
+                .recv_timeout(REQUEST_TIMEOUT)
+                .unwrap_or_else(|_| unconfirmed());
+        };
+        match self.ask(
+            leader,
+            &ControlRequest::Propose(Box::new(change)),
+            LEADER_TIMEOUT,
+        ) {
+            Some(ControlReply::Proposed(result)) => result,
+            _ => unconfirmed(),
+        }
+    }
+
+    /// Address of the leader, if it is another replica.
+    fn other_leader(&self) -> Option<SocketAddr> {
+        let standing = self.standing();
+        if standing.is_leader() {
+            return None;
+        }
+        self.address_of(standing.leader?.number)
+    }
+
+    fn ask(
+        &self,
+        to: SocketAddr,
+        request: &ControlRequest,
+        wait: Duration,
+    ) -> Option<ControlReply> {
+        self.kernel.ask(to, Channel::Control, request, wait)
+    }
+}
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -117,6 +117,10 @@
     BadFrame,
     /// A setting has a value that is not allowed.
     InvalidSetting,
+    /// No configuration is known yet.
+    NotConfigured,
+    /// No route of the configuration matches the request.
+    NoRoute,
     /// The requested resource does not exist.
     NotFound,
     /// An unexpected condition inside geraniumyard.
@@ -165,6 +169,8 @@
         ErrorKind::PeerVersion,
         ErrorKind::BadFrame,
         ErrorKind::InvalidSetting,
+        ErrorKind::NotConfigured,
+        ErrorKind::NoRoute,
         ErrorKind::NotFound,
         ErrorKind::Internal,
     ];
@@ -445,6 +451,20 @@
                 "A setting has a value that is not allowed.",
                 "Correct the flag or variable that the message names.",
             ),
+            ErrorKind::NotConfigured => (
+                "not-configured",
+                503,
+                Outcome::NotRun,
+                "No configuration is known here yet.",
+                "Retry, or send the call to another node.",
+            ),
+            ErrorKind::NoRoute => (
+                "no-route",
+                404,
+                Outcome::NotRun,
+                "No route of the configuration matches the host and path.",
+                "Check host and path, or add a route.",
+            ),
             ErrorKind::NotFound => (
                 "not-found",
                 404,
--- a/components/kernel/src/profiles.rs
+++ b/components/kernel/src/profiles.rs
@@ -1,7 +1,8 @@
 //! The profiles in effect in this process; their revision never goes back.
 
 use crate::stop::lock;
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use config::RouteTable;
 use model::{Profile, ProfileName, Revision};
 use registry::{Delta, ProfileSet};
 use std::sync::{
@@ -13,6 +14,7 @@
 #[derive(Clone)]
 pub struct ProfileTable {
     current: Arc<ArcSwap<ProfileSet>>,
+    routes: Arc<ArcSwapOption<RouteTable>>,
     writer: Arc<Mutex<()>>,
     confirmed_us: Arc<AtomicU64>,
 }
@@ -21,6 +23,7 @@
     pub(crate) fn new() -> Self {
         ProfileTable {
             current: Arc::new(ArcSwap::from_pointee(ProfileSet::default())),
+            routes: Arc::default(),
             writer: Arc::default(),
             confirmed_us: Arc::default(),
         }
@@ -41,6 +44,11 @@
         self.current.load().resolve(name).cloned()
     }
 
+    /// The routes of the configuration in effect, if operators have submitted one.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.load_full()
+    }
+
     /// Takes in a delta if it moves the set forward; tells whether it did.
     pub fn apply(&self, delta: Delta) -> bool {
         self.update(|set| set.apply(delta))
@@ -68,8 +76,27 @@
         let _writer = lock(&self.writer);
         let mut next = ProfileSet::clone(&self.current.load());
         let changed = change(&mut next);
+        self.follow_configuration(&next);
         // A refused delta can still leave the mark that asks for a full snapshot.
         self.current.store(Arc::new(next));
         changed
     }
+
+    /// Prepares the routes again if the set holds another configuration.
+    fn follow_configuration(&self, next: &ProfileSet) {
+        let held = self.routes.load();
+        let known = held.as_ref().map(|table| table.configuration());
+        let Some(configuration) = next.configuration() else {
+            return;
+        };
+        if known.is_some_and(|known| known.version == configuration.version) {
+            return;
+        }
+        log::info!(
+            "kernel: configuration version {} is in effect.",
+            configuration.version
+        );
+        let table = RouteTable::new(Arc::clone(configuration), rand::random());
+        self.routes.store(Some(Arc::new(table)));
+    }
 }
--- a/components/node/src/announce.rs
+++ b/components/node/src/announce.rs
@@ -35,6 +35,13 @@
     /// Rules from method and path to profile.
     #[serde(default)]
     pub rules: Vec<Rule>,
+    /// When the instance started, in milliseconds since the Unix epoch; orders the reports of
+    /// several starts.
+    #[serde(default)]
+    pub started_ms: Option<u64>,
+    /// Counter of the instance's reports since its start; orders reports that arrive late.
+    #[serde(default)]
+    pub sequence: Option<u64>,
     /// Calls running, as the instance counts them.
     #[serde(default)]
     pub in_flight: Option<u32>,
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -31,29 +31,21 @@
     /// Checks a request against the directory, the profiles and the limits of its headers.
     pub(crate) fn prepare(&self, request: Request, now_us: u64) -> Result<Prepared, Refusal> {
         let kernel = &self.context.kernel;
-        let service = service_of(&request).ok_or((String::new(), ErrorKind::UnknownService))?;
+        let (service, profile) = self.target(&request)?;
         let refuse = |kind| (service.to_string(), kind);
-        if kernel.stop.is_raised() {
-            return Err(refuse(ErrorKind::Stopping));
-        }
-        let path = request.target.split('?').next().unwrap_or("/");
-        let name = kernel
-            .directory
-            .profile_for(&service, &request.method, path)
-            .ok_or_else(|| refuse(ErrorKind::UnknownService))?;
-        let profile = kernel
-            .profiles
-            .resolve(&name)
-            .ok_or_else(|| refuse(ErrorKind::UnknownProfile))?;
         let key = key_of(&request, &service, &profile).map_err(refuse)?;
         let longest_ms = if key.is_some() {
             MAX_KEYED_CALL_MS
         } else {
             MAX_DEADLINE_MS
         };
-        let deadline_ms = deadline_ms(&request, &profile)
-            .map_err(refuse)?
-            .min(longest_ms);
+        let deadline_ms = deadline_ms(
+            kernel.node_settings().headers.deadline_ms,
+            &request,
+            &profile,
+        )
+        .map_err(refuse)?
+        .min(longest_ms);
         let fingerprint = fingerprint(&service, &request);
         let suspected = match kernel.suspects.with(|s| s.verdict(now_us, &fingerprint)) {
             Verdict::Refuse => return Err(refuse(ErrorKind::CrashSuspect)),
@@ -66,13 +58,69 @@
             key,
             fingerprint,
             suspected,
-            request: into_wire(request),
+            request: self.into_wire(request),
             service,
             profile,
         })
     }
 }
 
+impl Entry {
+    /// The service that the request goes to and how it is treated.
+    fn target(&self, request: &Request) -> Result<(ServiceName, Profile), Refusal> {
+        let kernel = &self.context.kernel;
+        let path = request.target.split('?').next().unwrap_or("/");
+        if let Some(table) = kernel.profiles.routes() {
+            let host = request.headers.get("host").unwrap_or_default();
+            let matched = table
+                .find(host.trim(), path)
+                .ok_or((String::new(), ErrorKind::NoRoute))?;
+            let service = matched
+                .next_service()
+                .ok_or((String::new(), ErrorKind::NoUpstream))?;
+            return Ok((service, matched.profile.clone()));
+        }
+        if kernel.node_settings().require_configuration {
+            return Err((String::new(), ErrorKind::NotConfigured));
+        }
+        let service = service_of(request).ok_or((String::new(), ErrorKind::UnknownService))?;
+        let refuse = |kind| (service.to_string(), kind);
+        let name = kernel
+            .directory
+            .profile_for(&service, &request.method, path)
+            .ok_or_else(|| refuse(ErrorKind::UnknownService))?;
+        let profile = kernel
+            .profiles
+            .resolve(&name)
+            .ok_or_else(|| refuse(ErrorKind::UnknownProfile))?;
+        Ok((service, profile))
+    }
+
+    /// The request as it travels, without the headers of one connection.
+    fn into_wire(&self, mut request: Request) -> WireMessage {
+        strip_hop_by_hop(&mut request.headers);
+        let names = &self.context.kernel.node_settings().headers;
+        if let Some(name) = names.caller_service {
+            request.headers.remove(name);
+            if let Some(service) = self.context.local.service() {
+                request.headers.set(name, service.as_str());
+            }
+        }
+        if let Some(name) = names.expected_upstream {
+            request.headers.remove(name);
+        }
+        WireMessage {
+            start: (request.method, request.target),
+            headers: request
+                .headers
+                .iter()
+                .map(|(name, value)| (name.to_owned(), value.to_owned()))
+                .collect(),
+            body: request.body,
+        }
+    }
+}
+
 /// The service from `x-gyard-service` or from the first label of `Host`.
 fn service_of(request: &Request) -> Option<ServiceName> {
     if let Some(name) = request.headers.get("x-gyard-service") {
@@ -84,8 +132,8 @@
 }
 
 /// The profile's deadline, or the caller's if that is shorter.
-fn deadline_ms(request: &Request, profile: &Profile) -> Result<u64, ErrorKind> {
-    let Some(text) = request.headers.get("x-gyard-deadline-ms") else {
+fn deadline_ms(header: &str, request: &Request, profile: &Profile) -> Result<u64, ErrorKind> {
+    let Some(text) = request.headers.get(header) else {
         return Ok(u64::from(profile.deadline_ms));
     };
     match text.trim().parse::<u64>() {
@@ -140,16 +188,3 @@
     hasher.finalize_xof().fill(&mut short);
     short
 }
-
-fn into_wire(mut request: Request) -> WireMessage {
-    strip_hop_by_hop(&mut request.headers);
-    WireMessage {
-        start: (request.method, request.target),
-        headers: request
-            .headers
-            .iter()
-            .map(|(name, value)| (name.to_owned(), value.to_owned()))
-            .collect(),
-        body: request.body,
-    }
-}
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -23,9 +23,11 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+/// Time after which a refused caller may come back, in milliseconds.
+const RETRY_AFTER_MS: std::ops::Range<u32> = 80..240;
 /// Period in which lost probes are looked for.
 const PROBE_CHECK: Duration = Duration::from_millis(200);
 
@@ -85,8 +87,14 @@
         }
     });
     let stopping = Arc::clone(&server);
+    let notice = Duration::from_millis(kernel.node_settings().stop_notice_ms);
     Ok(Running::new(
-        move |_| stopping.stop(),
+        move |until| {
+            // Callers learn from the readiness check that they must go elsewhere.
+            let left = until.saturating_duration_since(Instant::now());
+            thread::sleep(notice.min(left));
+            stopping.stop();
+        },
         move || {
             server.abort();
             let _ = checking.join();
@@ -101,6 +109,7 @@
             Ok(prepared) => prepared,
             Err((service, kind)) => return self.refuse(service, kind),
         };
+        let is_leaving = self.context.kernel.stop.is_raised();
         let metrics = &self.context.kernel.metrics;
         let labels = CallLabels {
             service: prepared.service.to_string(),
@@ -114,6 +123,10 @@
             .call_seconds
             .get_or_create(&labels)
             .observe(elapsed_us as f64 / 1e6);
+        let result = result.map(|response| match is_leaving {
+            true => response.with_header("connection", "close"),
+            false => response,
+        });
         match result {
             Ok(response) => response,
             Err(kind) => {
@@ -134,7 +147,14 @@
             .errors
             .get_or_create(&labels)
             .inc();
-        error_response(kind)
+        let response = error_response(kind);
+        if !matches!(response.status, 429 | 503) {
+            return response;
+        }
+        // Spread, so that callers that were refused together don't come back together.
+        let retry_after_ms = rand::random_range(RETRY_AFTER_MS);
+        let seconds = f64::from(retry_after_ms) / 1_000.0;
+        response.with_header("retry-after", format!("{seconds:.3}"))
     }
 
     fn next_call(&self) -> CallId {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod generations;
 mod gossip;
+mod instances;
 mod local;
 mod newer;
 mod owner;
@@ -13,6 +14,7 @@
 mod sync;
 
 pub use announce::Announcement;
+pub use instances::Instances;
 
 /// Makes the linker keep this crate, whose plug-ins register themselves.
 pub fn register() {}
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -2,8 +2,11 @@
 
 use crate::announce::Announcement;
 use kernel::{Clock, Event, Kernel};
-use model::{Upstream, UpstreamName, UpstreamState};
-use std::sync::{Arc, Mutex, PoisonError};
+use model::{ServiceName, Upstream, UpstreamName, UpstreamState};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 #[derive(Default)]
 struct State {
@@ -11,8 +14,24 @@
     lease_until_us: u64,
     drained_by_operator: bool,
     version: u64,
+    /// Service of the last announced instance, also after that instance has gone.
+    service: Option<ServiceName>,
+    /// Newest report of each instance name, to recognise late ones.
+    reports: HashMap<UpstreamName, ReportOrder>,
 }
 
+/// Order of the reports of one instance name: a later start first, then the count of its reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReportOrder {
+    started_ms: u64,
+    /// Withdrawing ends one start: nothing of it counts afterwards.
+    withdrawn: bool,
+    sequence: u64,
+}
+
+/// Most instance names whose reports are remembered.
+const MAX_REPORT_NAMES: usize = 256;
+
 /// Holds the announced instance and publishes its changes.
 pub(crate) struct LocalInstance {
     kernel: Arc<Kernel>,
@@ -32,6 +51,7 @@
         let lease_us = self.kernel.node_settings().lease_ms * 1000;
         let (upstream, changed) = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.service = Some(announcement.service.clone());
             state.lease_until_us = self.kernel.clock.now_us() + lease_us;
             let next = self.record(&state, announcement);
             let changed = state
@@ -53,6 +73,66 @@
         upstream.expect("an announced instance is kept")
     }
 
+    /// As `announce`, unless the report is older than one that was taken in before; a late report
+    /// must not bring back an instance that has left, or that another one has replaced.
+    pub(crate) fn report(&self, announcement: &Announcement) -> bool {
+        let Some(name) = &announcement.name else {
+            self.announce(announcement);
+            return true;
+        };
+        let order = ReportOrder {
+            started_ms: announcement.started_ms.unwrap_or(0),
+            withdrawn: false,
+            sequence: announcement.sequence.unwrap_or(0),
+        };
+        {
+            let mut guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            let state = &mut *guard;
+            let newest_start = state.reports.values().map(|held| held.started_ms).max();
+            let held = state.reports.get(name);
+            let is_late = held.is_some_and(|held| *held >= order)
+                || newest_start.is_some_and(|newest| newest > order.started_ms);
+            if is_late {
+                log::info!(
+                    "platform: a late report of instance {name} was ignored; start {} ms, \
+                     sequence {}.",
+                    order.started_ms,
+                    order.sequence
+                );
+                return false;
+            }
+            if state.reports.len() >= MAX_REPORT_NAMES {
+                state.reports.clear();
+            }
+            state.reports.insert(name.clone(), order);
+        }
+        self.announce(announcement);
+        true
+    }
+
+    /// Removes the named instance at its own request; tells whether it was the announced one.
+    pub(crate) fn withdraw_named(&self, name: &UpstreamName) -> bool {
+        let is_announced = {
+            let mut guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(held) = guard.reports.get_mut(name) {
+                held.withdrawn = true;
+            }
+            guard.upstream.as_ref().is_some_and(|u| u.name == *name)
+        };
+        is_announced && self.withdraw()
+    }
+
+    /// Service of the instance beside this node, or of the last one that was.
+    pub(crate) fn service(&self) -> Option<ServiceName> {
+        let settings = self.kernel.node_settings();
+        self.state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .service
+            .clone()
+            .or_else(|| settings.service.clone())
+    }
+
     /// Removes the instance at its own request.
     pub(crate) fn withdraw(&self) -> bool {
         let removed = {
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -4,6 +4,7 @@
 use super::{instance::Job, state::Owner};
 use errors::ErrorKind;
 use http::{CallError, Headers, Request, Response};
+use settings::CallHeaders;
 use std::sync::Arc;
 use wire::{RunCall, RunResult, WireMessage, encode};
 
@@ -21,7 +22,8 @@
         owner.finish(job, RunResult::Refused(ErrorKind::Cancelled), None);
         return;
     }
-    let request = upstream_request(&job, started_us);
+    let names = owner.context.kernel.node_settings().headers;
+    let request = upstream_request(&names, &job, started_us);
     let deadline = owner.context.kernel.clock.instant(job.deadline_us);
     let (pool, cancel) = (Arc::clone(&job.pool), job.cancel.clone());
     let owner = Arc::clone(owner);
@@ -38,11 +40,62 @@
         started_us - job.arrived_us
     );
     match outcome {
+        Ok(response) if is_refusal(owner, &response) => finish_refusal(owner, job, &response),
+        Ok(response) if is_foreign(owner, &job, &response) => {
+            finish_error(owner, job, CallError::Malformed);
+        }
         Ok(response) => finish_answer(owner, job, response, service_us),
         Err(error) => finish_error(owner, job, error),
     }
 }
 
+/// Status of an instance that is not the one that a call expects.
+const MISDIRECTED_STATUS: u16 = 421;
+
+/// Whether the instance says that it did not run the call.
+fn is_refusal(owner: &Owner, response: &Response) -> bool {
+    let names = &owner.context.kernel.node_settings().headers;
+    let is_marked = names
+        .not_run
+        .is_some_and(|name| response.headers.contains(name));
+    let is_misdirected = names.expected_upstream.is_some() && response.status == MISDIRECTED_STATUS;
+    is_marked || is_misdirected
+}
+
+/// Whether the response can't be the instance's own answer to this call. Such bytes come from a
+/// faulty instance or from something between it and this process.
+fn is_foreign(owner: &Owner, job: &Job, response: &Response) -> bool {
+    let names = &owner.context.kernel.node_settings().headers;
+    let Some(name) = names.request_id else {
+        return false;
+    };
+    let sent = header_of(&job.call.request.headers, name);
+    let is_other = sent.is_some() && response.headers.get(name) != sent;
+    is_other || response.headers.contains("content-encoding")
+}
+
+fn header_of<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    headers
+        .iter()
+        .find(|(field, _)| field.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.as_str())
+}
+
+fn finish_refusal(owner: &Arc<Owner>, job: Job, response: &Response) {
+    let kind = if response.status == MISDIRECTED_STATUS {
+        ErrorKind::NoUpstream
+    } else {
+        ErrorKind::UpstreamRefused
+    };
+    log::info!(
+        "owner: call {} was refused by instance {} with {}.",
+        job.call.attempt,
+        job.call.upstream,
+        response.status
+    );
+    owner.finish(job, RunResult::Refused(kind), None);
+}
+
 fn finish_answer(owner: &Arc<Owner>, job: Job, mut response: Response, service_us: u64) {
     http::strip_hop_by_hop(&mut response.headers);
     owner.note_answered(&job.call.fingerprint);
@@ -93,7 +146,7 @@
     owner.finish(job, result, counted_us);
 }
 
-fn upstream_request(job: &Job, now_us: u64) -> Request {
+fn upstream_request(names: &CallHeaders, job: &Job, now_us: u64) -> Request {
     let RunCall {
         request, attempt, ..
     } = &job.call;
@@ -102,8 +155,13 @@
         headers.append(name.as_str(), value.as_str());
     }
     let remaining_ms = job.deadline_us.saturating_sub(now_us).div_ceil(1000);
-    headers.set("x-gyard-deadline-ms", remaining_ms.to_string());
-    headers.set("x-gyard-call-id", attempt.to_string());
+    headers.set(names.deadline_ms, remaining_ms.to_string());
+    if names.request_id.is_none() {
+        headers.set("x-gyard-call-id", attempt.to_string());
+    }
+    if let Some(name) = names.expected_upstream {
+        headers.set(name, job.call.upstream.as_str());
+    }
     Request {
         method: request.start.0.clone(),
         target: request.start.1.clone(),
--- a/components/node/src/sync.rs
+++ b/components/node/src/sync.rs
@@ -21,6 +21,10 @@
 const HOLD_MS: u32 = 1_000;
 /// Time after the hold until a pull counts as lost.
 const PULL_GRACE: Duration = Duration::from_millis(750);
+/// Time between two questions for the list of replicas.
+const LEARN_PERIOD: Duration = Duration::from_secs(5);
+/// Most replicas that a node remembers.
+const MAX_REPLICAS: usize = 32;
 /// Most contacts taken from a replica at once.
 const MAX_CONTACTS: usize = 8;
 /// Pause before the next replica is tried.
@@ -84,10 +88,11 @@
 impl Sync {
     /// Keeps one pull open at a control replica; moves on to the next when it is lost.
     fn pull_from_control(&self, on_first: impl FnOnce()) {
-        let replicas = &self.context.kernel.node_settings().control;
+        let mut replicas = self.context.kernel.node_settings().control.clone();
         if replicas.is_empty() {
             return;
         }
+        let mut learn_at = Instant::now();
         let mut on_first = Some(on_first);
         let mut current = self.context.kernel.mesh.local().mesh.port() as usize % replicas.len();
         let mut warned_at = Instant::now();
@@ -102,7 +107,11 @@
                     on_first();
                 }
                 warned_at = Instant::now();
-                self.look_for_nodes();
+                self.look_for_nodes(&replicas);
+                if Instant::now() >= learn_at {
+                    learn_at = Instant::now() + LEARN_PERIOD;
+                    self.learn_replicas(replica, &mut replicas);
+                }
                 continue;
             }
             log::debug!("sync: control replica {replica} did not answer; trying the next.");
@@ -127,14 +136,14 @@
 
     /// Asks the replicas for other nodes while this one knows none, so that `--peers` is optional.
     /// Each replica knows only the nodes that pull from it.
-    fn look_for_nodes(&self) {
+    fn look_for_nodes(&self, replicas: &[SocketAddr]) {
         let kernel = &self.context.kernel;
         if kernel.metrics.members.get() > 1 {
             return;
         }
         let own = kernel.mesh.local().mesh;
         let mut others = Vec::new();
-        for replica in &kernel.node_settings().control {
+        for replica in replicas {
             let reply = kernel.ask(
                 *replica,
                 Channel::Control,
@@ -149,6 +158,22 @@
         kernel.events.publish(&Event::NodesLearned(others));
     }
 
+    /// Adds the replicas that one of them names: the settings may list only a few, and those may
+    /// be replaced later.
+    fn learn_replicas(&self, from: SocketAddr, replicas: &mut Vec<SocketAddr>) {
+        let request = ControlRequest::Replicas;
+        let kernel = &self.context.kernel;
+        let reply = kernel.ask(from, Channel::Control, &request, PULL_GRACE);
+        let Some(ControlReply::Replicas(named)) = reply else {
+            return;
+        };
+        for replica in named {
+            if !replicas.contains(&replica) && replicas.len() < MAX_REPLICAS {
+                replicas.push(replica);
+            }
+        }
+    }
+
     /// Pulls from peers that hold a newer configuration, as gossip tells.
     fn pull_from_peers(&self) {
         let offers = self.context.newer.receiver();
--- a/components/registry/src/change.rs
+++ b/components/registry/src/change.rs
@@ -1,6 +1,7 @@
 //! Changes that operators submit, and the answers to them.
 
 use crate::digest::{Digest, fnv128};
+use config::Configuration;
 use errors::ErrorKind;
 use model::{Profile, ProfileName, Revision};
 use serde::{Deserialize, Serialize};
@@ -90,14 +91,19 @@
         /// Live profile that takes over its calls; required while upstreams use the name.
         successor: Option<ProfileName>,
     },
+    /// Puts a whole configuration in effect if its version is the highest so far.
+    Configure(Arc<Configuration>),
 }
 
-impl Op {
-    /// Name of the profile that the change is about.
-    pub fn name(&self) -> &ProfileName {
+impl fmt::Display for Op {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Op::Add(profile) | Op::Update(profile) => &profile.name,
-            Op::Retire { name, .. } => name,
+            Op::Add(profile) => write!(f, "add profile {}", profile.name),
+            Op::Update(profile) => write!(f, "update profile {}", profile.name),
+            Op::Retire { name, .. } => write!(f, "retire profile {name}"),
+            Op::Configure(configuration) => {
+                write!(f, "configure version {}", configuration.version)
+            }
         }
     }
 }
@@ -127,6 +133,8 @@
                 .number(3)
                 .text(name.as_str())
                 .text(successor.as_ref().map_or("", ProfileName::as_str)),
+            // Resends carry the same version, and content under one version never changes.
+            Op::Configure(configuration) => digest.number(4).number(configuration.version),
         };
         digest.number(self.expect.map_or(0, |revision| revision.wrapping_add(1)));
         digest.finish() as u32
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -71,6 +71,15 @@
             term,
             number: self.set.revision().number + 1,
         };
+        if let Op::Configure(configuration) = &change.op {
+            if self.set.configure(revision, configuration) {
+                return Applied::Accepted { revision };
+            }
+            // Also an answer to resends and to versions that were overtaken.
+            return Applied::Accepted {
+                revision: self.set.revision(),
+            };
+        }
         let applied = match self.decide(revision, change) {
             Ok(record) => {
                 self.set.put(revision, record);
@@ -110,6 +119,10 @@
                 };
                 Ok(record(old.generation, state))
             }
+            Op::Configure(_) => Err((
+                ErrorKind::Internal,
+                "a configuration is no profile record".to_owned(),
+            )),
         }
     }
 
--- a/components/registry/src/set.rs
+++ b/components/registry/src/set.rs
@@ -1,9 +1,10 @@
 //! The profiles of one revision, on replicas and on nodes, and the deltas between revisions.
 
 use crate::{change::ChangeId, digest::Digest};
+use config::Configuration;
 use model::{Profile, ProfileName, Revision};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 /// Whether a name is live or retired.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +80,8 @@
     pub records: Vec<Record>,
     /// Oldest revision number from which the receiver may itself make deltas.
     pub delta_floor: u64,
+    /// The whole configuration in effect, if it is newer than `base`.
+    pub configuration: Option<Arc<Configuration>>,
 }
 
 /// How a set compares with an announced revision and digest.
@@ -101,6 +104,9 @@
     records: BTreeMap<ProfileName, Record>,
     records_digest: u64,
     delta_floor: u64,
+    configuration: Option<Arc<Configuration>>,
+    /// Number of the accepted change that put the configuration in effect.
+    configured_at: u64,
     #[serde(skip)]
     diverged: bool,
 }
@@ -133,9 +139,18 @@
         self.chain(name).last()?.live()
     }
 
-    /// Digest over the revision and all records.
+    /// The whole configuration in effect, if an operator has submitted one.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Digest over the revision, all records and the version of the configuration.
     pub fn digest(&self) -> u64 {
-        digest_at(self.revision, self.records_digest)
+        digest_at(
+            self.revision,
+            self.records_digest,
+            version_of(self.configuration.as_ref()),
+        )
     }
 
     /// Compares with a revision and digest announced by another process.
@@ -166,10 +181,14 @@
             return self.full();
         }
         let changed = |record: &&Record| record.revision > revision.number;
-        self.delta(
+        let mut delta = self.delta(
             Some(revision),
             self.records.values().filter(changed).cloned().collect(),
-        )
+        );
+        if self.configured_at <= revision.number {
+            delta.configuration = None;
+        }
+        delta
     }
 
     /// The whole set as one delta.
@@ -192,6 +211,7 @@
             digest: self.digest(),
             records,
             delta_floor: self.delta_floor,
+            configuration: self.configuration.clone(),
         }
     }
 
@@ -204,7 +224,7 @@
             .records
             .iter()
             .fold(0u64, |sum, record| sum.wrapping_add(record.digest()));
-        if digest_at(delta.to, sum) != delta.digest {
+        if digest_at(delta.to, sum, version_of(delta.configuration.as_ref())) != delta.digest {
             return false;
         }
         let named = |record: Record| (record.name().clone(), record);
@@ -213,6 +233,10 @@
             records: delta.records.into_iter().map(named).collect(),
             records_digest: sum,
             delta_floor: delta.delta_floor,
+            // A delta made from this set may carry the configuration once too often, never too
+            // seldom.
+            configured_at: delta.to.number,
+            configuration: delta.configuration,
             diverged: false,
         };
         true
@@ -233,10 +257,15 @@
             let old = self.records.get(record.name()).map_or(0, Record::digest);
             sum = sum.wrapping_sub(old).wrapping_add(record.digest());
         }
-        if digest_at(delta.to, sum) != delta.digest {
+        let configuration = delta.configuration.as_ref().or(self.configuration.as_ref());
+        if digest_at(delta.to, sum, version_of(configuration)) != delta.digest {
             self.diverged = true;
             return false;
         }
+        if delta.configuration.is_some() {
+            self.configuration = delta.configuration;
+            self.configured_at = delta.to.number;
+        }
         for record in newer {
             self.records.insert(record.name().clone(), record);
         }
@@ -269,6 +298,22 @@
             .wrapping_add(added);
     }
 
+    /// Takes in a configuration if its version is the highest so far; tells whether it was.
+    pub(crate) fn configure(
+        &mut self,
+        revision: Revision,
+        configuration: &Arc<Configuration>,
+    ) -> bool {
+        let held = self.configuration.as_ref();
+        if held.is_some_and(|held| held.version >= configuration.version) {
+            return false;
+        }
+        self.revision = revision;
+        self.configuration = Some(Arc::clone(configuration));
+        self.configured_at = revision.number;
+        true
+    }
+
     /// Drops records; older sets then need a full snapshot, since no delta names dropped records.
     pub(crate) fn remove_all(&mut self, names: &[ProfileName]) {
         for name in names {
@@ -280,10 +325,15 @@
     }
 }
 
-fn digest_at(revision: Revision, records_digest: u64) -> u64 {
+fn version_of(configuration: Option<&Arc<Configuration>>) -> u64 {
+    configuration.map_or(0, |held| held.version.wrapping_add(1))
+}
+
+fn digest_at(revision: Revision, records_digest: u64, version: u64) -> u64 {
     Digest::new()
         .number(revision.term)
         .number(revision.number)
         .number(records_digest)
+        .number(version)
         .finish()
 }
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -3,12 +3,15 @@
 use crate::{
     logs::LogSettings,
     node::check_group,
-    source::{MeshKey, SettingError, Source},
+    source::{MeshKey, SettingError, Source, invalid},
 };
 use gumdrop::Options;
 use model::AvailabilityZone;
 use std::{net::SocketAddr, path::PathBuf};
 
+/// Most voters of an open group; more only slow down each change.
+const MAX_VOTERS: u64 = 9;
+
 /// Flags of `gyard-control`; each has a variable `GYARD_<FLAG>`.
 #[derive(Clone, Debug, Default, Options)]
 pub struct ControlFlags {
@@ -49,6 +52,23 @@
         help = "mesh addresses of all replicas, in order"
     )]
     pub group: Option<String>,
+    /// Mesh addresses of the founders of an open group.
+    #[options(
+        no_short,
+        meta = "IP:PORT,...",
+        help = "mesh addresses of the founders of a group that others join, instead of --group"
+    )]
+    pub seeds: Option<String>,
+    /// Voters of an open group.
+    #[options(no_short, meta = "N", help = "voters that an open group grows to")]
+    pub group_size: Option<String>,
+    /// Whether a new open group may be formed.
+    #[options(
+        no_short,
+        meta = "BOOL",
+        help = "true only when the whole deployment starts for the first time"
+    )]
+    pub may_form: Option<String>,
     /// Availability zone of the host.
     #[options(no_short, meta = "NAME", help = "availability zone of this host")]
     pub zone: Option<String>,
@@ -78,6 +98,17 @@
     pub log_format: Option<String>,
 }
 
+/// A control group that starts from founders and that other replicas join by themselves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenGroupSettings {
+    /// Mesh addresses of the founders.
+    pub seeds: Vec<SocketAddr>,
+    /// Voters that the group grows to.
+    pub voters: usize,
+    /// Whether this replica may take part in forming a new group.
+    pub may_form: bool,
+}
+
 /// Checked settings of a control replica.
 #[derive(Clone, PartialEq, Eq)]
 pub struct ControlSettings {
@@ -87,10 +118,12 @@
     pub operator_listen: SocketAddr,
     /// Data directory.
     pub data_dir: PathBuf,
-    /// Number of this replica, from 1.
+    /// Number of this replica, from 1; 0 in an open group.
     pub replica: u32,
-    /// Mesh addresses of all replicas, in order of their numbers.
+    /// Mesh addresses of all replicas, in order of their numbers; empty in an open group.
     pub group: Vec<SocketAddr>,
+    /// An open group, in place of `replica` and `group`.
+    pub open: Option<OpenGroupSettings>,
     /// Availability zone of the host.
     pub availability_zone: AvailabilityZone,
     /// Token that operators must send; without one only loopback is served.
@@ -109,12 +142,18 @@
     ) -> Result<Self, SettingError> {
         let listen = source.required("listen", flags.listen.as_deref(), "IP:PORT")?;
         let group = source.addresses("group", flags.group.as_deref())?;
-        let replica = source.required(
-            "replica",
-            flags.replica.as_deref(),
-            "1 to the number of addresses in --group",
-        )?;
-        check_group(replica, &group)?;
+        let open = read_open_group(flags, source)?;
+        let replica = match open {
+            Some(_) => 0,
+            None => source.required(
+                "replica",
+                flags.replica.as_deref(),
+                "1 to the number of addresses in --group",
+            )?,
+        };
+        if open.is_none() {
+            check_group(replica, &group)?;
+        }
         Ok(ControlSettings {
             listen,
             operator_listen: source.required(
@@ -125,6 +164,7 @@
             data_dir: source.required("data-dir", flags.data_dir.as_deref(), "a directory")?,
             replica,
             group,
+            open,
             availability_zone: source.required(
                 "zone",
                 flags.zone.as_deref(),
@@ -140,3 +180,30 @@
         })
     }
 }
+
+fn read_open_group<E: Fn(&str) -> Option<String>>(
+    flags: &ControlFlags,
+    source: &Source<E>,
+) -> Result<Option<OpenGroupSettings>, SettingError> {
+    let seeds = source.addresses("seeds", flags.seeds.as_deref())?;
+    if seeds.is_empty() {
+        return Ok(None);
+    }
+    if let Some(other) = seeds.iter().find(|address| !address.is_ipv4()) {
+        return Err(invalid("seeds", &other.to_string(), "IPv4 addresses"));
+    }
+    let voters = source.number(
+        "group-size",
+        flags.group_size.as_deref(),
+        seeds.len() as u64,
+        1,
+        MAX_VOTERS,
+    )?;
+    Ok(Some(OpenGroupSettings {
+        voters: (voters as usize).max(seeds.len()),
+        seeds,
+        may_form: source
+            .optional("may-form", flags.may_form.as_deref(), "true or false")?
+            .unwrap_or(false),
+    }))
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,11 +1,13 @@
 //! Settings from flags and `GYARD_*` variables, their checks, and log set-up.
 
 mod control;
+mod headers;
 mod logs;
 mod node;
 mod source;
 
-pub use control::{ControlFlags, ControlSettings};
+pub use control::{ControlFlags, ControlSettings, OpenGroupSettings};
+pub use headers::CallHeaders;
 pub use logs::{LogFormat, LogSettings, init_logs};
 pub use node::{EmbeddedControl, NodeFlags, NodeSettings};
 pub use source::{MeshKey, SettingError, Source};
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     control::ControlSettings,
+    headers::CallHeaders,
     logs::LogSettings,
     source::{MeshKey, SettingError, Source, invalid},
 };
 use gumdrop::Options;
-use model::{AvailabilityZone, HostName, Region};
+use model::{AvailabilityZone, HostName, Region, ServiceName};
 use std::{fmt, net::SocketAddr, path::PathBuf};
 
 /// Default limit of a request or response body.
@@ -142,6 +143,27 @@
         help = "longest wait for calls in flight at a stop"
     )]
     pub stop_timeout_ms: Option<String>,
+    /// Whether calls need a configuration.
+    #[options(
+        no_short,
+        meta = "BOOL",
+        help = "refuse calls until there is a configuration (default: false)"
+    )]
+    pub require_configuration: Option<String>,
+    /// Service of the instance beside this node.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "service of the instance beside this node, before it announces itself"
+    )]
+    pub service: Option<String>,
+    /// Time between the stop signal and the first refused call.
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "time for which a stopping node still takes calls (default: 0)"
+    )]
+    pub stop_notice_ms: Option<String>,
     /// Data directory of a control replica inside this node.
     #[options(
         no_short,
@@ -224,6 +246,14 @@
     pub stop_timeout_ms: u64,
     /// Control replica inside this node.
     pub control_replica: Option<EmbeddedControl>,
+    /// Whether calls are refused until operators have submitted a configuration.
+    pub require_configuration: bool,
+    /// Time for which a stopping node still takes calls, so that callers can move away first.
+    pub stop_notice_ms: u64,
+    /// Names of the header fields of calls.
+    pub headers: CallHeaders,
+    /// Service of the instance beside this node, until an instance announces itself.
+    pub service: Option<ServiceName>,
 }
 
 impl NodeSettings {
@@ -297,6 +327,16 @@
                 10_000_000,
             )? as u32,
             lease_ms: number("lease-ms", &flags.lease_ms, DEFAULT_LEASE_MS, 500, 60_000)?,
+            require_configuration: source
+                .optional(
+                    "require-configuration",
+                    flags.require_configuration.as_deref(),
+                    "true or false",
+                )?
+                .unwrap_or(false),
+            stop_notice_ms: number("stop-notice-ms", &flags.stop_notice_ms, 0, 0, 60_000)?,
+            headers: CallHeaders::default(),
+            service: source.optional("service", flags.service.as_deref(), NAME)?,
             stop_timeout_ms: number(
                 "stop-timeout-ms",
                 &flags.stop_timeout_ms,
@@ -318,6 +358,7 @@
             data_dir: embedded.data_dir.clone(),
             replica: embedded.replica,
             group: self.control.clone(),
+            open: None,
             availability_zone: self.availability_zone.clone(),
             operator_token: embedded.operator_token.clone(),
             mesh_key: self.mesh_key.clone(),
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -5,6 +5,7 @@
 use model::Revision;
 use registry::{Change, Delta};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// What a process asks of a control replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +23,8 @@
     },
     /// Asks a replica for the node reports that it has.
     Reports,
+    /// Asks a replica for the mesh addresses of all replicas.
+    Replicas,
     /// Hands an operator's change to the leader.
     Propose(Box<Change>),
     /// Asks the leader for the newest configuration.
@@ -39,6 +42,8 @@
     NoLeader,
     /// Reports of the nodes that pull from the replica.
     Reports(Vec<NodeReport>),
+    /// Mesh addresses of the replicas, as far as the replier knows.
+    Replicas(Vec<SocketAddr>),
     /// Result of a change: its revision, or the refusal with its detail.
     Proposed(Result<Revision, (ErrorKind, String)>),
     /// The newest configuration, whole, or the refusal with its detail.
