Handle pipelined requests of one connection together

Cause: one thread per connection handled its requests one after the other, so bell-lookup waited behind earlier ones; callers were looked at every 50 ms.

Change: the connection's thread only reads; workers run handlers, replies keep the order of requests, and a closed connection tells its handlers at once.

--- a/components/bench/examples/http_edges.rs
+++ b/components/bench/examples/http_edges.rs
@@ -74,7 +74,7 @@
 }
 
 fn serve_with(
-    handler: impl Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync + 'static,
+    handler: impl Fn(Request, &CallerWatch) -> Response + Send + Sync + 'static,
 ) -> Server {
     serve(listen(), ServerConfig::default(), handler).expect("the server starts")
 }
--- a/components/bench/src/upstream.rs
+++ b/components/bench/src/upstream.rs
@@ -350,7 +350,7 @@
     }
 }
 
-fn answer(shared: &Arc<Shared>, request: &Request, watch: &CallerWatch<'_>) -> Response {
+fn answer(shared: &Arc<Shared>, request: &Request, watch: &CallerWatch) -> Response {
     if request.target == "/control" {
         return control::answer(shared, request);
     }
@@ -390,7 +390,7 @@
 }
 
 /// Sleeps for the service time; stops early if the caller is gone.
-fn work(time: Duration, watch: &CallerWatch<'_>) {
+fn work(time: Duration, watch: &CallerWatch) {
     let until = Instant::now() + time;
     loop {
         let left = until.saturating_duration_since(Instant::now());
--- a/components/http/src/converse.rs
+++ b/components/http/src/converse.rs
@@ -1,25 +1,29 @@
 //! Requests and responses on one connection.
 
 use crate::{
-    BodyDecoder, CallerWatch, EarlyReply, Framing, HeadError, Request, RequestHead, ServerConfig,
+    BodyDecoder, CallerWatch, Framing, HeadError, Request, RequestHead, RequestLimits,
     error_response,
     message::encode_response,
     parse_request_head,
+    replies::Replies,
     server::Shared,
-    watch::{Peeked, peek},
     wire::{Inbox, is_timeout},
 };
 use errors::ErrorKind;
 use std::{
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpStream},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    panic::{AssertUnwindSafe, catch_unwind},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
+/// How often a quiet connection looks whether a reply has closed it or it was idle too long.
+const CLOSE_CHECK: Duration = Duration::from_secs(5);
+/// How often a connection with as many requests in progress as allowed looks for a place.
+const PLACE_CHECK: Duration = Duration::from_millis(10);
+/// Most bytes read ahead while requests in progress fill all places.
+const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Longest wait for a caller to read the last answer and close.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -58,67 +62,53 @@
 }
 
 pub(crate) fn converse(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     stream: &Arc<TcpStream>,
     peer: SocketAddr,
-    busy: &AtomicBool,
+    replies: &Arc<Replies>,
 ) {
-    let write_timeout = Duration::from_millis(shared.config.read_timeout_ms.max(1));
+    let write_timeout = Duration::from_millis(shared.limits().head_timeout_ms.max(1));
     if stream.set_write_timeout(Some(write_timeout)).is_err() {
         return;
     }
     let mut inbox = Inbox::default();
-    let mut out = Vec::new();
-    loop {
-        let (request, keep_alive) = match read_request(shared, stream, peer, &mut inbox, busy) {
-            Ok(read) => read,
-            Err(End::Closed) => return,
-            Err(End::Refused(kind)) => {
-                answer_error(stream, &mut out, kind);
-                return;
-            }
-        };
-        let is_head = request.method == "HEAD";
-        let early = EarlyReply::new(stream, &shared.stopping, &request, keep_alive);
-        let response = (shared.handler)(request, &CallerWatch::new(stream, early.clone()));
-        let close = match early.finish() {
-            Some((rest, close)) => {
-                out = rest;
-                close
-            }
-            None => {
-                let close = !keep_alive
-                    || shared.is_stopping()
-                    || response.headers.has_token("connection", "close");
-                encode_response(&mut out, &response, is_head, close);
-                close
-            }
-        };
-        if (&mut &**stream).write_all(&out).is_err() {
-            return;
-        }
-        if close {
-            // Unread bytes at closing would reset the connection and could destroy the response.
-            let _ = stream.shutdown(Shutdown::Write);
-            drain(stream, peek(stream));
-            return;
+    let end = loop {
+        let read = read_request(shared, stream, peer, &mut inbox, replies);
+        replies.set_reading(false);
+        match read {
+            Ok((request, keep_alive)) => handle(shared, replies, request, keep_alive),
+            Err(end) => break end,
         }
-        busy.store(false, Ordering::Release);
+    };
+    replies.caller_gone();
+    replies.wait_below(1);
+    if let End::Refused(kind) = end
+        && !replies.is_closing()
+    {
+        answer_error(stream, &mut Vec::new(), kind);
     }
 }
 
-/// Reads what the caller sends until it closes, for a limited time.
-fn drain(stream: &TcpStream, peeked: Peeked) {
-    if peeked == Peeked::Closed || stream.set_read_timeout(Some(LINGER)).is_err() {
+/// Starts the handler of a request once there is a place for it.
+fn handle(shared: &Arc<Shared>, replies: &Arc<Replies>, request: Request, keep_alive: bool) {
+    if replies.is_closing() {
         return;
     }
-    let until = Instant::now() + LINGER;
-    let mut scrap = [0; 4096];
-    while Instant::now() < until {
-        match (&mut &*stream).read(&mut scrap) {
-            Ok(0) | Err(_) => return,
-            Ok(_) => {}
+    let early = replies.open(&request, keep_alive);
+    let run = {
+        let (shared, replies, early) = (Arc::clone(shared), Arc::clone(replies), early.clone());
+        move || {
+            let watch = CallerWatch::new(early.clone());
+            let handled = catch_unwind(AssertUnwindSafe(|| (shared.handler)(request, &watch)));
+            match handled {
+                Ok(response) => replies.finish(&early, &response),
+                Err(_) => replies.abandon(&early),
+            }
         }
+    };
+    if let Err(error) = shared.workers.run(run) {
+        log::warn!("http: a handler's thread can't be started: {error}");
+        replies.abandon(&early);
     }
 }
 
@@ -127,14 +117,14 @@
     stream: &TcpStream,
     peer: SocketAddr,
     inbox: &mut Inbox,
-    busy: &AtomicBool,
+    replies: &Replies,
 ) -> Result<(Request, bool), End> {
-    let config = &shared.config;
-    let head = read_head(config, stream, inbox, busy)?;
+    let limits = shared.limits();
+    let head = read_head(&limits, stream, inbox, replies)?;
     if head.framing != Framing::Empty && inbox.unread().is_empty() {
         expect_continue(stream, &head)?;
     }
-    let mut decoder = BodyDecoder::new(head.framing, config.max_body_bytes);
+    let mut decoder = BodyDecoder::new(head.framing, limits.max_body_bytes);
     let mut until = None;
     loop {
         let used = decoder.push(inbox.unread())?;
@@ -142,7 +132,7 @@
         if decoder.is_complete() {
             break;
         }
-        let until = *until.get_or_insert_with(|| deadline(config));
+        let until = *until.get_or_insert_with(|| deadline(&limits));
         match inbox.fill_until(stream, until) {
             Ok(0) | Err(_) => return Err(End::Closed),
             Ok(_) => {}
@@ -155,40 +145,74 @@
         body: decoder.into_body(),
         peer,
     };
+    // Further requests wait unread while as many handlers run as the settings allow. The end of the
+    // connection is noticed all the same: it is read ahead.
+    await_place(shared, stream, inbox, replies)?;
     Ok((request, head.keep_alive))
 }
 
-fn deadline(config: &ServerConfig) -> Instant {
-    Instant::now() + Duration::from_millis(config.read_timeout_ms)
+/// Waits until another handler may run.
+fn await_place(
+    shared: &Shared,
+    stream: &TcpStream,
+    inbox: &mut Inbox,
+    replies: &Replies,
+) -> Result<(), End> {
+    while replies.running() >= shared.config.max_pipelined {
+        if inbox.unread().len() >= MAX_READ_AHEAD_BYTES {
+            replies.wait_below(shared.config.max_pipelined);
+            continue;
+        }
+        match inbox.fill(stream, PLACE_CHECK) {
+            Ok(0) => return Err(End::Closed),
+            Ok(_) => {}
+            Err(error) if is_timeout(&error) => {}
+            Err(_) => return Err(End::Closed),
+        }
+    }
+    Ok(())
+}
+
+fn deadline(limits: &RequestLimits) -> Instant {
+    Instant::now() + Duration::from_millis(limits.head_timeout_ms)
 }
 
 /// The idle timeout holds until the first byte; from there the whole head has one deadline.
 fn read_head(
-    config: &ServerConfig,
+    limits: &RequestLimits,
     stream: &TcpStream,
     inbox: &mut Inbox,
-    busy: &AtomicBool,
+    replies: &Replies,
 ) -> Result<RequestHead, End> {
+    let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
     let mut until = None;
     loop {
-        if !inbox.unread().is_empty() {
-            busy.store(true, Ordering::Release);
-            let limits = (config.max_head_bytes, config.max_body_bytes);
-            if let Some(head) = parse_request_head(inbox.unread(), limits.0, limits.1)? {
+        if !inbox.unread().is_empty() && !replies.is_closing() {
+            replies.set_reading(true);
+            let (max_head, max_body) = (limits.max_head_bytes, limits.max_body_bytes);
+            if let Some(head) = parse_request_head(inbox.unread(), max_head, max_body)? {
                 inbox.consume(head.length);
                 return Ok(head);
             }
-            until.get_or_insert_with(|| deadline(config));
+            until.get_or_insert_with(|| deadline(limits));
         }
         let read = match until {
-            None => inbox.fill(stream, Duration::from_millis(config.idle_timeout_ms.max(1))),
+            None => inbox.fill(stream, idle.min(CLOSE_CHECK)),
             Some(until) => inbox.fill_until(stream, until),
         };
         match read {
             Ok(0) => return Err(End::Closed),
+            Ok(_) if replies.is_closing() => inbox.consume(inbox.unread().len()),
             Ok(_) => {}
+            Err(error) if is_timeout(&error) && until.is_none() => {
+                // A reply that closes the connection leaves the rest to the caller, for a while.
+                let is_over = replies.idle_for().is_some_and(|since| since >= idle);
+                if is_over || replies.is_closing() {
+                    return Err(End::Closed);
+                }
+            }
             Err(error) => {
-                if until.is_some() && is_timeout(&error) {
+                if is_timeout(&error) {
                     log::debug!("http: a request head was not complete in time");
                 }
                 return Err(End::Closed);
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -3,6 +3,8 @@
 use crate::{
     CallerWatch, Request, Response,
     converse::{answer_error, converse},
+    replies::Replies,
+    workers::Workers,
 };
 use errors::ErrorKind;
 use snafu::{ResultExt, Snafu};
@@ -44,6 +46,19 @@
     },
 }
 
+/// What a caller may send and how long it may take; may change while the server runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Most bytes of a request head.
+    pub max_head_bytes: usize,
+    /// Most bytes of a request body.
+    pub max_body_bytes: usize,
+    /// Longest time for a whole head, then for a whole body, and for writing a response.
+    pub head_timeout_ms: u64,
+    /// Longest wait for the first byte of the next request.
+    pub idle_timeout_ms: u64,
+}
+
 /// Limits of a server.
 #[derive(Clone, Debug)]
 pub struct ServerConfig {
@@ -57,6 +72,9 @@
     pub idle_timeout_ms: u64,
     /// Longest time for a whole head, then for a whole body, and for writing a response.
     pub read_timeout_ms: u64,
+    /// Most requests of one connection that are handled at the same time. More than one only pays
+    /// if callers send requests before the earlier ones are answered.
+    pub max_pipelined: usize,
     /// How long idle connections stay usable after `stop`, so that requests on their way arrive.
     pub stop_grace_ms: u64,
     /// Name of the threads.
@@ -71,23 +89,26 @@
             max_body_bytes: 1024 * 1024,
             idle_timeout_ms: 60_000,
             read_timeout_ms: 10_000,
+            max_pipelined: 1,
             stop_grace_ms: 200,
             thread_name: "http".to_owned(),
         }
     }
 }
 
-pub(crate) type Handler = dyn Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync;
+pub(crate) type Handler = dyn Fn(Request, &CallerWatch) -> Response + Send + Sync;
 
 struct Connection {
     stream: Arc<TcpStream>,
-    busy: Arc<AtomicBool>,
+    replies: Arc<Replies>,
 }
 
 pub(crate) struct Shared {
     pub(crate) config: ServerConfig,
     pub(crate) handler: Box<Handler>,
     pub(crate) stopping: Arc<AtomicBool>,
+    pub(crate) workers: Arc<Workers>,
+    limits: Mutex<RequestLimits>,
     refusing: AtomicUsize,
     connections: Mutex<HashMap<u64, Connection>>,
     changed: Condvar,
@@ -100,6 +121,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn limits(&self) -> RequestLimits {
+        *self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
     }
@@ -116,11 +141,19 @@
 pub fn serve(
     listener: TcpListener,
     config: ServerConfig,
-    handler: impl Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync + 'static,
+    handler: impl Fn(Request, &CallerWatch) -> Response + Send + Sync + 'static,
 ) -> Result<Server, HttpError> {
     let address = listener.local_addr().context(ListenerSnafu)?;
     let name = config.thread_name.clone();
+    let limits = RequestLimits {
+        max_head_bytes: config.max_head_bytes,
+        max_body_bytes: config.max_body_bytes,
+        head_timeout_ms: config.read_timeout_ms,
+        idle_timeout_ms: config.idle_timeout_ms,
+    };
     let shared = Arc::new(Shared {
+        workers: Arc::new(Workers::new(name.clone())),
+        limits: Mutex::new(limits),
         config,
         handler: Box::new(handler),
         stopping: Arc::new(AtomicBool::new(false)),
@@ -149,6 +182,15 @@
         self.address
     }
 
+    /// Replaces the limits for requests that are read from now on.
+    pub fn set_limits(&self, limits: RequestLimits) {
+        *self
+            .shared
+            .limits
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = limits;
+    }
+
     /// Connections served now.
     pub fn connections(&self) -> usize {
         self.shared.connections().len()
@@ -162,10 +204,7 @@
         let grace = Instant::now() + Duration::from_millis(self.shared.config.stop_grace_ms);
         self.wait_until_closed(Some(grace));
         for connection in self.shared.connections().values() {
-            if !connection.busy.load(Ordering::Acquire) {
-                // Wakes the thread that waits for a request; bytes that arrived are still read.
-                let _ = connection.stream.shutdown(Shutdown::Read);
-            }
+            connection.replies.end_reading_if_idle();
         }
         self.wait_until_closed(None);
     }
@@ -269,10 +308,10 @@
         return;
     }
     let stream = Arc::new(stream);
-    let busy = Arc::new(AtomicBool::new(false));
+    let replies = Replies::new(&stream, &shared.stopping);
     let connection = Connection {
         stream: Arc::clone(&stream),
-        busy: Arc::clone(&busy),
+        replies: Arc::clone(&replies),
     };
     shared.connections().insert(id, connection);
     let spawned = Builder::new()
@@ -285,7 +324,7 @@
                     shared: &shared,
                     id,
                 };
-                converse(&shared, &stream, peer, &busy);
+                converse(&shared, &stream, peer, &replies);
             }
         });
     if let Err(error) = spawned {
--- a/components/http/src/watch.rs
+++ b/components/http/src/watch.rs
@@ -1,4 +1,4 @@
-//! Non-blocking look at a connection.
+//! What a handler may learn of its caller, and non-blocking looks at a connection.
 
 use crate::EarlyReply;
 use socket2::SockRef;
@@ -9,6 +9,11 @@
 const MSG_DONTWAIT: i32 = 0x40;
 #[cfg(not(any(target_os = "linux", target_os = "android")))]
 const MSG_DONTWAIT: i32 = 0x80;
+/// Keeps a write to a closed connection from raising SIGPIPE.
+#[cfg(any(target_os = "linux", target_os = "android"))]
+const MSG_NOSIGNAL: i32 = 0x4000;
+#[cfg(not(any(target_os = "linux", target_os = "android")))]
+const MSG_NOSIGNAL: i32 = 0;
 
 /// What a connection holds right now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,7 +39,7 @@
 /// One write without blocking; 0 if the socket has no space.
 pub(crate) fn send_now(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
     loop {
-        match SockRef::from(stream).send_with_flags(bytes, MSG_DONTWAIT) {
+        match SockRef::from(stream).send_with_flags(bytes, MSG_DONTWAIT | MSG_NOSIGNAL) {
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(0),
             other => return other,
@@ -43,15 +48,13 @@
 }
 
 /// Tells a handler whether its caller is still connected.
-#[derive(Debug)]
-pub struct CallerWatch<'a> {
-    stream: &'a TcpStream,
+pub struct CallerWatch {
     early: EarlyReply,
 }
 
-impl<'a> CallerWatch<'a> {
-    pub(crate) fn new(stream: &'a TcpStream, early: EarlyReply) -> Self {
-        CallerWatch { stream, early }
+impl CallerWatch {
+    pub(crate) fn new(early: EarlyReply) -> Self {
+        CallerWatch { early }
     }
 
     /// A way to answer this request from another thread, before the handler returns.
@@ -59,8 +62,14 @@
         self.early.clone()
     }
 
-    /// Whether the caller closed its connection; never blocks and takes no pipelined bytes.
+    /// Whether the caller closed its connection.
     pub fn is_gone(&self) -> bool {
-        peek(self.stream) == Peeked::Closed
+        self.early.is_gone()
+    }
+
+    /// Runs `hook` once when the caller closes its connection while the handler runs, from the
+    /// thread that reads the connection; at once if it has closed it already.
+    pub fn on_gone(&self, hook: impl FnOnce() + Send + 'static) {
+        self.early.on_gone(hook);
     }
 }
--- a/components/http/tests/common/mod.rs
+++ b/components/http/tests/common/mod.rs
@@ -18,13 +18,13 @@
 
 pub(crate) fn start(
     config: ServerConfig,
-    handler: impl Fn(Request, &CallerWatch<'_>) -> Response + Send + Sync + 'static,
+    handler: impl Fn(Request, &CallerWatch) -> Response + Send + Sync + 'static,
 ) -> Server {
     serve(listen(), config, handler).unwrap()
 }
 
 /// Answers with method, target and body of the request.
-pub(crate) fn echo(request: Request, _: &CallerWatch<'_>) -> Response {
+pub(crate) fn echo(request: Request, _: &CallerWatch) -> Response {
     let body = String::from_utf8(request.body).unwrap();
     Response::new(200, format!("{} {} {body}", request.method, request.target))
 }
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -18,12 +18,10 @@
         Arc, Condvar, Mutex, MutexGuard, PoisonError, TryLockError,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Instant,
 };
 use wire::{CallRequest, RunCall, WireMessage, decode, encode};
 
-/// How often a waiting call looks whether its caller is still there.
-const CALLER_CHECK: Duration = Duration::from_millis(50);
 /// Time after the deadline that a request to an owner stays open, so that its reply can arrive.
 const REPLY_GRACE_US: u64 = 200_000;
 
@@ -80,7 +78,7 @@
 }
 
 impl Drive {
-    pub(crate) fn new(entry: &Arc<Entry>, call: Prepared, watch: &CallerWatch<'_>) -> Arc<Self> {
+    pub(crate) fn new(entry: &Arc<Entry>, call: Prepared, watch: &CallerWatch) -> Arc<Self> {
         let routes = entry.routes.of(&call.service);
         let hedge_after_us = hedge_delay_us(&call, &routes);
         let spec = CallSpec {
@@ -119,19 +117,17 @@
     }
 
     /// Runs the call to its end in the caller's thread; the response may have been sent already.
-    pub(crate) fn run(self: &Arc<Self>, watch: &CallerWatch<'_>) -> Result<Response, ErrorKind> {
+    pub(crate) fn run(self: &Arc<Self>, watch: &CallerWatch) -> Result<Response, ErrorKind> {
         self.notify(Notice::Start);
-        let mut is_gone = false;
+        let drive = Arc::clone(self);
+        watch.on_gone(move || drive.notify(Notice::Event(Event::CallerGone)));
         loop {
             let until = self.entry.context.kernel.clock.instant(self.wake_us());
-            if let Some(result) = self.wait(until.min(Instant::now() + CALLER_CHECK)) {
+            if let Some(result) = self.wait(until) {
                 return result;
             }
             if self.now_us() >= self.wake_us() {
                 self.notify(Notice::Tick);
-            } else if !is_gone && watch.is_gone() {
-                is_gone = true;
-                self.notify(Notice::Event(Event::CallerGone));
             }
         }
     }
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -12,7 +12,9 @@
 use crate::context::NodeContext;
 use drive::Drive;
 use errors::ErrorKind;
-use http::{CallerWatch, Request, Response, ServerConfig, error_response, serve};
+use http::{
+    CallerWatch, Request, RequestLimits, Response, Server, ServerConfig, error_response, serve,
+};
 use kernel::{CallLabels, ErrorLabels, Event, Kernel, PluginEntry, Role, Running, StartError};
 use model::CallId;
 use routes::Routes;
@@ -26,6 +28,8 @@
     time::{Duration, Instant},
 };
 
+/// Most requests of one connection in progress at once.
+const MAX_PIPELINED: usize = 16;
 /// Time after which a refused caller may come back, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<u32> = 80..240;
 /// Period in which lost probes are looked for.
@@ -69,6 +73,7 @@
     let config = ServerConfig {
         max_connections: kernel.node_settings().max_connections,
         max_body_bytes: kernel.node_settings().max_body_bytes,
+        max_pipelined: MAX_PIPELINED,
         thread_name: "entry".to_owned(),
         ..ServerConfig::default()
     };
@@ -78,6 +83,7 @@
     .map_err(|error| StartError::new("entry", error))?;
     kernel.set_address("entry", server.address());
     let server = Arc::new(server);
+    follow_limits(kernel, &server);
     let checking = thread::spawn({
         let context = Arc::clone(&context);
         move || {
@@ -102,8 +108,33 @@
     ))
 }
 
+/// Keeps the limits for callers as the configuration in effect has them.
+fn follow_limits(kernel: &Arc<Kernel>, server: &Arc<Server>) {
+    let (weak, largest) = (Arc::downgrade(server), kernel.node_settings().max_body_bytes);
+    let profiles = kernel.profiles.clone();
+    let apply = move || {
+        let (Some(table), Some(server)) = (profiles.routes(), weak.upgrade()) else {
+            return;
+        };
+        let limits = &table.configuration().limits;
+        let bytes = |limit: u64| usize::try_from(limit).unwrap_or(usize::MAX);
+        server.set_limits(RequestLimits {
+            max_head_bytes: bytes(limits.max_head_bytes),
+            max_body_bytes: bytes(limits.max_body_bytes).min(largest),
+            head_timeout_ms: limits.head_timeout_ms,
+            idle_timeout_ms: limits.idle_timeout_ms,
+        });
+    };
+    apply();
+    kernel.events.subscribe(move |event| {
+        if let Event::ProfilesChanged(_) = event {
+            apply();
+        }
+    });
+}
+
 impl Entry {
-    fn answer(self: &Arc<Self>, request: Request, watch: &CallerWatch<'_>) -> Response {
+    fn answer(self: &Arc<Self>, request: Request, watch: &CallerWatch) -> Response {
         let arrived_us = self.context.kernel.clock.now_us();
         let prepared = match self.prepare(request, arrived_us) {
             Ok(prepared) => prepared,
