Start calls only on hosts that work at their usual pace

Cause: a neighbour slows a host five-fold for 150 ms at a time, and work that starts then takes five times as long to its end.

Calls that can still meet their latency target start before those that can't.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -507,6 +507,9 @@
     Ok(NodeSettings {
         require_configuration: false,
         stop_notice_ms: 0,
+        moves: 0,
+        usable_slots_percent: 100,
+        health_checks_per_s: 0,
         headers: CallHeaders::default(),
         service: None,
         call_listen: ANY_PORT,
--- a/components/bench/src/policy/sim.rs
+++ b/components/bench/src/policy/sim.rs
@@ -424,6 +424,8 @@
             deadline_us,
             start_by_us: patience_us.map_or(deadline_us, |patience| self.now_us + patience),
             expected_us: 0,
+            target_us: u64::MAX,
+            start_now: false,
             queue_limit: self.settings.queue_limit,
         };
         let instance = &mut self.instances[attempt.instance];
--- a/components/calls/src/entry.rs
+++ b/components/calls/src/entry.rs
@@ -42,6 +42,9 @@
     pub deadline_us: u64,
     /// Most attempts, the first and hedges included.
     pub attempts: u16,
+    /// Most refusals by owners for want of room that don't count as attempts, because no upstream
+    /// has seen the call.
+    pub moves: u16,
     /// Delay after which an idempotent call is hedged.
     pub hedge_after_us: Option<u64>,
 }
@@ -178,10 +181,27 @@
 struct Attempt<U> {
     upstream: U,
     state: State,
+    /// Why its owner did not run it.
+    refusal: Option<ErrorKind>,
     /// Questions about its fate, or about holders of its key, for the backoff.
     asks: u32,
 }
 
+impl<U> Attempt<U> {
+    /// Whether its owner refused it without offering it to the upstream.
+    fn is_move(&self) -> bool {
+        matches!(
+            self.refusal,
+            Some(
+                ErrorKind::Overloaded
+                    | ErrorKind::QueueFull
+                    | ErrorKind::Stopping
+                    | ErrorKind::NoUpstream
+            )
+        )
+    }
+}
+
 /// The question that the call waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Pending {
@@ -310,7 +330,13 @@
         self.pending = Pending::Route;
         let mut exclude: Vec<U> = Vec::new();
         for attempt in &self.attempts {
-            if !exclude.contains(&attempt.upstream) {
+            // The refusal came with fresh figures, which the choice weighs.
+            let may_have_room_later = self.spec.moves > 0
+                && matches!(
+                    attempt.refusal,
+                    Some(ErrorKind::Overloaded | ErrorKind::QueueFull)
+                );
+            if !may_have_room_later && !exclude.contains(&attempt.upstream) {
                 exclude.push(attempt.upstream);
             }
         }
@@ -326,6 +352,7 @@
         self.attempts.push(Attempt {
             upstream,
             state: State::Claiming,
+            refusal: None,
             asks: 0,
         });
         if self.spec.keyed {
@@ -463,6 +490,7 @@
             return;
         };
         self.attempts[index].state = State::NotRun;
+        self.attempts[index].refusal = Some(kind);
         self.over.push(attempt);
         self.last_refusal = kind;
         if self.has_open() || self.overdue {
@@ -556,7 +584,9 @@
     /// reach every upstream by retries.
     fn may_try_again(&self) -> bool {
         let may_have_run = self.maybe_ran.is_some();
-        self.attempts.len() < usize::from(self.spec.attempts)
+        let moves = self.attempts.iter().filter(|a| a.is_move()).count();
+        let uncounted = moves.min(usize::from(self.spec.moves));
+        self.attempts.len() - uncounted < usize::from(self.spec.attempts)
             && !self.ran_after_crash
             && !(self.spec.suspected && may_have_run)
     }
--- a/components/calls/tests/suite/refused_calls.rs
+++ b/components/calls/tests/suite/refused_calls.rs
@@ -30,6 +30,7 @@
         suspected,
         deadline_us: 1_000_000,
         attempts: 4,
+        moves: 0,
         hedge_after_us: None,
     });
     entry.start(0);
--- a/components/calls/tests/suite/world.rs
+++ b/components/calls/tests/suite/world.rs
@@ -344,6 +344,7 @@
             suspected: false,
             deadline_us: self.now_us + rest_us,
             attempts: 4,
+            moves: 0,
             hedge_after_us: Some(20_000),
         };
         let mut machine = EntryCall::new(spec);
--- a/components/config/src/table.rs
+++ b/components/config/src/table.rs
@@ -83,6 +83,13 @@
             .find(|prepared| path.starts_with(prepared.route.path_prefix.as_ref()))
     }
 
+    /// Path of the health check of a service's instances.
+    pub fn health_path(&self, service: &ServiceName) -> Option<Arc<str>> {
+        let services = &self.configuration.services;
+        let found = services.iter().find(|known| known.name == *service)?;
+        Some(Arc::clone(&found.health_path))
+    }
+
     /// Whether the configuration lists the service.
     pub fn knows_service(&self, service: &ServiceName) -> bool {
         self.configuration
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -54,7 +54,10 @@
     let both = ["/1", "/2"].map(request).concat();
     stream.write_all(both.as_bytes()).unwrap();
     let text = read_to(&mut stream, "/2");
-    assert!(text.find("/1").unwrap() < text.rfind("/2").unwrap(), "{text}");
+    assert!(
+        text.find("/1").unwrap() < text.rfind("/2").unwrap(),
+        "{text}"
+    );
     server.stop();
 }
 
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -56,6 +56,8 @@
     pub probe_bytes: Counter,
     /// Probes that the budget held back.
     pub probes_held_back: Counter,
+    /// Health checks of the local instance.
+    pub health_checks: Counter,
     /// Calls running at the local upstream.
     pub in_flight: Gauge,
     /// Calls waiting at this owner.
@@ -92,6 +94,7 @@
             probes: Family::default(),
             probe_bytes: Counter::default(),
             probes_held_back: Counter::default(),
+            health_checks: Counter::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
             started: Counter::default(),
@@ -127,6 +130,11 @@
             "Probes that the budget held back",
             self.probes_held_back.clone(),
         );
+        registry.register(
+            "health_checks",
+            "Health checks of the local instance",
+            self.health_checks.clone(),
+        );
         registry.register(
             "in_flight",
             "Calls running at the upstream",
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -36,6 +36,11 @@
     pub start_by_us: u64,
     /// Expected service time, or 0 to use the owner's own estimate.
     pub expected_us: u64,
+    /// Time up to which an answer is fully useful; later ones are served when nothing else waits.
+    /// The deadline, or later, if all answers are alike.
+    pub target_us: u64,
+    /// Refuse the attempt unless it can start at once on a host that works as usual.
+    pub start_now: bool,
     /// Most calls waiting for this one to join them; 0 starts at once or not at all.
     pub queue_limit: u32,
 }
@@ -86,6 +91,8 @@
     state: UpstreamState,
     running: Vec<Running>,
     waiting: [VecDeque<Ticket>; PRIORITIES],
+    /// Until when calls are held back because the host is slow.
+    held_until_us: u64,
     service_us: u64,
     learned_us: u64,
     sequence: u64,
@@ -99,6 +106,7 @@
             state: UpstreamState::Serving,
             running: Vec::with_capacity(config.slots as usize),
             waiting: Default::default(),
+            held_until_us: 0,
             service_us: 0,
             learned_us: 0,
             sequence: 0,
@@ -113,10 +121,14 @@
         if now_us >= ticket.deadline_us {
             return Offer::Refused(ErrorKind::DeadlineExpired);
         }
-        if self.has_free_slot() && self.queued() == 0 {
+        let is_held = now_us < self.held_until_us;
+        if !is_held && self.has_free_slot() && self.queued() == 0 {
             self.run(now_us, ticket.attempt);
             return Offer::Start;
         }
+        if ticket.start_now {
+            return Offer::Refused(ErrorKind::Overloaded);
+        }
         if !self.can_finish(now_us + self.expected_wait_us(ticket.priority), &ticket) {
             return Offer::Refused(ErrorKind::Overloaded);
         }
@@ -180,6 +192,7 @@
                 None => true,
             });
         }
+        steps.extend(self.fill(now_us));
         steps
     }
 
@@ -196,6 +209,25 @@
             .collect()
     }
 
+    /// Holds calls back for a while because the host is slow; they start when it is over, or with
+    /// `release`.
+    pub fn hold(&mut self, now_us: u64, for_us: u64) {
+        if now_us >= self.held_until_us {
+            self.held_until_us = now_us + for_us;
+        }
+    }
+
+    /// Whether calls are held back.
+    pub fn is_held(&self, now_us: u64) -> bool {
+        now_us < self.held_until_us
+    }
+
+    /// Starts what was held back, as far as there are slots.
+    pub fn release(&mut self, now_us: u64) -> Vec<Step> {
+        self.held_until_us = 0;
+        self.fill(now_us)
+    }
+
     /// Follows a change of the announced slots.
     pub fn set_slots(&mut self, now_us: u64, slots: u32) -> Vec<Step> {
         self.config.slots = slots;
@@ -210,6 +242,7 @@
             queued: self.queued(),
             slots: self.config.slots,
             service_time_us: u32::try_from(self.visible_service_us(now_us)).unwrap_or(u32::MAX),
+            pace_percent: 0,
             sequence: self.sequence,
         }
     }
@@ -221,6 +254,10 @@
             .flatten()
             .map(|ticket| ticket.deadline_us.min(ticket.start_by_us))
             .min()
+            .map(|at_us| match self.held_until_us {
+                0 => at_us,
+                held_until_us => at_us.min(held_until_us),
+            })
     }
 
     /// Calls that the upstream can run at once.
@@ -252,8 +289,12 @@
 
     fn fill(&mut self, now_us: u64) -> Vec<Step> {
         let mut steps = Vec::new();
+        if now_us < self.held_until_us {
+            return steps;
+        }
+        self.held_until_us = 0;
         while self.has_free_slot() {
-            let Some(ticket) = self.waiting.iter_mut().find_map(VecDeque::pop_front) else {
+            let Some(ticket) = self.next_ticket(now_us) else {
                 break;
             };
             let refusal = lateness(now_us, &ticket)
@@ -269,6 +310,19 @@
         steps
     }
 
+    /// The first ticket by priority that can still meet its target; without one, the first that
+    /// waits. Under pressure this keeps answers useful instead of making all of them late.
+    fn next_ticket(&mut self, now_us: u64) -> Option<Ticket> {
+        let service_us = self.service_us;
+        let is_useful = |ticket: &Ticket| now_us + service_us <= ticket.target_us;
+        for queue in &mut self.waiting {
+            if let Some(index) = queue.iter().position(is_useful) {
+                return queue.remove(index);
+            }
+        }
+        self.waiting.iter_mut().find_map(VecDeque::pop_front)
+    }
+
     fn can_finish(&self, start_us: u64, ticket: &Ticket) -> bool {
         let service_us = match ticket.expected_us {
             0 => self.service_us,
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod admission;
 mod bucket;
+mod pace;
 mod retry;
 
 pub use admission::{Admission, AdmissionConfig, CancelEffect, Offer, Step, Ticket};
 pub use bucket::TokenBucket;
+pub use pace::{Pace, PaceView, USUAL_PERCENT};
 pub use retry::RetryBudget;
--- /dev/null
+++ b/components/limits/src/pace.rs
@@ -0,0 +1,104 @@
+//! How fast an upstream's host works at the moment.
+//!
+//! Answers noisy neighbours: for some hundred milliseconds at a time, all work that starts on a host
+//! takes several times as long. The figure is only worth something while it is fresh, so it is asked
+//! for when a call is about to start, within a budget.
+
+use crate::TokenBucket;
+
+/// Age up to which a figure is used, in microseconds; short against the time that a host stays
+/// slow or fast.
+const FRESH_US: u64 = 20_000;
+/// Time after which an unanswered question no longer holds up calls, in microseconds.
+const ASK_TIMEOUT_US: u64 = 30_000;
+/// Pace from which work is better started elsewhere, in percent of the usual time.
+const SLOW_PERCENT: u32 = 200;
+/// Pace of a host without disturbance, in percent.
+pub const USUAL_PERCENT: u32 = 100;
+
+/// What to do with a call that could start now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PaceView {
+    /// The host works as usual, or nothing is known to the contrary.
+    Usual,
+    /// Work takes much longer than usual.
+    Slow,
+    /// The last figure is too old; ask for a new one.
+    Ask,
+    /// A question is on its way.
+    Asked,
+}
+
+/// Freshest figure of one upstream and the budget for asking for more.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    percent: u32,
+    at_us: u64,
+    /// Whether the upstream has ever told a figure; one that tells none is never asked.
+    is_told: bool,
+    asked_us: Option<u64>,
+    budget: TokenBucket,
+}
+
+impl Pace {
+    /// Nothing is known yet; at most `asks_per_s` questions are sent in any second.
+    pub fn new(asks_per_s: u32) -> Self {
+        Pace {
+            percent: USUAL_PERCENT,
+            at_us: 0,
+            is_told: false,
+            asked_us: None,
+            budget: TokenBucket::new(asks_per_s, asks_per_s),
+        }
+    }
+
+    /// Takes in a figure from any of the upstream's messages.
+    pub fn told(&mut self, now_us: u64, percent: u32) {
+        self.percent = percent;
+        self.at_us = now_us;
+        self.is_told = true;
+    }
+
+    /// A question was answered, or failed.
+    pub fn ask_ended(&mut self) {
+        self.asked_us = None;
+    }
+
+    /// What is known now; a question must follow `PaceView::Ask`.
+    pub fn view(&mut self, now_us: u64) -> PaceView {
+        if !self.is_told {
+            return PaceView::Usual;
+        }
+        if now_us < self.at_us + FRESH_US {
+            return self.last();
+        }
+        if let Some(asked_us) = self.asked_us
+            && now_us < asked_us + ASK_TIMEOUT_US
+        {
+            return PaceView::Asked;
+        }
+        if self.budget.try_take(now_us, 1) {
+            self.asked_us = Some(now_us);
+            return PaceView::Ask;
+        }
+        self.last()
+    }
+
+    /// Whether the last figure, of whatever age, was slow.
+    pub fn is_slow(&self) -> bool {
+        self.is_told && self.percent >= SLOW_PERCENT
+    }
+
+    /// The last figure in percent of the usual time.
+    pub fn percent(&self) -> u32 {
+        self.percent
+    }
+
+    fn last(&self) -> PaceView {
+        if self.is_slow() {
+            PaceView::Slow
+        } else {
+            PaceView::Usual
+        }
+    }
+}
--- a/components/limits/tests/admission_bounds.rs
+++ b/components/limits/tests/admission_bounds.rs
@@ -106,6 +106,8 @@
                         deadline_us: now_us + deadline_us,
                         start_by_us: now_us + patience_us,
                         expected_us: 0,
+                        target_us: u64::MAX,
+                        start_now: false,
                         queue_limit,
                     };
                     ledger.deadlines_us.insert(ticket.attempt, ticket.deadline_us);
--- /dev/null
+++ b/components/limits/tests/host_pace.rs
@@ -0,0 +1,55 @@
+//! Guards against work that starts on a host while a neighbour slows it, and against questions
+//! without end.
+
+use limits::{Pace, PaceView};
+
+const MS: u64 = 1_000;
+
+#[test]
+fn asks_when_stale() {
+    let mut pace = Pace::new(10);
+    assert_eq!(pace.view(0), PaceView::Usual, "never told, never asked");
+    pace.told(0, 500);
+    assert_eq!(pace.view(5 * MS), PaceView::Slow);
+    assert_eq!(pace.view(40 * MS), PaceView::Ask);
+    assert_eq!(
+        pace.view(41 * MS),
+        PaceView::Asked,
+        "one question at a time"
+    );
+    pace.told(42 * MS, 100);
+    pace.ask_ended();
+    assert_eq!(pace.view(43 * MS), PaceView::Usual);
+}
+
+#[test]
+fn lost_answer_holds_nothing_up() {
+    let mut pace = Pace::new(1);
+    pace.told(0, 100);
+    assert_eq!(pace.view(30 * MS), PaceView::Ask);
+    assert_eq!(pace.view(90 * MS), PaceView::Usual, "the budget is spent");
+}
+
+#[test]
+fn budget_holds_in_any_second() {
+    let mut pace = Pace::new(20);
+    pace.told(0, 100);
+    let mut asked_us = Vec::new();
+    for now_us in (0..3_000 * MS).step_by(MS as usize) {
+        if pace.view(now_us) == PaceView::Ask {
+            asked_us.push(now_us);
+            pace.ask_ended();
+        }
+    }
+    let most = asked_us
+        .iter()
+        .map(|from| {
+            asked_us
+                .iter()
+                .filter(|at| (*from..from + 1_000 * MS).contains(at))
+                .count()
+        })
+        .max();
+    assert!(most <= Some(20), "{most:?}");
+    assert!(asked_us.len() >= 40, "{}", asked_us.len());
+}
--- a/components/limits/tests/queue_order.rs
+++ b/components/limits/tests/queue_order.rs
@@ -17,6 +17,8 @@
         deadline_us: 100_000,
         start_by_us: 100_000,
         expected_us: 0,
+        target_us: u64::MAX,
+        start_now: false,
         queue_limit: 2,
     }
 }
--- a/components/model/src/load.rs
+++ b/components/model/src/load.rs
@@ -13,6 +13,8 @@
     pub slots: u32,
     /// Recent service time of one call, in microseconds.
     pub service_time_us: u32,
+    /// Time that work takes on the upstream's host now, in percent of the usual; 0 if not known.
+    pub pace_percent: u32,
     /// Counter that grows with each signal of one owner incarnation.
     pub sequence: u64,
 }
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -18,12 +18,21 @@
     pub(crate) service: ServiceName,
     pub(crate) profile: Profile,
     pub(crate) deadline_us: u64,
+    /// Time up to which the answer is fully useful.
+    pub(crate) target_us: u64,
     pub(crate) key: Option<Key>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) suspected: bool,
     pub(crate) request: WireMessage,
 }
 
+/// Where a request goes and how it is treated.
+struct Target {
+    service: ServiceName,
+    profile: Profile,
+    latency_target_ms: Option<u64>,
+}
+
 /// A refused request: its service, empty if not known, and the reason.
 type Refusal = (String, ErrorKind);
 
@@ -31,7 +40,11 @@
     /// Checks a request against the directory, the profiles and the limits of its headers.
     pub(crate) fn prepare(&self, request: Request, now_us: u64) -> Result<Prepared, Refusal> {
         let kernel = &self.context.kernel;
-        let (service, profile) = self.target(&request)?;
+        let Target {
+            service,
+            profile,
+            latency_target_ms,
+        } = self.target(&request)?;
         let refuse = |kind| (service.to_string(), kind);
         let key = key_of(&request, &service, &profile).map_err(refuse)?;
         let longest_ms = if key.is_some() {
@@ -55,6 +68,9 @@
         Ok(Prepared {
             call: self.next_call(),
             deadline_us: now_us + deadline_ms * 1000,
+            target_us: latency_target_ms.map_or(u64::MAX, |target_ms| {
+                now_us + target_ms.saturating_mul(1_000)
+            }),
             key,
             fingerprint,
             suspected,
@@ -67,7 +83,7 @@
 
 impl Entry {
     /// The service that the request goes to and how it is treated.
-    fn target(&self, request: &Request) -> Result<(ServiceName, Profile), Refusal> {
+    fn target(&self, request: &Request) -> Result<Target, Refusal> {
         let kernel = &self.context.kernel;
         let path = request.target.split('?').next().unwrap_or("/");
         if let Some(table) = kernel.profiles.routes() {
@@ -78,7 +94,11 @@
             let service = matched
                 .next_service()
                 .ok_or((String::new(), ErrorKind::NoUpstream))?;
-            return Ok((service, matched.profile.clone()));
+            return Ok(Target {
+                service,
+                profile: matched.profile.clone(),
+                latency_target_ms: Some(matched.route.latency_target_ms),
+            });
         }
         if kernel.node_settings().require_configuration {
             return Err((String::new(), ErrorKind::NotConfigured));
@@ -93,7 +113,11 @@
             .profiles
             .resolve(&name)
             .ok_or_else(|| refuse(ErrorKind::UnknownProfile))?;
-        Ok((service, profile))
+        Ok(Target {
+            service,
+            profile,
+            latency_target_ms: None,
+        })
     }
 
     /// The request as it travels, without the headers of one connection.
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -88,6 +88,7 @@
             suspected: call.suspected,
             deadline_us: call.deadline_us,
             attempts: call.profile.attempts,
+            moves: entry.context.kernel.node_settings().moves,
             hedge_after_us,
         };
         if hedge_after_us.is_some() {
@@ -226,7 +227,8 @@
     }
 
     fn feed(self: &Arc<Self>, state: &mut State, event: Event<UpstreamKey>) {
-        state.settle(&event, || self.release_retry());
+        let moves_are_free = self.entry.context.kernel.node_settings().moves > 0;
+        state.settle(&event, moves_are_free, || self.release_retry());
         let actions = state.machine.on_event(self.now_us(), event);
         self.carry_out(state, actions);
     }
@@ -365,12 +367,17 @@
         now_us: u64,
     ) -> Vec<u8> {
         let profile = &self.call.profile;
-        let may_move = attempt.attempt + 1 < profile.attempts;
+        let moves_left = self.entry.context.kernel.node_settings().moves;
+        let may_move = attempt.attempt + 1 < profile.attempts.max(moves_left);
         let patience = state
             .patience
             .take()
             .filter(|(chosen, _)| may_move && *chosen == key);
+        // A call that moves for free need not wait anywhere while another upstream has room.
+        let moves = self.entry.context.kernel.node_settings().moves;
+        let start_now = patience.is_some() && attempt.attempt < moves;
         let patience_us = patience
+            .filter(|_| moves == 0)
             .map(|(_, patience_us)| patience_us)
             .filter(|_| self.routes.with_budgets(profile, |b| b.retry.try_reserve()));
         if patience_us.is_some() {
@@ -387,6 +394,8 @@
             queue_limit: profile.queue_limit,
             remaining_us: self.call.deadline_us.saturating_sub(now_us),
             patience_us,
+            start_now,
+            target_us: self.call.target_us.saturating_sub(now_us),
             fingerprint: self.call.fingerprint,
             request: self.call.request.clone(),
         }))
@@ -469,10 +478,10 @@
 
 impl State {
     /// Frees the retry set aside for an attempt that has ended.
-    fn settle(&mut self, event: &Event<UpstreamKey>, release: impl FnOnce()) {
+    fn settle(&mut self, event: &Event<UpstreamKey>, moves_are_free: bool, release: impl FnOnce()) {
         match event {
             // An owner that leaves is no sign of overload, so moving on costs no budget.
-            Event::Refused(attempt, ErrorKind::Stopping | ErrorKind::NoUpstream) => {
+            Event::Refused(attempt, kind) if is_free(*kind, moves_are_free) => {
                 if self.reserved.remove(attempt) {
                     release();
                 }
@@ -489,6 +498,15 @@
     }
 }
 
+/// Whether moving on after this refusal costs no retry: no upstream has seen the call.
+fn is_free(kind: ErrorKind, moves_are_free: bool) -> bool {
+    match kind {
+        ErrorKind::Stopping | ErrorKind::NoUpstream => true,
+        ErrorKind::Overloaded | ErrorKind::QueueFull => moves_are_free,
+        _ => false,
+    }
+}
+
 fn hedge_delay_us(call: &Prepared, routes: &ServiceRoutes) -> Option<u64> {
     if !call.profile.hedge.enabled {
         return None;
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -110,7 +110,10 @@
 
 /// Keeps the limits for callers as the configuration in effect has them.
 fn follow_limits(kernel: &Arc<Kernel>, server: &Arc<Server>) {
-    let (weak, largest) = (Arc::downgrade(server), kernel.node_settings().max_body_bytes);
+    let (weak, largest) = (
+        Arc::downgrade(server),
+        kernel.node_settings().max_body_bytes,
+    );
     let profiles = kernel.profiles.clone();
     let apply = move || {
         let (Some(table), Some(server)) = (profiles.routes(), weak.upgrade()) else {
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -214,7 +214,7 @@
             host: settings.host.clone(),
             node: self.kernel.mesh.local(),
             address: announcement.address,
-            slots: announcement.slots,
+            slots: usable_slots(announcement.slots, settings.usable_slots_percent),
             connections: announcement.connections,
             state: if must_drain {
                 UpstreamState::Draining
@@ -246,6 +246,10 @@
     }
 }
 
+fn usable_slots(slots: u32, percent: u8) -> u32 {
+    (slots * u32::from(percent) / 100).max(1)
+}
+
 /// Whether two records differ in their version at most.
 fn is_same(known: &Upstream, next: &Upstream) -> bool {
     *known
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -2,9 +2,9 @@
 
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig};
-use limits::{Admission, AdmissionConfig, Step};
+use limits::{Admission, AdmissionConfig, Pace, Step};
 use mesh::ReplyTo;
-use model::{AttemptId, Upstream, UpstreamState};
+use model::{AttemptId, LoadSignal, Upstream, UpstreamState};
 use std::{collections::HashMap, sync::Arc};
 use wire::RunCall;
 
@@ -37,11 +37,25 @@
     pub(super) admission: Admission,
     pub(super) waiting: HashMap<AttemptId, Job>,
     pub(super) running: HashMap<AttemptId, Active>,
+    pub(super) pace: Pace,
+    /// Calls that wait for a figure on the host's pace.
+    pub(super) arrivals: Vec<Arrived>,
+}
+
+/// A call that has not been offered to admission yet.
+pub(super) struct Arrived {
+    pub(super) call: RunCall,
+    pub(super) deadline_us: u64,
+    pub(super) reply: ReplyTo,
 }
 
 impl Instance {
     /// State for a newly announced instance; none if its pool can't be started.
-    pub(super) fn new(upstream: &Upstream, max_body_bytes: usize) -> Option<Self> {
+    pub(super) fn new(
+        upstream: &Upstream,
+        max_body_bytes: usize,
+        health_checks_per_s: u32,
+    ) -> Option<Self> {
         let max_connections = upstream
             .connections
             .saturating_sub(SPARE_CONNECTIONS)
@@ -70,6 +84,8 @@
             admission,
             waiting: HashMap::new(),
             running: HashMap::new(),
+            pace: Pace::new(health_checks_per_s),
+            arrivals: Vec::new(),
         })
     }
 
@@ -92,6 +108,14 @@
         self.admission.set_state(UpstreamState::Stopping)
     }
 
+    /// The load to attach to a message.
+    pub(super) fn signal(&mut self, now_us: u64) -> LoadSignal {
+        LoadSignal {
+            pace_percent: self.pace.percent(),
+            ..self.admission.signal(now_us)
+        }
+    }
+
     pub(super) fn note_running(&mut self, job: &Job) {
         self.running.insert(
             job.call.attempt,
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Plug-in `owner`: admits calls to the local instance, runs them and keeps their records.
 
 mod crash;
+mod health;
 mod instance;
 mod run;
 mod state;
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -39,6 +39,9 @@
         job.call.attempt,
         started_us - job.arrived_us
     );
+    if let Ok(response) = &outcome {
+        owner.note_load(response);
+    }
     match outcome {
         Ok(response) if is_refusal(owner, &response) => finish_refusal(owner, job, &response),
         Ok(response) if is_foreign(owner, &job, &response) => {
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -2,7 +2,7 @@
 
 use super::{
     crash::CrashGroup,
-    instance::{Instance, Job, take_refused},
+    instance::{Arrived, Instance, Job, take_refused},
     run::run_job,
 };
 use crate::context::NodeContext;
@@ -10,7 +10,7 @@
 use crossbeam::channel::Sender;
 use errors::ErrorKind;
 use http::CancelToken;
-use limits::{CancelEffect, Offer, Step, Ticket};
+use limits::{CancelEffect, Offer, PaceView, Step, Ticket};
 use mesh::{Inbound, ReplyTo};
 use model::{AttemptId, LoadSignal, Upstream};
 use std::{
@@ -23,6 +23,13 @@
 };
 use wire::{CallReply, CallRequest, FateRequest, RunCall, RunResult, decode, encode};
 
+/// Longest time for which calls wait for a slow host to recover, in microseconds. A host that stays
+/// slow for longer still does some work.
+const SLOW_HOLD_US: u64 = 120_000;
+
+/// Time between two looks at a slow host while calls wait, in microseconds.
+const PACE_LOOK_US: u64 = 25_000;
+
 /// Owner of the calls to the local instance.
 pub(crate) struct Owner {
     pub(crate) context: Arc<NodeContext>,
@@ -83,7 +90,9 @@
                     .map(Instance::refuse_waiting)
                     .unwrap_or_default();
                 let refused = take_refused(guard.as_mut(), &steps);
-                *guard = next.and_then(|next| Instance::new(next, self.max_body_bytes()));
+                *guard = next.and_then(|next| {
+                    Instance::new(next, self.max_body_bytes(), self.health_checks_per_s())
+                });
                 drop(guard);
                 self.reply_refused(refused);
                 return;
@@ -108,7 +117,7 @@
         let now_us = self.now_us();
         self.lock_instance()
             .as_mut()
-            .map(|instance| instance.admission.signal(now_us))
+            .map(|instance| instance.signal(now_us))
     }
 
     /// Calls that wait or run.
@@ -125,7 +134,11 @@
         let mut guard = self.lock_instance();
         let instance = guard.as_mut()?;
         let steps = instance.admission.expire(now_us);
-        let next = instance.admission.next_deadline_us();
+        let mut next = instance.admission.next_deadline_us();
+        if instance.admission.is_held(now_us) && instance.admission.queued() > 0 {
+            self.look_at_pace(now_us, instance);
+            next = next.map(|at_us| at_us.min(now_us + PACE_LOOK_US));
+        }
         self.carry_out(guard, &steps);
         next.map(|at_us| Duration::from_micros(at_us.saturating_sub(now_us)))
     }
@@ -171,7 +184,7 @@
                 Some(time_us) => instance.admission.finished(now_us, attempt, time_us),
                 None => instance.admission.released(now_us, attempt),
             };
-            let signal = instance.admission.signal(now_us);
+            let signal = instance.signal(now_us);
             (signal, steps, guard)
         };
         let started = guard
@@ -257,17 +270,96 @@
         self.offer(now_us, deadline_us, call, reply_to);
     }
 
+    /// Offers a call to admission, after a look at the host's pace if that is not known.
     fn offer(self: &Arc<Self>, now_us: u64, deadline_us: u64, call: RunCall, reply_to: ReplyTo) {
-        let attempt = call.attempt;
         let mut guard = self.lock_instance();
         let Some(instance) = guard.as_mut() else {
             drop(guard);
-            self.lock_records().refused(now_us, attempt);
-            reply(
-                reply_to,
-                LoadSignal::default(),
-                RunResult::Refused(ErrorKind::NoUpstream),
+            self.refuse_without_instance(now_us, call.attempt, reply_to);
+            return;
+        };
+        let view = instance.pace.view(now_us);
+        match view {
+            PaceView::Ask | PaceView::Asked => {
+                instance.arrivals.push(Arrived {
+                    call,
+                    deadline_us,
+                    reply: reply_to,
+                });
+                let pool = Arc::clone(&instance.pool);
+                let service = instance.upstream.service.clone();
+                drop(guard);
+                if view == PaceView::Ask {
+                    self.check_health(&service, &pool);
+                }
+            }
+            PaceView::Usual => self.place(guard, now_us, deadline_us, call, reply_to),
+            PaceView::Slow => {
+                instance.admission.hold(now_us, SLOW_HOLD_US);
+                self.place(guard, now_us, deadline_us, call, reply_to);
+            }
+        }
+    }
+
+    /// Offers the calls that waited for the host's pace.
+    pub(super) fn offer_arrivals(self: &Arc<Self>) {
+        let arrivals = match self.lock_instance().as_mut() {
+            Some(instance) => std::mem::take(&mut instance.arrivals),
+            None => return,
+        };
+        let now_us = self.now_us();
+        for arrived in arrivals {
+            let guard = self.lock_instance();
+            if guard.is_none() {
+                drop(guard);
+                self.refuse_without_instance(now_us, arrived.call.attempt, arrived.reply);
+                continue;
+            }
+            self.place(
+                guard,
+                now_us,
+                arrived.deadline_us,
+                arrived.call,
+                arrived.reply,
             );
+        }
+    }
+
+    /// Takes in a figure on the host's pace and holds or releases calls accordingly.
+    pub(super) fn note_pace(self: &Arc<Self>, percent: u32) {
+        let now_us = self.now_us();
+        let mut guard = self.lock_instance();
+        let Some(instance) = guard.as_mut() else {
+            return;
+        };
+        instance.pace.told(now_us, percent);
+        if instance.pace.is_slow() {
+            instance.admission.hold(now_us, SLOW_HOLD_US);
+        } else if instance.admission.is_held(now_us) {
+            let steps = instance.admission.release(now_us);
+            self.carry_out(guard, &steps);
+        }
+    }
+
+    fn refuse_without_instance(&self, now_us: u64, attempt: AttemptId, reply_to: ReplyTo) {
+        self.lock_records().refused(now_us, attempt);
+        reply(
+            reply_to,
+            LoadSignal::default(),
+            RunResult::Refused(ErrorKind::NoUpstream),
+        );
+    }
+
+    fn place(
+        self: &Arc<Self>,
+        mut guard: MutexGuard<'_, Option<Instance>>,
+        now_us: u64,
+        deadline_us: u64,
+        call: RunCall,
+        reply_to: ReplyTo,
+    ) {
+        let attempt = call.attempt;
+        let Some(instance) = guard.as_mut() else {
             return;
         };
         let ticket = Ticket {
@@ -278,6 +370,8 @@
                 .patience_us
                 .map_or(deadline_us, |patience| now_us + patience),
             expected_us: 0,
+            target_us: now_us.saturating_add(call.target_us),
+            start_now: call.start_now,
             queue_limit: call.queue_limit,
         };
         let offer = instance.admission.offer(now_us, ticket);
@@ -308,7 +402,7 @@
                 self.carry_out(guard, &[Step::Refuse(shed, ErrorKind::QueueFull)]);
             }
             Offer::Refused(kind) => {
-                let signal = instance.admission.signal(now_us);
+                let signal = instance.signal(now_us);
                 drop(guard);
                 self.lock_records().refused(now_us, attempt);
                 log::debug!("owner: call {attempt} refused, {kind}.");
@@ -455,7 +549,11 @@
         self.context.kernel.node_settings().max_body_bytes
     }
 
-    fn lock_instance(&self) -> MutexGuard<'_, Option<Instance>> {
+    fn health_checks_per_s(&self) -> u32 {
+        self.context.kernel.node_settings().health_checks_per_s
+    }
+
+    pub(super) fn lock_instance(&self) -> MutexGuard<'_, Option<Instance>> {
         self.instance.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/components/routing/src/member.rs
+++ b/components/routing/src/member.rs
@@ -8,6 +8,8 @@
 /// Ratio of reported to typical service time that is still taken for chance; following smaller
 /// differences makes entries crowd the upstreams that were lucky in their last few calls.
 const CHANCE_SERVICE_RATIO: f64 = 2.0;
+/// Age at which a figure on the host's pace has lost 63 % of its weight, in microseconds.
+const PACE_DECAY_US: f64 = 100_000.0;
 /// Age at which distrust has lost 63 % of its weight, in microseconds.
 const DISTRUST_DECAY_US: f64 = 300_000.0;
 /// Weight of one result in the averages of predicted and observed latency.
@@ -206,7 +208,11 @@
             let excess_us = (signal_us - typical_us * CHANCE_SERVICE_RATIO).max(0.0);
             excess_us * remaining(now_us, seen.service_at_us, SERVICE_DECAY_US)
         });
-        let service_us = typical_us + excess_us;
+        let pace = self.seen.map_or(1.0, |seen| {
+            let pace = f64::from(seen.signal.pace_percent.max(100)) / 100.0;
+            1.0 + (pace - 1.0) * remaining(now_us, seen.at_us, PACE_DECAY_US)
+        });
+        let service_us = (typical_us + excess_us) * pace;
         service_us + self.overdue_us(now_us, service_us)
     }
 
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -157,6 +157,27 @@
         help = "service of the instance beside this node, before it announces itself"
     )]
     pub service: Option<String>,
+    /// Most free moves of a call.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "most owners that may refuse a call for want of room without using up an attempt (default: 0)"
+    )]
+    pub moves: Option<String>,
+    /// Share of slots in use.
+    #[options(
+        no_short,
+        meta = "PERCENT",
+        help = "share of an instance's slots that are used at once (default: 100)"
+    )]
+    pub usable_slots_percent: Option<String>,
+    /// Budget of health checks.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "most health checks of the local instance per second (default: 0)"
+    )]
+    pub health_checks_per_s: Option<String>,
     /// Time between the stop signal and the first refused call.
     #[options(
         no_short,
@@ -250,6 +271,13 @@
     pub require_configuration: bool,
     /// Time for which a stopping node still takes calls, so that callers can move away first.
     pub stop_notice_ms: u64,
+    /// Most owners that may refuse a call for want of room without using up an attempt.
+    pub moves: u16,
+    /// Share of the announced slots that are used at once, in percent; instances that are nearly
+    /// full work more slowly.
+    pub usable_slots_percent: u8,
+    /// Most health checks of the local instance per second, to learn its host's pace.
+    pub health_checks_per_s: u32,
     /// Names of the header fields of calls.
     pub headers: CallHeaders,
     /// Service of the instance beside this node, until an instance announces itself.
@@ -335,6 +363,21 @@
                 )?
                 .unwrap_or(false),
             stop_notice_ms: number("stop-notice-ms", &flags.stop_notice_ms, 0, 0, 60_000)?,
+            moves: number("moves", &flags.moves, 0, 0, 16)? as u16,
+            usable_slots_percent: number(
+                "usable-slots-percent",
+                &flags.usable_slots_percent,
+                100,
+                1,
+                100,
+            )? as u8,
+            health_checks_per_s: number(
+                "health-checks-per-s",
+                &flags.health_checks_per_s,
+                0,
+                0,
+                1_000,
+            )? as u32,
             headers: CallHeaders::default(),
             service: source.optional("service", flags.service.as_deref(), NAME)?,
             stop_timeout_ms: number(
--- a/components/wire/src/call.rs
+++ b/components/wire/src/call.rs
@@ -40,6 +40,10 @@
     pub remaining_us: u64,
     /// Wait at the owner after which it refuses the call, so that the entry can move it.
     pub patience_us: Option<u64>,
+    /// Refuse the call unless it can start at once.
+    pub start_now: bool,
+    /// Time left in which an answer is fully useful, in microseconds.
+    pub target_us: u64,
     /// Hash of the request, to recognise one that crashes upstreams.
     pub fingerprint: [u8; 16],
     /// The request.
