Let urgent calls use all slots, learn service times by kind, share the retry budget

Cause: calls that instances make (15 ms, rank 1) were refused on the average service time of the long calls beside them, and their callers failed with 500; each entry had a retry budget of its own, 1,200 retries per window in the worst case instead of 384.

Change: slots above the knee for calls above the lowest priority, service times by profile at the owner, one retry budget per service divided over the entries, bodies that end with their connection, a server stop with a time limit.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -507,6 +507,7 @@
     Ok(NodeSettings {
         require_configuration: false,
         stop_notice_ms: 0,
+        shared_retries: None,
         moves: 0,
         usable_slots_percent: 100,
         health_checks_per_s: 0,
--- a/components/bench/src/policy/instance.rs
+++ b/components/bench/src/policy/instance.rs
@@ -48,7 +48,11 @@
 impl Instance {
     pub(crate) fn new(slots: u32, queue_limit: u32) -> Self {
         Instance {
-            admission: Admission::new(AdmissionConfig { slots, queue_limit }),
+            admission: Admission::new(AdmissionConfig {
+                slots,
+                urgent_slots: 0,
+                queue_limit,
+            }),
             state: UpstreamState::Serving,
             restarts: 0,
             in_transit: 0,
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -90,6 +90,22 @@
     }
 }
 
+/// Why no more bytes of a response arrive.
+enum FillError {
+    /// The server closed the connection in order.
+    Closed(CallError),
+    /// The connection was reset, or the time is over.
+    Other(CallError),
+}
+
+impl From<FillError> for CallError {
+    fn from(error: FillError) -> Self {
+        match error {
+            FillError::Closed(error) | FillError::Other(error) => error,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Link {
     stream: Arc<TcpStream>,
@@ -325,9 +341,6 @@
             break head;
         }
     };
-    if head.framing == Framing::UntilClose {
-        return Err(CallError::Truncated);
-    }
     let mut decoder = BodyDecoder::new(head.framing, config.max_body_bytes);
     loop {
         let used = decoder.push(inbox.unread())?;
@@ -335,7 +348,12 @@
         if decoder.is_complete() {
             break;
         }
-        fill(stream, inbox, deadline, CallError::Truncated)?;
+        let ends_with_connection = head.framing == Framing::UntilClose;
+        match fill(stream, inbox, deadline, CallError::Truncated) {
+            // Only an orderly close ends such a body; a reset cuts it off.
+            Err(FillError::Closed(_)) if ends_with_connection => break,
+            result => result?,
+        }
     }
     let reusable = head.keep_alive && inbox.unread().is_empty();
     let response = Response {
@@ -410,18 +428,18 @@
     inbox: &mut Inbox,
     deadline: Option<Instant>,
     at_end: CallError,
-) -> Result<(), CallError> {
+) -> Result<(), FillError> {
     loop {
         let read = match deadline {
             Some(deadline) => inbox.fill_until(stream, deadline),
             None => inbox.fill(stream, LONG_WAIT),
         };
         match read {
-            Ok(0) => return Err(at_end),
+            Ok(0) => return Err(FillError::Closed(at_end)),
             Ok(_) => return Ok(()),
             Err(error) if is_timeout(&error) && deadline.is_none() => {}
-            Err(error) if is_timeout(&error) => return Err(CallError::TimedOut),
-            Err(_) => return Err(at_end),
+            Err(error) if is_timeout(&error) => return Err(FillError::Other(CallError::TimedOut)),
+            Err(_) => return Err(FillError::Other(at_end)),
         }
     }
 }
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -24,6 +24,8 @@
 const STACK_BYTES: usize = 256 * 1024;
 /// Most connections that are answered with a refusal at the same time.
 const MAX_REFUSING: usize = 32;
+/// How often a stopping server looks for connections that have become idle.
+const STOP_LOOK: Duration = Duration::from_millis(50);
 /// Longest wait for the accept loop to notice a stop.
 const WAKE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause of the accept loop when the process is out of descriptors or threads.
@@ -200,13 +202,21 @@
     ///
     /// Returns when all connections are closed.
     pub fn stop(&self) {
+        self.stop_until(None);
+    }
+
+    /// As `stop`, but returns at the given time with requests still in progress.
+    pub fn stop_until(&self, until: Option<Instant>) {
         self.stop_accepting();
         let grace = Instant::now() + Duration::from_millis(self.shared.config.stop_grace_ms);
-        self.wait_until_closed(Some(grace));
-        for connection in self.shared.connections().values() {
-            connection.replies.end_reading_if_idle();
+        self.wait_until_closed(grace);
+        // Again and again: connections become idle as their requests are answered.
+        while self.connections() > 0 && until.is_none_or(|until| Instant::now() < until) {
+            for connection in self.shared.connections().values() {
+                connection.replies.end_reading_if_idle();
+            }
+            self.wait_until_closed(Instant::now() + STOP_LOOK);
         }
-        self.wait_until_closed(None);
     }
 
     /// Closes the listener and all connections at once, with requests in progress cut off.
@@ -230,13 +240,10 @@
         }
     }
 
-    fn wait_until_closed(&self, until: Option<Instant>) {
+    fn wait_until_closed(&self, until: Instant) {
         let mut connections = self.shared.connections();
         while !connections.is_empty() {
-            let wait = match until {
-                None => Duration::from_secs(1),
-                Some(until) => until.saturating_duration_since(Instant::now()),
-            };
+            let wait = until.saturating_duration_since(Instant::now());
             if wait.is_zero() {
                 return;
             }
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -18,6 +18,9 @@
 pub struct AdmissionConfig {
     /// Calls that the upstream can run at once.
     pub slots: u32,
+    /// Slots on top of these for calls above the lowest priority, which go ahead where more calls
+    /// would only slow one another down.
+    pub urgent_slots: u32,
     /// Most calls waiting, whatever their tickets allow.
     pub queue_limit: u32,
 }
@@ -122,7 +125,8 @@
             return Offer::Refused(ErrorKind::DeadlineExpired);
         }
         let is_held = now_us < self.held_until_us;
-        if !is_held && self.has_free_slot() && self.queued() == 0 {
+        if !is_held && self.has_slot_for(ticket.priority) && self.queued_from(ticket.priority) == 0
+        {
             self.run(now_us, ticket.attempt);
             return Offer::Start;
         }
@@ -229,8 +233,9 @@
     }
 
     /// Follows a change of the announced slots.
-    pub fn set_slots(&mut self, now_us: u64, slots: u32) -> Vec<Step> {
+    pub fn set_slots(&mut self, now_us: u64, slots: u32, urgent_slots: u32) -> Vec<Step> {
         self.config.slots = slots;
+        self.config.urgent_slots = urgent_slots;
         self.fill(now_us)
     }
 
@@ -276,8 +281,20 @@
         u32::try_from(waiting).unwrap_or(u32::MAX)
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.in_flight() < self.config.slots
+    fn has_slot_for(&self, priority: Priority) -> bool {
+        let urgent_slots = match priority {
+            Priority::Low => 0,
+            Priority::Normal | Priority::High => self.config.urgent_slots,
+        };
+        self.in_flight() < self.config.slots + urgent_slots
+    }
+
+    /// Calls of this priority and above that wait.
+    fn queued_from(&self, priority: Priority) -> usize {
+        self.waiting[..=rank(priority)]
+            .iter()
+            .map(VecDeque::len)
+            .sum()
     }
 
     fn run(&mut self, now_us: u64, attempt: AttemptId) {
@@ -293,10 +310,7 @@
             return steps;
         }
         self.held_until_us = 0;
-        while self.has_free_slot() {
-            let Some(ticket) = self.next_ticket(now_us) else {
-                break;
-            };
+        while let Some(ticket) = self.next_ticket(now_us) {
             let refusal = lateness(now_us, &ticket)
                 .or_else(|| (!self.can_finish(now_us, &ticket)).then_some(ErrorKind::Overloaded));
             steps.push(match refusal {
@@ -313,14 +327,25 @@
     /// The first ticket by priority that can still meet its target; without one, the first that
     /// waits. Under pressure this keeps answers useful instead of making all of them late.
     fn next_ticket(&mut self, now_us: u64) -> Option<Ticket> {
-        let service_us = self.service_us;
-        let is_useful = |ticket: &Ticket| now_us + service_us <= ticket.target_us;
-        for queue in &mut self.waiting {
+        let open = [Priority::High, Priority::Normal, Priority::Low]
+            .into_iter()
+            .filter(|priority| self.has_slot_for(*priority))
+            .count();
+        let average_us = self.service_us;
+        let is_useful = |ticket: &Ticket| {
+            let service_us = match ticket.expected_us {
+                0 => average_us,
+                expected_us => expected_us,
+            };
+            now_us + service_us <= ticket.target_us
+        };
+        let queues = &mut self.waiting[..open];
+        for queue in queues.iter_mut() {
             if let Some(index) = queue.iter().position(is_useful) {
                 return queue.remove(index);
             }
         }
-        self.waiting.iter_mut().find_map(VecDeque::pop_front)
+        queues.iter_mut().find_map(VecDeque::pop_front)
     }
 
     fn can_finish(&self, start_us: u64, ticket: &Ticket) -> bool {
@@ -332,10 +357,7 @@
     }
 
     fn expected_wait_us(&self, priority: Priority) -> u64 {
-        let ahead: usize = self.waiting[..=rank(priority)]
-            .iter()
-            .map(VecDeque::len)
-            .sum();
+        let ahead = self.queued_from(priority);
         let slots = u64::from(self.config.slots.max(1));
         (ahead as u64 + 1) * self.service_us / slots
     }
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -4,8 +4,12 @@
 mod bucket;
 mod pace;
 mod retry;
+mod service_times;
+mod shared_retries;
 
 pub use admission::{Admission, AdmissionConfig, CancelEffect, Offer, Step, Ticket};
 pub use bucket::TokenBucket;
 pub use pace::{Pace, PaceView, USUAL_PERCENT};
 pub use retry::RetryBudget;
+pub use service_times::ServiceTimes;
+pub use shared_retries::{SharedRetries, SharedRetryLimits};
--- a/components/limits/tests/admission_bounds.rs
+++ b/components/limits/tests/admission_bounds.rs
@@ -145,7 +145,7 @@
                     prop_assert!(!on || admission.queued() == 0);
                 }
                 Action::Slots(slots) => {
-                    ledger.steps(now_us, admission.set_slots(now_us, slots));
+                    ledger.steps(now_us, admission.set_slots(now_us, slots, 0));
                 }
             }
             let running = ledger.running.len();
--- a/components/limits/tests/queue_order.rs
+++ b/components/limits/tests/queue_order.rs
@@ -27,6 +27,7 @@
 fn golden_session() {
     let mut admission = Admission::new(AdmissionConfig {
         slots: 1,
+        urgent_slots: 0,
         queue_limit: 10,
     });
     let mut log = String::new();
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -8,7 +8,13 @@
 use kernel::{Event, Kernel, KindLabels};
 use mesh::Channel;
 use model::LoadSignal;
-use std::sync::{Arc, OnceLock};
+use std::sync::{
+    Arc, OnceLock,
+    atomic::{AtomicU32, Ordering},
+};
+
+/// Nodes that a budget is divided by at least.
+const MIN_NODES: u32 = 8;
 
 /// Shared by the plug-ins of one node, owned by the kernel.
 pub(crate) struct NodeContext {
@@ -17,6 +23,8 @@
     pub(crate) probes: ProbeTable,
     pub(crate) generations: Generations,
     pub(crate) newer: NewerOffers,
+    /// Most live nodes known at any time.
+    pub(crate) most_nodes: AtomicU32,
     /// Load of the local instance, as its owner counts it.
     pub(crate) own_load: OnceLock<OwnLoad>,
 }
@@ -33,10 +41,21 @@
             probes: ProbeTable::new(kernel),
             generations: Generations::default(),
             newer: NewerOffers::new(),
+            most_nodes: AtomicU32::new(0),
             own_load: OnceLock::new(),
         })
     }
 
+    /// Nodes that share budgets with this one. A node that has just started, or is cut off, knows
+    /// few others and must not take their parts.
+    pub(crate) fn live_nodes(&self) -> u32 {
+        let known = self.kernel.metrics.members.get();
+        let known = u32::try_from(known).unwrap_or(0);
+        known
+            .max(self.most_nodes.fetch_max(known, Ordering::Relaxed))
+            .max(MIN_NODES)
+    }
+
     /// Names of the announcement's profiles that are not in effect here.
     pub(crate) fn missing_profiles(&self, announcement: &Announcement) -> Vec<String> {
         let set = self.kernel.profiles.current();
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -91,6 +91,7 @@
             moves: entry.context.kernel.node_settings().moves,
             hedge_after_us,
         };
+        routes.count_call(entry.context.kernel.clock.now_us());
         if hedge_after_us.is_some() {
             routes.with_budgets(&call.profile, |budgets| budgets.hedge.on_call());
         }
@@ -390,6 +391,7 @@
             upstream: upstream.name.clone(),
             keyed: self.call.key.is_some(),
             idempotent: profile.idempotent,
+            profile: profile.name.clone(),
             priority: profile.priority,
             queue_limit: profile.queue_limit,
             remaining_us: self.call.deadline_us.saturating_sub(now_us),
@@ -411,9 +413,13 @@
             return true;
         }
         let now_us = self.now_us();
-        let allowed = self
-            .routes
-            .with_budgets(&self.call.profile, |b| b.retry.try_retry(now_us));
+        let entries = self.entry.context.live_nodes();
+        let allowed = match self.routes.try_shared_retry(now_us, entries) {
+            Some(allowed) => allowed,
+            None => self
+                .routes
+                .with_budgets(&self.call.profile, |b| b.retry.try_retry(now_us)),
+        };
         if !allowed {
             log::warn!(
                 "entry: call {} is not retried; the retry budget of {} is spent.",
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -99,7 +99,7 @@
             // Callers learn from the readiness check that they must go elsewhere.
             let left = until.saturating_duration_since(Instant::now());
             thread::sleep(notice.min(left));
-            stopping.stop();
+            stopping.stop_until(Some(until));
         },
         move || {
             server.abort();
--- a/components/node/src/entry/routes.rs
+++ b/components/node/src/entry/routes.rs
@@ -2,7 +2,7 @@
 
 use crate::context::NodeContext;
 use calls::HedgeBudget;
-use limits::{RetryBudget, TokenBucket};
+use limits::{RetryBudget, SharedRetries, SharedRetryLimits, TokenBucket};
 use model::{Profile, ProfileName, ServiceName, Upstream, UpstreamName, UpstreamState};
 use routing::{Router, RouterConfig, UpstreamKey, subset};
 use std::{
@@ -31,14 +31,17 @@
     router: Mutex<Router>,
     tracked: Mutex<HashSet<UpstreamName>>,
     budgets: Mutex<HashMap<ProfileName, Budgets>>,
+    /// In place of the profiles' retry budgets, if the settings have one for whole services.
+    shared_retries: Option<Mutex<SharedRetries>>,
 }
 
 impl ServiceRoutes {
-    fn new(config: RouterConfig) -> Self {
+    fn new(config: RouterConfig, shared_retries: Option<SharedRetryLimits>) -> Self {
         ServiceRoutes {
             router: Mutex::new(Router::new(config, rand::random())),
             tracked: Mutex::default(),
             budgets: Mutex::default(),
+            shared_retries: shared_retries.map(|limits| Mutex::new(SharedRetries::new(limits))),
         }
     }
 
@@ -71,6 +74,21 @@
         action(entry)
     }
 
+    /// Counts a call towards the budget of the whole service.
+    pub(crate) fn count_call(&self, now_us: u64) {
+        if let Some(shared) = &self.shared_retries {
+            let mut shared = shared.lock().unwrap_or_else(PoisonError::into_inner);
+            shared.on_call(now_us);
+        }
+    }
+
+    /// Takes a retry from the budget of the whole service, if there is such a budget.
+    pub(crate) fn try_shared_retry(&self, now_us: u64, entries: u32) -> Option<bool> {
+        let shared = self.shared_retries.as_ref()?;
+        let mut shared = shared.lock().unwrap_or_else(PoisonError::into_inner);
+        Some(shared.try_retry(now_us, entries))
+    }
+
     /// Takes an upstream whose owner refuses new calls out of the choice, ahead of gossip.
     pub(crate) fn note_draining(&self, now_us: u64, key: UpstreamKey) {
         let mut router = self.router();
@@ -123,7 +141,10 @@
             probe_budget_per_s: self.context.kernel.node_settings().probe_budget_per_s,
         };
         // Filled before others see it: a concurrent first call would find no upstream.
-        let fresh = Arc::new(ServiceRoutes::new(config));
+        let fresh = Arc::new(ServiceRoutes::new(
+            config,
+            self.context.kernel.node_settings().shared_retries,
+        ));
         self.fill(service, &fresh);
         let made = Arc::clone(self.lock(service).entry(service.clone()).or_insert(fresh));
         // Changes between the two steps were not told to these routes.
--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip.rs
@@ -143,7 +143,8 @@
                 .share(now_us, encode(&report), SUSPECT_TTL_MS);
             match result {
                 Ok(actions) => self.carry_out(actions),
-                Err(error) => log::warn!("gossip: a crash report was not spread: {error}."),
+                // The report is offered again with the next crash.
+                Err(error) => log::debug!("gossip: a crash report was not spread: {error}."),
             }
         }
     }
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -14,6 +14,8 @@
     lease_until_us: u64,
     drained_by_operator: bool,
     version: u64,
+    /// Slots that the instance announced, of which not all are used for every call.
+    announced_slots: u32,
     /// Service of the last announced instance, also after that instance has gone.
     service: Option<ServiceName>,
     /// Newest report of each instance name, to recognise late ones.
@@ -52,6 +54,7 @@
         let (upstream, changed) = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             state.service = Some(announcement.service.clone());
+            state.announced_slots = announcement.slots;
             state.lease_until_us = self.kernel.clock.now_us() + lease_us;
             let next = self.record(&state, announcement);
             let changed = state
@@ -122,6 +125,12 @@
         is_announced && self.withdraw()
     }
 
+    /// Slots that the instance announced.
+    pub(crate) fn announced_slots(&self) -> u32 {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.announced_slots
+    }
+
     /// Service of the instance beside this node, or of the last one that was.
     pub(crate) fn service(&self) -> Option<ServiceName> {
         let settings = self.kernel.node_settings();
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -2,7 +2,7 @@
 
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig};
-use limits::{Admission, AdmissionConfig, Pace, Step};
+use limits::{Admission, AdmissionConfig, Pace, ServiceTimes, Step};
 use mesh::ReplyTo;
 use model::{AttemptId, LoadSignal, Upstream, UpstreamState};
 use std::{collections::HashMap, sync::Arc};
@@ -37,6 +37,7 @@
     pub(super) admission: Admission,
     pub(super) waiting: HashMap<AttemptId, Job>,
     pub(super) running: HashMap<AttemptId, Active>,
+    pub(super) times: ServiceTimes,
     pub(super) pace: Pace,
     /// Calls that wait for a figure on the host's pace.
     pub(super) arrivals: Vec<Arrived>,
@@ -55,6 +56,7 @@
         upstream: &Upstream,
         max_body_bytes: usize,
         health_checks_per_s: u32,
+        announced_slots: u32,
     ) -> Option<Self> {
         let max_connections = upstream
             .connections
@@ -68,6 +70,7 @@
         };
         let mut admission = Admission::new(AdmissionConfig {
             slots: upstream.slots,
+            urgent_slots: announced_slots.saturating_sub(upstream.slots),
             queue_limit: MAX_QUEUE,
         });
         admission.set_state(upstream.state);
@@ -84,6 +87,7 @@
             admission,
             waiting: HashMap::new(),
             running: HashMap::new(),
+            times: ServiceTimes::default(),
             pace: Pace::new(health_checks_per_s),
             arrivals: Vec::new(),
         })
@@ -97,10 +101,16 @@
             && self.upstream.connections == next.connections
     }
 
-    pub(super) fn update(&mut self, now_us: u64, next: &Upstream) -> Vec<Step> {
+    pub(super) fn update(
+        &mut self,
+        now_us: u64,
+        next: &Upstream,
+        announced_slots: u32,
+    ) -> Vec<Step> {
         self.upstream = next.clone();
+        let urgent_slots = announced_slots.saturating_sub(next.slots);
         let mut steps = self.admission.set_state(next.state);
-        steps.extend(self.admission.set_slots(now_us, next.slots));
+        steps.extend(self.admission.set_slots(now_us, next.slots, urgent_slots));
         steps
     }
 
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -9,7 +9,7 @@
 use wire::{RunCall, RunResult, WireMessage, encode};
 
 /// Lowest status that counts as a failure of the upstream.
-const FIRST_FAILURE_STATUS: u16 = 500;
+pub(super) const FIRST_FAILURE_STATUS: u16 = 500;
 
 /// Sends the call to the instance and hands its result to the owner.
 pub(crate) fn run_job(owner: &Arc<Owner>, job: Job) {
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -3,7 +3,7 @@
 use super::{
     crash::CrashGroup,
     instance::{Arrived, Instance, Job, take_refused},
-    run::run_job,
+    run::{FIRST_FAILURE_STATUS, run_job},
 };
 use crate::context::NodeContext;
 use calls::{Arrival, Begin, CallRecords, Fate, Fingerprint, IncidentId, RecordsConfig, Verdict};
@@ -81,9 +81,12 @@
     /// Follows the announcement of the local instance.
     pub(crate) fn follow(self: &Arc<Self>, upstream: Option<&Upstream>) {
         let now_us = self.now_us();
+        let announced_slots = self.context.local.announced_slots();
         let mut guard = self.lock_instance();
         let steps = match (guard.as_mut(), upstream) {
-            (Some(instance), Some(next)) if instance.is_same(next) => instance.update(now_us, next),
+            (Some(instance), Some(next)) if instance.is_same(next) => {
+                instance.update(now_us, next, announced_slots)
+            }
             (_, next) => {
                 let steps = guard
                     .as_mut()
@@ -91,7 +94,12 @@
                     .unwrap_or_default();
                 let refused = take_refused(guard.as_mut(), &steps);
                 *guard = next.and_then(|next| {
-                    Instance::new(next, self.max_body_bytes(), self.health_checks_per_s())
+                    Instance::new(
+                        next,
+                        self.max_body_bytes(),
+                        self.health_checks_per_s(),
+                        announced_slots,
+                    )
                 });
                 drop(guard);
                 self.reply_refused(refused);
@@ -180,6 +188,11 @@
                 return;
             };
             instance.running.remove(&attempt);
+            if let (RunResult::Answer { status, .. }, Some(time_us)) = (&result, service_time_us)
+                && *status < FIRST_FAILURE_STATUS
+            {
+                instance.times.learn(&job.call.profile, time_us);
+            }
             let steps = match service_time_us {
                 Some(time_us) => instance.admission.finished(now_us, attempt, time_us),
                 None => instance.admission.released(now_us, attempt),
@@ -369,7 +382,7 @@
             start_by_us: call
                 .patience_us
                 .map_or(deadline_us, |patience| now_us + patience),
-            expected_us: 0,
+            expected_us: instance.times.expected_us(&call.profile),
             target_us: now_us.saturating_add(call.target_us),
             start_now: call.start_now,
             queue_limit: call.queue_limit,
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -7,6 +7,7 @@
     source::{MeshKey, SettingError, Source, invalid},
 };
 use gumdrop::Options;
+use limits::SharedRetryLimits;
 use model::{AvailabilityZone, HostName, Region, ServiceName};
 use std::{fmt, net::SocketAddr, path::PathBuf};
 
@@ -22,6 +23,8 @@
 const DEFAULT_PROBE_BUDGET_BYTES_PER_S: u64 = 20_000;
 /// Default time that a stopping node waits for calls in flight.
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 30_000;
+/// Default window of the retry budget of services.
+const DEFAULT_RETRY_WINDOW_MS: u64 = 10_000;
 /// Default lease of an announced instance.
 const DEFAULT_LEASE_MS: u64 = 3_000;
 
@@ -157,6 +160,27 @@
         help = "service of the instance beside this node, before it announces itself"
     )]
     pub service: Option<String>,
+    /// Retries per thousand calls of a service.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "retries per thousand calls of a service, over all nodes (default: by profile)"
+    )]
+    pub service_retries_per_mille: Option<String>,
+    /// Retries of a service besides.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "retries of a service besides, in each window, over all nodes (default: 0)"
+    )]
+    pub service_retry_slack: Option<String>,
+    /// Window of the retry budget of services.
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "window of the retry budget of services (default: 10000)"
+    )]
+    pub service_retry_window_ms: Option<String>,
     /// Most free moves of a call.
     #[options(
         no_short,
@@ -271,6 +295,8 @@
     pub require_configuration: bool,
     /// Time for which a stopping node still takes calls, so that callers can move away first.
     pub stop_notice_ms: u64,
+    /// Retry budget of whole services, in place of the profiles' own.
+    pub shared_retries: Option<SharedRetryLimits>,
     /// Most owners that may refuse a call for want of room without using up an attempt.
     pub moves: u16,
     /// Share of the announced slots that are used at once, in percent; instances that are nearly
@@ -363,6 +389,7 @@
                 )?
                 .unwrap_or(false),
             stop_notice_ms: number("stop-notice-ms", &flags.stop_notice_ms, 0, 0, 60_000)?,
+            shared_retries: read_shared_retries(flags, source)?,
             moves: number("moves", &flags.moves, 0, 0, 16)? as u16,
             usable_slots_percent: number(
                 "usable-slots-percent",
@@ -410,6 +437,39 @@
     }
 }
 
+fn read_shared_retries<E: Fn(&str) -> Option<String>>(
+    flags: &NodeFlags,
+    source: &Source<E>,
+) -> Result<Option<SharedRetryLimits>, SettingError> {
+    let per_mille = flags.service_retries_per_mille.as_deref();
+    if source
+        .text("service-retries-per-mille", per_mille)
+        .is_none()
+    {
+        return Ok(None);
+    }
+    let number = |flag, value: &Option<String>, default, max| {
+        source.number(flag, value.as_deref(), default, 0, max)
+    };
+    Ok(Some(SharedRetryLimits {
+        per_mille: source.number("service-retries-per-mille", per_mille, 0, 0, 1_000)? as u32,
+        slack: number(
+            "service-retry-slack",
+            &flags.service_retry_slack,
+            0,
+            1_000_000,
+        )? as u32,
+        window_us: 1_000
+            * number(
+                "service-retry-window-ms",
+                &flags.service_retry_window_ms,
+                DEFAULT_RETRY_WINDOW_MS,
+                3_600_000,
+            )?
+            .max(1),
+    }))
+}
+
 fn read_embedded_control<E: Fn(&str) -> Option<String>>(
     flags: &NodeFlags,
     source: &Source<E>,
--- a/components/wire/src/call.rs
+++ b/components/wire/src/call.rs
@@ -2,7 +2,7 @@
 
 use calls::{Ask, Fate};
 use errors::ErrorKind;
-use model::{AttemptId, LoadSignal, NodeId, Priority, UpstreamName};
+use model::{AttemptId, LoadSignal, NodeId, Priority, ProfileName, UpstreamName};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -32,6 +32,8 @@
     pub keyed: bool,
     /// Whether the call may be repeated.
     pub idempotent: bool,
+    /// Profile of the call, by which the owner learns service times.
+    pub profile: ProfileName,
     /// Priority in the owner's queue.
     pub priority: Priority,
     /// Most calls waiting at the owner.
