Refuse calls that can no longer be answered in time

Change: a call that can't start early enough for its latency target is refused and its caller told to come back within a share of the target; waits of calls sent by a stopping node end before the node does.

--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -13,6 +13,8 @@
     atomic::{AtomicU32, Ordering},
 };
 
+/// Part of the stop timeout in which calls may still start, in percent.
+const LAST_START_PERCENT: u64 = 70;
 /// Nodes that a budget is divided by at least.
 const MIN_NODES: u32 = 8;
 
@@ -23,6 +25,8 @@
     pub(crate) probes: ProbeTable,
     pub(crate) generations: Generations,
     pub(crate) newer: NewerOffers,
+    /// When this node began to stop.
+    pub(crate) stopped_us: OnceLock<u64>,
     /// Most live nodes known at any time.
     pub(crate) most_nodes: AtomicU32,
     /// Load of the local instance, as its owner counts it.
@@ -41,11 +45,21 @@
             probes: ProbeTable::new(kernel),
             generations: Generations::default(),
             newer: NewerOffers::new(),
+            stopped_us: OnceLock::new(),
             most_nodes: AtomicU32::new(0),
             own_load: OnceLock::new(),
         })
     }
 
+    /// Longest wait of a call that this node sends while it stops, so that it still ends before the
+    /// node does.
+    pub(crate) fn start_by_at_stop_us(&self, now_us: u64) -> Option<u64> {
+        let stopped_us = self.stopped_us.get()?;
+        let stop_timeout_us = self.kernel.node_settings().stop_timeout_ms * 1_000;
+        let last_start_us = stopped_us + stop_timeout_us * LAST_START_PERCENT / 100;
+        Some(last_start_us.saturating_sub(now_us))
+    }
+
     /// Nodes that share budgets with this one. A node that has just started, or is cut off, knows
     /// few others and must not take their parts.
     pub(crate) fn live_nodes(&self) -> u32 {
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -228,7 +228,9 @@
     }
 
     fn feed(self: &Arc<Self>, state: &mut State, event: Event<UpstreamKey>) {
-        let moves_are_free = self.entry.context.kernel.node_settings().moves > 0;
+        // Past the target a refusal for want of room is the last word.
+        let moves_are_free = self.entry.context.kernel.node_settings().moves > 0
+            && self.now_us() < self.call.target_us;
         state.settle(&event, moves_are_free, || self.release_retry());
         let actions = state.machine.on_event(self.now_us(), event);
         self.carry_out(state, actions);
@@ -377,6 +379,7 @@
         // A call that moves for free need not wait anywhere while another upstream has room.
         let moves = self.entry.context.kernel.node_settings().moves;
         let start_now = patience.is_some() && attempt.attempt < moves;
+        let until_stop_us = self.entry.context.start_by_at_stop_us(now_us);
         let patience_us = patience
             .filter(|_| moves == 0)
             .map(|(_, patience_us)| patience_us)
@@ -395,7 +398,10 @@
             priority: profile.priority,
             queue_limit: profile.queue_limit,
             remaining_us: self.call.deadline_us.saturating_sub(now_us),
-            patience_us,
+            patience_us: match (patience_us, until_stop_us) {
+                (Some(patience_us), Some(stop_us)) => Some(patience_us.min(stop_us)),
+                (patience_us, stop_us) => patience_us.or(stop_us),
+            },
             start_now,
             target_us: self.call.target_us.saturating_sub(now_us),
             fingerprint: self.call.fingerprint,
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -30,8 +30,10 @@
 
 /// Most requests of one connection in progress at once.
 const MAX_PIPELINED: usize = 16;
-/// Time after which a refused caller may come back, in milliseconds.
-const RETRY_AFTER_MS: std::ops::Range<u32> = 80..240;
+/// Time after which a refused caller may come back, as a share of the latency target.
+const RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.1..0.4;
+/// Latency target of calls whose route has none, in milliseconds.
+const DEFAULT_TARGET_MS: u64 = 400;
 /// Period in which lost probes are looked for.
 const PROBE_CHECK: Duration = Duration::from_millis(200);
 
@@ -67,6 +69,11 @@
         move |event| match event {
             Event::UpstreamChanged(upstream) => entry.routes.refresh(&upstream.service),
             Event::UpstreamRemoved { service, .. } => entry.routes.refresh(service),
+            Event::Stopping => {
+                let now_us = entry.context.kernel.clock.now_us();
+                // Set once: a second stop changes nothing.
+                let _ = entry.context.stopped_us.set(now_us);
+            }
             _ => (),
         }
     });
@@ -141,7 +148,11 @@
         let arrived_us = self.context.kernel.clock.now_us();
         let prepared = match self.prepare(request, arrived_us) {
             Ok(prepared) => prepared,
-            Err((service, kind)) => return self.refuse(service, kind),
+            Err((service, kind)) => return self.refuse(service, kind, DEFAULT_TARGET_MS),
+        };
+        let target_ms = match prepared.target_us {
+            u64::MAX => DEFAULT_TARGET_MS,
+            target_us => target_us.saturating_sub(arrived_us) / 1_000,
         };
         let is_leaving = self.context.kernel.stop.is_raised();
         let metrics = &self.context.kernel.metrics;
@@ -165,12 +176,12 @@
             Ok(response) => response,
             Err(kind) => {
                 log::info!("entry: call {call} ended without an answer, {kind}.");
-                self.refuse(service.to_string(), kind)
+                self.refuse(service.to_string(), kind, target_ms)
             }
         }
     }
 
-    fn refuse(&self, service: String, kind: ErrorKind) -> Response {
+    fn refuse(&self, service: String, kind: ErrorKind, target_ms: u64) -> Response {
         let labels = ErrorLabels {
             service,
             code: kind.row().code.to_owned(),
@@ -185,9 +196,10 @@
         if !matches!(response.status, 429 | 503) {
             return response;
         }
-        // Spread, so that callers that were refused together don't come back together.
-        let retry_after_ms = rand::random_range(RETRY_AFTER_MS);
-        let seconds = f64::from(retry_after_ms) / 1_000.0;
+        // Soon enough for an answer within the target, and spread, so that callers that were refused
+        // together don't come back together.
+        let share = rand::random_range(RETRY_AFTER_SHARE);
+        let seconds = share * target_ms as f64 / 1_000.0;
         response.with_header("retry-after", format!("{seconds:.3}"))
     }
 
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -27,6 +27,8 @@
 /// slow for longer still does some work.
 const SLOW_HOLD_US: u64 = 120_000;
 
+/// Share of its service time that a call may wait however late it is, as a divisor.
+const LEAST_WAIT_DIVISOR: u64 = 4;
 /// Time between two looks at a slow host while calls wait, in microseconds.
 const PACE_LOOK_US: u64 = 25_000;
 
@@ -375,15 +377,18 @@
         let Some(instance) = guard.as_mut() else {
             return;
         };
+        let expected_us = instance.times.expected_us(&call.profile);
+        let target_us = now_us.saturating_add(call.target_us);
+        let patience_us = call.patience_us.unwrap_or(u64::MAX);
         let ticket = Ticket {
             attempt,
             priority: call.priority,
             deadline_us,
-            start_by_us: call
-                .patience_us
-                .map_or(deadline_us, |patience| now_us + patience),
-            expected_us: instance.times.expected_us(&call.profile),
-            target_us: now_us.saturating_add(call.target_us),
+            start_by_us: useful_start_us(now_us, expected_us, target_us)
+                .min(now_us.saturating_add(patience_us))
+                .min(deadline_us),
+            expected_us,
+            target_us,
             start_now: call.start_now,
             queue_limit: call.queue_limit,
         };
@@ -579,6 +584,13 @@
     }
 }
 
+/// Latest start after which an answer would come late. A caller that is refused then can still try
+/// elsewhere, and the slot goes to a call whose answer is of use.
+fn useful_start_us(now_us: u64, expected_us: u64, target_us: u64) -> u64 {
+    let least_us = now_us + expected_us / LEAST_WAIT_DIVISOR;
+    target_us.saturating_sub(expected_us).max(least_us)
+}
+
 fn arrival(call: &RunCall, deadline_us: u64) -> Arrival {
     Arrival {
         attempt: call.attempt,
