Serve the most urgent waiting call first

Cause: within a priority the queue was first in, first out, so 48 ms calls with a 150 ms target waited behind 150 ms calls with a 400 ms target.

Change: of the calls that can still meet their target, the one with the earliest latest start goes first.

--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -324,8 +324,9 @@
         steps
     }
 
-    /// The first ticket by priority that can still meet its target; without one, the first that
-    /// waits. Under pressure this keeps answers useful instead of making all of them late.
+    /// By priority, the ticket with the earliest latest start among those that can still meet their
+    /// targets; without one, the first that waits. Under pressure this keeps answers useful instead
+    /// of making all of them late, and short calls are not held up by long ones.
     fn next_ticket(&mut self, now_us: u64) -> Option<Ticket> {
         let open = [Priority::High, Priority::Normal, Priority::Low]
             .into_iter()
@@ -341,7 +342,10 @@
         };
         let queues = &mut self.waiting[..open];
         for queue in queues.iter_mut() {
-            if let Some(index) = queue.iter().position(is_useful) {
+            let most_urgent = (0..queue.len())
+                .filter(|index| is_useful(&queue[*index]))
+                .min_by_key(|index| queue[*index].start_by_us);
+            if let Some(index) = most_urgent {
                 return queue.remove(index);
             }
         }
