--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -22,6 +22,9 @@
 const PULL_CHECK: Duration = Duration::from_millis(50);
 /// Pause before a full disk is tried again.
 const FULL_DISK_PAUSE: Duration = Duration::from_secs(1);
+/// Shortest time without a leader before a campaign in an open group, whose replicas are in one
+/// region; three heartbeats.
+const OPEN_ELECTION_MIN_US: u64 = 300_000;
 /// Time that a stopping leader has to hand over.
 const HAND_OVER_TIME: Duration = Duration::from_millis(200);
 
@@ -98,6 +101,8 @@
             voters: open.voters,
             may_form: open.may_form,
         }),
+        election_min_us: OPEN_ELECTION_MIN_US,
+        election_max_us: 2 * OPEN_ELECTION_MIN_US,
         ..ReplicaConfig::new(number_of_address(settings.listen)?, founders?)
     })
 }
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -324,7 +324,7 @@
         steps
     }
 
-    /// By priority, the ticket with the earliest latest start among those that can still meet their
+    /// By priority, the ticket with the earliest target among those that can still meet their
     /// targets; without one, the first that waits. Under pressure this keeps answers useful instead
     /// of making all of them late, and short calls are not held up by long ones.
     fn next_ticket(&mut self, now_us: u64) -> Option<Ticket> {
@@ -344,7 +344,7 @@
         for queue in queues.iter_mut() {
             let most_urgent = (0..queue.len())
                 .filter(|index| is_useful(&queue[*index]))
-                .min_by_key(|index| queue[*index].start_by_us);
+                .min_by_key(|index| queue[*index].target_us);
             if let Some(index) = most_urgent {
                 return queue.remove(index);
             }
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -25,7 +25,7 @@
 
 /// Longest time for which calls wait for a slow host to recover, in microseconds. A host that stays
 /// slow for longer still does some work.
-const SLOW_HOLD_US: u64 = 120_000;
+const SLOW_HOLD_US: u64 = 400_000;
 
 /// Share of its service time that a call may wait however late it is, as a divisor.
 const LEAST_WAIT_DIVISOR: u64 = 4;
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -17,6 +17,9 @@
 /// Spread of the random factor that separates near-equal candidates, so that entries with the
 /// same view don't all choose the same upstream.
 const JITTER: f64 = 0.05;
+/// Factor on the expected time of an upstream in the entry's zone that has a free slot: bytes
+/// between zones cost money, and a free slot nearby costs callers nothing.
+const NEAR_BIAS: f64 = 0.6;
 /// Service time before the first signal, in microseconds.
 const DEFAULT_SERVICE_US: f64 = 5_000.0;
 /// Time after which an unanswered probe no longer blocks the next one, in microseconds.
@@ -231,10 +234,14 @@
             let same_zone = request.zone_preference == ZonePreference::None
                 || member.upstream.availability_zone == *request.zone;
             let estimate = member.estimate(now_us, typical, same_zone);
+            let is_near_and_free = request.zone_preference == ZonePreference::Prefer
+                && same_zone
+                && estimate.load + 1.0 <= f64::from(member.upstream.slots);
+            let bias = if is_near_and_free { NEAR_BIAS } else { 1.0 };
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
             self.candidates.push(Candidate {
                 upstream: key,
-                expected_us: (estimate.expected_us * jitter) as u32,
+                expected_us: (estimate.expected_us * jitter * bias) as u32,
                 load: estimate.load as f32,
                 ejected: member.ejection.is_ejected(),
             });
