--- a/components/bench/examples/choice_cost.rs
+++ b/components/bench/examples/choice_cost.rs
@@ -71,6 +71,7 @@
                     queued: 0,
                     slots: 9,
                     service_time_us: 8_000,
+                    pace_percent: 0,
                     sequence: i,
                 };
                 router.finished(now_us, key, Finish::Ok, now_us - sent_us, Some(signal));
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -508,6 +508,7 @@
         require_configuration: false,
         stop_notice_ms: 0,
         shared_retries: None,
+        route_zone_preference: model::ZonePreference::Prefer,
         moves: 0,
         usable_slots_percent: 100,
         health_checks_per_s: 0,
--- a/components/bench/src/policy/instance.rs
+++ b/components/bench/src/policy/instance.rs
@@ -150,6 +150,7 @@
             in_flight: 0,
             queued: 0,
             service_time_us: signal.service_time_us / LIE_DIVISOR,
+            pace_percent: 0,
             ..signal
         }
     }
--- a/components/client/src/change.rs
+++ b/components/client/src/change.rs
@@ -72,7 +72,7 @@
         profile.measure = parse_word("measure", text, "none, economical or fast")?;
     }
     if let Some(text) = &flags.zone_preference {
-        profile.zone_preference = parse_word("zone-preference", text, "none or prefer")?;
+        profile.zone_preference = parse_word("zone-preference", text, "none, prefer or local")?;
     }
     Ok(())
 }
--- a/components/http/src/replies.rs
+++ b/components/http/src/replies.rs
@@ -41,16 +41,16 @@
 /// Orders and writes the replies to requests that may be handled at the same time.
 pub(crate) struct Replies {
     stream: Arc<TcpStream>,
-    stopping: Arc<AtomicBool>,
+    leaving: Arc<AtomicBool>,
     state: Mutex<State>,
     changed: Condvar,
 }
 
 impl Replies {
-    pub(crate) fn new(stream: &Arc<TcpStream>, stopping: &Arc<AtomicBool>) -> Arc<Self> {
+    pub(crate) fn new(stream: &Arc<TcpStream>, leaving: &Arc<AtomicBool>) -> Arc<Self> {
         Arc::new(Replies {
             stream: Arc::clone(stream),
-            stopping: Arc::clone(stopping),
+            leaving: Arc::clone(leaving),
             state: Mutex::new(State {
                 front: 0,
                 slots: VecDeque::new(),
@@ -84,7 +84,7 @@
 
     /// Ends a handler: its response if none was sent earlier, and whatever is left to write.
     pub(crate) fn finish(&self, early: &EarlyReply, response: &Response) {
-        early.put(response);
+        self.put(early, response);
         self.flush(true);
         self.handler_ended(early.number);
     }
@@ -169,15 +169,22 @@
         is_idle.then(|| state.idle_since.elapsed())
     }
 
-    fn put(&self, number: u64, bytes: Vec<u8>, close: bool) -> bool {
+    /// Stores a response until its turn comes; false if there is one already.
+    fn put(&self, early: &EarlyReply, response: &Response) -> bool {
+        let must_close = !early.keep_alive || response.headers.has_token("connection", "close");
         let mut state = self.lock();
-        let Some(index) = number.checked_sub(state.front) else {
+        let Some(index) = early.number.checked_sub(state.front) else {
             return false;
         };
-        match state.slots.get_mut(index as usize) {
-            Some(slot @ Slot::Waiting) => *slot = Slot::Ready { bytes, close },
-            _ => return false,
-        }
+        // A server that is leaving closes behind the last request that it has read, not before.
+        let is_last = index as usize + 1 == state.slots.len();
+        let close = must_close || (is_last && self.leaving.load(Ordering::Acquire));
+        let Some(slot @ Slot::Waiting) = state.slots.get_mut(index as usize) else {
+            return false;
+        };
+        let mut bytes = Vec::new();
+        encode_response(&mut bytes, response, early.is_head, close);
+        *slot = Slot::Ready { bytes, close };
         true
     }
 
@@ -258,22 +265,13 @@
     /// the handler's thread. False if the request was answered already; the response is then
     /// dropped.
     pub fn send(&self, response: &Response) -> bool {
-        let is_first = self.put(response);
+        let is_first = self.replies.put(self, response);
         if is_first {
             self.replies.flush(false);
         }
         is_first
     }
 
-    fn put(&self, response: &Response) -> bool {
-        let close = !self.keep_alive
-            || self.replies.stopping.load(Ordering::Acquire)
-            || response.headers.has_token("connection", "close");
-        let mut bytes = Vec::new();
-        encode_response(&mut bytes, response, self.is_head, close);
-        self.replies.put(self.number, bytes, close)
-    }
-
     pub(crate) fn is_gone(&self) -> bool {
         self.replies.is_gone()
     }
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -109,6 +109,9 @@
     pub(crate) config: ServerConfig,
     pub(crate) handler: Box<Handler>,
     pub(crate) stopping: Arc<AtomicBool>,
+    /// Set while the server asks its callers to connect elsewhere: from then on the last reply on
+    /// each connection closes it.
+    pub(crate) leaving: Arc<AtomicBool>,
     pub(crate) workers: Arc<Workers>,
     limits: Mutex<RequestLimits>,
     refusing: AtomicUsize,
@@ -159,6 +162,7 @@
         config,
         handler: Box::new(handler),
         stopping: Arc::new(AtomicBool::new(false)),
+        leaving: Arc::new(AtomicBool::new(false)),
         refusing: AtomicUsize::new(0),
         connections: Mutex::new(HashMap::new()),
         changed: Condvar::new(),
@@ -227,7 +231,13 @@
         }
     }
 
+    /// Asks callers to connect elsewhere; new connections and requests are still served.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::Release);
+    }
+
     fn stop_accepting(&self) {
+        self.leave();
         self.shared.stopping.store(true, Ordering::Release);
         let mut accepting = self
             .accepting
@@ -315,7 +325,7 @@
         return;
     }
     let stream = Arc::new(stream);
-    let replies = Replies::new(&stream, &shared.stopping);
+    let replies = Replies::new(&stream, &shared.leaving);
     let connection = Connection {
         stream: Arc::clone(&stream),
         replies: Arc::clone(&replies),
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -114,3 +114,35 @@
     }
     server.stop();
 }
+
+/// A server that leaves must answer what it has read behind the request whose reply closes.
+#[test]
+fn leaving_answers_all() {
+    let config = ServerConfig {
+        max_pipelined: 2,
+        ..ServerConfig::default()
+    };
+    let (entered, has_entered) = channel();
+    let meeting = std::sync::Arc::new(Barrier::new(3));
+    let server = start(config, {
+        let meeting = std::sync::Arc::clone(&meeting);
+        move |request, _| {
+            entered.send(()).unwrap();
+            meeting.wait();
+            Response::new(200, request.target)
+        }
+    });
+    let mut stream = connect(server.address());
+    let both = ["/1", "/2"].map(request).concat();
+    stream.write_all(both.as_bytes()).unwrap();
+    for _ in 0..2 {
+        has_entered.recv_timeout(PATIENCE).unwrap();
+    }
+    server.leave();
+    meeting.wait();
+    let mut text = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
+    assert_eq!(text.matches("HTTP/1.1 200").count(), 2, "{text}");
+    assert_eq!(text.matches("connection: close").count(), 1, "{text}");
+    server.stop();
+}
--- a/components/kernel/src/run.rs
+++ b/components/kernel/src/run.rs
@@ -23,6 +23,8 @@
 };
 use wire::{decode, encode};
 
+/// How often a running process looks whether it received SIGHUP.
+const HANG_UP_LOOK: Duration = Duration::from_secs(1);
 /// Longest wait of a stopping control replica for requests in flight.
 const CONTROL_STOP_TIMEOUT_MS: u64 = 2_000;
 
@@ -211,7 +213,14 @@
 
     /// Waits until the process should stop.
     pub fn wait(&self) {
-        while !self.kernel.stop.wait(Duration::from_secs(3600)) {}
+        while !self.kernel.stop.wait(HANG_UP_LOOK) {
+            if self.kernel.stop.take_hang_up() {
+                log::info!(
+                    "kernel: SIGHUP received; flags and variables of a running process don't \
+                     change, so nothing is read again."
+                );
+            }
+        }
     }
 
     /// Takes no new work, finishes what is in flight, then ends the plug-ins.
--- a/components/kernel/src/stop.rs
+++ b/components/kernel/src/stop.rs
@@ -1,6 +1,6 @@
 //! The request to stop, from a signal or from the owner of the kernel.
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::{
     io,
     sync::{
@@ -17,6 +17,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct StopSignal {
     raised: Arc<AtomicBool>,
+    hung_up: Arc<AtomicBool>,
     wake: Arc<(Mutex<()>, Condvar)>,
 }
 
@@ -26,14 +27,21 @@
         Self::default()
     }
 
-    /// Raises the signal when the process receives SIGTERM or SIGINT.
+    /// Raises the signal when the process receives SIGTERM or SIGINT. SIGHUP, which would end the
+    /// process by default, is noted.
     pub fn raise_on_signals(&self) -> io::Result<()> {
         for signal in [SIGTERM, SIGINT] {
             signal_hook::flag::register(signal, Arc::clone(&self.raised))?;
         }
+        signal_hook::flag::register(SIGHUP, Arc::clone(&self.hung_up))?;
         Ok(())
     }
 
+    /// Whether the process has received SIGHUP since the last question.
+    pub fn take_hang_up(&self) -> bool {
+        self.hung_up.swap(false, Ordering::AcqRel)
+    }
+
     /// Raises the signal.
     pub fn raise(&self) {
         self.raised.store(true, Ordering::Release);
--- a/components/model/src/profile.rs
+++ b/components/model/src/profile.rs
@@ -53,6 +53,21 @@
     /// Own availability zone first while that costs no latency.
     #[default]
     Prefer,
+    /// Own availability zone whenever it has a free slot, where traffic between zones is dear.
+    Local,
+}
+
+impl std::str::FromStr for ZonePreference {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "none" => Ok(ZonePreference::None),
+            "prefer" => Ok(ZonePreference::Prefer),
+            "local" => Ok(ZonePreference::Local),
+            _ => Err(()),
+        }
+    }
 }
 
 /// Second attempt sent beside a slow first one.
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -96,7 +96,10 @@
                 .ok_or((String::new(), ErrorKind::NoUpstream))?;
             return Ok(Target {
                 service,
-                profile: matched.profile.clone(),
+                profile: Profile {
+                    zone_preference: kernel.node_settings().route_zone_preference,
+                    ..matched.profile.clone()
+                },
                 latency_target_ms: Some(matched.route.latency_target_ms),
             });
         }
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -124,8 +124,7 @@
         let drive = Arc::clone(self);
         watch.on_gone(move || drive.notify(Notice::Event(Event::CallerGone)));
         loop {
-            let until = self.entry.context.kernel.clock.instant(self.wake_us());
-            if let Some(result) = self.wait(until) {
+            if let Some(result) = self.wait() {
                 return result;
             }
             if self.now_us() >= self.wake_us() {
@@ -158,13 +157,14 @@
         self.lock_inbox().notices.pop_front()
     }
 
-    /// Waits for the result until the given time.
-    fn wait(&self, until: Instant) -> Option<Result<Response, ErrorKind>> {
+    /// Waits for the result until the time to wake, which may move while it waits.
+    fn wait(&self) -> Option<Result<Response, ErrorKind>> {
         let mut inbox = self.lock_inbox();
         loop {
             if inbox.result.is_some() {
                 return inbox.result.take();
             }
+            let until = self.entry.context.kernel.clock.instant(self.wake_us());
             let pause = until.saturating_duration_since(Instant::now());
             if pause.is_zero() {
                 return None;
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -103,7 +103,8 @@
     let notice = Duration::from_millis(kernel.node_settings().stop_notice_ms);
     Ok(Running::new(
         move |until| {
-            // Callers learn from the readiness check that they must go elsewhere.
+            // Callers learn from the readiness check, and from replies, that they must go elsewhere.
+            stopping.leave();
             let left = until.saturating_duration_since(Instant::now());
             thread::sleep(notice.min(left));
             stopping.stop_until(Some(until));
@@ -154,7 +155,6 @@
             u64::MAX => DEFAULT_TARGET_MS,
             target_us => target_us.saturating_sub(arrived_us) / 1_000,
         };
-        let is_leaving = self.context.kernel.stop.is_raised();
         let metrics = &self.context.kernel.metrics;
         let labels = CallLabels {
             service: prepared.service.to_string(),
@@ -168,10 +168,6 @@
             .call_seconds
             .get_or_create(&labels)
             .observe(elapsed_us as f64 / 1e6);
-        let result = result.map(|response| match is_leaving {
-            true => response.with_header("connection", "close"),
-            false => response,
-        });
         match result {
             Ok(response) => response,
             Err(kind) => {
--- a/components/registry/src/digest.rs
+++ b/components/registry/src/digest.rs
@@ -79,6 +79,7 @@
             .number(match zone_preference {
                 ZonePreference::None => 0,
                 ZonePreference::Prefer => 1,
+                ZonePreference::Local => 2,
             })
             .number(u64::from(*retry_budget_percent))
     }
--- a/components/registry/src/set.rs
+++ b/components/registry/src/set.rs
@@ -82,6 +82,8 @@
     pub delta_floor: u64,
     /// The whole configuration in effect, if it is newer than `base`.
     pub configuration: Option<Arc<Configuration>>,
+    /// Number of the accepted change that put the configuration in effect.
+    pub configured_at: u64,
 }
 
 /// How a set compares with an announced revision and digest.
@@ -212,6 +214,7 @@
             records,
             delta_floor: self.delta_floor,
             configuration: self.configuration.clone(),
+            configured_at: self.configured_at,
         }
     }
 
@@ -233,9 +236,7 @@
             records: delta.records.into_iter().map(named).collect(),
             records_digest: sum,
             delta_floor: delta.delta_floor,
-            // A delta made from this set may carry the configuration once too often, never too
-            // seldom.
-            configured_at: delta.to.number,
+            configured_at: delta.configured_at,
             configuration: delta.configuration,
             diverged: false,
         };
@@ -264,7 +265,7 @@
         }
         if delta.configuration.is_some() {
             self.configuration = delta.configuration;
-            self.configured_at = delta.to.number;
+            self.configured_at = delta.configured_at;
         }
         for record in newer {
             self.records.insert(record.name().clone(), record);
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -234,7 +234,7 @@
             let same_zone = request.zone_preference == ZonePreference::None
                 || member.upstream.availability_zone == *request.zone;
             let estimate = member.estimate(now_us, typical, same_zone);
-            let is_near_and_free = request.zone_preference == ZonePreference::Prefer
+            let is_near_and_free = request.zone_preference == ZonePreference::Local
                 && same_zone
                 && estimate.load + 1.0 <= f64::from(member.upstream.slots);
             let bias = if is_near_and_free { NEAR_BIAS } else { 1.0 };
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -67,6 +67,7 @@
         queued: 0,
         slots: 4,
         service_time_us,
+        pace_percent: 0,
         sequence,
     }
 }
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -8,7 +8,7 @@
 };
 use gumdrop::Options;
 use limits::SharedRetryLimits;
-use model::{AvailabilityZone, HostName, Region, ServiceName};
+use model::{AvailabilityZone, HostName, Region, ServiceName, ZonePreference};
 use std::{fmt, net::SocketAddr, path::PathBuf};
 
 /// Default limit of a request or response body.
@@ -160,6 +160,13 @@
         help = "service of the instance beside this node, before it announces itself"
     )]
     pub service: Option<String>,
+    /// Zone preference of routed calls.
+    #[options(
+        no_short,
+        meta = "none|prefer|local",
+        help = "zone preference of calls that a route matches (default: prefer)"
+    )]
+    pub route_zone_preference: Option<String>,
     /// Retries per thousand calls of a service.
     #[options(
         no_short,
@@ -304,6 +311,8 @@
     pub usable_slots_percent: u8,
     /// Most health checks of the local instance per second, to learn its host's pace.
     pub health_checks_per_s: u32,
+    /// Zone preference of the calls that a route of the configuration matches.
+    pub route_zone_preference: ZonePreference,
     /// Names of the header fields of calls.
     pub headers: CallHeaders,
     /// Service of the instance beside this node, until an instance announces itself.
@@ -405,6 +414,13 @@
                 0,
                 1_000,
             )? as u32,
+            route_zone_preference: source
+                .optional(
+                    "route-zone-preference",
+                    flags.route_zone_preference.as_deref(),
+                    "none, prefer or local",
+                )?
+                .unwrap_or_default(),
             headers: CallHeaders::default(),
             service: source.optional("service", flags.service.as_deref(), NAME)?,
             stop_timeout_ms: number(
