Read all mesh connections with one thread

Change: one thread waits on all connections (mio) and runs the handlers, which never blocked; idle accepted connections are closed by the timer.

--- a/components/mesh/src/builder.rs
+++ b/components/mesh/src/builder.rs
@@ -4,6 +4,7 @@
     Mesh, MeshError,
     error::{ListenSnafu, ThreadSnafu},
     inner::Inner,
+    reader::{Reader, read_all},
 };
 use model::NodeId;
 use snafu::ResultExt;
@@ -137,7 +138,8 @@
             incarnation: self.incarnation.unwrap_or_else(start_time_us),
         };
         let key = blake3::derive_key("geraniumyard mesh v1", &self.key);
-        let inner = Arc::new(Inner::new(local, bound, key, self.limits, udp));
+        let (reader, poll) = Reader::new().context(ThreadSnafu)?;
+        let inner = Arc::new(Inner::new(local, bound, key, self.limits, udp, reader));
         let accepting = spawn("mesh-accept", {
             let inner = Arc::clone(&inner);
             move || inner.accept_all(&listener)
@@ -148,6 +150,11 @@
             move || inner.receive_datagrams()
         })
         .context(ThreadSnafu)?;
+        spawn("mesh-read", {
+            let inner = Arc::clone(&inner);
+            move || read_all(&inner, poll)
+        })
+        .context(ThreadSnafu)?;
         spawn("mesh-timer", {
             let inner = Arc::clone(&inner);
             move || inner.run_timer()
--- a/components/mesh/src/inner.rs
+++ b/components/mesh/src/inner.rs
@@ -7,6 +7,7 @@
     handshake::{self, Failure, Session},
     link::{Due, Link, Look, Outgoing},
     peer::Peer,
+    reader::Reader,
     stats::{Counters, count},
     timer::Timer,
 };
@@ -39,6 +40,7 @@
     pub(crate) limits: Limits,
     pub(crate) counters: Counters,
     pub(crate) timer: Timer,
+    pub(crate) reader: Reader,
     datagram_key: [u8; 32],
     bound: SocketAddr,
     started: Instant,
@@ -62,6 +64,7 @@
         key: [u8; 32],
         limits: Limits,
         udp: UdpSocket,
+        reader: Reader,
     ) -> Self {
         Inner {
             local,
@@ -70,13 +73,14 @@
             limits,
             counters: Counters::default(),
             timer: Timer::new(),
+            reader,
             bound,
             started: Instant::now(),
             udp: RwLock::new(Some(Arc::new(udp))),
             handlers: RwLock::default(),
             links: Mutex::default(),
             link_closed: Condvar::new(),
-            next_link: AtomicU64::new(0),
+            next_link: AtomicU64::new(1),
             peers: Mutex::default(),
             accepted: AtomicUsize::new(0),
             handshaking: AtomicUsize::new(0),
@@ -179,20 +183,8 @@
         Ok(Some(link))
     }
 
-    /// Reads from the connection until it ends, also by a panic in a handler.
-    pub(crate) fn run_link(self: &Arc<Self>, link: &Arc<Link>) {
-        struct Ends<'a>(&'a Inner, &'a Link);
-        impl Drop for Ends<'_> {
-            fn drop(&mut self) {
-                self.0.close(self.1);
-            }
-        }
-        let _ends = Ends(self, link);
-        link.read_all(self);
-    }
-
     /// Ends a connection and its waiting requests.
-    fn close(&self, link: &Link) {
+    pub(crate) fn close(&self, link: &Link) {
         let due = link.close();
         if let Some(address) = link.dialled {
             let peer = self.peers().get(&address).cloned();
@@ -267,12 +259,11 @@
         let accepted = Held::new(self, |inner| &inner.accepted);
         let inner = Arc::clone(self);
         let body = move || {
-            let _accepted = accepted;
             let until = Instant::now() + Duration::from_millis(inner.limits.handshake_timeout_ms);
             let result = inner.receive(stream, until);
             drop(handshaking);
             match result {
-                Ok(Some(link)) => inner.run_link(&link),
+                Ok(Some(link)) => inner.reader.add(link, Box::new(accepted)),
                 Ok(None) => {}
                 Err(failure) => inner.refused(&failure, from),
             }
@@ -408,6 +399,7 @@
         self.wait_for_links(until);
         let left: Vec<Arc<Link>> = self.links().values().cloned().collect();
         left.iter().for_each(|link| self.close(link));
+        self.reader.wake();
     }
 
     fn wait_for_links(&self, until: Instant) {
--- a/components/mesh/src/lib.rs
+++ b/components/mesh/src/lib.rs
@@ -16,6 +16,7 @@
 mod link;
 mod outbox;
 mod peer;
+mod reader;
 mod stats;
 mod timer;
 
--- a/components/mesh/src/link.rs
+++ b/components/mesh/src/link.rs
@@ -19,11 +19,13 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Bytes asked for in one read.
 const READ_BYTES: usize = 16 * 1024;
+/// Pause before a full socket is tried again.
+const WRITE_PAUSE: Duration = Duration::from_millis(2);
 /// Buffer space that a connection keeps between messages.
 const KEPT_BYTES: usize = 32 * 1024;
 
@@ -117,10 +119,7 @@
         session: &Session,
     ) -> io::Result<Self> {
         let limits = &inner.limits;
-        stream.set_write_timeout(Some(Duration::from_millis(limits.write_timeout_ms)))?;
-        // The dialler closes unused connections; the acceptor waits longer than any dialler.
-        let read_timeout = Duration::from_millis(limits.idle_timeout_ms * 2);
-        stream.set_read_timeout(dialled.is_none().then_some(read_timeout))?;
+        stream.set_nonblocking(true)?;
         #[cfg(target_os = "linux")]
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(Duration::from_millis(limits.write_timeout_ms)))?;
@@ -264,11 +263,20 @@
     }
 
     fn write_blocking(&self, inner: &Inner, mut batch: Batch, mut written: usize) {
+        let mut until = write_limit(inner);
         loop {
             while written < batch.bytes.len() {
                 match (&self.stream).write(&batch.bytes[written..]) {
-                    Ok(count) if count > 0 => written += count,
+                    Ok(count) if count > 0 => {
+                        written += count;
+                        until = write_limit(inner);
+                    }
                     Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                    Err(error)
+                        if error.kind() == io::ErrorKind::WouldBlock && Instant::now() < until =>
+                    {
+                        std::thread::sleep(WRITE_PAUSE);
+                    }
                     Ok(_) | Err(_) => return self.write_failed(&batch, written),
                 }
             }
@@ -343,7 +351,12 @@
         };
         let Some(waiting_us) = waiting_us else {
             let idle_at = inbound_us.max(state.last_sent_us) + limits.idle_timeout_ms * 1_000;
-            if self.dialled.is_some() && idle_at <= now_us && state.outbox.is_empty() {
+            // The dialler closes unused connections; the acceptor waits longer than any dialler.
+            let idle_at = match self.dialled {
+                Some(_) => idle_at,
+                None => inbound_us + 2 * limits.idle_timeout_ms * 1_000,
+            };
+            if idle_at <= now_us && state.outbox.is_empty() {
                 state.closed = true;
                 return Look::Idle;
             }
@@ -369,34 +382,47 @@
         Look::Again(next_us.min(deadline_us.unwrap_or(u64::MAX)))
     }
 
-    /// Reads until the connection ends.
-    pub(crate) fn read_all(self: &Arc<Self>, inner: &Arc<Inner>) {
-        let limits = &inner.limits;
-        let mut opener = Opener::new(self.receive_key);
-        let mut assembler = Assembler::new(limits.max_message_bytes, limits.max_queued_bytes);
-        let mut buffer = Vec::new();
+    pub(crate) fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Takes the bytes that have arrived, without blocking.
+    pub(crate) fn read_available(
+        self: &Arc<Self>,
+        inner: &Arc<Inner>,
+        inflow: &mut Inflow,
+    ) -> Progress {
         loop {
-            let length = buffer.len();
-            buffer.resize(length + READ_BYTES, 0);
-            let read = (&self.stream).read(&mut buffer[length..]);
-            buffer.truncate(length + read.as_ref().map_or(0, |count| *count));
+            let length = inflow.buffer.len();
+            inflow.buffer.resize(length + READ_BYTES, 0);
+            let read = read_now(&self.stream, &mut inflow.buffer[length..]);
+            inflow
+                .buffer
+                .truncate(length + read.as_ref().map_or(0, |count| *count));
             match read {
                 Ok(0) => {
-                    if !buffer.is_empty() {
+                    if !inflow.buffer.is_empty() {
                         count(&inner.counters.bad_frames);
                         log::warn!("mesh: peer {} ended inside an envelope", self.peer);
                     }
-                    return;
+                    return Progress::Ended;
                 }
                 Ok(_) => {}
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(_) => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Progress::Waiting;
+                }
+                Err(_) => return Progress::Ended,
             }
-            if let Err(error) = self.take_frames(inner, &mut opener, &mut assembler, &mut buffer) {
+            let Inflow {
+                opener,
+                assembler,
+                buffer,
+            } = inflow;
+            if let Err(error) = self.take_frames(inner, opener, assembler, buffer) {
                 count(&inner.counters.bad_frames);
                 let code = ErrorKind::BadFrame.row().code;
                 log::warn!("mesh: connection to {} closed, {code}: {error}", self.peer);
-                return;
+                return Progress::Ended;
             }
         }
     }
@@ -449,6 +475,46 @@
     }
 }
 
+/// What has arrived on a connection and is not complete yet.
+pub(crate) struct Inflow {
+    opener: Opener,
+    assembler: Assembler,
+    buffer: Vec<u8>,
+}
+
+impl Inflow {
+    pub(crate) fn new(inner: &Inner, link: &Link) -> Self {
+        let limits = &inner.limits;
+        Inflow {
+            opener: Opener::new(link.receive_key),
+            assembler: Assembler::new(limits.max_message_bytes, limits.max_queued_bytes),
+            buffer: Vec::new(),
+        }
+    }
+}
+
+/// Whether more bytes may come on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    Waiting,
+    Ended,
+}
+
+/// One read without blocking; the socket is in non-blocking mode.
+fn read_now(mut stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match stream.read(buffer) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
+}
+
+/// When a write that makes no progress ends the connection.
+fn write_limit(inner: &Inner) -> Instant {
+    Instant::now() + Duration::from_millis(inner.limits.write_timeout_ms)
+}
+
 struct Batch {
     bytes: Vec<u8>,
     requests: Vec<Placed>,
--- a/components/mesh/src/peer.rs
+++ b/components/mesh/src/peer.rs
@@ -120,7 +120,7 @@
             Ok(link) => {
                 let unsent = self.put_up(inner, &link);
                 unsent.into_iter().for_each(Outgoing::not_sent);
-                inner.run_link(&link);
+                inner.reader.add(link, Box::new(()));
             }
             Err(failure) => {
                 count(&inner.counters.failed_dials);
