Find other nodes and instances sooner after a restart

Change: nodes look for others while there is no leader, contacts are tried at once and four times a second while alone, and ports open before the first configuration; callers refused in that time are told to wait longer.

--- a/components/members/src/members.rs
+++ b/components/members/src/members.rs
@@ -483,6 +483,9 @@
     pub fn add_contact(&mut self, contact: SocketAddr) {
         if !self.config.contacts.contains(&contact) {
             self.config.contacts.push(contact);
+            if self.table.len() <= 1 {
+                self.sync.contact_soon();
+            }
         }
     }
 
--- a/components/members/src/sync.rs
+++ b/components/members/src/sync.rs
@@ -30,7 +30,7 @@
 /// Time between attempts at contacts that are not members.
 const CONTACT_US: u64 = 15_000_000;
 /// Time between attempts at contacts while no member is known.
-const ALONE_US: u64 = 1_000_000;
+const ALONE_US: u64 = 250_000;
 /// Members named to a new node by one that has spent its budget. After the start of 200 members
 /// with three contacts the last one waited 55 s for the contacts to answer.
 const REFERRED_PEERS: usize = 8;
@@ -89,6 +89,11 @@
         self.next_contact_us = now_us;
     }
 
+    /// Tries the contacts at the next tick.
+    pub(crate) fn contact_soon(&mut self) {
+        self.next_contact_us = 0;
+    }
+
     fn repeat_soon(&mut self, now_us: u64) {
         self.quiet_us = 0;
         self.next_summary_us = self.next_summary_us.min(now_us + REPEAT_SUMMARY_US);
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -32,6 +32,8 @@
 const MAX_PIPELINED: usize = 16;
 /// Time after which a refused caller may come back, as a share of the latency target.
 const RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.1..0.4;
+/// The same while nothing can be served yet.
+const RESTART_AFTER_SHARE: std::ops::Range<f64> = 1.0..2.0;
 /// Latency target of calls whose route has none, in milliseconds.
 const DEFAULT_TARGET_MS: u64 = 400;
 /// Period in which lost probes are looked for.
@@ -194,7 +196,11 @@
         }
         // Soon enough for an answer within the target, and spread, so that callers that were refused
         // together don't come back together.
-        let share = rand::random_range(RETRY_AFTER_SHARE);
+        let share = rand::random_range(match kind {
+            // Nodes and instances take about a second to find each other after a restart.
+            ErrorKind::NoUpstream | ErrorKind::NotConfigured => RESTART_AFTER_SHARE,
+            _ => RETRY_AFTER_SHARE,
+        });
         let seconds = share * target_ms as f64 / 1_000.0;
         response.with_header("retry-after", format!("{seconds:.3}"))
     }
--- a/components/node/src/sync.rs
+++ b/components/node/src/sync.rs
@@ -66,7 +66,13 @@
     })?;
     // A node without profiles could only refuse calls; it starts all the same when the control
     // group is away, since a peer may have them.
-    if first.recv_timeout(FIRST_PULL).is_err() {
+    let wait = if kernel.node_settings().require_configuration {
+        // Calls are refused until there is a configuration, so the ports may open before.
+        Duration::ZERO
+    } else {
+        FIRST_PULL
+    };
+    if first.recv_timeout(wait).is_err() {
         log::warn!("sync: no profiles yet; the control group did not answer.");
     }
     Ok(Running::with_stop(move || {
@@ -115,6 +121,8 @@
                 continue;
             }
             log::debug!("sync: control replica {replica} did not answer; trying the next.");
+            // Other nodes that look for a leader have reported there as well.
+            self.look_for_nodes(&[replica]);
             current = (current + 1) % replicas.len();
             let age_ms = self
                 .context
