--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -9,12 +9,20 @@
 
 /// Longest deadline that a caller may ask for, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
+/// Header with the caller's id where the settings name none.
+const DEFAULT_REQUEST_ID: &str = "x-request-id";
+/// Longest part of a caller's id that is logged.
+const MAX_LOGGED_ID_CHARS: usize = 64;
 /// Longest idempotency key in characters.
 const MAX_KEY_CHARS: usize = 255;
 
 /// A checked call.
 pub(crate) struct Prepared {
     pub(crate) call: CallId,
+    /// The caller's own id of its request; empty if it sent none.
+    pub(crate) request_id: String,
+    /// Version of the configuration that routed the call; 0 without one.
+    pub(crate) configuration: u64,
     pub(crate) service: ServiceName,
     pub(crate) profile: Profile,
     pub(crate) deadline_us: u64,
@@ -31,6 +39,8 @@
     service: ServiceName,
     profile: Profile,
     latency_target_ms: Option<u64>,
+    /// Version of the configuration that decided; 0 without one.
+    version: u64,
 }
 
 /// A refused request: its service, empty if not known, and the reason.
@@ -44,6 +54,7 @@
             service,
             profile,
             latency_target_ms,
+            version,
         } = self.target(&request)?;
         let refuse = |kind| (service.to_string(), kind);
         let key = key_of(&request, &service, &profile).map_err(refuse)?;
@@ -67,6 +78,8 @@
         };
         Ok(Prepared {
             call: self.next_call(),
+            request_id: self.request_id(&request),
+            configuration: version,
             deadline_us: now_us + deadline_ms * 1000,
             target_us: latency_target_ms.map_or(u64::MAX, |target_ms| {
                 now_us + target_ms.saturating_mul(1_000)
@@ -101,6 +114,7 @@
                     ..matched.profile.clone()
                 },
                 latency_target_ms: Some(matched.route.latency_target_ms),
+                version: table.configuration().version,
             });
         }
         if kernel.node_settings().require_configuration {
@@ -120,9 +134,18 @@
             service,
             profile,
             latency_target_ms: None,
+            version: 0,
         })
     }
 
+    /// The caller's id of its request, for the log.
+    pub(super) fn request_id(&self, request: &Request) -> String {
+        let names = &self.context.kernel.node_settings().headers;
+        let name = names.request_id.unwrap_or(DEFAULT_REQUEST_ID);
+        let id = request.headers.get(name).unwrap_or_default();
+        id.chars().take(MAX_LOGGED_ID_CHARS).collect()
+    }
+
     /// The request as it travels, without the headers of one connection.
     fn into_wire(&self, mut request: Request) -> WireMessage {
         strip_hop_by_hop(&mut request.headers);
--- a/components/node/src/entry/choose.rs
+++ b/components/node/src/entry/choose.rs
@@ -39,12 +39,18 @@
         let choice = match router.choose(now_us, &request) {
             Ok(choice) => choice,
             Err(kind) => {
-                log::info!("entry: call {} has no route, {kind}.", self.call.call);
+                log::info!(
+                    "entry: request {} call {} finds no upstream of {}, {kind}.",
+                    self.call.request_id,
+                    self.call.call,
+                    self.call.service
+                );
                 return Event::NoRoute(kind);
             }
         };
         if self.is_logged(exclude) {
-            log_decision(&self.call, &router, &choice, exclude.len());
+            let attempt = state.owners.len();
+            log_decision(&self.call, now_us, &router, &choice, attempt);
         }
         let due = router.probe_due(now_us);
         let targets: Vec<(UpstreamKey, NodeId)> = due
--- a/components/node/src/entry/decision.rs
+++ b/components/node/src/entry/decision.rs
@@ -6,6 +6,7 @@
 /// Logs what was weighed, what was chosen and why.
 pub(super) fn log_decision(
     call: &Prepared,
+    now_us: u64,
     router: &Router,
     choice: &Choice,
     earlier_attempts: usize,
@@ -23,14 +24,21 @@
         .iter()
         .map(|c| {
             let mark = if c.ejected { " ejected" } else { "" };
-            format!("{}={}us{mark}", name(c.upstream), c.expected_us)
+            let age_ms = router
+                .signal_age_us(c.upstream, now_us)
+                .map(|us| us / 1_000);
+            let age = age_ms.map_or_else(|| "?".to_owned(), |ms| ms.to_string());
+            format!("{}={}us/{age}ms{mark}", name(c.upstream), c.expected_us)
         })
         .collect();
     log::info!(
-        "entry: call {} service {} profile {} attempt {earlier_attempts} weighed {} chose {}, {:?}.",
+        "entry: request {} call {} service {} profile {} configuration {} attempt {} weighed {} chose {}, {:?}.",
+        call.request_id,
         call.call,
         call.service,
         call.profile.name,
+        call.configuration,
+        earlier_attempts,
         weighed.join(" "),
         name(choice.upstream),
         choice.reason
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -149,9 +149,16 @@
 impl Entry {
     fn answer(self: &Arc<Self>, request: Request, watch: &CallerWatch) -> Response {
         let arrived_us = self.context.kernel.clock.now_us();
+        let request_id = self.request_id(&request);
         let prepared = match self.prepare(request, arrived_us) {
             Ok(prepared) => prepared,
-            Err((service, kind)) => return self.refuse(service, kind, DEFAULT_TARGET_MS),
+            Err((service, kind)) => {
+                let version = self.configuration_version();
+                log::info!(
+                    "entry: request {request_id} refused, {kind}; configuration version {version}."
+                );
+                return self.refuse(service, kind, DEFAULT_TARGET_MS);
+            }
         };
         let target_ms = match prepared.target_us {
             u64::MAX => DEFAULT_TARGET_MS,
@@ -173,7 +180,10 @@
         match result {
             Ok(response) => response,
             Err(kind) => {
-                log::info!("entry: call {call} ended without an answer, {kind}.");
+                log::info!(
+                    "entry: request {request_id} call {call} ended without an answer after {} ms, {kind}.",
+                    elapsed_us / 1_000
+                );
                 self.refuse(service.to_string(), kind, target_ms)
             }
         }
@@ -205,6 +215,11 @@
         response.with_header("retry-after", format!("{seconds:.3}"))
     }
 
+    fn configuration_version(&self) -> u64 {
+        let routes = self.context.kernel.profiles.routes();
+        routes.map_or(0, |table| table.configuration().version)
+    }
+
     fn next_call(&self) -> CallId {
         CallId {
             origin: self.origin,
--- a/components/node/src/owner/health.rs
+++ b/components/node/src/owner/health.rs
@@ -1,27 +1,29 @@
 //! Asks the local instance for its health, to learn how fast its host works.
 
-use super::{instance::Instance, state::Owner};
-use http::{AsyncPool, CancelToken, Headers, Request, Response};
+use super::{
+    instance::{Instance, Job},
+    state::Owner,
+};
+use http::{AsyncPool, CallError, CancelToken, Headers, Request, Response};
 use limits::PaceView;
 use model::ServiceName;
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// Longest wait for the answer. A call that waits for it is then offered all the same.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(30);
+/// Longest wait for a sign of life after a call was cut off.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Place of the pace in the load header.
 const PACE_FIELD: usize = 3;
 
 impl Owner {
     /// Asks the instance; the calls that wait for the answer are offered when it comes or fails.
     pub(super) fn check_health(self: &Arc<Self>, service: &ServiceName, pool: &Arc<AsyncPool>) {
-        let request = Request {
-            method: "GET".to_owned(),
-            target: self.health_path(service),
-            headers: Headers::new(),
-            body: Vec::new(),
-            peer: self.context.kernel.mesh.local().mesh,
-        };
-        let deadline = std::time::Instant::now() + CHECK_TIMEOUT;
+        let request = self.health_request(service);
+        let deadline = Instant::now() + CHECK_TIMEOUT;
         let owner = Arc::clone(self);
         self.context.kernel.metrics.health_checks.inc();
         pool.start(&request, deadline, &CancelToken::new(), move |outcome| {
@@ -33,6 +35,30 @@
         });
     }
 
+    /// Notes a crash if the instance that cut off a call does not answer any more. A lost answer or
+    /// a reset connection alone says nothing about the request, and a request that is refused as a
+    /// suspect could not clear itself by another run.
+    pub(super) fn look_for_crash(self: &Arc<Self>, job: &Job) {
+        let service = self
+            .lock_instance()
+            .as_ref()
+            .map(|i| i.upstream.service.clone());
+        let Some(service) = service else {
+            return;
+        };
+        let request = self.health_request(&service);
+        let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
+        let owner = Arc::clone(self);
+        let (attempt, fingerprint) = (job.call.attempt, job.call.fingerprint);
+        let upstream = job.call.upstream.clone();
+        job.pool
+            .start(&request, deadline, &CancelToken::new(), move |outcome| {
+                if matches!(outcome, Err(CallError::NotSent | CallError::Lost)) {
+                    owner.note_crash(attempt, &upstream, &fingerprint);
+                }
+            });
+    }
+
     /// Asks again while calls wait for a slow host.
     pub(super) fn look_at_pace(self: &Arc<Self>, now_us: u64, instance: &mut Instance) {
         if instance.pace.view(now_us) != PaceView::Ask {
@@ -57,6 +83,16 @@
         }
     }
 
+    fn health_request(&self, service: &ServiceName) -> Request {
+        Request {
+            method: "GET".to_owned(),
+            target: self.health_path(service),
+            headers: Headers::new(),
+            body: Vec::new(),
+            peer: self.context.kernel.mesh.local().mesh,
+        }
+    }
+
     fn end_check(&self) {
         if let Some(instance) = self.lock_instance().as_mut() {
             instance.pace.ask_ended();
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -12,7 +12,7 @@
 use http::CancelToken;
 use limits::{CancelEffect, Offer, PaceView, Step, Ticket};
 use mesh::{Inbound, ReplyTo};
-use model::{AttemptId, LoadSignal, Upstream};
+use model::{AttemptId, LoadSignal, Upstream, UpstreamName};
 use std::{
     collections::VecDeque,
     sync::{
@@ -218,7 +218,12 @@
     }
 
     /// Notes that an upstream cut off a call, as a suspect of having crashed it.
-    pub(crate) fn note_crash(&self, call: &RunCall) {
+    pub(crate) fn note_crash(
+        &self,
+        attempt: AttemptId,
+        upstream: &UpstreamName,
+        fingerprint: &Fingerprint,
+    ) {
         let now_us = self.now_us();
         let origin = self.context.kernel.mesh.local().incarnation;
         let number = self
@@ -227,12 +232,10 @@
             .unwrap_or_else(PoisonError::into_inner)
             .incident(now_us);
         log::warn!(
-            "owner: call {} was cut off by instance {}, crash incident {number}.",
-            call.attempt,
-            call.upstream
+            "owner: call {attempt} was cut off by instance {upstream}, which does not answer; crash incident {number}."
         );
         let incident = IncidentId { origin, number };
-        self.context.note_crash(now_us, incident, &call.fingerprint);
+        self.context.note_crash(now_us, incident, fingerprint);
     }
 
     pub(crate) fn note_answered(&self, fingerprint: &Fingerprint) {
@@ -252,7 +255,7 @@
         let deadline_us = now_us + call.remaining_us;
         if let Some(kind) = self.refusal(now_us, &call) {
             let fate = self.refuse_unknown(now_us, deadline_us, &call);
-            log::debug!("owner: call {} refused, {kind}.", call.attempt);
+            log::info!("owner: call {} refused, {kind}.", call.attempt);
             reply(
                 reply_to,
                 self.signal().unwrap_or_default(),
@@ -393,6 +396,14 @@
             queue_limit: call.queue_limit,
         };
         let offer = instance.admission.offer(now_us, ticket);
+        log::info!(
+            "owner: call {attempt} at {}: {offer:?}, running {} of {}, waiting {}, pace {} %.",
+            call.upstream,
+            instance.admission.in_flight(),
+            instance.admission.slots(),
+            instance.admission.queued(),
+            instance.pace.percent()
+        );
         let job = Job {
             call,
             deadline_us,
@@ -423,7 +434,6 @@
                 let signal = instance.signal(now_us);
                 drop(guard);
                 self.lock_records().refused(now_us, attempt);
-                log::debug!("owner: call {attempt} refused, {kind}.");
                 reply(job.reply, signal, RunResult::Refused(kind));
             }
         }
@@ -547,7 +557,7 @@
         let signal = self.signal().unwrap_or_default();
         for (job, kind) in refused {
             self.lock_records().refused(now_us, job.call.attempt);
-            log::debug!(
+            log::info!(
                 "owner: call {} refused after waiting, {kind}.",
                 job.call.attempt
             );
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -117,6 +117,12 @@
         })
     }
 
+    /// Age of the last load signal of an upstream in microseconds.
+    pub fn signal_age_us(&self, key: UpstreamKey, now_us: u64) -> Option<u64> {
+        let seen_us = self.members.get(key)?.seen_us();
+        (seen_us > 0).then(|| now_us.saturating_sub(seen_us))
+    }
+
     /// The candidates of the last choice, for the decision log.
     pub fn candidates(&self) -> &[Candidate] {
         &self.candidates
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -2,12 +2,13 @@
 
 mod control;
 mod headers;
+mod lines;
 mod logs;
 mod node;
 mod source;
 
 pub use control::{ControlFlags, ControlSettings, OpenGroupSettings};
 pub use headers::CallHeaders;
-pub use logs::{LogFormat, LogSettings, init_logs};
+pub use logs::{LogFormat, LogSettings, flush_logs, init_logs};
 pub use node::{EmbeddedControl, NodeFlags, NodeSettings};
 pub use source::{MeshKey, SettingError, Source};
--- /dev/null
+++ b/components/settings/src/lines.rs
@@ -0,0 +1,111 @@
+//! Log lines that never hold up the thread that writes them.
+
+use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread::Builder,
+    time::Duration,
+};
+
+/// Lines that wait for standard output; further ones are dropped and counted.
+const MAX_WAITING_LINES: usize = 4_096;
+/// Longest wait of a stopping process for its last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+enum Item {
+    Line(Vec<u8>),
+    Flush(Sender<()>),
+}
+
+/// The sending side, one line a flush; `fern` writes each record and then flushes.
+pub(crate) struct LineQueue {
+    items: Sender<Item>,
+    line: Vec<u8>,
+    dropped: Arc<AtomicU64>,
+}
+
+/// Waits until the lines before it are written.
+#[derive(Clone)]
+pub(crate) struct Flusher(Sender<Item>);
+
+/// A queue whose thread writes to `output`.
+pub(crate) fn line_queue(output: impl Write + Send + 'static) -> io::Result<(LineQueue, Flusher)> {
+    let (items, receiver) = bounded(MAX_WAITING_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let counter = Arc::clone(&dropped);
+    Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_all(&receiver, output, &counter))?;
+    let queue = LineQueue {
+        items: items.clone(),
+        line: Vec::new(),
+        dropped,
+    };
+    Ok((queue, Flusher(items)))
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let line = std::mem::take(&mut self.line);
+        if line.is_empty() {
+            return Ok(());
+        }
+        if let Err(TrySendError::Full(_)) = self.items.try_send(Item::Line(line)) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+}
+
+impl Flusher {
+    /// Waits a short time at most.
+    pub(crate) fn flush(&self) {
+        let (done, is_done) = bounded(1);
+        if self
+            .0
+            .send_timeout(Item::Flush(done), FLUSH_TIMEOUT)
+            .is_ok()
+        {
+            // Nothing more can be done for lines that are not out in time.
+            let _ = is_done.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
+
+fn write_all(items: &Receiver<Item>, mut output: impl Write, dropped: &AtomicU64) {
+    while let Ok(first) = items.recv() {
+        let mut lines = Vec::new();
+        let mut waiting = Vec::new();
+        for item in std::iter::once(first).chain(items.try_iter()) {
+            match item {
+                Item::Line(line) => lines.extend_from_slice(&line),
+                Item::Flush(done) => waiting.push(done),
+            }
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            lines.extend_from_slice(
+                format!("log: {lost} lines were dropped, output was too slow.\n").as_bytes(),
+            );
+        }
+        // A reader that is gone must not end the process.
+        let _ = output.write_all(&lines).and_then(|()| output.flush());
+        for done in waiting {
+            // Its sender may have stopped waiting.
+            let _ = done.send(());
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/inside/lines.rs"]
+mod tests;
--- a/components/settings/src/logs.rs
+++ b/components/settings/src/logs.rs
@@ -1,8 +1,16 @@
-//! Log set-up: text for people, JSON for programs, both on standard error.
+//! Log set-up: text for people, JSON for programs, both on standard output.
 
-use crate::source::{SettingError, Source};
+use crate::{
+    lines::{Flusher, line_queue},
+    source::{SettingError, Source},
+};
 use log::{LevelFilter, Record};
-use std::{fmt::Arguments, io, time::SystemTime};
+use std::{
+    fmt::Arguments,
+    io::{self, Write},
+    sync::OnceLock,
+    time::SystemTime,
+};
 
 /// Shape of a log line.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -51,18 +59,38 @@
     }
 }
 
-/// Starts logging to standard error. A second call in the same process has no effect.
+/// Lets `flush_logs` wait for the lines that are not written yet.
+static FLUSHER: OnceLock<Flusher> = OnceLock::new();
+
+/// Starts logging to standard output. Lines are dropped and counted rather than hold up a thread
+/// when nobody reads them. A second call in the same process has no effect.
 pub fn init_logs(settings: LogSettings) {
     let format = settings.format;
+    let (queue, flusher) = match line_queue(io::stdout()) {
+        Ok(made) => made,
+        Err(error) => {
+            eprintln!("error: no thread could be started for the log: {error}");
+            return;
+        }
+    };
     let dispatch = fern::Dispatch::new()
         .level(settings.level)
         .format(move |out, message, record| {
             let line = format_line(format, unix_ms(), message, record);
             out.finish(format_args!("{line}"));
         })
-        .chain(io::stderr());
+        .chain(Box::new(queue) as Box<dyn Write + Send>);
     // An error means that a logger is already installed, as in tests and the demo.
-    let _ = dispatch.apply();
+    if dispatch.apply().is_ok() {
+        let _ = FLUSHER.set(flusher);
+    }
+}
+
+/// Waits a short time for the lines that are not written yet; for the end of a process.
+pub fn flush_logs() {
+    if let Some(flusher) = FLUSHER.get() {
+        flusher.flush();
+    }
 }
 
 fn unix_ms() -> u64 {
--- /dev/null
+++ b/components/settings/tests/inside/lines.rs
@@ -0,0 +1,56 @@
+//! Guards against a process that stops working because nobody reads its log.
+
+use super::{MAX_WAITING_LINES, line_queue};
+use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
+use std::io::{self, Write};
+
+/// Takes a chunk only when it is told to.
+struct Slow {
+    allowed: Receiver<()>,
+    written: Sender<Vec<u8>>,
+}
+
+impl Write for Slow {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.allowed.recv().map_err(io::Error::other)?;
+        self.written
+            .send(bytes.to_vec())
+            .map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn slow_reader_drops_lines() {
+    let (allow, allowed) = unbounded();
+    let (written, chunks) = unbounded();
+    let (mut queue, _) = line_queue(Slow { allowed, written }).unwrap();
+    let lines = 3 * MAX_WAITING_LINES;
+    for number in 0..lines {
+        writeln!(queue, "line {number}").unwrap();
+        queue.flush().unwrap();
+    }
+    let mut text = String::new();
+    for _ in 0..2 {
+        allow.send(()).unwrap();
+        text += &String::from_utf8(chunks.recv().unwrap()).unwrap();
+    }
+    assert!(text.starts_with("line 0\n"), "{text:.40}");
+    assert!(text.contains("lines were dropped"), "{text:.40}");
+}
+
+#[test]
+fn flush_waits_for_lines() {
+    let (written, chunks) = bounded(10);
+    let (allow, allowed) = unbounded();
+    allow.send(()).unwrap();
+    let (mut queue, flusher) = line_queue(Slow { allowed, written }).unwrap();
+    writeln!(queue, "last words").unwrap();
+    queue.flush().unwrap();
+    flusher.flush();
+    assert_eq!(chunks.try_recv().unwrap(), b"last words\n");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the binaries of geraniumyard share: their start and their exit codes.
 
 use kernel::{Kernel, Settings};
+use settings::flush_logs;
 use std::{fmt::Display, process::exit};
 
 /// Exit code for wrong settings or usage.
@@ -30,6 +31,7 @@
         Ok(handle) => handle,
         Err(error) => {
             log::error!("kernel: {error}.");
+            flush_logs();
             eprintln!("error: {error}");
             exit(EXIT_START);
         }
@@ -40,4 +42,5 @@
     handle.wait();
     log::info!("kernel: stopping.");
     handle.stop();
+    flush_logs();
 }
