Merge groups of nodes that found each other apart

Change: replicas name a few nodes drawn at random; nodes ask often in their first ten seconds and from time to time later, and contact at once whoever is not a member.

--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -8,6 +8,7 @@
 use errors::ErrorKind;
 use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
 use mesh::{Channel, Inbound};
+use rand::seq::IteratorRandom;
 use settings::ControlSettings;
 use std::{
     path::Path,
@@ -20,6 +21,8 @@
 
 /// Period in which held pulls are looked at.
 const PULL_CHECK: Duration = Duration::from_millis(50);
+/// Most nodes named to a node that looks for others.
+const MAX_CONTACTS: usize = 8;
 /// Pause before a full disk is tried again.
 const FULL_DISK_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest time without a leader before a campaign in an open group, whose replicas are in one
@@ -156,6 +159,12 @@
             let reports = control.reports.list(control.kernel.clock.now_us());
             reply(inbound, &ControlReply::Reports(reports));
         }
+        ControlRequest::Contacts => {
+            let reports = control.reports.list(control.kernel.clock.now_us());
+            let nodes = reports.iter().map(|report| report.node.mesh);
+            let chosen = nodes.sample(&mut rand::rng(), MAX_CONTACTS);
+            reply(inbound, &ControlReply::Contacts(chosen));
+        }
         ControlRequest::Replicas => {
             let replicas = control.replicas();
             reply(inbound, &ControlReply::Replicas(replicas));
--- a/components/members/src/members.rs
+++ b/components/members/src/members.rs
@@ -20,6 +20,8 @@
 
 /// Time between two calls of `Members::tick`, in milliseconds.
 pub const TICK_MS: u32 = 50;
+/// Most contacts that are remembered.
+const MAX_CONTACTS: usize = 128;
 /// A tick that comes this much later than the one before shows that the local host was slow.
 const LATE_TICK_US: u64 = 500_000;
 /// Time between two gossip rounds while there is something to spread. Five rounds reach 270
@@ -481,12 +483,17 @@
 
     /// Adds a mesh address of a process that may know other members.
     pub fn add_contact(&mut self, contact: SocketAddr) {
+        if self.table.get(contact).is_some() {
+            return;
+        }
         if !self.config.contacts.contains(&contact) {
-            self.config.contacts.push(contact);
-            if self.table.len() <= 1 {
-                self.sync.contact_soon();
+            if self.config.contacts.len() >= MAX_CONTACTS {
+                self.config.contacts.remove(0);
             }
+            self.config.contacts.push(contact);
         }
+        // It may belong to a group that formed apart from this one.
+        self.sync.contact_soon();
     }
 
     /// Notes the configuration revision that this node holds; it never moves back.
--- a/components/node/src/sync.rs
+++ b/components/node/src/sync.rs
@@ -25,8 +25,12 @@
 const LEARN_PERIOD: Duration = Duration::from_secs(5);
 /// Most replicas that a node remembers.
 const MAX_REPLICAS: usize = 32;
-/// Most contacts taken from a replica at once.
-const MAX_CONTACTS: usize = 8;
+/// Time after its start in which a node looks for others often.
+const NEW_NODE_US: u64 = 10_000_000;
+/// Time between two looks for other nodes in that time.
+const LOOK_PERIOD: Duration = Duration::from_millis(300);
+/// Time between later looks.
+const LATER_LOOK_PERIOD: Duration = Duration::from_secs(20);
 /// Pause before the next replica is tried.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Age of the configuration from which the log warns, in milliseconds.
@@ -99,6 +103,7 @@
             return;
         }
         let mut learn_at = Instant::now();
+        let mut look_at = Instant::now();
         let mut on_first = Some(on_first);
         let mut current = self.context.kernel.mesh.local().mesh.port() as usize % replicas.len();
         let mut warned_at = Instant::now();
@@ -113,7 +118,7 @@
                     on_first();
                 }
                 warned_at = Instant::now();
-                self.look_for_nodes(&replicas);
+                self.look_for_nodes(&replicas, &mut look_at);
                 if Instant::now() >= learn_at {
                     learn_at = Instant::now() + LEARN_PERIOD;
                     self.learn_replicas(replica, &mut replicas);
@@ -122,7 +127,7 @@
             }
             log::debug!("sync: control replica {replica} did not answer; trying the next.");
             // Other nodes that look for a leader have reported there as well.
-            self.look_for_nodes(&[replica]);
+            self.look_for_nodes(&[replica], &mut look_at);
             current = (current + 1) % replicas.len();
             let age_ms = self
                 .context
@@ -142,25 +147,27 @@
         }
     }
 
-    /// Asks the replicas for other nodes while this one knows none, so that `--peers` is optional.
-    /// Each replica knows only the nodes that pull from it.
-    fn look_for_nodes(&self, replicas: &[SocketAddr]) {
+    /// Asks replicas for other nodes, so that `--peers` is optional: often at first, and later from
+    /// time to time, because nodes that start together can find each other in separate groups.
+    fn look_for_nodes(&self, replicas: &[SocketAddr], look_at: &mut Instant) {
         let kernel = &self.context.kernel;
-        if kernel.metrics.members.get() > 1 {
+        if Instant::now() < *look_at {
             return;
         }
+        let is_new = kernel.clock.now_us() < NEW_NODE_US;
+        *look_at = Instant::now()
+            + if is_new {
+                LOOK_PERIOD
+            } else {
+                LATER_LOOK_PERIOD
+            };
         let own = kernel.mesh.local().mesh;
         let mut others = Vec::new();
         for replica in replicas {
-            let reply = kernel.ask(
-                *replica,
-                Channel::Control,
-                &ControlRequest::Reports,
-                PULL_GRACE,
-            );
-            if let Some(ControlReply::Reports(reports)) = reply {
-                let known = reports.iter().map(|report| report.node.mesh);
-                others.extend(known.filter(|address| *address != own).take(MAX_CONTACTS));
+            let request = ControlRequest::Contacts;
+            let reply = kernel.ask(*replica, Channel::Control, &request, PULL_GRACE);
+            if let Some(ControlReply::Contacts(named)) = reply {
+                others.extend(named.into_iter().filter(|address| *address != own));
             }
         }
         kernel.events.publish(&Event::NodesLearned(others));
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -23,6 +23,8 @@
     },
     /// Asks a replica for the node reports that it has.
     Reports,
+    /// Asks a replica for the mesh addresses of a few nodes, drawn at random.
+    Contacts,
     /// Asks a replica for the mesh addresses of all replicas.
     Replicas,
     /// Hands an operator's change to the leader.
@@ -42,6 +44,8 @@
     NoLeader,
     /// Reports of the nodes that pull from the replica.
     Reports(Vec<NodeReport>),
+    /// Mesh addresses of nodes that pull from the replica.
+    Contacts(Vec<SocketAddr>),
     /// Mesh addresses of the replicas, as far as the replier knows.
     Replicas(Vec<SocketAddr>),
     /// Result of a change: its revision, or the refusal with its detail.
