--- a/components/node/src/owner/health.rs
+++ b/components/node/src/owner/health.rs
@@ -53,7 +53,8 @@
         let upstream = job.call.upstream.clone();
         job.pool
             .start(&request, deadline, &CancelToken::new(), move |outcome| {
-                if matches!(outcome, Err(CallError::NotSent | CallError::Lost)) {
+                // A connection that is reset shows that something still listens.
+                if outcome == Err(CallError::NotSent) {
                     owner.note_crash(attempt, &upstream, &fingerprint);
                 }
             });
