Handle signals during the start; take back crash suspicions when the instance listens

Change: handlers are set first; a cut-off call is a suspect at once and cleared, here and at other nodes, if something still listens at the instance.

--- a/components/kernel/src/run.rs
+++ b/components/kernel/src/run.rs
@@ -65,7 +65,12 @@
 impl Kernel {
     /// Opens the mesh and starts all plug-ins of the process.
     pub fn start(settings: Settings) -> Result<KernelHandle, StartError> {
-        let kernel = Arc::new(Kernel::new(settings)?);
+        Kernel::start_until(settings, StopSignal::new())
+    }
+
+    /// As `start`, with a signal that may be raised while the plug-ins still start.
+    pub fn start_until(settings: Settings, stop: StopSignal) -> Result<KernelHandle, StartError> {
+        let kernel = Arc::new(Kernel::new(settings, stop)?);
         let mut handle = KernelHandle {
             kernel,
             running: Vec::new(),
@@ -84,7 +89,7 @@
         Ok(handle)
     }
 
-    fn new(settings: Settings) -> Result<Self, StartError> {
+    fn new(settings: Settings, stop: StopSignal) -> Result<Self, StartError> {
         let (listen, key) = match &settings {
             Settings::Node(node) => (node.mesh_listen, &node.mesh_key),
             Settings::Control(control) => (control.listen, &control.mesh_key),
@@ -103,7 +108,7 @@
             profiles: ProfileTable::new(),
             suspects: SuspectTable::new(),
             metrics: Metrics::new(),
-            stop: StopSignal::new(),
+            stop,
             ended: StopSignal::new(),
             settings,
             shared: Mutex::default(),
--- a/components/node/src/owner/health.rs
+++ b/components/node/src/owner/health.rs
@@ -4,7 +4,9 @@
     instance::{Instance, Job},
     state::Owner,
 };
+use calls::Fingerprint;
 use http::{AsyncPool, CallError, CancelToken, Headers, Request, Response};
+use kernel::Event;
 use limits::PaceView;
 use model::ServiceName;
 use std::{
@@ -14,6 +16,10 @@
 
 /// Longest wait for the answer. A call that waits for it is then offered all the same.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(30);
+/// Checks whether an instance still listens after it cut off a call.
+const CRASH_CHECKS: u32 = 4;
+/// Pause between two such checks.
+const CRASH_CHECK_PAUSE: Duration = Duration::from_millis(15);
 /// Longest wait for a sign of life after a call was cut off.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Place of the pace in the load header.
@@ -35,29 +41,50 @@
         });
     }
 
-    /// Notes a crash if the instance that cut off a call does not answer any more. A lost answer or
-    /// a reset connection alone says nothing about the request, and a request that is refused as a
-    /// suspect could not clear itself by another run.
-    pub(super) fn look_for_crash(self: &Arc<Self>, job: &Job) {
+    /// Notes that the instance cut off a call, and takes it back if something still listens there. A
+    /// lost answer or a reset connection says nothing about the request, and one that is refused as
+    /// a suspect could not clear itself by another run. The note comes first, because its caller may
+    /// send the request to another node at once.
+    pub(super) fn suspect_crash(self: &Arc<Self>, job: &Job) {
+        self.note_crash(&job.call);
+        self.check_listening(Arc::clone(&job.pool), job.call.fingerprint, CRASH_CHECKS);
+    }
+
+    fn check_listening(
+        self: &Arc<Self>,
+        pool: Arc<AsyncPool>,
+        fingerprint: Fingerprint,
+        checks_left: u32,
+    ) {
         let service = self
             .lock_instance()
             .as_ref()
-            .map(|i| i.upstream.service.clone());
+            .map(|instance| instance.upstream.service.clone());
         let Some(service) = service else {
             return;
         };
         let request = self.health_request(&service);
         let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
-        let owner = Arc::clone(self);
-        let (attempt, fingerprint) = (job.call.attempt, job.call.fingerprint);
-        let upstream = job.call.upstream.clone();
-        job.pool
-            .start(&request, deadline, &CancelToken::new(), move |outcome| {
-                // A connection that is reset shows that something still listens.
-                if outcome == Err(CallError::NotSent) {
-                    owner.note_crash(attempt, &upstream, &fingerprint);
+        let (owner, next) = (Arc::clone(self), Arc::clone(&pool));
+        pool.start(&request, deadline, &CancelToken::new(), move |outcome| {
+            match outcome {
+                Err(CallError::NotSent) => {}
+                // The listener of a crashing process may outlive its connections for a moment.
+                Err(CallError::Lost) if checks_left > 1 => {
+                    std::thread::spawn(move || {
+                        std::thread::sleep(CRASH_CHECK_PAUSE);
+                        owner.check_listening(next, fingerprint, checks_left - 1);
+                    });
                 }
-            });
+                _ => owner.clear_suspect(&fingerprint),
+            }
+        });
+    }
+
+    fn clear_suspect(&self, fingerprint: &Fingerprint) {
+        log::info!("owner: the instance still listens, so the call that it cut off is no suspect.");
+        self.note_answered(fingerprint);
+        self.context.kernel.events.publish(&Event::SuspectsNoted);
     }
 
     /// Asks again while calls wait for a slow host.
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -125,7 +125,7 @@
 fn finish_error(owner: &Arc<Owner>, job: Job, error: CallError) {
     let lost = matches!(error, CallError::Lost | CallError::Truncated);
     if lost {
-        owner.look_for_crash(&job);
+        owner.suspect_crash(&job);
     }
     if error == CallError::TimedOut {
         // Connections as old as a silent one may be silent too.
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -12,7 +12,7 @@
 use http::CancelToken;
 use limits::{CancelEffect, Offer, PaceView, Step, Ticket};
 use mesh::{Inbound, ReplyTo};
-use model::{AttemptId, LoadSignal, Upstream, UpstreamName};
+use model::{AttemptId, LoadSignal, Upstream};
 use std::{
     collections::VecDeque,
     sync::{
@@ -218,12 +218,7 @@
     }
 
     /// Notes that an upstream cut off a call, as a suspect of having crashed it.
-    pub(crate) fn note_crash(
-        &self,
-        attempt: AttemptId,
-        upstream: &UpstreamName,
-        fingerprint: &Fingerprint,
-    ) {
+    pub(crate) fn note_crash(&self, call: &RunCall) {
         let now_us = self.now_us();
         let origin = self.context.kernel.mesh.local().incarnation;
         let number = self
@@ -232,10 +227,12 @@
             .unwrap_or_else(PoisonError::into_inner)
             .incident(now_us);
         log::warn!(
-            "owner: call {attempt} was cut off by instance {upstream}, which does not answer; crash incident {number}."
+            "owner: call {} was cut off by instance {}, crash incident {number}.",
+            call.attempt,
+            call.upstream
         );
         let incident = IncidentId { origin, number };
-        self.context.note_crash(now_us, incident, fingerprint);
+        self.context.note_crash(now_us, incident, &call.fingerprint);
     }
 
     pub(crate) fn note_answered(&self, fingerprint: &Fingerprint) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
 //! What the binaries of geraniumyard share: their start and their exit codes.
 
-use kernel::{Kernel, Settings};
+use kernel::{Kernel, Settings, StopSignal};
 use settings::flush_logs;
 use std::{fmt::Display, process::exit};
 
@@ -27,7 +27,12 @@
 
 /// Runs a process until it is told to stop by SIGTERM or SIGINT.
 pub fn run(settings: Settings) {
-    let mut handle = match Kernel::start(settings) {
+    // Before the start, which takes a while: a signal in that time must not end the process.
+    let stop = StopSignal::new();
+    if let Err(error) = stop.raise_on_signals() {
+        log::error!("kernel: signals can't be handled: {error}.");
+    }
+    let mut handle = match Kernel::start_until(settings, stop) {
         Ok(handle) => handle,
         Err(error) => {
             log::error!("kernel: {error}.");
@@ -36,9 +41,6 @@
             exit(EXIT_START);
         }
     };
-    if let Err(error) = handle.kernel().stop.raise_on_signals() {
-        log::error!("kernel: signals can't be handled: {error}.");
-    }
     handle.wait();
     log::info!("kernel: stopping.");
     handle.stop();
