Let replicas that joined later name the voters; add open groups to the schedules

Cause (random schedules, seeds 3000109, 3000791, 3000959): after two of the three seeds lost their disks one after the other, the third with an empty disk announced itself only to seeds that had joined instead of forming the group, and those stayed silent, so it never came back.

Change: any replica that knows voters names them to a newcomer.

--- a/components/bench/examples/control_slopes.rs
+++ b/components/bench/examples/control_slopes.rs
@@ -56,13 +56,13 @@
                 None => (
                     None,
                     Recovered {
-                        disk: u64::from(number),
+                        disk: number,
                         ..Recovered::default()
                     },
                 ),
             };
             let config = ReplicaConfig::new(number, 1..=REPLICAS);
-            let seed = u64::from(number);
+            let seed = number;
             group.hosts.push(Host {
                 replica: Replica::new(0, config, recovered, seed),
                 store,
--- a/components/config/tests/route_match.rs
+++ b/components/config/tests/route_match.rs
@@ -101,7 +101,7 @@
     type Spoil = fn(&mut Route);
     let cases: [(&str, Spoil); 6] = [
         ("starts without a slash", |r| {
-            r.path_prefix = "browse/".into()
+            r.path_prefix = "browse/".into();
         }),
         ("no attempts", |r| r.attempts = 0),
         ("long timeout", |r| r.timeout_ms = 600_001),
--- a/components/consensus/src/formation.rs
+++ b/components/consensus/src/formation.rs
@@ -95,7 +95,7 @@
     ) {
         if self.leading.is_some() {
             self.welcome(now_us, from);
-        } else if self.config.open.is_some() && self.hard.formed {
+        } else if self.config.open.is_some() && !self.log.membership().voters.is_empty() {
             // The newcomer may know only a few replicas, and none of them may lead.
             let voters = self.log.membership().clone();
             self.send(from, self.hard.term, Body::Voters(voters));
--- a/components/consensus/tests/commit_rules.rs
+++ b/components/consensus/tests/commit_rules.rs
@@ -13,7 +13,7 @@
 fn id(number: u64) -> ReplicaId {
     ReplicaId {
         number,
-        disk: u64::from(number),
+        disk: number,
     }
 }
 
--- a/components/consensus/tests/random_schedules.rs
+++ b/components/consensus/tests/random_schedules.rs
@@ -6,7 +6,7 @@
 mod cluster;
 
 use cluster::{Cluster, Faults, STEP_US, add, change, update};
-use consensus::{Input, ReplicaConfig};
+use consensus::{Input, OpenGroup, ReplicaConfig};
 use rand::RngExt;
 use registry::{Change, Op};
 use std::{collections::BTreeMap, env, thread};
@@ -73,6 +73,36 @@
     }
 }
 
+/// Replicas of an open group, which starts from three.
+const OPEN_SIZE: u64 = 5;
+
+/// How the group begins.
+#[derive(Clone, Copy, Debug)]
+enum Shape {
+    /// All replicas are listed.
+    Fixed(u64),
+    /// Three seeds, and two replicas that join.
+    Open,
+}
+
+fn open(config: &mut ReplicaConfig) {
+    config.group = [1, 2, 3].into();
+    config.open = Some(OpenGroup {
+        voters: OPEN_SIZE as usize,
+        may_form: true,
+    });
+}
+
+fn open_short_elections(config: &mut ReplicaConfig) {
+    short_elections(config);
+    open(config);
+}
+
+fn open_small_limits(config: &mut ReplicaConfig) {
+    small_limits(config);
+    open(config);
+}
+
 fn disturb(group: &mut Cluster, down: &mut BTreeMap<u64, u64>, max_down_us: u64) {
     let numbers = group.numbers();
     let number = numbers[group.rng.random_range(0..numbers.len())];
@@ -112,12 +142,17 @@
     }
 }
 
-fn run_schedule(size: u64, seed: u64, duration_us: u64) {
+fn run_schedule(shape: Shape, seed: u64, duration_us: u64) {
     let is_stormy = seed % 2 == 1;
-    let tune = if is_stormy {
-        short_elections
-    } else {
-        small_limits
+    let tune = match (shape, is_stormy) {
+        (Shape::Fixed(_), true) => short_elections,
+        (Shape::Fixed(_), false) => small_limits,
+        (Shape::Open, true) => open_short_elections,
+        (Shape::Open, false) => open_small_limits,
+    };
+    let size = match shape {
+        Shape::Fixed(size) => size,
+        Shape::Open => OPEN_SIZE,
     };
     let mut group = Cluster::tuned(size, seed, tune);
     group.faults = Faults {
@@ -159,12 +194,12 @@
     group.check_end();
 }
 
-fn run_schedules(size: u64, first_seed: u64, default_count: u64, duration_us: u64) {
+fn run_schedules(shape: Shape, first_seed: u64, default_count: u64, duration_us: u64) {
     if let Some(seed) = env::var("GYARD_SEED")
         .ok()
         .and_then(|text| text.parse().ok())
     {
-        run_schedule(size, seed, duration_us);
+        run_schedule(shape, seed, duration_us);
         return;
     }
     let count = env::var("GYARD_SCHEDULES")
@@ -177,7 +212,8 @@
                 scope.spawn(move || {
                     let seeds = (first_seed + worker..first_seed + count).step_by(THREADS as usize);
                     let fails = |seed: &u64| {
-                        std::panic::catch_unwind(|| run_schedule(size, *seed, duration_us)).is_err()
+                        std::panic::catch_unwind(|| run_schedule(shape, *seed, duration_us))
+                            .is_err()
                     };
                     seeds.filter(fails).collect::<Vec<u64>>()
                 })
@@ -190,22 +226,28 @@
     });
     assert!(
         failed.is_empty(),
-        "failed with {size} replicas: GYARD_SEED of {failed:?}"
+        "failed with {shape:?}: GYARD_SEED of {failed:?}"
     );
 }
 
 #[test]
 fn three_replicas() {
-    run_schedules(3, 0, 4_000, 12_000_000);
+    run_schedules(Shape::Fixed(3), 0, 4_000, 12_000_000);
 }
 
 #[test]
 fn five_replicas() {
-    run_schedules(5, 1_000_000, 1_500, 12_000_000);
+    run_schedules(Shape::Fixed(5), 1_000_000, 1_500, 12_000_000);
 }
 
 /// Guards against a group that is formed twice or never when faults strike during the formation.
 #[test]
 fn forming_groups() {
-    run_schedules(3, 2_000_000, 4_000, 1_500_000);
+    run_schedules(Shape::Fixed(3), 2_000_000, 4_000, 1_500_000);
+}
+
+/// Guards against an open group that forms twice, or that accepts what too few of it hold.
+#[test]
+fn open_groups() {
+    run_schedules(Shape::Open, 3_000_000, 1_000, 12_000_000);
 }
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -87,7 +87,7 @@
             key,
             fingerprint,
             suspected,
-            request: self.into_wire(request),
+            request: self.wire_message(request),
             service,
             profile,
         })
@@ -147,7 +147,7 @@
     }
 
     /// The request as it travels, without the headers of one connection.
-    fn into_wire(&self, mut request: Request) -> WireMessage {
+    fn wire_message(&self, mut request: Request) -> WireMessage {
         strip_hop_by_hop(&mut request.headers);
         let names = &self.context.kernel.node_settings().headers;
         if let Some(name) = names.caller_service {
--- a/components/node/src/owner/health.rs
+++ b/components/node/src/owner/health.rs
@@ -47,12 +47,12 @@
     /// send the request to another node at once.
     pub(super) fn suspect_crash(self: &Arc<Self>, job: &Job) {
         self.note_crash(&job.call);
-        self.check_listening(Arc::clone(&job.pool), job.call.fingerprint, CRASH_CHECKS);
+        self.check_listening(&job.pool, job.call.fingerprint, CRASH_CHECKS);
     }
 
     fn check_listening(
         self: &Arc<Self>,
-        pool: Arc<AsyncPool>,
+        pool: &Arc<AsyncPool>,
         fingerprint: Fingerprint,
         checks_left: u32,
     ) {
@@ -65,7 +65,7 @@
         };
         let request = self.health_request(&service);
         let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
-        let (owner, next) = (Arc::clone(self), Arc::clone(&pool));
+        let (owner, next) = (Arc::clone(self), Arc::clone(pool));
         pool.start(&request, deadline, &CancelToken::new(), move |outcome| {
             match outcome {
                 Err(CallError::NotSent) => {}
@@ -73,7 +73,7 @@
                 Err(CallError::Lost) if checks_left > 1 => {
                     std::thread::spawn(move || {
                         std::thread::sleep(CRASH_CHECK_PAUSE);
-                        owner.check_listening(next, fingerprint, checks_left - 1);
+                        owner.check_listening(&next, fingerprint, checks_left - 1);
                     });
                 }
                 _ => owner.clear_suspect(&fingerprint),
