--- a/components/calls/src/entry.rs
+++ b/components/calls/src/entry.rs
@@ -295,7 +295,12 @@
             Event::ClaimHeld(attempt, holder) => self.on_held(now_us, attempt, holder),
             Event::ClaimFailed(attempt, kind) => self.on_claim_failed(attempt, kind),
             Event::SendFailed(attempt) => {
-                self.on_refused(now_us, attempt, ErrorKind::UpstreamRefused);
+                // No upstream has seen the call, so with moves it costs no attempt.
+                let kind = match self.spec.moves {
+                    0 => ErrorKind::UpstreamRefused,
+                    _ => ErrorKind::NoUpstream,
+                };
+                self.on_refused(now_us, attempt, kind);
             }
             Event::Answered(attempt, answer) => self.on_answered(attempt, answer),
             Event::Refused(attempt, kind) | Event::Failed(attempt, kind) => {
--- a/components/calls/tests/suite/refused_calls.rs
+++ b/components/calls/tests/suite/refused_calls.rs
@@ -122,3 +122,75 @@
     world.deliver_all();
     insta::assert_snapshot!(world.trace());
 }
+
+/// A call that owners refuse for want of room has reached no upstream: it may move on as often as
+/// the settings allow, and its attempts are left for upstreams that run it.
+#[test]
+fn moves_cost_no_attempt() {
+    let call = CallId {
+        origin: 1,
+        sequence: 2,
+    };
+    let mut entry = EntryCall::new(CallSpec {
+        call,
+        idempotent: true,
+        keyed: false,
+        suspected: false,
+        deadline_us: 1_000_000,
+        attempts: 2,
+        moves: 3,
+        hedge_after_us: None,
+    });
+    let attempt = |attempt| AttemptId { call, attempt };
+    entry.start(0);
+    entry.on_event(0, Event::Routed(0));
+    let refusals = [
+        Event::Refused(attempt(0), ErrorKind::Overloaded),
+        Event::SendFailed(attempt(1)),
+        Event::Refused(attempt(2), ErrorKind::Stopping),
+    ];
+    for refusal in refusals {
+        let actions = entry.on_event(0, refusal);
+        assert!(actions.contains(&Action::AskRetryBudget), "{actions:?}");
+        entry.on_event(0, Event::RetryAllowed(true));
+        entry.on_event(0, Event::Routed(0));
+    }
+    // Now the moves are used up: one more attempt, and then the call ends.
+    let failed = Event::Failed(attempt(3), ErrorKind::AnswerTruncated);
+    let actions = entry.on_event(0, failed);
+    assert!(actions.contains(&Action::AskRetryBudget), "{actions:?}");
+    entry.on_event(0, Event::RetryAllowed(true));
+    entry.on_event(0, Event::Routed(1));
+    let actions = entry.on_event(0, Event::Refused(attempt(4), ErrorKind::Overloaded));
+    let ended = |action: &Action<u8>| matches!(action, Action::Fail(_));
+    assert!(actions.iter().any(ended), "{actions:?}");
+}
+
+/// An owner that refused for want of room may have some later; one that stops will not.
+#[test]
+fn full_owner_may_be_chosen_again() {
+    for (kind, is_excluded) in [(ErrorKind::Overloaded, false), (ErrorKind::Stopping, true)] {
+        let call = CallId {
+            origin: 1,
+            sequence: 3,
+        };
+        let mut entry = EntryCall::new(CallSpec {
+            call,
+            idempotent: true,
+            keyed: false,
+            suspected: false,
+            deadline_us: 1_000_000,
+            attempts: 2,
+            moves: 3,
+            hedge_after_us: None,
+        });
+        entry.start(0);
+        entry.on_event(0, Event::Routed(7u8));
+        entry.on_event(0, Event::Refused(AttemptId { call, attempt: 0 }, kind));
+        let actions = entry.on_event(0, Event::RetryAllowed(true));
+        let expected = Action::Route {
+            exclude: if is_excluded { vec![7] } else { vec![] },
+        };
+        assert!(actions.contains(&expected), "{kind} {actions:?}");
+    }
+}
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -16,6 +16,8 @@
     sync::Arc,
 };
 
+/// Part of the usual election timeout that a starting replica of an open group waits, as a divisor.
+const FIRST_ELECTION_DIVISOR: u64 = 3;
 /// Most messages that wait for the hard state to be on disk; the oldest are dropped as if lost.
 const MAX_HELD_MESSAGES: usize = 256;
 
@@ -295,6 +297,12 @@
             log,
         };
         replica.reset_election_timer(now_us);
+        if replica.config.open.is_some() {
+            // After a restart of the whole group there is no leader to wait for, and a pre-vote
+            // disturbs no leader that there is.
+            replica.election_due_us =
+                now_us + (replica.election_due_us - now_us) / FIRST_ELECTION_DIVISOR;
+        }
         replica
     }
 
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -499,6 +499,12 @@
                 }
                 self.free_retries += 1;
             }
+            Event::SendFailed(attempt) if moves_are_free => {
+                if self.reserved.remove(attempt) {
+                    release();
+                }
+                self.free_retries += 1;
+            }
             Event::Refused(attempt, _) | Event::Failed(attempt, _)
                 if self.reserved.remove(attempt) =>
             {
