Ask a new leader sooner; split the owner's arrivals from its state

Change: half a second for one submission or read; the change id makes another submission safe. Arrivals of the owner in a module of their own; one function asks other processes for control plug-ins.

--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -240,7 +240,10 @@
             .zip(self.control.replicas())
             .map(|(replica, address)| {
                 let is_self = address == own;
-                let answers = || self.ask(address, &ControlRequest::Reports, PEER_TIMEOUT);
+                let answers = || {
+                    self.control
+                        .ask(address, &ControlRequest::Reports, PEER_TIMEOUT)
+                };
                 ReplicaStatus {
                     replica,
                     address,
@@ -259,7 +262,8 @@
         let mut lists = vec![control.reports.list(control.kernel.clock.now_us())];
         for peer in self.peers() {
             if let Some(ControlReply::Reports(list)) =
-                self.ask(peer, &ControlRequest::Reports, PEER_TIMEOUT)
+                self.control
+                    .ask(peer, &ControlRequest::Reports, PEER_TIMEOUT)
             {
                 lists.push(list);
             }
@@ -275,15 +279,6 @@
             .filter(|address| *address != own)
             .collect()
     }
-
-    fn ask(
-        &self,
-        to: SocketAddr,
-        request: &ControlRequest,
-        wait: Duration,
-    ) -> Option<ControlReply> {
-        self.control.kernel.ask(to, Channel::Control, request, wait)
-    }
 }
 
 fn checked(profile: Profile) -> Result<Profile, Refusal> {
--- a/components/control/src/submit.rs
+++ b/components/control/src/submit.rs
@@ -14,8 +14,9 @@
 
 /// Pause before a change is submitted again.
 const SUBMIT_PAUSE: Duration = Duration::from_millis(100);
-/// Longest wait for the leader's answer to one submission.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for the leader's answer to one submission or read. A leader that is gone must not
+/// hold an operator up for much longer than the election of the next one.
+const LEADER_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Control {
     /// The newest configuration, from the leader.
@@ -23,7 +24,7 @@
         let Some(leader) = self.other_leader() else {
             return self.read();
         };
-        match self.ask(leader, &ControlRequest::Read, REQUEST_TIMEOUT) {
+        match self.ask(leader, &ControlRequest::Read, LEADER_TIMEOUT) {
             Some(ControlReply::Configuration(result)) => result,
             _ => Err((
                 ErrorKind::NoQuorum,
@@ -98,7 +99,8 @@
         self.address_of(standing.leader?.number)
     }
 
-    fn ask(
+    /// Asks another process; none if it does not answer in time.
+    pub(crate) fn ask(
         &self,
         to: SocketAddr,
         request: &ControlRequest,
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Plug-in `owner`: admits calls to the local instance, runs them and keeps their records.
 
+mod arrivals;
 mod crash;
 mod health;
 mod instance;
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -2,15 +2,14 @@
 
 use super::{
     crash::CrashGroup,
-    instance::{Arrived, Instance, Job, take_refused},
+    instance::{Instance, Job, take_refused},
     run::{FIRST_FAILURE_STATUS, run_job},
 };
 use crate::context::NodeContext;
 use calls::{Arrival, Begin, CallRecords, Fate, Fingerprint, IncidentId, RecordsConfig, Verdict};
 use crossbeam::channel::Sender;
 use errors::ErrorKind;
-use http::CancelToken;
-use limits::{CancelEffect, Offer, PaceView, Step, Ticket};
+use limits::{CancelEffect, Step};
 use mesh::{Inbound, ReplyTo};
 use model::{AttemptId, LoadSignal, Upstream};
 use std::{
@@ -23,12 +22,6 @@
 };
 use wire::{CallReply, CallRequest, FateRequest, RunCall, RunResult, decode, encode};
 
-/// Longest time for which calls wait for a slow host to recover, in microseconds. A host that stays
-/// slow for longer still does some work.
-const SLOW_HOLD_US: u64 = 400_000;
-
-/// Share of its service time that a call may wait however late it is, as a divisor.
-const LEAST_WAIT_DIVISOR: u64 = 4;
 /// Time between two looks at a slow host while calls wait, in microseconds.
 const PACE_LOOK_US: u64 = 25_000;
 
@@ -40,7 +33,7 @@
     crashes: Mutex<CrashGroup>,
     started: Mutex<VecDeque<Job>>,
     starting: Mutex<()>,
-    wake: Sender<()>,
+    pub(super) wake: Sender<()>,
     refusing: AtomicBool,
     closed: AtomicBool,
 }
@@ -285,157 +278,6 @@
         self.offer(now_us, deadline_us, call, reply_to);
     }
 
-    /// Offers a call to admission, after a look at the host's pace if that is not known.
-    fn offer(self: &Arc<Self>, now_us: u64, deadline_us: u64, call: RunCall, reply_to: ReplyTo) {
-        let mut guard = self.lock_instance();
-        let Some(instance) = guard.as_mut() else {
-            drop(guard);
-            self.refuse_without_instance(now_us, call.attempt, reply_to);
-            return;
-        };
-        let view = instance.pace.view(now_us);
-        match view {
-            PaceView::Ask | PaceView::Asked => {
-                instance.arrivals.push(Arrived {
-                    call,
-                    deadline_us,
-                    reply: reply_to,
-                });
-                let pool = Arc::clone(&instance.pool);
-                let service = instance.upstream.service.clone();
-                drop(guard);
-                if view == PaceView::Ask {
-                    self.check_health(&service, &pool);
-                }
-            }
-            PaceView::Usual => self.place(guard, now_us, deadline_us, call, reply_to),
-            PaceView::Slow => {
-                instance.admission.hold(now_us, SLOW_HOLD_US);
-                self.place(guard, now_us, deadline_us, call, reply_to);
-            }
-        }
-    }
-
-    /// Offers the calls that waited for the host's pace.
-    pub(super) fn offer_arrivals(self: &Arc<Self>) {
-        let arrivals = match self.lock_instance().as_mut() {
-            Some(instance) => std::mem::take(&mut instance.arrivals),
-            None => return,
-        };
-        let now_us = self.now_us();
-        for arrived in arrivals {
-            let guard = self.lock_instance();
-            if guard.is_none() {
-                drop(guard);
-                self.refuse_without_instance(now_us, arrived.call.attempt, arrived.reply);
-                continue;
-            }
-            self.place(
-                guard,
-                now_us,
-                arrived.deadline_us,
-                arrived.call,
-                arrived.reply,
-            );
-        }
-    }
-
-    /// Takes in a figure on the host's pace and holds or releases calls accordingly.
-    pub(super) fn note_pace(self: &Arc<Self>, percent: u32) {
-        let now_us = self.now_us();
-        let mut guard = self.lock_instance();
-        let Some(instance) = guard.as_mut() else {
-            return;
-        };
-        instance.pace.told(now_us, percent);
-        if instance.pace.is_slow() {
-            instance.admission.hold(now_us, SLOW_HOLD_US);
-        } else if instance.admission.is_held(now_us) {
-            let steps = instance.admission.release(now_us);
-            self.carry_out(guard, &steps);
-        }
-    }
-
-    fn refuse_without_instance(&self, now_us: u64, attempt: AttemptId, reply_to: ReplyTo) {
-        self.lock_records().refused(now_us, attempt);
-        reply(
-            reply_to,
-            LoadSignal::default(),
-            RunResult::Refused(ErrorKind::NoUpstream),
-        );
-    }
-
-    fn place(
-        self: &Arc<Self>,
-        mut guard: MutexGuard<'_, Option<Instance>>,
-        now_us: u64,
-        deadline_us: u64,
-        call: RunCall,
-        reply_to: ReplyTo,
-    ) {
-        let attempt = call.attempt;
-        let Some(instance) = guard.as_mut() else {
-            return;
-        };
-        let expected_us = instance.times.expected_us(&call.profile);
-        let target_us = now_us.saturating_add(call.target_us);
-        let patience_us = call.patience_us.unwrap_or(u64::MAX);
-        let ticket = Ticket {
-            attempt,
-            priority: call.priority,
-            deadline_us,
-            start_by_us: useful_start_us(now_us, expected_us, target_us)
-                .min(now_us.saturating_add(patience_us))
-                .min(deadline_us),
-            expected_us,
-            target_us,
-            start_now: call.start_now,
-            queue_limit: call.queue_limit,
-        };
-        let offer = instance.admission.offer(now_us, ticket);
-        log::info!(
-            "owner: call {attempt} at {}: {offer:?}, running {} of {}, waiting {}, pace {} %.",
-            call.upstream,
-            instance.admission.in_flight(),
-            instance.admission.slots(),
-            instance.admission.queued(),
-            instance.pace.percent()
-        );
-        let job = Job {
-            call,
-            deadline_us,
-            arrived_us: now_us,
-            cancel: CancelToken::new(),
-            pool: Arc::clone(&instance.pool),
-            reply: reply_to,
-        };
-        match offer {
-            Offer::Start => {
-                instance.note_running(&job);
-                self.update_gauges(instance);
-                drop(guard);
-                self.start_all([job]);
-            }
-            Offer::Queued => {
-                instance.waiting.insert(attempt, job);
-                self.update_gauges(instance);
-                drop(guard);
-                // The timer also wakes by its own period.
-                let _ = self.wake.send(());
-            }
-            Offer::QueuedInstead(shed) => {
-                instance.waiting.insert(attempt, job);
-                self.carry_out(guard, &[Step::Refuse(shed, ErrorKind::QueueFull)]);
-            }
-            Offer::Refused(kind) => {
-                let signal = instance.signal(now_us);
-                drop(guard);
-                self.lock_records().refused(now_us, attempt);
-                reply(job.reply, signal, RunResult::Refused(kind));
-            }
-        }
-    }
-
     /// Why a call can't be taken at all, before its record is looked at.
     fn refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
         if call.owner != self.context.kernel.mesh.local() {
@@ -509,7 +351,11 @@
     }
 
     /// Starts and refuses waiting calls as admission decided; releases the lock before that.
-    fn carry_out(self: &Arc<Self>, mut guard: MutexGuard<'_, Option<Instance>>, steps: &[Step]) {
+    pub(super) fn carry_out(
+        self: &Arc<Self>,
+        mut guard: MutexGuard<'_, Option<Instance>>,
+        steps: &[Step],
+    ) {
         let Some(instance) = guard.as_mut() else {
             return;
         };
@@ -523,7 +369,7 @@
 
     /// Sends calls to the instance. A call that fails at once starts the next one; the queue keeps
     /// that from recursing.
-    fn start_all(self: &Arc<Self>, jobs: impl IntoIterator<Item = Job>) {
+    pub(super) fn start_all(self: &Arc<Self>, jobs: impl IntoIterator<Item = Job>) {
         self.lock_started().extend(jobs);
         loop {
             // A thread that is starting calls looks at the queue again after it has finished.
@@ -562,7 +408,7 @@
         }
     }
 
-    fn update_gauges(&self, instance: &Instance) {
+    pub(super) fn update_gauges(&self, instance: &Instance) {
         let metrics = &self.context.kernel.metrics;
         metrics
             .in_flight
@@ -586,18 +432,11 @@
         self.started.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_records(&self) -> MutexGuard<'_, CallRecords> {
+    pub(super) fn lock_records(&self) -> MutexGuard<'_, CallRecords> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Latest start after which an answer would come late. A caller that is refused then can still try
-/// elsewhere, and the slot goes to a call whose answer is of use.
-fn useful_start_us(now_us: u64, expected_us: u64, target_us: u64) -> u64 {
-    let least_us = now_us + expected_us / LEAST_WAIT_DIVISOR;
-    target_us.saturating_sub(expected_us).max(least_us)
-}
-
 fn arrival(call: &RunCall, deadline_us: u64) -> Arrival {
     Arrival {
         attempt: call.attempt,
@@ -616,7 +455,7 @@
     }
 }
 
-fn reply(reply_to: ReplyTo, signal: LoadSignal, result: RunResult) {
+pub(super) fn reply(reply_to: ReplyTo, signal: LoadSignal, result: RunResult) {
     send(reply_to, &CallReply::Ran { signal, result });
 }
 
