Draw a test deployment's ports again when another process took one

Cause: call_port, call_in_flight and owner_killed_too failed once each with 'Address already in use' when many test processes ran at the same time (nextest): ports of replicas are drawn before they are opened.

Change: the whole deployment is started with new ports then, as new nodes already were.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -94,6 +94,18 @@
 impl Deployment {
     /// Starts replicas and nodes and waits until the group has a leader.
     pub fn start(plan: &Plan) -> Result<Self, DeploymentError> {
+        for _ in 1..PORT_DRAWS {
+            match Self::start_once(plan) {
+                // Another process took a port of a replica between its draw and its use.
+                Err(DeploymentError::Start { source }) if source.to_string().contains("in use") => {
+                }
+                result => return result,
+            }
+        }
+        Self::start_once(plan)
+    }
+
+    fn start_once(plan: &Plan) -> Result<Self, DeploymentError> {
         let data = tempfile::tempdir()?;
         let group: Vec<SocketAddr> = (0..plan.replicas)
             .map(|_| free_address())
