Refuse calls that reach a stopping node after its notice

Change: once the notice and 0.2 s for requests on their way are over, the entry answers 503, not run. late_call_refused fails without it.

--- a/components/bench/tests/graceful_stop.rs
+++ b/components/bench/tests/graceful_stop.rs
@@ -3,15 +3,27 @@
 
 mod system;
 
-use bench::load::{self, LoadConfig, LoadReport};
+use bench::{
+    load::{self, LoadConfig, LoadReport},
+    upstream::Upstream,
+};
 use serde_json::json;
-use std::{thread, time::Duration};
-use system::{SERVICE, alone, assert_safe, deployment, eventually, instances, request, send_later};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::Duration,
+};
+use system::{
+    PATIENCE, SERVICE, alone, assert_safe, deployment, eventually, instances, request, send_later,
+};
 
 /// Time after the start of a drain from which no new call may arrive, in microseconds.
 const DRAIN_LIMIT_US: u64 = 3_000_000;
 /// Longer than the drain limit, so that a late call would be seen.
 const LOAD_MS: u64 = 5_000;
+/// Longer than the notice and the grace of a stopping node of the test deployment.
+const AFTER_NOTICE: Duration = Duration::from_millis(300);
 
 fn load_on(targets: Vec<std::net::SocketAddr>, method: &str) -> load::Running {
     load::start(&LoadConfig {
@@ -113,3 +125,48 @@
     assert_eq!(answer.status, 200);
     assert_eq!(upstreams[0].executions().len(), 1);
 }
+
+/// A connection that never falls idle must not bring calls to a node that is about to end: they
+/// would be cut off while their instance works.
+#[test]
+fn late_call_refused() {
+    let _alone = alone();
+    let mut deployment = deployment(2);
+    let upstreams = instances(&deployment, 2);
+    for upstream in &upstreams {
+        upstream.control(|switches| switches.silent = true);
+    }
+    let address = deployment.call_address(0);
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let call = |id: &str| {
+        format!(
+            "GET / HTTP/1.1\r\nhost: {SERVICE}\r\nx-request-id: {id}\r\nx-gyard-deadline-ms: 9000\r\n\r\n"
+        )
+    };
+    stream.write_all(call("early").as_bytes()).unwrap();
+    eventually("the first call runs", || {
+        upstreams.iter().any(|upstream| upstream.load().0 == 1)
+    });
+    let mut text = String::new();
+    thread::scope(|scope| {
+        scope.spawn(|| deployment.stop_node(0));
+        thread::sleep(AFTER_NOTICE);
+        stream.write_all(call("late").as_bytes()).unwrap();
+        thread::sleep(AFTER_NOTICE);
+        for upstream in &upstreams {
+            upstream.control(|switches| switches.silent = false);
+        }
+        stream.read_to_string(&mut text).unwrap();
+    });
+    let late_runs = upstreams
+        .iter()
+        .flat_map(Upstream::executions)
+        .filter(|run| run.request_id == "late")
+        .count();
+    assert_eq!(late_runs, 0, "{text}");
+    assert!(
+        text.starts_with("HTTP/1.1 200") && text.contains("\"stopping\""),
+        "{text}"
+    );
+}
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -30,6 +30,8 @@
 
 /// Most requests of one connection in progress at once.
 const MAX_PIPELINED: usize = 16;
+/// Time after the notice of a stop in which requests that were on their way still start.
+const ARRIVAL_GRACE_MS: u64 = 200;
 /// Time after which a refused caller may come back, as a share of the latency target.
 const RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.1..0.4;
 /// The same while nothing can be served yet.
@@ -83,6 +85,7 @@
         max_connections: kernel.node_settings().max_connections,
         max_body_bytes: kernel.node_settings().max_body_bytes,
         max_pipelined: MAX_PIPELINED,
+        stop_grace_ms: ARRIVAL_GRACE_MS,
         thread_name: "entry".to_owned(),
         ..ServerConfig::default()
     };
@@ -150,7 +153,12 @@
     fn answer(self: &Arc<Self>, request: Request, watch: &CallerWatch) -> Response {
         let arrived_us = self.context.kernel.clock.now_us();
         let request_id = self.request_id(&request);
-        let prepared = match self.prepare(request, arrived_us) {
+        let prepared = if self.is_notice_over(arrived_us) {
+            Err((String::new(), ErrorKind::Stopping))
+        } else {
+            self.prepare(request, arrived_us)
+        };
+        let prepared = match prepared {
             Ok(prepared) => prepared,
             Err((service, kind)) => {
                 let version = self.configuration_version();
@@ -189,6 +197,14 @@
         }
     }
 
+    /// Whether this node is about to end: a call that starts now could be cut off. Only connections
+    /// that never fall idle still bring calls then.
+    fn is_notice_over(&self, now_us: u64) -> bool {
+        let notice_ms = self.context.kernel.node_settings().stop_notice_ms + ARRIVAL_GRACE_MS;
+        let stopped_us = self.context.stopped_us.get();
+        stopped_us.is_some_and(|stopped_us| now_us > stopped_us + notice_ms * 1_000)
+    }
+
     fn refuse(&self, service: String, kind: ErrorKind, target_ms: u64) -> Response {
         let labels = ErrorLabels {
             service,
