Find a leader sooner after all hosts restart

Opening packets sent to hosts that were still starting are lost and repeated by the system only after a second, and votes waited in those connections; failed pre-votes were followed by the usual timeout. All nodes also asked the same replica first, because the choice came from the port, which is equal on all hosts.

--- a/components/consensus/src/follower.rs
+++ b/components/consensus/src/follower.rs
@@ -32,6 +32,7 @@
         }
         self.become_follower(now_us, term, Some(from));
         self.leader_heard_us = now_us;
+        self.has_met_leader = true;
         self.reset_election_timer(now_us);
         self.round = self.round.max(round);
         true
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -41,6 +41,7 @@
         let progress = others.map(|id| (id, Progress::new(now_us, next))).collect();
         self.role = Role::Leader;
         self.leader = Some(self.id);
+        self.has_met_leader = true;
         self.leading = Some(Leading {
             progress,
             heartbeat_due_us: now_us + self.config.heartbeat_us,
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -16,7 +16,8 @@
     sync::Arc,
 };
 
-/// Part of the usual election timeout that a starting replica of an open group waits, as a divisor.
+/// Part of the usual election timeout that a replica of an open group waits until it first hears
+/// of a leader, as a divisor.
 const FIRST_ELECTION_DIVISOR: u64 = 3;
 /// Most messages that wait for the hard state to be on disk; the oldest are dropped as if lost.
 const MAX_HELD_MESSAGES: usize = 256;
@@ -220,6 +221,8 @@
     pub(crate) role: Role,
     pub(crate) leader: Option<ReplicaId>,
     pub(crate) leader_heard_us: u64,
+    /// Whether this process has heard of a leader, or led, since its start.
+    pub(crate) has_met_leader: bool,
     pub(crate) election_due_us: u64,
     pub(crate) votes: BTreeSet<ReplicaId>,
     pub(crate) transfer_election: bool,
@@ -273,6 +276,7 @@
             role: Role::Follower,
             leader: None,
             leader_heard_us: now_us,
+            has_met_leader: false,
             election_due_us: 0,
             votes: BTreeSet::new(),
             transfer_election: false,
@@ -297,12 +301,6 @@
             log,
         };
         replica.reset_election_timer(now_us);
-        if replica.config.open.is_some() {
-            // After a restart of the whole group there is no leader to wait for, and a pre-vote
-            // disturbs no leader that there is.
-            replica.election_due_us =
-                now_us + (replica.election_due_us - now_us) / FIRST_ELECTION_DIVISOR;
-        }
         replica
     }
 
@@ -608,7 +606,13 @@
 
     pub(crate) fn reset_election_timer(&mut self, now_us: u64) {
         let range = self.config.election_min_us..=self.config.election_max_us;
-        self.election_due_us = now_us + self.rng.random_range(range);
+        let mut wait_us = self.rng.random_range(range);
+        if self.config.open.is_some() && !self.has_met_leader {
+            // After a restart of the whole group there is no leader to wait for, and a pre-vote
+            // disturbs no leader that there is.
+            wait_us /= FIRST_ELECTION_DIVISOR;
+        }
+        self.election_due_us = now_us + wait_us;
     }
 
     /// Moves to a term as follower; a higher term clears the vote and is saved.
--- a/components/consensus/tests/open_groups.rs
+++ b/components/consensus/tests/open_groups.rs
@@ -9,6 +9,10 @@
 
 /// Voters that the group grows to; two may be lost.
 const VOTERS: usize = 5;
+/// Time after a restart in which nobody listens yet.
+const LATE_LISTENERS_US: u64 = 450_000;
+/// The longest wait of a starting replica, a third of the usual one, and the votes.
+const ONE_CAMPAIGN_US: u64 = 600_000;
 
 fn open(config: &mut ReplicaConfig) {
     config.group = [1, 2, 3].into();
@@ -128,3 +132,25 @@
         assert!(is_accepted(&group.commit(2, &add(2, "order"))));
     }
 }
+
+/// After a restart of all hosts the first pre-votes can be lost, because their receivers listen a
+/// moment later; the wait for a leader that can't be there must not follow.
+#[test]
+fn first_pre_votes_lost() {
+    for seed in 0..20 {
+        let mut group = grown(5, 70 + seed);
+        let all = group.numbers();
+        for number in &all {
+            group.crash(*number);
+        }
+        for number in &all {
+            group.restart(*number);
+        }
+        for number in all {
+            group.isolate(number);
+        }
+        group.run(LATE_LISTENERS_US);
+        group.heal();
+        group.run_until("a leader", ONE_CAMPAIGN_US, |c| c.leader().is_some());
+    }
+}
--- a/components/mesh/src/peer.rs
+++ b/components/mesh/src/peer.rs
@@ -15,6 +15,10 @@
     time::{Duration, Instant},
 };
 
+/// Wait for the answer to the first opening packet; doubles with each further one. A host that is
+/// still starting drops them, and the system repeats one only after a second.
+const FIRST_DIAL_WAIT: Duration = Duration::from_millis(100);
+
 enum State {
     Idle,
     Connecting {
@@ -155,10 +159,25 @@
     fn connect(&self, inner: &Arc<Inner>) -> Result<Arc<Link>, handshake::Failure> {
         let limit = Duration::from_millis(inner.limits.connect_timeout_ms);
         let until = Instant::now() + limit;
-        let stream = TcpStream::connect_timeout(&self.address, limit)?;
+        let stream = open(self.address, until)?;
         stream.set_nodelay(true)?;
         let session = handshake::dial(&stream, &inner.key, inner.local, until)?;
         let link = inner.add_link(Some(self.address), stream, &session)?;
         Ok(link.ok_or_else(|| io::Error::from(io::ErrorKind::ConnectionAborted))?)
     }
 }
+
+/// Opens a connection by a series of attempts, each with an opening packet of its own.
+fn open(address: SocketAddr, until: Instant) -> io::Result<TcpStream> {
+    let mut wait = FIRST_DIAL_WAIT;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        match TcpStream::connect_timeout(&address, wait.min(left)) {
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => wait *= 2,
+            result => return result,
+        }
+    }
+}
--- a/components/node/src/sync.rs
+++ b/components/node/src/sync.rs
@@ -33,6 +33,8 @@
 const LATER_LOOK_PERIOD: Duration = Duration::from_secs(20);
 /// Pause before the next replica is tried.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// The same while there is no configuration: callers are refused until it comes.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Age of the configuration from which the log warns, in milliseconds.
 const STALE_AFTER_MS: u64 = 5_000;
 /// Period of that warning.
@@ -105,7 +107,8 @@
         let mut learn_at = Instant::now();
         let mut look_at = Instant::now();
         let mut on_first = Some(on_first);
-        let mut current = self.context.kernel.mesh.local().mesh.port() as usize % replicas.len();
+        // Drawn, so that nodes that start together don't all wait for the same replica.
+        let mut current = rand::random_range(0..replicas.len());
         let mut warned_at = Instant::now();
         while !self.context.kernel.ended.is_raised() {
             let replica = replicas[current];
@@ -141,7 +144,11 @@
                     self.context.kernel.profiles.revision()
                 );
             }
-            if self.context.kernel.ended.wait(RETRY_PAUSE) {
+            let pause = match on_first {
+                Some(_) => FIRST_RETRY_PAUSE,
+                None => RETRY_PAUSE,
+            };
+            if self.context.kernel.ended.wait(pause) {
                 return;
             }
         }
