Introduce starting nodes to each other; let cold instances work; end futile moves

A cold instance tells a pace of 200 %, which counted as a noisy neighbour, so its calls were held back for 0.4 s each time. A refused call chose its next owner before the refusal's own figures were noted, and tried seven owners.

Change: a node introduces itself to the control replicas for its first 5 s and takes the records of others from the first one that replies; a host is slow against its own calm pace, up to 200 %; a refusal is noted before the next choice; two owners that can't let a call wait end its search, without a draw on the retry budget; such calls end as overloaded. starting_nodes, cold_instance_is_calm, room_search and no_room_is_the_reason guard these.

--- a/components/calls/src/entry.rs
+++ b/components/calls/src/entry.rs
@@ -603,9 +603,14 @@
         self.pending = Pending::None;
         if allowed {
             self.route();
-        } else {
-            self.fail(ErrorKind::RetryBudgetSpent);
+            return;
         }
+        // Owners without room are the reason then, whatever the budget.
+        let kind = match self.last_refusal {
+            kind @ (ErrorKind::Overloaded | ErrorKind::QueueFull) if self.spec.moves > 0 => kind,
+            _ => ErrorKind::RetryBudgetSpent,
+        };
+        self.fail(kind);
     }
 
     fn on_hedge_allowed(&mut self, now_us: u64, allowed: bool) {
--- a/components/calls/tests/suite/refused_calls.rs
+++ b/components/calls/tests/suite/refused_calls.rs
@@ -194,3 +194,32 @@
         assert!(actions.contains(&expected), "{kind} {actions:?}");
     }
 }
+
+/// A call without room anywhere must not blame the retry budget: the operator would raise the
+/// wrong setting.
+#[test]
+fn no_room_is_the_reason() {
+    let call = CallId {
+        origin: 1,
+        sequence: 4,
+    };
+    let mut entry = EntryCall::new(CallSpec {
+        call,
+        idempotent: true,
+        keyed: false,
+        suspected: false,
+        deadline_us: 1_000_000,
+        attempts: 2,
+        moves: 3,
+        hedge_after_us: None,
+    });
+    entry.start(0);
+    entry.on_event(0, Event::Routed(7u8));
+    let refusal = Event::Refused(AttemptId { call, attempt: 0 }, ErrorKind::Overloaded);
+    entry.on_event(0, refusal);
+    let actions = entry.on_event(0, Event::RetryAllowed(false));
+    assert!(
+        actions.contains(&Action::Fail(ErrorKind::Overloaded)),
+        "{actions:?}"
+    );
+}
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -165,6 +165,10 @@
             let chosen = nodes.sample(&mut rand::rng(), MAX_CONTACTS);
             reply(inbound, &ControlReply::Contacts(chosen));
         }
+        ControlRequest::Introduce(introduction) => {
+            let introduced = control.introduce(*introduction);
+            reply(inbound, &ControlReply::Introduced(introduced));
+        }
         ControlRequest::Replicas => {
             let replicas = control.replicas();
             reply(inbound, &ControlReply::Replicas(replicas));
--- a/components/control/src/shared.rs
+++ b/components/control/src/shared.rs
@@ -5,6 +5,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use errors::ErrorKind;
 use kernel::Kernel;
+use members::{Introduced, Introduction, Introductions};
 use model::Revision;
 use registry::{Applied, Change, Delta};
 use std::{
@@ -58,6 +59,7 @@
     pub(crate) kernel: Arc<Kernel>,
     pub(crate) pulls: Pulls,
     pub(crate) reports: Reports,
+    introductions: Mutex<Introductions>,
     inputs: Sender<Input>,
     input_receiver: Receiver<Input>,
     standing: Mutex<Standing>,
@@ -74,6 +76,7 @@
                 kernel: Arc::clone(kernel),
                 pulls: Pulls::default(),
                 reports: Reports::default(),
+                introductions: Mutex::default(),
                 inputs,
                 input_receiver,
                 standing: Mutex::default(),
@@ -100,6 +103,15 @@
         change(&mut self.lock_standing());
     }
 
+    /// Notes a starting node and returns the records that it lacks.
+    pub(crate) fn introduce(&self, introduction: Introduction) -> Introduced {
+        let now_us = self.kernel.clock.now_us();
+        self.introductions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .exchange(now_us, introduction, &mut rand::rng())
+    }
+
     /// Mesh address of a replica.
     pub(crate) fn address_of(&self, number: ReplicaNumber) -> Option<SocketAddr> {
         let settings = self.kernel.control_settings()?;
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -4,6 +4,7 @@
 mod bucket;
 mod pace;
 mod retry;
+mod room_search;
 mod service_times;
 mod shared_retries;
 
@@ -11,5 +12,6 @@
 pub use bucket::TokenBucket;
 pub use pace::{Pace, PaceView, USUAL_PERCENT};
 pub use retry::RetryBudget;
+pub use room_search::RoomSearch;
 pub use service_times::ServiceTimes;
 pub use shared_retries::{SharedRetries, SharedRetryLimits};
--- a/components/limits/src/pace.rs
+++ b/components/limits/src/pace.rs
@@ -11,8 +11,14 @@
 const FRESH_US: u64 = 20_000;
 /// Time after which an unanswered question no longer holds up calls, in microseconds.
 const ASK_TIMEOUT_US: u64 = 30_000;
-/// Pace from which work is better started elsewhere, in percent of the usual time.
-const SLOW_PERCENT: u32 = 200;
+/// Factor over the host's calm pace from which work is better started elsewhere.
+const SLOW_FACTOR: u32 = 2;
+/// Slowest pace that can pass for calm, in percent: an instance that has just started takes twice
+/// as long for some seconds, and holding its calls back for all of them serves nobody.
+const SLOWEST_CALM_PERCENT: u32 = 200;
+/// Time after which a calm pace is forgotten unless it is seen again, in microseconds; long against
+/// the time that a neighbour slows the host.
+const CALM_WINDOW_US: u64 = 500_000;
 /// Pace of a host without disturbance, in percent.
 pub const USUAL_PERCENT: u32 = 100;
 
@@ -34,6 +40,9 @@
 pub struct Pace {
     percent: u32,
     at_us: u64,
+    /// Calmest pace of the present window and of the one before.
+    calmest_percent: [u32; 2],
+    window_from_us: u64,
     /// Whether the upstream has ever told a figure; one that tells none is never asked.
     is_told: bool,
     asked_us: Option<u64>,
@@ -46,6 +55,8 @@
         Pace {
             percent: USUAL_PERCENT,
             at_us: 0,
+            calmest_percent: [u32::MAX; 2],
+            window_from_us: 0,
             is_told: false,
             asked_us: None,
             budget: TokenBucket::new(asks_per_s, asks_per_s),
@@ -57,6 +68,13 @@
         self.percent = percent;
         self.at_us = now_us;
         self.is_told = true;
+        let [present, _] = self.calmest_percent;
+        if now_us >= self.window_from_us + CALM_WINDOW_US {
+            self.window_from_us = now_us;
+            self.calmest_percent = [percent, present];
+        } else {
+            self.calmest_percent[0] = present.min(percent);
+        }
     }
 
     /// A question was answered, or failed.
@@ -84,9 +102,13 @@
         self.last()
     }
 
-    /// Whether the last figure, of whatever age, was slow.
+    /// Whether the last figure, of whatever age, was slow for this host.
     pub fn is_slow(&self) -> bool {
-        self.is_told && self.percent >= SLOW_PERCENT
+        let [present, before] = self.calmest_percent;
+        let calm = present
+            .min(before)
+            .clamp(USUAL_PERCENT, SLOWEST_CALM_PERCENT);
+        self.is_told && self.percent >= calm * SLOW_FACTOR
     }
 
     /// The last figure in percent of the usual time.
--- a/components/limits/tests/host_pace.rs
+++ b/components/limits/tests/host_pace.rs
@@ -53,3 +53,26 @@
     assert!(most <= Some(20), "{most:?}");
     assert!(asked_us.len() >= 40, "{}", asked_us.len());
 }
+
+/// An instance that has just started takes twice as long for seconds, on a calm host too. Its calls
+/// must not be held back all that time, but still while a neighbour slows the host further.
+#[test]
+fn cold_instance_is_calm() {
+    let mut pace = Pace::new(1_000);
+    for at_ms in (0..2_000).step_by(20) {
+        pace.told(at_ms * MS, if at_ms % 500 < 150 { 1_000 } else { 200 });
+    }
+    pace.told(2_010 * MS, 200);
+    assert!(!pace.is_slow());
+    pace.told(2_020 * MS, 1_000);
+    assert!(pace.is_slow());
+    for at_ms in (2_040..4_000).step_by(20) {
+        pace.told(at_ms * MS, 100);
+    }
+    pace.told(4_000 * MS, 200);
+    assert!(pace.is_slow(), "the instance is warm now");
+    for at_ms in (4_020..8_000).step_by(20) {
+        pace.told(at_ms * MS, 500);
+    }
+    assert!(pace.is_slow(), "a slow host does not pass for calm");
+}
--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -7,6 +7,7 @@
 mod config;
 mod extras;
 mod info;
+mod introductions;
 mod members;
 mod parts;
 mod probes;
@@ -20,5 +21,6 @@
 
 pub use config::MemberConfig;
 pub use info::{MAX_EXTRA_BYTES, MemberAction, MemberError, MemberState, NodeInfo};
+pub use introductions::{Introduced, Introduction, Introductions};
 pub use members::{Members, TICK_MS};
 pub use wire::{Datagram, MAX_DATAGRAM_BYTES};
--- a/components/members/src/spread.rs
+++ b/components/members/src/spread.rs
@@ -216,6 +216,18 @@
         !is_alive || draft.add_notice(alive_notice(member))
     }
 
+    /// The local record, for a process that hands it to nodes this one does not know.
+    ///
+    /// `None` without an upstream, and for a record that takes several datagrams; gossip spreads it.
+    pub fn introduction(&self) -> Option<Datagram> {
+        if self.local.upstreams.is_empty() {
+            return None;
+        }
+        let mut draft = self.draft(Body::Repair);
+        let is_whole = self.attach_record(self.local.node.mesh, &mut draft);
+        (is_whole && draft.overflow.is_empty()).then_some(draft.datagram)
+    }
+
     fn attach_record(&self, subject: SocketAddr, draft: &mut Draft) -> bool {
         let Some((info, stamp)) = self.table.announced(subject) else {
             return true;
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive.rs
@@ -9,6 +9,7 @@
 use errors::ErrorKind;
 use http::{CallerWatch, EarlyReply, Headers, Response};
 use kernel::KindLabels;
+use limits::RoomSearch;
 use mesh::Channel;
 use model::{AttemptId, NodeId, Upstream};
 use routing::UpstreamKey;
@@ -71,6 +72,7 @@
     freed_retries: u32,
     /// Retries that cost no budget.
     free_retries: u32,
+    room: RoomSearch,
     pub(super) is_hedge: bool,
     /// Wait at the owner that the last choice allowed.
     pub(super) patience: Option<(UpstreamKey, u64)>,
@@ -109,6 +111,7 @@
                 reserved: HashSet::new(),
                 freed_retries: 0,
                 free_retries: 0,
+                room: RoomSearch::default(),
                 is_hedge: false,
                 patience: None,
                 is_over: false,
@@ -228,9 +231,11 @@
     }
 
     fn feed(self: &Arc<Self>, state: &mut State, event: Event<UpstreamKey>) {
-        // Past the target a refusal for want of room is the last word.
-        let moves_are_free = self.entry.context.kernel.node_settings().moves > 0
-            && self.now_us() < self.call.target_us;
+        if let Event::Refused(attempt, ErrorKind::Overloaded | ErrorKind::QueueFull) = &event {
+            let is_past_target = self.now_us() >= self.call.target_us;
+            state.room.refused(*attempt, is_past_target);
+        }
+        let moves_are_free = self.has_moves() && !state.room.is_over();
         state.settle(&event, moves_are_free, || self.release_retry());
         let actions = state.machine.on_event(self.now_us(), event);
         self.carry_out(state, actions);
@@ -379,6 +384,9 @@
         // A call that moves for free need not wait anywhere while another upstream has room.
         let moves = self.entry.context.kernel.node_settings().moves;
         let start_now = patience.is_some() && attempt.attempt < moves;
+        if start_now {
+            state.room.sent_to_start_now(attempt);
+        }
         let until_stop_us = self.entry.context.start_by_at_stop_us(now_us);
         let patience_us = patience
             .filter(|_| moves == 0)
@@ -418,6 +426,10 @@
             state.freed_retries -= 1;
             return true;
         }
+        if self.has_moves() && state.room.is_over() {
+            // No upstream saw the call, so the budget is for others.
+            return false;
+        }
         let now_us = self.now_us();
         let entries = self.entry.context.live_nodes();
         let allowed = match self.routes.try_shared_retry(now_us, entries) {
@@ -436,6 +448,10 @@
         allowed
     }
 
+    fn has_moves(&self) -> bool {
+        self.entry.context.kernel.node_settings().moves > 0
+    }
+
     fn may_hedge(&self) -> bool {
         self.routes
             .with_budgets(&self.call.profile, |budgets| budgets.hedge.try_hedge())
--- a/components/node/src/entry/reply.rs
+++ b/components/node/src/entry/reply.rs
@@ -59,10 +59,20 @@
         if matches!(event, Event::Refused(_, ErrorKind::Stopping)) {
             self.routes.note_draining(now_us, self.key);
         }
-        self.drive.notify(Notice::Event(event));
-        self.routes
-            .router()
-            .finished(now_us, self.key, finish, latency_us, signal);
+        let note_result = || {
+            self.routes
+                .router()
+                .finished(now_us, self.key, finish, latency_us, signal);
+        };
+        if matches!(event, Event::Answered(..)) {
+            // The caller gets its answer first.
+            self.drive.notify(Notice::Event(event));
+            note_result();
+        } else {
+            // The next choice of this call needs what the refusal told.
+            note_result();
+            self.drive.notify(Notice::Event(event));
+        }
     }
 
     fn ended(&self, result: RunResult, now_us: u64) -> (Finish, Event<UpstreamKey>) {
--- a/components/node/src/gossip.rs
+++ b/components/node/src/gossip/mod.rs
@@ -1,6 +1,9 @@
 //! Plug-in `gossip`: membership over datagrams, and the directory that follows from it.
 
+mod introduce;
+
 use crate::context::NodeContext;
+use crossbeam::channel::{Sender, bounded};
 use kernel::{Event, Kernel, PluginEntry, Role, Running, StartError};
 use members::{Datagram, MemberAction, MemberConfig, MemberState, Members, NodeInfo, TICK_MS};
 use mesh::{Channel, Inbound};
@@ -28,6 +31,8 @@
     context: Arc<NodeContext>,
     members: Mutex<Members>,
     known: Mutex<Known>,
+    /// Tells the introducing thread that the local record has changed.
+    record_changed: Sender<()>,
 }
 
 fn start(kernel: &Arc<Kernel>) -> Result<Running, StartError> {
@@ -35,7 +40,9 @@
     let settings = kernel.node_settings();
     let config = MemberConfig::new(settings.availability_zone.clone(), settings.region.clone())
         .contacts(settings.peers.iter().copied());
+    let (record_changed, changes) = bounded(1);
     let gossip = Arc::new(Gossip {
+        record_changed,
         members: Mutex::new(Members::new(
             config,
             local_info(&context, None),
@@ -61,6 +68,10 @@
             }
         }
     });
+    let introducing = thread::spawn({
+        let gossip = Arc::clone(&gossip);
+        move || introduce::introduce(&gossip, &changes)
+    });
     Ok(Running::new(
         |until| {
             let pause = until.min(Instant::now() + LEAVE_TIME);
@@ -68,6 +79,7 @@
         },
         move || {
             let _ = ticking.join();
+            let _ = introducing.join();
         },
     ))
 }
@@ -129,6 +141,8 @@
             Err(error) => log::error!("gossip: the instance can't be announced: {error}."),
         }
         self.place(&info);
+        // A full queue holds the same news.
+        let _ = self.record_changed.try_send(());
     }
 
     fn share_suspects(&self, now_us: u64) {
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::sync::NodeReport;
 use errors::ErrorKind;
+use members::{Introduced, Introduction};
 use model::Revision;
 use registry::{Change, Delta};
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,8 @@
     Reports,
     /// Asks a replica for the mesh addresses of a few nodes, drawn at random.
     Contacts,
+    /// Makes a starting node known to the others that start, and asks for their records.
+    Introduce(Box<Introduction>),
     /// Asks a replica for the mesh addresses of all replicas.
     Replicas,
     /// Hands an operator's change to the leader.
@@ -46,6 +49,8 @@
     Reports(Vec<NodeReport>),
     /// Mesh addresses of nodes that pull from the replica.
     Contacts(Vec<SocketAddr>),
+    /// Records of other starting nodes.
+    Introduced(Introduced),
     /// Mesh addresses of the replicas, as far as the replier knows.
     Replicas(Vec<SocketAddr>),
     /// Result of a change: its revision, or the refusal with its detail.
