Refuse a call meant for a former process as not run

Their owners had been killed and were back, entries still knew the former process, and the new one answered 'forgotten', which counts as may have run: 502 instead of 503, so callers of calls that may not be repeated could not come back, and others drew on the retry budget.

Change: the owner refuses such a call as not run. Ruled out that the former process got it: the mesh sends a message once, over a connection that ends with its process. meant_for_former_process fails without it.

--- a/components/bench/tests/owner_crash.rs
+++ b/components/bench/tests/owner_crash.rs
@@ -5,7 +5,11 @@
     load::{self, LoadConfig},
     upstream::{ServiceTime, Upstream},
 };
+use errors::ErrorKind;
+use mesh::Channel;
+use model::{AttemptId, CallId, NodeId, Priority, ProfileName, UpstreamName};
 use std::{thread, time::Duration};
+use wire::{CallReply, CallRequest, RunCall, RunResult, WireMessage};
 
 mod system;
 use system::{
@@ -112,6 +116,56 @@
     assert_eq!(runs_of(&[upstream], "after"), 1);
 }
 
+/// A call for the process that ran here before reached nobody: the caller of a call that may not be
+/// repeated must learn that it has not run.
+#[test]
+fn meant_for_former_process() {
+    let _alone = alone();
+    let deployment = deployment(1);
+    let upstream = instance(&deployment, 0, |_| {});
+    deployment.wait_for_upstreams(1).unwrap();
+    let owner = deployment.node(0).mesh.local();
+    let former = NodeId {
+        incarnation: owner.incarnation - 1,
+        ..owner
+    };
+    let call = CallRequest::Run(RunCall {
+        attempt: AttemptId {
+            call: CallId {
+                origin: 1,
+                sequence: 1,
+            },
+            attempt: 0,
+        },
+        owner: former,
+        upstream: UpstreamName::parse(&format!("{SERVICE}-1")).unwrap(),
+        generation: 0,
+        keyed: false,
+        idempotent: false,
+        profile: ProfileName::parse("write").unwrap(),
+        priority: Priority::Normal,
+        queue_limit: 10,
+        remaining_us: 5_000_000,
+        patience_us: None,
+        start_now: false,
+        target_us: 5_000_000,
+        fingerprint: [0; 16],
+        request: WireMessage {
+            start: ("POST".to_owned(), "/".to_owned()),
+            headers: Vec::new(),
+            body: Vec::new(),
+        },
+    });
+    let reply = deployment
+        .node(0)
+        .ask(owner.mesh, Channel::Call, &call, system::PATIENCE);
+    let Some(CallReply::Ran { result, .. }) = reply else {
+        panic!("no reply: {reply:?}");
+    };
+    assert_eq!(result, RunResult::Refused(ErrorKind::NoUpstream));
+    assert!(executions(&[upstream]).is_empty());
+}
+
 #[test]
 fn owner_crash() {
     let _alone = alone();
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -243,6 +243,18 @@
     fn admit(self: &Arc<Self>, call: RunCall, reply_to: ReplyTo) {
         let now_us = self.now_us();
         let deadline_us = now_us + call.remaining_us;
+        if call.owner != self.context.kernel.mesh.local() {
+            // The entry meant a process that ran here before. A call is sent once, over a connection
+            // that ends with its process, so that process never got it.
+            log::info!(
+                "owner: call {} refused, it was meant for {}.",
+                call.attempt,
+                call.owner
+            );
+            let refusal = RunResult::Refused(ErrorKind::NoUpstream);
+            reply(reply_to, LoadSignal::default(), refusal);
+            return;
+        }
         if let Some(kind) = self.refusal(now_us, &call) {
             let fate = self.refuse_unknown(now_us, deadline_us, &call);
             log::info!("owner: call {} refused, {kind}.", call.attempt);
@@ -280,9 +292,6 @@
 
     /// Why a call can't be taken at all, before its record is looked at.
     fn refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
-        if call.owner != self.context.kernel.mesh.local() {
-            return Some(ErrorKind::NoUpstream);
-        }
         if self.refusing.load(Ordering::Acquire) {
             return Some(ErrorKind::Stopping);
         }
