--- a/components/node/src/entry/routes.rs
+++ b/components/node/src/entry/routes.rs
@@ -3,8 +3,10 @@
 use crate::context::NodeContext;
 use calls::HedgeBudget;
 use limits::{RetryBudget, SharedRetries, SharedRetryLimits, TokenBucket};
-use model::{Profile, ProfileName, ServiceName, Upstream, UpstreamName, UpstreamState};
-use routing::{Router, RouterConfig, UpstreamKey, subset};
+use model::{
+    Profile, ProfileName, ServiceName, Upstream, UpstreamName, UpstreamState, ZonePreference,
+};
+use routing::{Router, RouterConfig, UpstreamKey, near_subset};
 use std::{
     collections::{HashMap, HashSet, hash_map::DefaultHasher},
     hash::{Hash, Hasher},
@@ -164,13 +166,20 @@
         // Held over reading and tracking, so that an older list can't replace a newer one.
         let mut tracked = routes.tracked();
         let upstreams = self.context.kernel.directory.upstreams(service);
-        let names: Vec<UpstreamName> = upstreams
+        let settings = self.context.kernel.node_settings();
+        let prefers_zone = settings.route_zone_preference != ZonePreference::None;
+        let (near, far): (Vec<&Upstream>, Vec<&Upstream>) = upstreams
             .iter()
             .filter(|upstream| upstream.state.accepts_calls())
-            .map(|upstream| upstream.name.clone())
-            .collect();
+            .partition(|upstream| {
+                prefers_zone && upstream.availability_zone == settings.availability_zone
+            });
+        let names = |upstreams: Vec<&Upstream>| -> Vec<UpstreamName> {
+            upstreams.iter().map(|u| u.name.clone()).collect()
+        };
+        let (near, far) = (names(near), names(far));
         let entry = self.context.kernel.mesh.local();
-        let names: HashSet<&UpstreamName> = subset(service, &entry, &names, SUBSET_SIZE)
+        let names: HashSet<&UpstreamName> = near_subset(service, &entry, &near, &far, SUBSET_SIZE)
             .into_iter()
             .collect();
         let chosen: Vec<&Upstream> = upstreams
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use request::{Candidate, Choice, Finish, Reason, RouteRequest, RouterConfig, UpstreamKey};
 pub use router::Router;
-pub use subset::subset;
+pub use subset::{near_subset, subset};
--- a/components/routing/src/subset.rs
+++ b/components/routing/src/subset.rs
@@ -8,6 +8,9 @@
 /// Prime of the 64-bit FNV-1a hash.
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
+/// Part of a subset that is kept for other availability zones, as a divisor.
+const FAR_DIVISOR: usize = 4;
+
 /// The `size` members with the highest rendezvous weight for this entry.
 ///
 /// A member that leaves is replaced in the subsets that held it and changes no other subset.
@@ -27,6 +30,22 @@
     weighted.into_iter().map(|(_, name)| name).collect()
 }
 
+/// As `subset`, with members in the entry's availability zone first: calls can then stay in the
+/// zone, and the places kept for others let them leave it when it is full.
+pub fn near_subset<'a>(
+    service: &ServiceName,
+    entry: &NodeId,
+    near: &'a [UpstreamName],
+    far: &'a [UpstreamName],
+    size: usize,
+) -> Vec<&'a UpstreamName> {
+    let far_places = (size / FAR_DIVISOR).min(far.len());
+    let near_places = (size - far_places).min(near.len());
+    let mut chosen = subset(service, entry, near, near_places);
+    chosen.extend(subset(service, entry, far, size - near_places));
+    chosen
+}
+
 fn entry_hash(service: &ServiceName, entry: &NodeId) -> u64 {
     let hash = fnv(FNV_OFFSET, service.as_str().as_bytes());
     let hash = fnv(hash, entry.mesh.to_string().as_bytes());
