--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -4,6 +4,7 @@
 mod bucket;
 mod pace;
 mod retry;
+mod retry_after;
 mod room_search;
 mod service_times;
 mod shared_retries;
@@ -12,6 +13,7 @@
 pub use bucket::TokenBucket;
 pub use pace::{Pace, PaceView, USUAL_PERCENT};
 pub use retry::RetryBudget;
+pub use retry_after::{RefusedFor, retry_after_ms};
 pub use room_search::RoomSearch;
 pub use service_times::ServiceTimes;
 pub use shared_retries::{SharedRetries, SharedRetryLimits};
--- a/components/limits/src/pace.rs
+++ b/components/limits/src/pace.rs
@@ -43,8 +43,9 @@
     /// Calmest pace of the present window and of the one before.
     calmest_percent: [u32; 2],
     window_from_us: u64,
-    /// Whether the upstream has ever told a figure; one that tells none is never asked.
+    /// Whether the upstream has ever told a figure; one that tells none is asked only once.
     is_told: bool,
+    is_asked_once: bool,
     asked_us: Option<u64>,
     budget: TokenBucket,
 }
@@ -58,6 +59,7 @@
             calmest_percent: [u32::MAX; 2],
             window_from_us: 0,
             is_told: false,
+            is_asked_once: false,
             asked_us: None,
             budget: TokenBucket::new(asks_per_s, asks_per_s),
         }
@@ -84,10 +86,10 @@
 
     /// What is known now; a question must follow `PaceView::Ask`.
     pub fn view(&mut self, now_us: u64) -> PaceView {
-        if !self.is_told {
+        if !self.is_told && self.is_asked_once && self.asked_us.is_none() {
             return PaceView::Usual;
         }
-        if now_us < self.at_us + FRESH_US {
+        if self.is_told && now_us < self.at_us + FRESH_US {
             return self.last();
         }
         if let Some(asked_us) = self.asked_us
@@ -97,6 +99,7 @@
         }
         if self.budget.try_take(now_us, 1) {
             self.asked_us = Some(now_us);
+            self.is_asked_once = true;
             return PaceView::Ask;
         }
         self.last()
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -43,8 +43,8 @@
     version: u64,
 }
 
-/// A refused request: its service, empty if not known, and the reason.
-type Refusal = (String, ErrorKind);
+/// A refused request: its service, if known, and the reason.
+type Refusal = (Option<ServiceName>, ErrorKind);
 
 impl Entry {
     /// Checks a request against the directory, the profiles and the limits of its headers.
@@ -56,7 +56,7 @@
             latency_target_ms,
             version,
         } = self.target(&request)?;
-        let refuse = |kind| (service.to_string(), kind);
+        let refuse = |kind| (Some(service.clone()), kind);
         let key = key_of(&request, &service, &profile).map_err(refuse)?;
         let longest_ms = if key.is_some() {
             MAX_KEYED_CALL_MS
@@ -103,10 +103,10 @@
             let host = request.headers.get("host").unwrap_or_default();
             let matched = table
                 .find(host.trim(), path)
-                .ok_or((String::new(), ErrorKind::NoRoute))?;
+                .ok_or((None, ErrorKind::NoRoute))?;
             let service = matched
                 .next_service()
-                .ok_or((String::new(), ErrorKind::NoUpstream))?;
+                .ok_or((None, ErrorKind::NoUpstream))?;
             return Ok(Target {
                 service,
                 profile: Profile {
@@ -118,10 +118,10 @@
             });
         }
         if kernel.node_settings().require_configuration {
-            return Err((String::new(), ErrorKind::NotConfigured));
+            return Err((None, ErrorKind::NotConfigured));
         }
-        let service = service_of(request).ok_or((String::new(), ErrorKind::UnknownService))?;
-        let refuse = |kind| (service.to_string(), kind);
+        let service = service_of(request).ok_or((None, ErrorKind::UnknownService))?;
+        let refuse = |kind| (Some(service.clone()), kind);
         let name = kernel
             .directory
             .profile_for(&service, &request.method, path)
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -16,7 +16,8 @@
     CallerWatch, Request, RequestLimits, Response, Server, ServerConfig, error_response, serve,
 };
 use kernel::{CallLabels, ErrorLabels, Event, Kernel, PluginEntry, Role, Running, StartError};
-use model::CallId;
+use limits::{RefusedFor, retry_after_ms};
+use model::{CallId, ServiceName};
 use routes::Routes;
 use std::{
     net::TcpListener,
@@ -32,10 +33,6 @@
 const MAX_PIPELINED: usize = 16;
 /// Time after the notice of a stop in which requests that were on their way still start.
 const ARRIVAL_GRACE_MS: u64 = 200;
-/// Time after which a refused caller may come back, as a share of the latency target.
-const RETRY_AFTER_SHARE: std::ops::Range<f64> = 0.1..0.4;
-/// The same while nothing can be served yet.
-const RESTART_AFTER_SHARE: std::ops::Range<f64> = 1.0..2.0;
 /// Latency target of calls whose route has none, in milliseconds.
 const DEFAULT_TARGET_MS: u64 = 400;
 /// Period in which lost probes are looked for.
@@ -154,7 +151,7 @@
         let arrived_us = self.context.kernel.clock.now_us();
         let request_id = self.request_id(&request);
         let prepared = if self.is_notice_over(arrived_us) {
-            Err((String::new(), ErrorKind::Stopping))
+            Err((None, ErrorKind::Stopping))
         } else {
             self.prepare(request, arrived_us)
         };
@@ -165,7 +162,7 @@
                 log::info!(
                     "entry: request {request_id} refused, {kind}; configuration version {version}."
                 );
-                return self.refuse(service, kind, DEFAULT_TARGET_MS);
+                return self.refuse(service.as_ref(), kind, DEFAULT_TARGET_MS);
             }
         };
         let target_ms = match prepared.target_us {
@@ -192,7 +189,7 @@
                     "entry: request {request_id} call {call} ended without an answer after {} ms, {kind}.",
                     elapsed_us / 1_000
                 );
-                self.refuse(service.to_string(), kind, target_ms)
+                self.refuse(Some(&service), kind, target_ms)
             }
         }
     }
@@ -205,9 +202,9 @@
         stopped_us.is_some_and(|stopped_us| now_us > stopped_us + notice_ms * 1_000)
     }
 
-    fn refuse(&self, service: String, kind: ErrorKind, target_ms: u64) -> Response {
+    fn refuse(&self, service: Option<&ServiceName>, kind: ErrorKind, target_ms: u64) -> Response {
         let labels = ErrorLabels {
-            service,
+            service: service.map(ToString::to_string).unwrap_or_default(),
             code: kind.row().code.to_owned(),
         };
         self.context
@@ -220,17 +217,24 @@
         if !matches!(response.status, 429 | 503) {
             return response;
         }
-        // Soon enough for an answer within the target, and spread, so that callers that were refused
-        // together don't come back together.
-        let share = rand::random_range(match kind {
-            // Nodes and instances take about a second to find each other after a restart.
-            ErrorKind::NoUpstream | ErrorKind::NotConfigured => RESTART_AFTER_SHARE,
-            _ => RETRY_AFTER_SHARE,
-        });
-        let seconds = share * target_ms as f64 / 1_000.0;
+        let reason = match kind {
+            ErrorKind::NoUpstream | ErrorKind::NotConfigured => RefusedFor::Starting,
+            ErrorKind::Overloaded | ErrorKind::QueueFull => RefusedFor::Room {
+                expected_ms: self.shortest_expected_ms(service),
+            },
+            _ => RefusedFor::Other,
+        };
+        let seconds = retry_after_ms(reason, target_ms, rand::random()) / 1_000.0;
         response.with_header("retry-after", format!("{seconds:.3}"))
     }
 
+    /// Shortest time to an answer that this entry expected at its last choice for the service.
+    fn shortest_expected_ms(&self, service: Option<&ServiceName>) -> u64 {
+        let routes = service.map(|service| self.routes.of(service));
+        let expected_us = routes.and_then(|routes| routes.router().shortest_expected_us());
+        expected_us.unwrap_or(0) / 1_000
+    }
+
     fn configuration_version(&self) -> u64 {
         let routes = self.context.kernel.profiles.routes();
         routes.map_or(0, |table| table.configuration().version)
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -123,6 +123,12 @@
         (seen_us > 0).then(|| now_us.saturating_sub(seen_us))
     }
 
+    /// Shortest expected time to an answer among the candidates of the last choice, in microseconds.
+    pub fn shortest_expected_us(&self) -> Option<u64> {
+        let expected_us = self.candidates.iter().map(|c| u64::from(c.expected_us));
+        expected_us.min()
+    }
+
     /// The candidates of the last choice, for the decision log.
     pub fn candidates(&self) -> &[Candidate] {
         &self.candidates
