--- a/components/bench/examples/choice_cost.rs
+++ b/components/bench/examples/choice_cost.rs
@@ -40,6 +40,7 @@
         zone_preference: ZonePreference::Prefer,
         idempotent: true,
         hedge: false,
+        useful_us: u64::MAX,
     };
     for _ in 0..ROUNDS {
         let mut router = Router::new(
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -58,6 +58,7 @@
         zone_preference: ZonePreference::Prefer,
         idempotent: true,
         hedge: false,
+        useful_us: u64::MAX,
     }
 }
 
