--- a/components/bench/examples/choice_cost.rs
+++ b/components/bench/examples/choice_cost.rs
@@ -40,7 +40,6 @@
         zone_preference: ZonePreference::Prefer,
         idempotent: true,
         hedge: false,
-        useful_us: u64::MAX,
     };
     for _ in 0..ROUNDS {
         let mut router = Router::new(
--- a/components/bench/src/policy/chooser.rs
+++ b/components/bench/src/policy/chooser.rs
@@ -212,7 +212,6 @@
             zone_preference: ZonePreference::Prefer,
             idempotent: kind.idempotent,
             hedge: kind.hedge,
-            useful_us: u64::MAX,
         };
         let choice = self.router.choose(now_us, &request).ok()?;
         let patience_us = choice
--- a/components/node/src/entry/choose.rs
+++ b/components/node/src/entry/choose.rs
@@ -20,7 +20,6 @@
         exclude: &[UpstreamKey],
     ) -> Event<UpstreamKey> {
         let kernel = &self.entry.context.kernel;
-        let now_us = kernel.clock.now_us();
         let request = RouteRequest {
             zone: &kernel.node_settings().availability_zone,
             exclude,
@@ -28,8 +27,8 @@
             zone_preference: self.call.profile.zone_preference,
             idempotent: self.call.profile.idempotent,
             hedge: state.is_hedge,
-            useful_us: self.call.target_us.saturating_sub(now_us),
         };
+        let now_us = kernel.clock.now_us();
         let own_load = self.own_load();
         let mut router = self.routes.router();
         if let Some((name, signal)) = own_load
--- a/components/routing/src/member.rs
+++ b/components/routing/src/member.rs
@@ -10,12 +10,6 @@
 const CHANCE_SERVICE_RATIO: f64 = 2.0;
 /// Age at which a figure on the host's pace has lost 63 % of its weight, in microseconds.
 const PACE_DECAY_US: f64 = 100_000.0;
-/// Pace from which a neighbour slows the host, as a factor; the owner holds calls back then.
-const SLOW_PACE: f64 = 2.0;
-/// Mean time until a neighbour no longer slows the host, in microseconds.
-const NEIGHBOUR_US: f64 = 100_000.0;
-/// Time by which it nearly always has stopped, in microseconds.
-const LONG_NEIGHBOUR_US: f64 = 300_000.0;
 /// Age at which distrust has lost 63 % of its weight, in microseconds.
 const DISTRUST_DECAY_US: f64 = 300_000.0;
 /// Weight of one result in the averages of predicted and observed latency.
@@ -70,8 +64,6 @@
 pub(crate) struct Estimate {
     pub(crate) load: f64,
     pub(crate) expected_us: f64,
-    /// Whether the call would wait until a neighbour no longer slows the host.
-    pub(crate) waits_out: bool,
 }
 
 /// State of one upstream.
@@ -190,20 +182,8 @@
     }
 
     /// Weighs what is known of the upstream against what is typical for the service.
-    pub(crate) fn estimate(
-        &self,
-        now_us: u64,
-        typical: Typical,
-        same_zone: bool,
-        may_wait_out: bool,
-    ) -> Estimate {
-        let pace = self.pace(now_us);
-        let waits_out = may_wait_out && pace >= SLOW_PACE;
-        let service_us = if waits_out {
-            self.service_us_at(now_us, typical.service_us, 1.0) + NEIGHBOUR_US
-        } else {
-            self.service_us_at(now_us, typical.service_us, pace)
-        };
+    pub(crate) fn estimate(&self, now_us: u64, typical: Typical, same_zone: bool) -> Estimate {
+        let service_us = self.current_service_us(now_us, typical.service_us);
         let slots = f64::from(self.upstream.slots.max(1)) * self.ramp(now_us);
         let (others, weight) = self.seen.map_or((typical.others, 0.0), |seen| {
             // What a signal counted has mostly ended once the calls that it counted are served.
@@ -218,30 +198,20 @@
         Estimate {
             load,
             expected_us: expected_us * self.distrust(now_us),
-            waits_out,
         }
     }
 
-    /// Time that work takes on the host now, as a factor; 1 if no fresh signal tells more.
-    fn pace(&self, now_us: u64) -> f64 {
-        self.seen.map_or(1.0, |seen| {
-            let pace = f64::from(seen.signal.pace_percent.max(100)) / 100.0;
-            1.0 + (pace - 1.0) * remaining(now_us, seen.at_us, PACE_DECAY_US)
-        })
-    }
-
-    /// Whether there is time to wait until a neighbour no longer slows the host.
-    pub(crate) fn may_wait_out(useful_us: u64, typical: Typical) -> bool {
-        useful_us as f64 >= typical.service_us + LONG_NEIGHBOUR_US
-    }
-
     /// The typical service time, raised by what a fresh signal or overdue attempts show.
-    fn service_us_at(&self, now_us: u64, typical_us: f64, pace: f64) -> f64 {
+    fn current_service_us(&self, now_us: u64, typical_us: f64) -> f64 {
         let excess_us = self.seen.map_or(0.0, |seen| {
             let signal_us = f64::from(seen.signal.service_time_us);
             let excess_us = (signal_us - typical_us * CHANCE_SERVICE_RATIO).max(0.0);
             excess_us * remaining(now_us, seen.service_at_us, SERVICE_DECAY_US)
         });
+        let pace = self.seen.map_or(1.0, |seen| {
+            let pace = f64::from(seen.signal.pace_percent.max(100)) / 100.0;
+            1.0 + (pace - 1.0) * remaining(now_us, seen.at_us, PACE_DECAY_US)
+        });
         let service_us = (typical_us + excess_us) * pace;
         service_us + self.overdue_us(now_us, service_us)
     }
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -31,8 +31,6 @@
     pub idempotent: bool,
     /// Whether the attempt is a hedge, which only goes to an upstream with a free slot.
     pub hedge: bool,
-    /// Time left in which an answer is fully useful, in microseconds.
-    pub useful_us: u64,
 }
 
 /// Why an upstream was chosen.
@@ -74,8 +72,6 @@
     pub load: f32,
     /// Whether it was ejected at the time.
     pub ejected: bool,
-    /// Whether the call would wait there until a neighbour no longer slows the host.
-    pub waits_out: bool,
 }
 
 /// How an attempt ended.
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -107,9 +107,9 @@
             (true, 1) => Reason::Only,
             (true, _) => Reason::Expected,
         };
-        let stays = best.waits_out && self.has_free_slot(&best);
-        let patience_us =
-            (!stays && self.may_move(best.upstream)).then_some(typical.service_us as u64);
+        let patience_us = self
+            .may_move(best.upstream)
+            .then_some(typical.service_us as u64);
         Ok(Choice {
             upstream: best.upstream,
             reason,
@@ -245,13 +245,10 @@
             }
             let same_zone = request.zone_preference == ZonePreference::None
                 || member.upstream.availability_zone == *request.zone;
-            let is_near = request.zone_preference == ZonePreference::Local && same_zone;
-            // A neighbour slows a host for a moment only: with time left, a call need not leave its
-            // zone for that.
-            let may_wait_out = is_near && Member::may_wait_out(request.useful_us, typical);
-            let estimate = member.estimate(now_us, typical, same_zone, may_wait_out);
-            let is_near_and_free =
-                is_near && estimate.load + 1.0 <= f64::from(member.upstream.slots);
+            let estimate = member.estimate(now_us, typical, same_zone);
+            let is_near_and_free = request.zone_preference == ZonePreference::Local
+                && same_zone
+                && estimate.load + 1.0 <= f64::from(member.upstream.slots);
             let bias = if is_near_and_free { NEAR_BIAS } else { 1.0 };
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
             self.candidates.push(Candidate {
@@ -259,7 +256,6 @@
                 expected_us: (estimate.expected_us * jitter * bias) as u32,
                 load: estimate.load as f32,
                 ejected: member.ejection.is_ejected(),
-                waits_out: estimate.waits_out,
             });
         }
     }
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -58,7 +58,6 @@
         zone_preference: ZonePreference::Prefer,
         idempotent: true,
         hedge: false,
-        useful_us: u64::MAX,
     }
 }
 
