Split the call state machine and the drive; dial starting hosts in steps of 0.2 s

The state machine of a call was one file of 800 lines: keys and time are modules of their own now, as is sending in the drive of a call. No change of behaviour there.

Attempts after the first now last 0.2 s, above the round trip between regions.

--- a/components/bench/tests/owner_crash.rs
+++ b/components/bench/tests/owner_crash.rs
@@ -138,7 +138,7 @@
             attempt: 0,
         },
         owner: former,
-        upstream: UpstreamName::parse(&format!("{SERVICE}-1")).unwrap(),
+        upstream: UpstreamName::parse(format!("{SERVICE}-1")).unwrap(),
         generation: 0,
         keyed: false,
         idempotent: false,
--- /dev/null
+++ b/components/calls/src/entry/keyed.rs
@@ -0,0 +1,92 @@
+//! The part of the call state machine that deals with idempotency keys and their holders.
+
+use super::{
+    Action, EntryCall, HOLDER_DELAY_US, HOLDER_JITTER_US, JITTER_FACTOR, MAX_OVER, State,
+    backoff_us,
+};
+use crate::{Fate, Holder};
+use errors::ErrorKind;
+use model::{AttemptId, CallId};
+
+impl<U: Copy + Eq> EntryCall<U> {
+    pub(super) fn claim(&mut self, index: usize) {
+        if self.over.len() > MAX_OVER {
+            self.attempts[index].state = State::NotRun;
+            self.fail(ErrorKind::KeyUnconfirmed);
+            return;
+        }
+        self.attempts[index].state = State::Claiming;
+        self.actions.push(Action::Claim {
+            attempt: self.id(index),
+            upstream: self.attempts[index].upstream,
+            over: self.over.clone(),
+        });
+    }
+
+    pub(super) fn on_claimed(&mut self, now_us: u64, attempt: AttemptId) {
+        let Some(index) = self.index_in(attempt, |s| s == State::Claiming) else {
+            return;
+        };
+        if now_us < self.spec.deadline_us {
+            self.send(now_us, index);
+        }
+    }
+
+    pub(super) fn on_held(&mut self, now_us: u64, attempt: AttemptId, holder: Holder) {
+        let Some(index) = self.index_in(attempt, |s| s == State::Claiming) else {
+            return;
+        };
+        self.wait_for_holder(now_us, index, holder);
+    }
+
+    /// Gives the holder's message time to reach its owner before the question, which would
+    /// otherwise stop it. The jitter keeps two entries from stopping each other again and again.
+    pub(super) fn wait_for_holder(&mut self, now_us: u64, index: usize, holder: Holder) {
+        let CallId { origin, sequence } = self.spec.call;
+        let mixed = origin.wrapping_add(sequence).wrapping_mul(JITTER_FACTOR) >> 32;
+        let jitter_us = mixed % HOLDER_JITTER_US;
+        let due_us = now_us + backoff_us(HOLDER_DELAY_US + jitter_us, self.attempts[index].asks);
+        self.attempts[index].asks += 1;
+        self.attempts[index].state = State::HolderWait { holder, due_us };
+    }
+
+    pub(super) fn on_claim_failed(&mut self, attempt: AttemptId, kind: ErrorKind) {
+        if let Some(index) = self.index_in(attempt, |s| s == State::Claiming) {
+            self.attempts[index].state = State::NotRun;
+            self.fail(kind);
+        }
+    }
+
+    pub(super) fn asked_about(&self, holder: AttemptId) -> Option<(usize, Holder)> {
+        self.attempts
+            .iter()
+            .enumerate()
+            .find_map(|(index, attempt)| match attempt.state {
+                State::HolderAsked(h) if h.attempt == holder => Some((index, h)),
+                _ => None,
+            })
+    }
+
+    pub(super) fn on_holder_fate(&mut self, holder: AttemptId, fate: Fate) {
+        let Some((index, _)) = self.asked_about(holder) else {
+            return;
+        };
+        if fate == Fate::NotStarted {
+            self.over.push(holder);
+            self.claim(index);
+            return;
+        }
+        self.attempts[index].state = State::NotRun;
+        match fate {
+            Fate::Answered(answer) => self.deliver(holder, answer),
+            Fate::Running => self.fail(ErrorKind::KeyInProgress),
+            _ => self.fail(ErrorKind::KeyOutcomeUnknown),
+        }
+    }
+
+    pub(super) fn on_holder_unavailable(&mut self, now_us: u64, holder: AttemptId) {
+        if let Some((index, holder)) = self.asked_about(holder) {
+            self.wait_for_holder(now_us, index, holder);
+        }
+    }
+}
--- a/components/calls/src/entry.rs
+++ b/components/calls/src/entry/mod.rs
@@ -1,5 +1,8 @@
 //! The entry's call state machine: attempts, hedges, fates and the flow of a keyed call.
 
+mod keyed;
+mod time;
+
 use crate::{Fate, Holder, MAX_KEYED_CALL_MS};
 use errors::{ErrorKind, Outcome};
 use model::{AttemptId, CallId};
@@ -387,89 +390,6 @@
         self.actions.push(Action::Send { attempt, upstream });
     }
 
-    // Keys.
-
-    fn claim(&mut self, index: usize) {
-        if self.over.len() > MAX_OVER {
-            self.attempts[index].state = State::NotRun;
-            self.fail(ErrorKind::KeyUnconfirmed);
-            return;
-        }
-        self.attempts[index].state = State::Claiming;
-        self.actions.push(Action::Claim {
-            attempt: self.id(index),
-            upstream: self.attempts[index].upstream,
-            over: self.over.clone(),
-        });
-    }
-
-    fn on_claimed(&mut self, now_us: u64, attempt: AttemptId) {
-        let Some(index) = self.index_in(attempt, |s| s == State::Claiming) else {
-            return;
-        };
-        if now_us < self.spec.deadline_us {
-            self.send(now_us, index);
-        }
-    }
-
-    fn on_held(&mut self, now_us: u64, attempt: AttemptId, holder: Holder) {
-        let Some(index) = self.index_in(attempt, |s| s == State::Claiming) else {
-            return;
-        };
-        self.wait_for_holder(now_us, index, holder);
-    }
-
-    /// Gives the holder's message time to reach its owner before the question, which would
-    /// otherwise stop it. The jitter keeps two entries from stopping each other again and again.
-    fn wait_for_holder(&mut self, now_us: u64, index: usize, holder: Holder) {
-        let CallId { origin, sequence } = self.spec.call;
-        let mixed = origin.wrapping_add(sequence).wrapping_mul(JITTER_FACTOR) >> 32;
-        let jitter_us = mixed % HOLDER_JITTER_US;
-        let due_us = now_us + backoff_us(HOLDER_DELAY_US + jitter_us, self.attempts[index].asks);
-        self.attempts[index].asks += 1;
-        self.attempts[index].state = State::HolderWait { holder, due_us };
-    }
-
-    fn on_claim_failed(&mut self, attempt: AttemptId, kind: ErrorKind) {
-        if let Some(index) = self.index_in(attempt, |s| s == State::Claiming) {
-            self.attempts[index].state = State::NotRun;
-            self.fail(kind);
-        }
-    }
-
-    fn asked_about(&self, holder: AttemptId) -> Option<(usize, Holder)> {
-        self.attempts
-            .iter()
-            .enumerate()
-            .find_map(|(index, attempt)| match attempt.state {
-                State::HolderAsked(h) if h.attempt == holder => Some((index, h)),
-                _ => None,
-            })
-    }
-
-    fn on_holder_fate(&mut self, holder: AttemptId, fate: Fate) {
-        let Some((index, _)) = self.asked_about(holder) else {
-            return;
-        };
-        if fate == Fate::NotStarted {
-            self.over.push(holder);
-            self.claim(index);
-            return;
-        }
-        self.attempts[index].state = State::NotRun;
-        match fate {
-            Fate::Answered(answer) => self.deliver(holder, answer),
-            Fate::Running => self.fail(ErrorKind::KeyInProgress),
-            _ => self.fail(ErrorKind::KeyOutcomeUnknown),
-        }
-    }
-
-    fn on_holder_unavailable(&mut self, now_us: u64, holder: AttemptId) {
-        if let Some((index, holder)) = self.asked_about(holder) {
-            self.wait_for_holder(now_us, index, holder);
-        }
-    }
-
     // Ends of attempts.
 
     fn on_answered(&mut self, attempt: AttemptId, answer: Arc<[u8]>) {
@@ -625,104 +545,6 @@
         }
     }
 
-    // Time.
-
-    fn on_time(&mut self, now_us: u64) {
-        if now_us >= self.spec.deadline_us {
-            self.on_deadline(now_us);
-            return;
-        }
-        for index in 0..self.attempts.len() {
-            match self.attempts[index].state {
-                State::AskLater(due_us) if due_us <= now_us => {
-                    self.attempts[index].state = State::Asked;
-                    self.actions.push(Action::AskFate(self.id(index)));
-                }
-                State::HolderWait { holder, due_us } if due_us <= now_us => {
-                    self.attempts[index].state = State::HolderAsked(holder);
-                    self.actions.push(Action::AskHolder(holder));
-                }
-                _ => {}
-            }
-        }
-        if self.hedge_due_us.is_some_and(|due_us| due_us <= now_us) {
-            self.hedge_due_us = None;
-            self.hedge();
-        }
-    }
-
-    fn hedge(&mut self) {
-        let is_waiting = self.pending == Pending::None && self.has_open();
-        if is_waiting && !self.crashed && self.may_try_again() {
-            self.pending = Pending::HedgeBudget;
-            self.actions.push(Action::AskHedgeBudget);
-        }
-    }
-
-    fn on_deadline(&mut self, now_us: u64) {
-        if !self.overdue {
-            self.overdue = true;
-            self.pending = Pending::None;
-            self.cancel_at_deadline();
-        }
-        if self.done {
-            return;
-        }
-        let is_lost = |a: &Attempt<U>| a.state == State::Cancelling { lost: true };
-        if !self.has_open() {
-            self.fail(if self.maybe_ran.is_some() {
-                ErrorKind::DeadlinePassed
-            } else {
-                ErrorKind::DeadlineExpired
-            });
-        } else if now_us >= self.spec.deadline_us + DEADLINE_GRACE_US {
-            let kind = if self.attempts.iter().any(is_lost) {
-                ErrorKind::OwnerLost
-            } else {
-                ErrorKind::DeadlinePassed
-            };
-            self.maybe_ran.get_or_insert(kind);
-            self.fail(kind);
-        }
-    }
-
-    fn cancel_at_deadline(&mut self) {
-        for index in 0..self.attempts.len() {
-            let state = self.attempts[index].state;
-            match state {
-                State::Claiming => self.attempts[index].state = State::NotRun,
-                State::HolderWait { .. } | State::HolderAsked(_) => {
-                    self.attempts[index].state = State::NotRun;
-                    self.fail(ErrorKind::KeyOutcomeUnknown);
-                }
-                State::Sent | State::Asked | State::AskLater(_) => {
-                    let lost = state != State::Sent;
-                    self.attempts[index].state = State::Cancelling { lost };
-                    self.actions.push(Action::Cancel(self.id(index)));
-                }
-                State::Cancelling { .. } | State::NotRun | State::Ended => {}
-            }
-        }
-    }
-
-    fn set_wake(&mut self) {
-        let limit_us = if self.overdue {
-            self.spec.deadline_us + DEADLINE_GRACE_US
-        } else {
-            self.spec.deadline_us
-        };
-        let wake_us = self
-            .attempts
-            .iter()
-            .filter_map(|a| a.state.due_us())
-            .chain(self.hedge_due_us.filter(|_| !self.overdue))
-            .fold(limit_us, u64::min);
-        if self.wake_us.replace(wake_us) != Some(wake_us) {
-            // First, so that the reply to a later action of the list may set another time.
-            self.actions.insert(0, Action::WakeAt(wake_us));
-        }
-    }
-
     // Ends of the call.
 
     fn deliver(&mut self, attempt: AttemptId, answer: Arc<[u8]>) {
--- a/components/mesh/src/peer.rs
+++ b/components/mesh/src/peer.rs
@@ -18,6 +18,8 @@
 /// Wait for the answer to the first opening packet; doubles with each further one. A host that is
 /// still starting drops them, and the system repeats one only after a second.
 const FIRST_DIAL_WAIT: Duration = Duration::from_millis(100);
+/// Longest such wait; above the round trip between regions.
+const LONGEST_DIAL_WAIT: Duration = Duration::from_millis(200);
 
 enum State {
     Idle,
@@ -176,7 +178,9 @@
             return Err(io::ErrorKind::TimedOut.into());
         }
         match TcpStream::connect_timeout(&address, wait.min(left)) {
-            Err(error) if error.kind() == io::ErrorKind::TimedOut => wait *= 2,
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+                wait = LONGEST_DIAL_WAIT.min(wait * 2);
+            }
             result => return result,
         }
     }
--- a/components/node/src/entry/drive.rs
+++ b/components/node/src/entry/drive/mod.rs
@@ -4,13 +4,13 @@
 //! brings an event also carries out what follows from it and sends the response, so that no
 //! further thread has to wake up on the way.
 
-use super::{Entry, call::Prepared, keys, reply::RunReply, routes::ServiceRoutes};
+mod send;
+
+use super::{Entry, call::Prepared, routes::ServiceRoutes};
 use calls::{Action, CallSpec, ClaimReply, ClaimRound, EntryCall, Event, RoundResult};
 use errors::ErrorKind;
 use http::{CallerWatch, EarlyReply, Headers, Response};
-use kernel::KindLabels;
 use limits::RoomSearch;
-use mesh::Channel;
 use model::{AttemptId, NodeId, Upstream};
 use routing::UpstreamKey;
 use std::{
@@ -21,7 +21,7 @@
     },
     time::Instant,
 };
-use wire::{CallRequest, RunCall, WireMessage, decode, encode};
+use wire::{CallRequest, WireMessage, decode};
 
 /// Time after the deadline that a request to an owner stays open, so that its reply can arrive.
 const REPLY_GRACE_US: u64 = 200_000;
@@ -290,133 +290,6 @@
         None
     }
 
-    fn claim(
-        self: &Arc<Self>,
-        state: &mut State,
-        attempt: AttemptId,
-        upstream: UpstreamKey,
-        over: Vec<AttemptId>,
-    ) -> Option<Event<UpstreamKey>> {
-        let Some(target) = self.upstream(upstream) else {
-            return Some(Event::SendFailed(attempt));
-        };
-        let Some(key) = self.call.key else {
-            return Some(Event::ClaimFailed(attempt, ErrorKind::Internal));
-        };
-        let claim = calls::Claim {
-            key,
-            fingerprint: self.call.fingerprint,
-            attempt,
-            owner: target.node,
-            over,
-        };
-        let open = keys::new_round(&self.entry.context, &claim);
-        let ends_us = open.ends_us();
-        self.set_wake(self.wake_us().min(ends_us));
-        state.next_round += 1;
-        let round = state.next_round;
-        state.rounds.insert(round, (attempt, open));
-        keys::ask_keepers(&self.entry.context, &claim, ends_us, round, self);
-        None
-    }
-
-    fn send(
-        self: &Arc<Self>,
-        state: &mut State,
-        attempt: AttemptId,
-        key: UpstreamKey,
-    ) -> Option<Event<UpstreamKey>> {
-        let Some(upstream) = self.upstream(key) else {
-            return Some(Event::SendFailed(attempt));
-        };
-        let kernel = &self.entry.context.kernel;
-        let now_us = kernel.clock.now_us();
-        let kind = if std::mem::take(&mut state.is_hedge) {
-            "hedge"
-        } else {
-            "retry"
-        };
-        if attempt.attempt > 0 {
-            kernel
-                .metrics
-                .extra_attempts
-                .get_or_create(&KindLabels { kind })
-                .inc();
-        }
-        state.owners.insert(attempt, upstream.node);
-        let message = self.run_message(state, attempt, key, &upstream, now_us);
-        self.routes.router().sent(now_us, key);
-        let reply = RunReply {
-            attempt,
-            key,
-            owner: upstream.node,
-            sent_us: now_us,
-            deadline_us: self.call.deadline_us,
-            routes: Arc::clone(&self.routes),
-            drive: Arc::clone(self),
-            context: Arc::clone(&self.entry.context),
-        };
-        kernel.mesh.request(
-            upstream.node.mesh,
-            Channel::Call,
-            message,
-            kernel.clock.instant(self.call.deadline_us + REPLY_GRACE_US),
-            move |outcome| reply.take(outcome),
-        );
-        None
-    }
-
-    fn run_message(
-        &self,
-        state: &mut State,
-        attempt: AttemptId,
-        key: UpstreamKey,
-        upstream: &Upstream,
-        now_us: u64,
-    ) -> Vec<u8> {
-        let profile = &self.call.profile;
-        let moves_left = self.entry.context.kernel.node_settings().moves;
-        let may_move = attempt.attempt + 1 < profile.attempts.max(moves_left);
-        let patience = state
-            .patience
-            .take()
-            .filter(|(chosen, _)| may_move && *chosen == key);
-        // A call that moves for free need not wait anywhere while another upstream has room.
-        let moves = self.entry.context.kernel.node_settings().moves;
-        let start_now = patience.is_some() && attempt.attempt < moves;
-        if start_now {
-            state.room.sent_to_start_now(attempt);
-        }
-        let until_stop_us = self.entry.context.start_by_at_stop_us(now_us);
-        let patience_us = patience
-            .filter(|_| moves == 0)
-            .map(|(_, patience_us)| patience_us)
-            .filter(|_| self.routes.with_budgets(profile, |b| b.retry.try_reserve()));
-        if patience_us.is_some() {
-            state.reserved.insert(attempt);
-        }
-        encode(&CallRequest::Run(RunCall {
-            attempt,
-            owner: upstream.node,
-            generation: self.entry.context.generations.current(upstream.node),
-            upstream: upstream.name.clone(),
-            keyed: self.call.key.is_some(),
-            idempotent: profile.idempotent,
-            profile: profile.name.clone(),
-            priority: profile.priority,
-            queue_limit: profile.queue_limit,
-            remaining_us: self.call.deadline_us.saturating_sub(now_us),
-            patience_us: match (patience_us, until_stop_us) {
-                (Some(patience_us), Some(stop_us)) => Some(patience_us.min(stop_us)),
-                (patience_us, stop_us) => patience_us.or(stop_us),
-            },
-            start_now,
-            target_us: self.call.target_us.saturating_sub(now_us),
-            fingerprint: self.call.fingerprint,
-            request: self.call.request.clone(),
-        }))
-    }
-
     fn may_retry(&self, state: &mut State) -> bool {
         if state.free_retries > 0 {
             state.free_retries -= 1;
--- a/components/node/src/gossip/introduce.rs
+++ b/components/node/src/gossip/introduce.rs
@@ -87,7 +87,7 @@
         match changed.recv_timeout(pause) {
             Ok(()) => {}
             Err(RecvTimeoutError::Timeout) => {
-                pause = pause.mul_f32(PAUSE_GROWTH).min(LONGEST_PAUSE)
+                pause = pause.mul_f32(PAUSE_GROWTH).min(LONGEST_PAUSE);
             }
             Err(RecvTimeoutError::Disconnected) => return,
         }
