Add gyard explain: the story of one request from log files

Change: gyard explain ID LOG... reads any number of files twice, keeps the lines about the request and its calls, in order of time, and names the error kind that ended it with what to do. Text and JSON lines; needs no control group. explain_request covers a refused, a lost and a not-configured request, a nested id and a missing file.

--- a/components/client/src/failure.rs
+++ b/components/client/src/failure.rs
@@ -41,6 +41,9 @@
         revision: Revision,
         lagging: Vec<String>,
     },
+    /// The log files can't be read or tell nothing of the request.
+    #[snafu(display("{reason}"))]
+    Logs { reason: String },
     /// The output can't be written.
     #[snafu(display("the output can't be written: {reason}"))]
     Output { reason: String },
@@ -67,7 +70,7 @@
 
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Failure::Refused { .. } | Failure::Output { .. } => 1,
+            Failure::Refused { .. } | Failure::Logs { .. } | Failure::Output { .. } => 1,
             Failure::Usage { .. } => 2,
             Failure::Unreachable { .. } | Failure::Unconfirmed { .. } => 3,
             Failure::NotInEffect { .. } => 4,
@@ -94,6 +97,7 @@
                 "revision": revision,
                 "lagging": lagging,
             }),
+            Failure::Logs { reason } => json!({ "error": "logs", "message": reason }),
             Failure::Output { reason } => json!({ "error": "output", "message": reason }),
         }
     }
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -4,6 +4,7 @@
 //! unconfirmed, 4 accepted but not in effect on every live node when `--wait` ran out.
 
 mod change;
+mod explain;
 mod failure;
 mod operators;
 mod options;
--- a/components/client/src/options.rs
+++ b/components/client/src/options.rs
@@ -43,6 +43,16 @@
     Status(StatusFlags),
     #[options(help = "drain an instance: it finishes its calls and takes no new ones")]
     Drain(DrainFlags),
+    #[options(help = "tell from log files what became of a request")]
+    Explain(ExplainFlags),
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct ExplainFlags {
+    #[options(no_short, help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "id of the request, then the log files of nodes")]
+    pub(crate) id_and_files: Vec<String>,
 }
 
 #[derive(Debug, Options)]
--- a/components/client/src/run.rs
+++ b/components/client/src/run.rs
@@ -2,9 +2,12 @@
 
 use crate::{
     change,
+    explain::Story,
     failure::Failure,
     operators::{Failed, Operators},
-    options::{Command, DrainFlags, Flags, ProfileCommand, Submission, hoist_common, single},
+    options::{
+        Command, DrainFlags, ExplainFlags, Flags, ProfileCommand, Submission, hoist_common, single,
+    },
     output, wait,
 };
 use api::{ChangeAnswer, DrainRequest, ProfileEntry, ProfileList, Status};
@@ -107,29 +110,57 @@
 ) -> Result<(), Failure> {
     let is_json = flags.is_json()?;
     let Some(command) = &flags.command else {
-        return Err(Failure::usage("give a command: profile, status or drain"));
+        return Err(Failure::usage(
+            "give a command: profile, status, drain or explain",
+        ));
     };
-    let operators = Operators {
-        addresses: flags.addresses(&env)?,
-        token: env("GYARD_OPERATOR_TOKEN").filter(|token| !token.is_empty()),
-        timeout: flags.timeout(),
+    let operators = || -> Result<Operators, Failure> {
+        Ok(Operators {
+            addresses: flags.addresses(&env)?,
+            token: env("GYARD_OPERATOR_TOKEN").filter(|token| !token.is_empty()),
+            timeout: flags.timeout(),
+        })
     };
     let mut console = Console { out, is_json };
     match command {
         Command::Profile(profile) => match &profile.command {
-            Some(command) => run_profile(&operators, command, &mut console),
+            Some(command) => run_profile(&operators()?, command, &mut console),
             None => Err(Failure::usage(
                 "give a command: profile add, change, retire, show or list",
             )),
         },
         Command::Status(_) => {
-            let status: Status = operators.get("/v1/status").map_err(Failed::of_read)?;
+            let status: Status = operators()?.get("/v1/status").map_err(Failed::of_read)?;
             console.show(&status, output::status)
         }
-        Command::Drain(drain) => run_drain(&operators, drain, &mut console),
+        Command::Drain(drain) => run_drain(&operators()?, drain, &mut console),
+        Command::Explain(flags) => explain(flags, &mut console),
     }
 }
 
+fn explain(flags: &ExplainFlags, console: &mut Console) -> Result<(), Failure> {
+    let [id, files @ ..] = flags.id_and_files.as_slice() else {
+        return Err(Failure::usage("give the id of a request and log files"));
+    };
+    if files.is_empty() {
+        return Err(Failure::usage(
+            "give the log files of the nodes after the id",
+        ));
+    }
+    let story = Story::read(id, files).map_err(|error| Failure::Logs {
+        reason: format!("a log file can't be read: {error}"),
+    })?;
+    if story.is_empty() {
+        return Err(Failure::Logs {
+            reason: format!(
+                "no line tells of request {id}; name the log of the node that took it, and look \
+                 for `log: N lines were dropped` there"
+            ),
+        });
+    }
+    console.show(&story, |out, story| story.write(out))
+}
+
 fn run_profile(
     operators: &Operators,
     command: &ProfileCommand,
