--- a/components/calls/tests/suite/refused_calls.rs
+++ b/components/calls/tests/suite/refused_calls.rs
@@ -123,15 +123,9 @@
     insta::assert_snapshot!(world.trace());
 }
 
-/// A call that owners refuse for want of room has reached no upstream: it may move on as often as
-/// the settings allow, and its attempts are left for upstreams that run it.
-#[test]
-fn moves_cost_no_attempt() {
-    let call = CallId {
-        origin: 1,
-        sequence: 2,
-    };
-    let mut entry = EntryCall::new(CallSpec {
+/// A repeatable call that may move three times and has two attempts.
+fn moving_call<U: Copy + Eq>(call: CallId) -> EntryCall<U> {
+    EntryCall::new(CallSpec {
         call,
         idempotent: true,
         keyed: false,
@@ -140,7 +134,18 @@
         attempts: 2,
         moves: 3,
         hedge_after_us: None,
-    });
+    })
+}
+
+/// A call that owners refuse for want of room has reached no upstream: it may move on as often as
+/// the settings allow, and its attempts are left for upstreams that run it.
+#[test]
+fn moves_cost_no_attempt() {
+    let call = CallId {
+        origin: 1,
+        sequence: 2,
+    };
+    let mut entry = moving_call(call);
     let attempt = |attempt| AttemptId { call, attempt };
     entry.start(0);
     entry.on_event(0, Event::Routed(0));
@@ -174,16 +179,7 @@
             origin: 1,
             sequence: 3,
         };
-        let mut entry = EntryCall::new(CallSpec {
-            call,
-            idempotent: true,
-            keyed: false,
-            suspected: false,
-            deadline_us: 1_000_000,
-            attempts: 2,
-            moves: 3,
-            hedge_after_us: None,
-        });
+        let mut entry = moving_call(call);
         entry.start(0);
         entry.on_event(0, Event::Routed(7u8));
         entry.on_event(0, Event::Refused(AttemptId { call, attempt: 0 }, kind));
@@ -203,16 +199,7 @@
         origin: 1,
         sequence: 4,
     };
-    let mut entry = EntryCall::new(CallSpec {
-        call,
-        idempotent: true,
-        keyed: false,
-        suspected: false,
-        deadline_us: 1_000_000,
-        attempts: 2,
-        moves: 3,
-        hedge_after_us: None,
-    });
+    let mut entry = moving_call(call);
     entry.start(0);
     entry.on_event(0, Event::Routed(7u8));
     let refusal = Event::Refused(AttemptId { call, attempt: 0 }, ErrorKind::Overloaded);
