Publish the recovered state of a control replica at its start

What callers saw: after a restart of all replicas a read returned no configuration at all, although a quorum confirmed it, and a starting node was told that it had the newest one and refused every call.

Class: derived state that follows events instead of the state.

Change: the event loop publishes the registry at its start, and always brings the published state to the replica's own applied index.

--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -236,7 +236,8 @@
     }
 }
 
-fn address_of_number(number: ReplicaNumber) -> Option<SocketAddr> {
+/// Address of the replica with this number in an open group.
+pub(crate) fn address_of_number(number: ReplicaNumber) -> Option<SocketAddr> {
     let ip = u32::try_from(number >> u16::BITS).ok()?;
     let port = u16::try_from(number & u64::from(u16::MAX)).ok()?;
     Some(SocketAddr::from((Ipv4Addr::from(ip), port)))
--- a/components/control/src/replica_threads.rs
+++ b/components/control/src/replica_threads.rs
@@ -1,6 +1,6 @@
 //! Runs the replica's state machine: its event loop, its disk thread and its messages.
 
-use crate::context::ControlContext;
+use crate::context::{ControlContext, address_of_number};
 use consensus::{
     Input, Message, Output, RecoveredState, Replica, ReplicaConfig, ReplicaNumber, Write,
 };
@@ -47,6 +47,13 @@
             state.disk_id = replica.id().disk_id;
             state.is_founder = replica.is_founder();
         });
+        log::info!(
+            "replica: starts with disk {:x}, term {}, snapshot index {}, voters {}.",
+            replica.id().disk_id,
+            replica.term(),
+            replica.applied_index(),
+            voter_list(&replica)
+        );
         let main = Builder::new().name("replica".into()).spawn({
             let control = Arc::clone(control);
             move || {
@@ -84,7 +91,8 @@
 
 impl EventLoop {
     fn run(mut self) {
-        self.publish_state();
+        // The recovered snapshot has no change of its own that would publish it later.
+        self.publish_registry();
         while !self.control.kernel.shutdown.is_raised() {
             let now_us = self.now_us();
             let sleep = Duration::from_micros(self.replica.next_wake_us().saturating_sub(now_us));
@@ -113,6 +121,11 @@
         if self.replica.is_voter() != self.published_is_voter
             || self.published_voters != self.voter_numbers()
         {
+            log::info!(
+                "replica: voters are {}, term {}.",
+                voter_list(&self.replica),
+                self.replica.term()
+            );
             self.publish_state();
         }
     }
@@ -121,11 +134,27 @@
         match output {
             Output::Send { to, message } => self.send(to, &message),
             Output::Persist { sequence, write } => {
+                if let Write::SaveSnapshot {
+                    snapshot,
+                    discard_log,
+                } = &write
+                {
+                    let source = if *discard_log {
+                        "the leader"
+                    } else {
+                        "its log"
+                    };
+                    log::info!(
+                        "replica: takes a snapshot of revision {} at index {} from {source}.",
+                        snapshot.registry.revision(),
+                        snapshot.index
+                    );
+                }
                 // Fails only if the disk thread has ended, which it does before this loop only when
                 // the process is stopping.
                 let _ = self.writes.send((sequence, write));
             }
-            Output::RegistryChanged { index } => self.apply_registry(index),
+            Output::RegistryChanged { .. } => self.publish_registry(),
             Output::Answer { token, reply } => self.control.complete_change(token, reply),
             Output::ReadReady { token, result } => self.control.complete_read(token, result),
             Output::RoleChanged { role, term, leader } => {
@@ -150,19 +179,21 @@
         }
     }
 
-    /// Updates the profiles of this process to the applied index and answers the held pulls.
-    fn apply_registry(&mut self, index: u64) {
+    /// Brings the profiles of this process to the replica's applied index and answers the held
+    /// pulls.
+    fn publish_registry(&mut self) {
         let profiles = &self.control.kernel.profiles;
         let registry = self.replica.registry();
         let before = profiles.revision();
         if registry.revision() > before && !profiles.apply(registry.delta_since(before)) {
             profiles.apply(registry.profiles().full_delta());
         }
+        let index = self.replica.applied_index();
         self.control
             .update_replica_state(|state| state.applied_index = index);
         let revision = profiles.revision();
         if revision > before {
-            log::info!("replica: revision {revision} is accepted.");
+            log::info!("replica: revision {revision} is accepted, applied index {index}.");
             self.control
                 .kernel
                 .events
@@ -196,6 +227,20 @@
     }
 }
 
+/// The voters as operators see them in the log: addresses in an open group, else numbers.
+fn voter_list(replica: &Replica) -> String {
+    let name = |number: ReplicaNumber| match address_of_number(number) {
+        Some(address) if number > u64::from(u32::MAX) => address.to_string(),
+        _ => number.to_string(),
+    };
+    let voters = &replica.membership().voters;
+    let names: Vec<String> = voters
+        .iter()
+        .map(|id| format!("{}/{:x}", name(id.number), id.disk_id))
+        .collect();
+    format!("[{}]", names.join(" "))
+}
+
 /// Disk thread: executes writes in order. All writes that are queued together share one fsync.
 fn run_disk_thread(control: &ControlContext, mut store: Store, writes: &Receiver<SequencedWrite>) {
     while let Ok(first) = writes.recv() {
