Replace a voter after 1 s of silence once its successor has caught up

What callers saw: none of the reported symptoms is traced to this. With the sequence below the group has no leader, no configuration is read back and no restarted node gets one.

Cause: a voter of a full open group was replaceable after 4 s of silence, and each new leader counted from its own start. After a planned replacement, or after a change of leader during one, the dead voter was still a member when the replacement counted as complete. Two lost disks together with a loss of power everywhere then took three of five votes. Class: knowledge of failures that starts anew with each leader.

Change: 1 s of silence is enough if a successor has caught up, and the voter that has been silent for longest goes first.

--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -16,8 +16,10 @@
 };
 
 /// Time without a message after which a voter of a full open group may be replaced by another
-/// replica. Long enough that hosts that restart or return from a short partition stay voters.
-const VOTER_REPLACEABLE_AFTER_US: u64 = 4_000_000;
+/// replica, counted anew by each leader. Short, because a dead voter takes part in no quorum while
+/// its successor waits: the loss of two further disks would then stop the group. A voter that was
+/// only slow joins again in place of the next silent one.
+const VOTER_REPLACEABLE_AFTER_US: u64 = 1_000_000;
 /// Time without a message after which the leader stops replicating to a non-voter.
 const LEARNER_TIMEOUT_US: u64 = 10_000_000;
 
@@ -87,11 +89,7 @@
                 }
                 // In a full open group the new replica takes the place of a voter that has been
                 // silent for long.
-                let silent_voter = membership.voters.iter().copied().find(|voter| {
-                    let heard = leader_state.progress.get(voter);
-                    *voter != self.id
-                        && heard.is_none_or(|p| silent_us(p) >= VOTER_REPLACEABLE_AFTER_US)
-                });
+                let silent_voter = self.longest_silent_voter(now_us);
                 match silent_voter {
                     Some(silent_voter) => return Some(membership.without(silent_voter)),
                     None => continue,
@@ -107,4 +105,17 @@
         }
         None
     }
+
+    /// The voter that has been silent for longest, if it may be replaced by another replica.
+    fn longest_silent_voter(&self, now_us: u64) -> Option<ReplicaId> {
+        let progress = &self.leader_state.as_ref()?.progress;
+        let silent_us = |voter: &ReplicaId| {
+            let heard = progress.get(voter);
+            heard.map_or(u64::MAX, |p| now_us.saturating_sub(p.last_heard_us))
+        };
+        let voters = self.log.membership().voters.iter().copied();
+        voters
+            .filter(|voter| *voter != self.id && silent_us(voter) >= VOTER_REPLACEABLE_AFTER_US)
+            .max_by_key(silent_us)
+    }
 }
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -114,6 +114,8 @@
     min_read_revisions: BTreeMap<u64, Revision>,
     /// Number of messages sent.
     pub messages: u64,
+    /// Seeds of each replica that starts, if they are not those of `adjust_config`.
+    pub seeds: Option<BTreeSet<ReplicaNumber>>,
     /// Changes the default settings of each replica that starts.
     pub adjust_config: fn(&mut ReplicaConfig),
     in_flight: Vec<InFlightMessage>,
@@ -156,6 +158,7 @@
             reads: BTreeMap::new(),
             min_read_revisions: BTreeMap::new(),
             messages: 0,
+            seeds: None,
             adjust_config,
             in_flight: Vec::new(),
             identity_names: BTreeMap::new(),
@@ -228,6 +231,9 @@
     pub fn start(&mut self, number: ReplicaNumber) {
         let mut config = ReplicaConfig::new(number, self.numbers());
         (self.adjust_config)(&mut config);
+        if let Some(seeds) = &self.seeds {
+            config.group = seeds.clone();
+        }
         let seed = self.rng.random();
         let now_us = self.local_us(number);
         let host = self.hosts.get_mut(&number).unwrap();
