Let an empty replica find its group by messages to its former disk

What callers saw: nothing so far. A replica that returned with an empty disk while all replicas of its seed list were gone announced itself to nobody, so the group stayed one voter short until its settings changed.

Cause: announcements went to the seeds, and to voters that a seed had named. The leader keeps sending heartbeats to the replica's former identity; they were dropped.

Change: an empty replica of an open group also announces itself to the senders of messages for its former disk.

Evidence: replaced_hosts::seeds_gone failed before ("not reached: the new disk votes") and passes now.

--- a/components/consensus/src/formation.rs
+++ b/components/consensus/src/formation.rs
@@ -179,6 +179,14 @@
         self.formation_state.reported_voters = numbers.collect();
     }
 
+    /// Remembers the sender of a message to the former disk of this replica, so that this replica
+    /// can announce itself there. All replicas in its settings may be gone.
+    pub(crate) fn note_member_of_former_group(&mut self, from: ReplicaId) {
+        if self.config.open.is_some() && self.is_empty() {
+            self.formation_state.reported_voters.insert(from.number);
+        }
+    }
+
     pub(crate) fn on_propose_formation(&mut self, from: ReplicaId, formation: Formation) {
         let numbers = formation.members.voters.iter().map(|id| id.number);
         let is_valid = formation.members.contains(self.id)
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -425,7 +425,11 @@
         let to_other_disk = message
             .to_disk_id
             .is_some_and(|disk_id| disk_id != self.id.disk_id);
-        if to_other_disk || message.from.number == self.id.number {
+        if message.from.number == self.id.number {
+            return;
+        }
+        if to_other_disk {
+            self.note_member_of_former_group(message.from);
             return;
         }
         let from = message.from;
--- a/components/consensus/tests/replaced_hosts.rs
+++ b/components/consensus/tests/replaced_hosts.rs
@@ -104,6 +104,26 @@
     }
 }
 
+/// All seeds in the settings of a replica are gone when it returns with an empty disk. It must
+/// find the group by the messages that reach it.
+#[test]
+fn seeds_gone() {
+    let mut group = full_group(600);
+    assert!(is_accepted(&group.commit(1, &add(1, "browse"))));
+    let leader = group.wait_for_leader();
+    let wiped = 1 + leader % 5;
+    group.lose_disk(wiped);
+    group.run(1_000_000);
+    group.adjust_config = may_not_form;
+    group.seeds = Some([SUCCESSOR].into());
+    group.restart(wiped);
+    let disk_id = group.replica(wiped).id().disk_id;
+    group.run_until("the new disk votes", REPLACED_WITHIN_US, |c| {
+        let voter = c.committed_membership.by_number(wiped);
+        voter.is_some_and(|voter| voter.disk_id == disk_id)
+    });
+}
+
 /// First number of the replicas that replace others in the random schedules.
 const FIRST_SPARE: ReplicaNumber = 6;
 const SPARES: u64 = 4;
