Keep a follower with a stalled disk current

What callers saw: none of the reported symptoms is traced to this. A follower whose disk stalled, or that a new leader did not know yet, stayed at an old change while it heard heartbeats.

Cause: unwritten entries filled the leader's window; after 0.5 s the leader sent only the first batch again, and after a change of leader the log from its start. A configuration of 366 routes is half a batch. Class: one acknowledgement for two things, received and durable.

Change: a follower reports entries that it has received but not yet written (AppendReceived). That frees the leader's window and confirms nothing; if the follower loses them, it rejects the next heartbeat. Replica::is_current tells whether a replica has applied all that it can know to be committed. The simulated groups of all tests now check it: a replica that counts as current has every change that was accepted 4 s ago.

--- a/components/consensus/src/follower.rs
+++ b/components/consensus/src/follower.rs
@@ -73,6 +73,10 @@
         // is stuck.
         if waits_for_disk {
             self.is_ack_due = true;
+            let body = Body::AppendReceived {
+                index: self.verified_index,
+            };
+            self.send(from, self.hard_state.term, body);
         } else {
             self.acknowledge(from);
         }
@@ -105,6 +109,15 @@
         }
     }
 
+    /// Compares the applied index with the commit index of the leader. Only an index in the leader's
+    /// own term covers everything that earlier leaders committed.
+    pub(crate) fn note_leader_commit(&mut self, now_us: u64, commit: u64) {
+        let is_in_term = self.log.term(commit) == Some(self.hard_state.term);
+        if is_in_term && self.applied >= commit {
+            self.current_at_us = Some(now_us);
+        }
+    }
+
     /// Acknowledges the part of the log that equals the leader's log and is on disk.
     fn acknowledge(&mut self, leader: ReplicaId) {
         if !self.is_hard_state_saved() {
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -286,6 +286,24 @@
         self.continue_transfer(from);
     }
 
+    /// Continues with further entries although the follower's disk has not written the last ones.
+    /// The follower applies what is committed before its own write.
+    pub(crate) fn on_append_received(
+        &mut self,
+        now_us: u64,
+        from: ReplicaId,
+        term: u64,
+        index: u64,
+    ) {
+        if term != self.hard_state.term {
+            return;
+        }
+        if let Some(progress) = self.progress_mut(from) {
+            progress.record_received(now_us, index);
+            self.send_entries(now_us, from);
+        }
+    }
+
     pub(crate) fn on_append_rejected(
         &mut self,
         now_us: u64,
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -113,4 +113,10 @@
     },
     /// The leader transfers its leadership to the receiver, which starts an election at once.
     TimeoutNow,
+    /// The follower's log equals the leader's log up to `index`, but that part is not on disk yet.
+    /// It confirms nothing; the leader only stops waiting with further entries.
+    AppendReceived {
+        /// Last index that is equal.
+        index: u64,
+    },
 }
--- a/components/consensus/src/progress.rs
+++ b/components/consensus/src/progress.rs
@@ -72,15 +72,20 @@
         self.last_progress_us = now_us;
     }
 
+    /// Handles a notice that the replica has the entries up to `index`, though not yet on its disk.
+    /// If it loses them, it rejects the next message.
+    pub(crate) fn record_received(&mut self, now_us: u64, index: u64) {
+        self.remove_in_flight(index);
+        self.last_progress_us = now_us;
+        self.next = self.next.max(index + 1);
+        if index + 1 == self.next {
+            self.is_probing = false;
+        }
+    }
+
     /// Handles an acknowledgement up to `matched`; true if it advances the known index.
     pub(crate) fn record_accepted(&mut self, now_us: u64, matched: u64) -> bool {
-        while let Some((last, bytes)) = self.in_flight.front().copied() {
-            if last > matched {
-                break;
-            }
-            self.in_flight.pop_front();
-            self.in_flight_bytes -= bytes;
-        }
+        self.remove_in_flight(matched);
         if self.pending_snapshot.is_some_and(|index| matched >= index) {
             self.pending_snapshot = None;
         }
@@ -119,6 +124,17 @@
         }
     }
 
+    /// Frees the window of the messages up to `index`.
+    fn remove_in_flight(&mut self, index: u64) {
+        while let Some((last, bytes)) = self.in_flight.front().copied() {
+            if last > index {
+                break;
+            }
+            self.in_flight.pop_front();
+            self.in_flight_bytes -= bytes;
+        }
+    }
+
     fn clear_in_flight(&mut self) {
         self.in_flight.clear();
         self.in_flight_bytes = 0;
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -20,6 +20,9 @@
 
 /// Divides the election timeout of a replica of an open group until it first hears of a leader.
 const FIRST_ELECTION_DIVISOR: u64 = 3;
+/// Longest time for which a follower that lacks committed entries, or hears no heartbeat, still
+/// counts as current: five heartbeats. Entries that are on their way arrive within it.
+const MAX_BEHIND_US: u64 = 500_000;
 /// Maximum number of messages that wait for the hard state to be on disk. Beyond it the oldest are
 /// dropped, which the protocol handles like lost messages.
 const MAX_HELD_MESSAGES: usize = 256;
@@ -251,6 +254,9 @@
     pub(crate) acked_index: Option<u64>,
     /// Whether an acknowledgement waits for a disk write.
     pub(crate) is_ack_due: bool,
+    /// When this follower last had applied everything that its leader knew to be committed; unset
+    /// until it first has.
+    pub(crate) current_at_us: Option<u64>,
     pub(crate) is_storage_full: bool,
     /// Size of the entries applied since the last snapshot.
     applied_bytes: usize,
@@ -312,6 +318,7 @@
             round: 0,
             acked_index: None,
             is_ack_due: false,
+            current_at_us: None,
             is_storage_full: false,
             applied_bytes: 0,
             persisted_index: log.last_index(),
@@ -402,6 +409,20 @@
         self.applied
     }
 
+    /// Whether this replica has applied all that was committed, as far as it can know: it leads and
+    /// has committed an entry of its term, or it follows such a leader and was not behind it within
+    /// the last [`MAX_BEHIND_US`].
+    pub fn is_current(&self, now_us: u64) -> bool {
+        match self.role {
+            Role::Leader => self.has_committed_in_term(),
+            Role::Follower => {
+                let is_recent = |at_us: u64| now_us.saturating_sub(at_us) < MAX_BEHIND_US;
+                self.leader.is_some() && self.current_at_us.is_some_and(is_recent)
+            }
+            Role::PreCandidate | Role::Candidate => false,
+        }
+    }
+
     /// Index of the last entry known to be committed.
     pub fn commit_index(&self) -> u64 {
         self.commit
@@ -468,6 +489,7 @@
             } => {
                 if self.accept_leader(now_us, from, term, round) {
                     self.on_append(from, (prev_index, prev_term), entries, commit);
+                    self.note_leader_commit(now_us, commit);
                 }
             }
             Body::InstallSnapshot { snapshot, round } => {
@@ -490,6 +512,7 @@
                 }
             }
             Body::TimeoutNow => self.on_timeout_now(now_us, from, term),
+            Body::AppendReceived { index } => self.on_append_received(now_us, from, term, index),
         }
     }
 
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -18,6 +18,10 @@
 
 /// Simulated time of one [`Cluster::step`].
 pub const STEP_US: u64 = 20_000;
+/// Age from which on an accepted change must be applied at every replica that counts as current: a
+/// leader steps down and a follower gives its leader up within the longest election timeout each,
+/// on clocks that run at 70 %.
+const MAX_CURRENT_LAG_US: u64 = 4_000_000;
 
 /// State on one replica's disk.
 #[derive(Clone, Debug, Default)]
@@ -131,6 +135,10 @@
     /// Membership at `max_committed`.
     pub committed_membership: Membership,
     pub accepted: BTreeMap<ChangeId, Revision>,
+    /// Times at which changes were accepted, with their revisions, in order.
+    accepted_at: VecDeque<(u64, Revision)>,
+    /// Newest revision that was accepted before `MAX_CURRENT_LAG_US`.
+    settled_revision: Revision,
     /// Proposed changes by token.
     pub proposed: BTreeMap<u64, Change>,
     /// Profile sets of two nodes, which pull deltas from replicas.
@@ -169,6 +177,8 @@
             max_committed: 0,
             committed_membership: Membership::default(),
             accepted: BTreeMap::new(),
+            accepted_at: VecDeque::new(),
+            settled_revision: Revision::default(),
             proposed: BTreeMap::new(),
             node_profiles: vec![ProfileSet::default(); 2],
             lost_disks: 0,
@@ -347,6 +357,7 @@
         if let Reply::Committed(ChangeResult::Accepted { revision }) = &reply {
             let first = *self.accepted.entry(change.change_id).or_insert(*revision);
             assert_eq!(first, *revision, "a resend was applied twice");
+            self.accepted_at.push_back((self.now_us, *revision));
         }
         let text = match &reply {
             Reply::Committed(ChangeResult::Accepted { revision }) => {
@@ -398,6 +409,30 @@
         for index in 0..self.node_profiles.len() {
             self.sync_node(index);
         }
+        self.check_current_replicas();
+    }
+
+    /// A replica that counts as current has applied every change that was accepted some time ago.
+    fn check_current_replicas(&mut self) {
+        while let Some((at_us, revision)) = self.accepted_at.front().copied() {
+            if at_us + MAX_CURRENT_LAG_US > self.now_us {
+                break;
+            }
+            self.accepted_at.pop_front();
+            self.settled_revision = self.settled_revision.max(revision);
+        }
+        for number in self.numbers() {
+            let now_us = self.local_us(number);
+            let Some(replica) = self.hosts[&number].replica.as_ref() else {
+                continue;
+            };
+            assert!(
+                !replica.is_current(now_us)
+                    || replica.registry().revision() >= self.settled_revision,
+                "replica {number} counts as current but is behind\n{}",
+                self.report()
+            );
+        }
     }
 
     fn write_disk(&mut self, number: ReplicaNumber) {
