Answer pulls as confirmed only at a replica that is current

What callers saw: none of the reported symptoms is traced to this. A node took the answer of a replica that was behind for the newest configuration: Unchanged from a follower that lacked committed changes, or an older configuration from a replica without a leader, which a starting node put into effect at once.

Cause: a replica held pulls as long as it had a leader, and sent what it had before it looked for one. Class: a claim about the group that is derived from local state alone.

Change: pulls are held and answered as confirmed only while the replica is current. Otherwise it answers NoLeader, or Unconfirmed with the configuration that it has. It logs each change of that state with its applied index, commit index, term and leader.

--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -32,6 +32,8 @@
     pub(crate) leader: Option<ReplicaId>,
     pub(crate) disk_id: u64,
     pub(crate) is_voter: bool,
+    /// Whether this replica has applied all that was committed, as far as it can know.
+    pub(crate) is_current: bool,
     pub(crate) voters: Vec<ReplicaNumber>,
     pub(crate) is_founder: bool,
     pub(crate) applied_index: u64,
--- a/components/control/src/pulls.rs
+++ b/components/control/src/pulls.rs
@@ -2,7 +2,7 @@
 
 use mesh::ReplyTo;
 use model::Revision;
-use registry::{Comparison, ProfileSet};
+use registry::{Comparison, Delta, ProfileSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use wire::{ControlReply, encode};
 
@@ -21,25 +21,28 @@
 }
 
 impl HeldPulls {
-    /// Answers a pull at once if there is a newer configuration or no leader, else holds it for at
-    /// most `wait_ms`.
+    /// Answers a pull at once if there is a newer configuration or this replica is not current,
+    /// else holds it for at most `wait_ms`.
     pub(crate) fn answer_or_hold(
         &self,
         now_us: u64,
         set: &ProfileSet,
-        has_leader: bool,
+        is_current: bool,
         (have, digest): (Revision, u64),
         wait_ms: u32,
         reply: ReplyTo,
     ) {
-        if let Some(message) = reply_if_newer(set, have, digest) {
+        let newer = newer_delta(set, have, digest);
+        let message = match newer {
+            Some(delta) if is_current => Some(ControlReply::Newer(delta)),
+            Some(delta) => Some(ControlReply::Unconfirmed(delta)),
+            None if !is_current => Some(ControlReply::NoLeader),
+            None => None,
+        };
+        if let Some(message) = message {
             send(reply, &message);
             return;
         }
-        if !has_leader {
-            send(reply, &ControlReply::NoLeader);
-            return;
-        }
         let until_us = now_us + u64::from(wait_ms) * 1000;
         self.lock().push(HeldPull {
             have,
@@ -55,11 +58,11 @@
             let mut held = self.lock();
             let (due, kept): (Vec<_>, Vec<_>) = held
                 .drain(..)
-                .map(|pull| (reply_if_newer(set, pull.have, pull.digest), pull))
-                .partition(|(message, _)| message.is_some());
+                .map(|pull| (newer_delta(set, pull.have, pull.digest), pull))
+                .partition(|(delta, _)| delta.is_some());
             *held = kept.into_iter().map(|(_, pull)| pull).collect();
             due.into_iter()
-                .filter_map(|(message, pull)| Some((pull.reply, message?)))
+                .filter_map(|(delta, pull)| Some((pull.reply, ControlReply::Newer(delta?))))
                 .collect()
         };
         for (reply, message) in due {
@@ -67,17 +70,17 @@
         }
     }
 
-    /// Answers the pulls whose hold time has passed, or all of them if there is no leader.
-    pub(crate) fn expire(&self, now_us: u64, has_leader: bool) {
+    /// Answers the pulls whose hold time has passed, or all of them if this replica is not current.
+    pub(crate) fn expire(&self, now_us: u64, is_current: bool) {
         let due: Vec<HeldPull> = {
             let mut held = self.lock();
             let (due, kept) = held
                 .drain(..)
-                .partition(|pull| !has_leader || now_us >= pull.until_us);
+                .partition(|pull| !is_current || now_us >= pull.until_us);
             *held = kept;
             due
         };
-        let answer = if has_leader {
+        let answer = if is_current {
             ControlReply::Unchanged
         } else {
             ControlReply::NoLeader
@@ -92,10 +95,10 @@
     }
 }
 
-fn reply_if_newer(set: &ProfileSet, have: Revision, digest: u64) -> Option<ControlReply> {
+fn newer_delta(set: &ProfileSet, have: Revision, digest: u64) -> Option<Box<Delta>> {
     match set.compare(have, digest) {
-        Comparison::Ahead => Some(ControlReply::Newer(Box::new(set.delta_since(have)))),
-        Comparison::Diverged => Some(ControlReply::Newer(Box::new(set.full_delta()))),
+        Comparison::Ahead => Some(Box::new(set.delta_since(have))),
+        Comparison::Diverged => Some(Box::new(set.full_delta())),
         Comparison::Behind | Comparison::Equal => None,
     }
 }
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -79,7 +79,7 @@
                 let now_us = control.kernel.clock.now_us();
                 control
                     .pulls
-                    .expire(now_us, control.replica_state().has_leader());
+                    .expire(now_us, control.replica_state().is_current);
             }
         }
     });
@@ -147,11 +147,11 @@
             let now_us = control.kernel.clock.now_us();
             control.reports.record(now_us, *report);
             let set = control.kernel.profiles.current();
-            let has_leader = control.replica_state().has_leader();
+            let is_current = control.replica_state().is_current;
             control.pulls.answer_or_hold(
                 now_us,
                 &set,
-                has_leader,
+                is_current,
                 (have, digest),
                 wait_ms,
                 inbound.reply,
--- a/components/control/src/replica_threads.rs
+++ b/components/control/src/replica_threads.rs
@@ -63,6 +63,7 @@
                     writes,
                     published_is_voter: false,
                     published_voters: Vec::new(),
+                    published_is_current: false,
                 }
                 .run();
             }
@@ -87,6 +88,8 @@
     /// Whether the published state says that this replica is a voter.
     published_is_voter: bool,
     published_voters: Vec<ReplicaNumber>,
+    /// Whether the published state says that this replica is current.
+    published_is_current: bool,
 }
 
 impl EventLoop {
@@ -128,6 +131,35 @@
             );
             self.publish_state();
         }
+        self.publish_currency();
+    }
+
+    /// Publishes whether this replica is current; that also changes as time passes.
+    fn publish_currency(&mut self) {
+        let is_current = self.replica.is_current(self.now_us());
+        if is_current == self.published_is_current {
+            return;
+        }
+        self.published_is_current = is_current;
+        self.control
+            .update_replica_state(|state| state.is_current = is_current);
+        log::info!(
+            "replica: is {}, applied index {} of {}, term {}, leader {}.",
+            if is_current {
+                "current"
+            } else {
+                "not current, nodes are sent to other replicas"
+            },
+            self.replica.applied_index(),
+            self.replica.commit_index(),
+            self.replica.term(),
+            self.leader_name()
+        );
+    }
+
+    fn leader_name(&self) -> String {
+        let leader = self.replica.leader();
+        leader.map_or_else(|| "unknown".to_owned(), |id| id.to_string())
     }
 
     fn execute(&mut self, output: Output) {
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -43,7 +43,7 @@
     Unchanged,
     /// The part of the configuration that the requester lacks.
     Newer(Box<Delta>),
-    /// The replica has no leader at present, so it does not know what is newest.
+    /// The replica has no leader at present or is behind it, so it does not know what is newest.
     NoLeader,
     /// Reports of the nodes that pull from the replica.
     Reports(Vec<NodeReport>),
@@ -57,4 +57,7 @@
     Proposed(Result<Revision, (ErrorKind, String)>),
     /// The complete newest configuration, or the reason for the refusal with a detail.
     Configuration(Result<Box<Delta>, (ErrorKind, String)>),
+    /// As `NoLeader`; the replica has a configuration that the requester lacks, which may not be
+    /// the newest.
+    Unconfirmed(Box<Delta>),
 }
