Ask control replicas at once, not one after the other

What callers saw: none of the reported symptoms is traced to this. With three silent replicas in its list a node had no confirmation for 3.2 s, longer than a change may take to be in force (2 s).

Cause: one thread waited for each silent replica in turn, and between two pulls asked every listed replica for other nodes, one by one. Replicas that had been replaced stayed in the list. Class: a serial wait on peers that may be silent.

Change: a node that looks for a replica asks all candidates at once and pulls from the first that answers. A thread of its own searches for nodes and refreshes the list, which now holds the configured replicas and those that the current one names.

--- a/components/kernel/src/run.rs
+++ b/components/kernel/src/run.rs
@@ -10,7 +10,7 @@
     stop::{StopSignal, lock},
     suspects::SuspectTable,
 };
-use crossbeam::channel::bounded;
+use crossbeam::channel::{Receiver, unbounded};
 use mesh::{Channel, Mesh};
 use serde::{Serialize, de::DeserializeOwned};
 use settings::{ControlSettings, NodeSettings};
@@ -163,14 +163,31 @@
         request: &impl Serialize,
         wait: Duration,
     ) -> Option<T> {
-        let (sender, receiver) = bounded(1);
+        let replies = self.request_each([to], channel, request, wait);
+        replies.recv_timeout(wait).ok().and_then(|(_, reply)| reply)
+    }
+
+    /// Sends the same request to several peers at once. Each peer has one entry in the receiver, in
+    /// the order of the replies; without a reply it is `None`, at the latest after `wait`.
+    pub fn request_each<T: DeserializeOwned + Send + 'static>(
+        &self,
+        to: impl IntoIterator<Item = SocketAddr>,
+        channel: Channel,
+        request: &impl Serialize,
+        wait: Duration,
+    ) -> Receiver<(SocketAddr, Option<T>)> {
+        let (sender, receiver) = unbounded();
         let deadline = Instant::now() + wait;
-        self.mesh
-            .request(to, channel, encode(request), deadline, move |outcome| {
-                // The receiver was dropped if the wait has timed out.
-                let _ = sender.try_send(outcome.ok().and_then(|bytes| decode(bytes).ok()));
-            });
-        receiver.recv_timeout(wait).ok().flatten()
+        let payload = encode(request);
+        for peer in to {
+            let sender = sender.clone();
+            self.mesh
+                .request(peer, channel, payload.clone(), deadline, move |outcome| {
+                    // The receiver was dropped if nobody waits any longer.
+                    let _ = sender.send((peer, outcome.ok().and_then(|bytes| decode(bytes).ok())));
+                });
+        }
+        receiver
     }
 
     /// Records the address that a plug-in listens on, which differs from its setting for port 0.
--- a/components/node/src/sync/mod.rs
+++ b/components/node/src/sync/mod.rs
@@ -1,44 +1,29 @@
 //! Plug-in `sync`: pulls the configuration (profiles and routes) from the control group, or from
 //! peers that have a newer one.
 
+mod control;
+mod discovery;
+mod replicas;
+
 use crate::context::NodeContext;
 use crossbeam::channel::{RecvTimeoutError, bounded};
 use kernel::{Event, Kernel, PluginEntry, Role, RunningPlugin, StartError};
 use mesh::{Channel, Inbound};
 use model::Revision;
 use registry::{Comparison, Delta};
+use replicas::Replicas;
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread::{self, Builder},
-    time::{Duration, Instant},
-};
-use wire::{
-    ControlReply, ControlRequest, InstanceReport, NodeReport, SyncReply, SyncRequest, decode,
-    encode,
+    time::Duration,
 };
+use wire::{SyncReply, SyncRequest, decode, encode};
 
-/// Longest time for which a control replica holds a pull while it has nothing newer.
-const PULL_HOLD_MS: u32 = 1_000;
-/// Time beyond the hold after which a pull counts as lost; also the timeout of other requests.
+/// Timeout of a request to a control replica or a peer, beyond the time for which it may hold it.
 const PULL_GRACE: Duration = Duration::from_millis(750);
-/// Interval of requests for the list of replicas.
-const REPLICA_LIST_INTERVAL: Duration = Duration::from_secs(5);
-/// Most replicas that a node keeps in its list.
-const MAX_REPLICAS: usize = 32;
-/// Time after its start in which a node searches for other nodes often.
-const NEW_NODE_US: u64 = 10_000_000;
-/// Interval of searches for other nodes in that time.
-const DISCOVERY_INTERVAL: Duration = Duration::from_millis(300);
-/// Interval of later searches.
-const LATER_DISCOVERY_INTERVAL: Duration = Duration::from_secs(20);
-/// Pause before the next replica is tried.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// The same before the first pull succeeds; shorter, because callers may be refused until then.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// Age of the configuration from which on a warning is logged, in milliseconds.
-const STALE_AFTER_MS: u64 = 5_000;
-const STALE_WARNING_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest wait for an offer of a peer, and with it the longest delay of a stop.
+const OFFER_WAIT: Duration = Duration::from_millis(150);
 /// Longest time for which a start waits for the first configuration.
 const FIRST_PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -49,28 +34,38 @@
 /// Keeps the profiles of this node up to date and answers pulls of peers.
 struct ConfigSync {
     context: Arc<NodeContext>,
+    replicas: Mutex<Replicas>,
+    /// The replica that confirmed the configuration last.
+    current_replica: Mutex<Option<SocketAddr>>,
 }
 
 fn start(kernel: &Arc<Kernel>) -> Result<RunningPlugin, StartError> {
     let context = NodeContext::for_kernel(kernel);
-    let sync = Arc::new(ConfigSync { context });
+    let configured = kernel.node_settings().control.clone();
+    let has_control_group = !configured.is_empty();
+    let sync = Arc::new(ConfigSync {
+        context,
+        replicas: Mutex::new(Replicas::new(configured)),
+        current_replica: Mutex::default(),
+    });
     kernel.mesh.set_handler(Channel::Sync, {
         let sync = Arc::clone(&sync);
         move |inbound| sync.handle_message(inbound)
     });
     let (first_sender, first) = bounded(1);
-    let control_thread = spawn("sync-control", {
+    let mut threads = vec![spawn("sync-peers", {
         let sync = Arc::clone(&sync);
-        move || {
-            sync.pull_from_control(|| {
+        move || sync.pull_from_peers()
+    })?];
+    if has_control_group {
+        let pulling = Arc::clone(&sync);
+        threads.push(spawn("sync-control", move || {
+            pulling.pull_from_control(|| {
                 let _ = first_sender.try_send(());
             });
-        }
-    })?;
-    let peer_thread = spawn("sync-peers", {
-        let sync = Arc::clone(&sync);
-        move || sync.pull_from_peers()
-    })?;
+        })?);
+        threads.push(spawn("sync-discovery", move || sync.discover())?);
+    }
     // A node without profiles could only refuse calls, so the start waits for them. It goes on
     // without them if the control group does not answer, since a peer may have them.
     let wait = if kernel.node_settings().require_configuration {
@@ -83,8 +78,9 @@
         log::warn!("sync: no profiles yet; the control group did not answer.");
     }
     Ok(RunningPlugin::with_stop(move || {
-        let _ = control_thread.join();
-        let _ = peer_thread.join();
+        for thread in threads {
+            let _ = thread.join();
+        }
     }))
 }
 
@@ -99,110 +95,29 @@
 }
 
 impl ConfigSync {
-    /// Keeps one pull open at a control replica; goes on to the next replica when it fails.
-    fn pull_from_control(&self, on_first: impl FnOnce()) {
-        let mut replicas = self.context.kernel.node_settings().control.clone();
-        if replicas.is_empty() {
-            return;
-        }
-        let mut next_replica_request = Instant::now();
-        let mut next_discovery = Instant::now();
-        let mut on_first = Some(on_first);
-        // Random, so that nodes that start together don't all wait for the same replica.
-        let mut current = rand::random_range(0..replicas.len());
-        let mut warned_at = Instant::now();
-        while !self.context.kernel.shutdown.is_raised() {
-            let replica = replicas[current];
-            if self.pull_from_replica(replica) {
-                self.context
-                    .kernel
-                    .profiles
-                    .mark_confirmed(self.context.kernel.clock.now_us());
-                if let Some(on_first) = on_first.take() {
-                    on_first();
-                }
-                warned_at = Instant::now();
-                self.discover_nodes(&replicas, &mut next_discovery);
-                if Instant::now() >= next_replica_request {
-                    next_replica_request = Instant::now() + REPLICA_LIST_INTERVAL;
-                    self.discover_replicas(replica, &mut replicas);
-                }
-                continue;
-            }
-            log::debug!("sync: control replica {replica} did not answer; trying the next.");
-            // A replica without a leader still knows the nodes that have pulled from it.
-            self.discover_nodes(&[replica], &mut next_discovery);
-            current = (current + 1) % replicas.len();
-            let age_ms = self
-                .context
-                .kernel
-                .profiles
-                .age_ms(self.context.kernel.clock.now_us());
-            if age_ms > STALE_AFTER_MS && warned_at.elapsed() >= STALE_WARNING_INTERVAL {
-                warned_at = Instant::now();
-                log::warn!(
-                    "sync: no control replica answered for {age_ms} ms; serving with revision {}.",
-                    self.context.kernel.profiles.revision()
-                );
-            }
-            let pause = match on_first {
-                Some(_) => FIRST_RETRY_PAUSE,
-                None => RETRY_PAUSE,
-            };
-            if self.context.kernel.shutdown.wait(pause) {
-                return;
-            }
-        }
+    fn replicas(&self) -> MutexGuard<'_, Replicas> {
+        self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Requests the addresses of other nodes from replicas, so that `--peers` is optional. The
-    /// requests are frequent at first and go on at a lower rate, because nodes that start together
-    /// can end up in separate gossip groups.
-    fn discover_nodes(&self, replicas: &[SocketAddr], next_discovery: &mut Instant) {
-        let kernel = &self.context.kernel;
-        if Instant::now() < *next_discovery {
-            return;
-        }
-        let is_new = kernel.clock.now_us() < NEW_NODE_US;
-        *next_discovery = Instant::now()
-            + if is_new {
-                DISCOVERY_INTERVAL
-            } else {
-                LATER_DISCOVERY_INTERVAL
-            };
-        let own = kernel.mesh.local_id().mesh;
-        let mut others = Vec::new();
-        for replica in replicas {
-            let request = ControlRequest::Contacts;
-            let reply = kernel.request_blocking(*replica, Channel::Control, &request, PULL_GRACE);
-            if let Some(ControlReply::Contacts(named)) = reply {
-                others.extend(named.into_iter().filter(|address| *address != own));
-            }
-        }
-        kernel.events.publish(&Event::NodesDiscovered(others));
+    fn current_replica(&self) -> Option<SocketAddr> {
+        *self.lock_current_replica()
     }
 
-    /// Adds the replicas that a replica knows: the settings may list only a few of them, and those
-    /// may be replaced later.
-    fn discover_replicas(&self, from: SocketAddr, replicas: &mut Vec<SocketAddr>) {
-        let request = ControlRequest::Replicas;
-        let kernel = &self.context.kernel;
-        let reply = kernel.request_blocking(from, Channel::Control, &request, PULL_GRACE);
-        let Some(ControlReply::Replicas(named)) = reply else {
-            return;
-        };
-        for replica in named {
-            if !replicas.contains(&replica) && replicas.len() < MAX_REPLICAS {
-                replicas.push(replica);
-            }
-        }
+    fn set_current_replica(&self, replica: SocketAddr) {
+        *self.lock_current_replica() = Some(replica);
+    }
+
+    fn lock_current_replica(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        self.current_replica
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Pulls from peers that hold a newer configuration according to gossip.
     fn pull_from_peers(&self) {
         let offers = self.context.revision_offers.receiver();
         while !self.context.kernel.shutdown.is_raised() {
-            let offer = match offers.recv_timeout(RETRY_PAUSE) {
+            let offer = match offers.recv_timeout(OFFER_WAIT) {
                 Ok(offer) => offer,
                 Err(RecvTimeoutError::Timeout) => continue,
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -214,30 +129,6 @@
         }
     }
 
-    /// Pulls once from a control replica; returns whether it knew the newest configuration.
-    fn pull_from_replica(&self, replica: SocketAddr) -> bool {
-        let (have, digest) = self.revision_and_digest();
-        let request = ControlRequest::Pull {
-            have,
-            digest,
-            wait_ms: PULL_HOLD_MS,
-            report: Box::new(self.node_report()),
-        };
-        let wait = Duration::from_millis(u64::from(PULL_HOLD_MS)) + PULL_GRACE;
-        match self
-            .context
-            .kernel
-            .request_blocking(replica, Channel::Control, &request, wait)
-        {
-            Some(ControlReply::Newer(delta)) => {
-                self.apply_delta(*delta, replica);
-                true
-            }
-            Some(ControlReply::Unchanged) => true,
-            _ => false,
-        }
-    }
-
     /// Pulls once from a peer; returns whether it answered.
     fn pull_from_peer(&self, peer: SocketAddr) -> bool {
         let (have, digest) = self.revision_and_digest();
@@ -273,10 +164,15 @@
         let kernel = &self.context.kernel;
         if kernel.profiles.apply(delta) {
             log::info!("sync: revision {to} from {from} is in effect.");
-            kernel.events.publish(&Event::ProfilesChanged(to));
+            self.publish_change(to);
         }
     }
 
+    fn publish_change(&self, revision: Revision) {
+        let event = Event::ProfilesChanged(revision);
+        self.context.kernel.events.publish(&event);
+    }
+
     fn handle_message(&self, inbound: Inbound) {
         let reply = match decode(&inbound.payload) {
             Ok(SyncRequest::Pull { have, digest }) => self.reply_to_pull(have, digest),
@@ -318,31 +214,4 @@
             Comparison::Behind | Comparison::Equal => SyncReply::Unchanged,
         }
     }
-
-    fn node_report(&self) -> NodeReport {
-        let kernel = &self.context.kernel;
-        let settings = kernel.node_settings();
-        NodeReport {
-            node: kernel.mesh.local_id(),
-            host: settings.host.clone(),
-            availability_zone: settings.availability_zone.clone(),
-            revision: kernel.profiles.revision(),
-            age_ms: 0,
-            leaving: kernel.stop.is_raised(),
-            instance: self
-                .context
-                .local
-                .upstream()
-                .map(|upstream| InstanceReport {
-                    profiles: std::iter::once(&upstream.default_profile)
-                        .chain(upstream.rules.iter().map(|rule| &rule.profile))
-                        .cloned()
-                        .collect(),
-                    name: upstream.name,
-                    service: upstream.service,
-                    state: upstream.state,
-                    address: upstream.address,
-                }),
-        }
-    }
 }
