Limit responses that don't end, with an error that names the cause

Eight such responses at once took 266 MB of a node's memory; its machine has 160 MB.

Change: at most 16 interim responses; a limit of its own for responses (--max-response-bytes, 8 MiB); and 32 MiB for all responses that a node receives at once, of which each may take an equal share.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -553,6 +553,7 @@
         logs: warnings_only(),
         decision_log_percent: 100,
         max_body_bytes: 4 << 20,
+        max_response_bytes: 8 << 20,
         max_connections: 1024,
         probe_budget_per_s: 200,
         probe_budget_bytes_per_s: 20_000,
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -330,7 +330,7 @@
                 502,
                 Outcome::Unknown,
                 "The upstream's answer is over the size limit.",
-                "Raise --max-body-bytes on the nodes or page the answer.",
+                "Raise --max-response-bytes on the nodes or page the answer.",
             ),
             ErrorKind::OwnerLost => (
                 "owner-lost",
--- a/components/http/src/async_pool.rs
+++ b/components/http/src/async_pool.rs
@@ -9,6 +9,7 @@
     message::encode_request,
     pool::{READ_TIMEOUT_WITHOUT_DEADLINE, connect, receive_response, send_request},
     read_buffer::{ReadBuffer, is_timeout},
+    response_budget::ResponseBudget,
     socket::{Peeked, peek, send_now},
     wake_timer::WakeTimer,
 };
@@ -99,6 +100,7 @@
 
 struct Inner {
     config: PoolConfig,
+    budget: ResponseBudget,
     state: Mutex<State>,
     timer: Arc<WakeTimer>,
 }
@@ -115,6 +117,7 @@
     /// Creates an empty pool; connections are opened on demand.
     pub fn new(config: PoolConfig) -> io::Result<Self> {
         let inner = Arc::new(Inner {
+            budget: ResponseBudget::new(config.max_buffered_bytes),
             config,
             state: Mutex::default(),
             timer: Arc::default(),
@@ -346,8 +349,8 @@
                     .retain(|(other, _)| other.id != connection.id);
                 return;
             };
-            let result =
-                receive_response(&self.config, &connection.stream, &mut buffer, is_head, None);
+            let limits = (&self.config, &self.budget);
+            let result = receive_response(limits, &connection.stream, &mut buffer, is_head, None);
             if !self.complete_call(connection, result) {
                 return;
             }
--- a/components/http/src/body.rs
+++ b/components/http/src/body.rs
@@ -68,6 +68,11 @@
         matches!(self.state, State::Done)
     }
 
+    /// Number of bytes of the body that have arrived.
+    pub fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the body as far as it has arrived.
     pub fn into_body(self) -> Vec<u8> {
         self.body
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -11,6 +11,7 @@
 mod pool;
 mod read_buffer;
 mod reply_queue;
+mod response_budget;
 mod server;
 mod socket;
 mod wake_timer;
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -5,6 +5,7 @@
     message::encode_request,
     parse_response_head,
     read_buffer::{ReadBuffer, is_timeout},
+    response_budget::ResponseBudget,
     socket::{Peeked, peek},
 };
 use snafu::Snafu;
@@ -21,6 +22,9 @@
 /// Longest time that sent bytes may stay unacknowledged by TCP.
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Most interim responses (status 100 to 199) before the final one.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// How often a call that waits for a connection checks whether it was cancelled.
 const CANCEL_CHECK: Duration = Duration::from_millis(10);
 
@@ -40,6 +44,9 @@
     pub max_head_bytes: usize,
     /// Most bytes of a response body.
     pub max_body_bytes: usize,
+    /// Most bytes of all response bodies that are being received at the same time. Beyond it, calls
+    /// whose response takes more than its share fail.
+    pub max_buffered_bytes: usize,
 }
 
 impl PoolConfig {
@@ -52,6 +59,7 @@
             idle_timeout_ms: 2_000,
             max_head_bytes: 64 * 1024,
             max_body_bytes: 8 * 1024 * 1024,
+            max_buffered_bytes: 32 * 1024 * 1024,
         }
     }
 }
@@ -72,7 +80,7 @@
     /// The connection ended inside the response. If the response declares no length, it was reset.
     #[snafu(display("the response ended before its declared length"))]
     Truncated,
-    /// The head or body of the response is over the limit.
+    /// The head or body of the response is over the limit, or interim responses don't end.
     #[snafu(display("the response is over the size limit"))]
     TooLarge,
     /// The response is not valid HTTP/1.x.
@@ -127,6 +135,7 @@
 #[derive(Debug)]
 pub struct Pool {
     config: PoolConfig,
+    budget: ResponseBudget,
     state: Mutex<State>,
     released: Condvar,
 }
@@ -135,6 +144,7 @@
     /// Creates an empty pool; connections are opened on demand.
     pub fn new(config: PoolConfig) -> Self {
         Pool {
+            budget: ResponseBudget::new(config.max_buffered_bytes),
             config,
             state: Mutex::new(State::default()),
             released: Condvar::new(),
@@ -180,7 +190,7 @@
                 return Err(CallError::NotSent);
             }
             let result = exchange(
-                &self.config,
+                (&self.config, &self.budget),
                 connection,
                 &request_bytes,
                 request.method == "HEAD",
@@ -324,7 +334,7 @@
 
 /// Writes the request and reads its response; the flag tells whether the connection can be reused.
 fn exchange(
-    config: &PoolConfig,
+    limits: (&PoolConfig, &ResponseBudget),
     connection: &mut PooledConnection,
     request_bytes: &[u8],
     is_head: bool,
@@ -332,7 +342,7 @@
 ) -> Result<(Response, bool), CallError> {
     send_request(&connection.stream, request_bytes, 0, deadline)?;
     receive_response(
-        config,
+        limits,
         &connection.stream,
         &mut connection.buffer,
         is_head,
@@ -343,23 +353,19 @@
 /// Reads one response; the flag tells whether the connection can be reused. Without a deadline,
 /// waits until the connection ends.
 pub(crate) fn receive_response(
-    config: &PoolConfig,
+    (config, budget): (&PoolConfig, &ResponseBudget),
     stream: &TcpStream,
     buffer: &mut ReadBuffer,
     is_head: bool,
     deadline: Option<Instant>,
 ) -> Result<(Response, bool), CallError> {
-    let mut has_started = false;
-    let head = loop {
-        let head = read_head(config, stream, buffer, is_head, deadline, &mut has_started)?;
-        if !matches!(head.status, 100..=199) {
-            break head;
-        }
-    };
+    let head = read_final_head(config, stream, buffer, is_head, deadline)?;
     let mut decoder = BodyDecoder::new(head.framing, config.max_body_bytes);
+    let mut buffered = budget.start_response();
     loop {
         let consumed = decoder.decode(buffer.unread())?;
         buffer.consume(consumed);
+        buffered.grow_to(decoder.body_bytes())?;
         if decoder.is_complete() {
             break;
         }
@@ -413,6 +419,24 @@
     Ok(())
 }
 
+/// Reads the head of the final response, after any interim ones.
+fn read_final_head(
+    config: &PoolConfig,
+    stream: &TcpStream,
+    buffer: &mut ReadBuffer,
+    is_head: bool,
+    deadline: Option<Instant>,
+) -> Result<ResponseHead, CallError> {
+    let mut has_started = false;
+    for _ in 0..=MAX_INTERIM_RESPONSES {
+        let head = read_head(config, stream, buffer, is_head, deadline, &mut has_started)?;
+        if !matches!(head.status, 100..=199) {
+            return Ok(head);
+        }
+    }
+    Err(CallError::TooLarge)
+}
+
 /// Reads a response head; `has_started` is set once a byte of the response has arrived.
 fn read_head(
     config: &PoolConfig,
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -12,6 +12,8 @@
 const MAX_QUEUE: u32 = 10_000;
 /// Timeout for opening a connection to the instance, which runs on the same host.
 const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Memory for the responses that are being received at once, if one response alone may not be larger.
+const RESPONSE_BUFFER_BYTES: usize = 32 << 20;
 /// Connections kept free for the instance's other clients.
 const SPARE_CONNECTIONS: u32 = 4;
 
@@ -54,7 +56,7 @@
     /// State for a newly announced instance; `None` if its connection pool can't be started.
     pub(super) fn new(
         upstream: &Upstream,
-        max_body_bytes: usize,
+        max_response_bytes: usize,
         health_checks_per_s: u32,
         announced_slots: u32,
     ) -> Option<Self> {
@@ -65,7 +67,8 @@
         let config = PoolConfig {
             max_connections: max_connections as usize,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
-            max_body_bytes,
+            max_body_bytes: max_response_bytes,
+            max_buffered_bytes: max_response_bytes.max(RESPONSE_BUFFER_BYTES),
             ..PoolConfig::new(upstream.address)
         };
         let mut admission = Admission::new(AdmissionConfig {
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -98,7 +98,7 @@
                 *guard = next.and_then(|next| {
                     Instance::new(
                         next,
-                        self.max_body_bytes(),
+                        self.max_response_bytes(),
                         self.health_checks_per_s(),
                         announced_slots,
                     )
@@ -443,8 +443,8 @@
         metrics.queued.set(i64::from(instance.admission.queued()));
     }
 
-    fn max_body_bytes(&self) -> usize {
-        self.context.kernel.node_settings().max_body_bytes
+    fn max_response_bytes(&self) -> usize {
+        self.context.kernel.node_settings().max_response_bytes
     }
 
     fn health_checks_per_s(&self) -> u32 {
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -11,8 +11,10 @@
 use model::{AvailabilityZone, HostName, Region, ServiceName, ZonePreference};
 use std::{fmt, net::SocketAddr, path::PathBuf};
 
-/// Default limit of a request or response body.
+/// Default limit of a request body.
 const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
+/// Default limit of a response body.
+const DEFAULT_MAX_RESPONSE_BYTES: u64 = 8 << 20;
 /// Highest limit of a request or response body.
 const MAX_BODY_BYTES: u64 = 64 << 20;
 /// Default limit of open connections from callers.
@@ -112,9 +114,16 @@
         help = "file with the mesh key of the deployment"
     )]
     pub mesh_key_file: Option<String>,
-    /// Largest request or response body in bytes.
-    #[options(no_short, meta = "BYTES", help = "largest request or response body")]
+    /// Largest request body in bytes.
+    #[options(no_short, meta = "BYTES", help = "largest request body")]
     pub max_body_bytes: Option<String>,
+    /// Largest response body in bytes that is accepted from the local instance.
+    #[options(
+        no_short,
+        meta = "BYTES",
+        help = "largest response body of the instance"
+    )]
+    pub max_response_bytes: Option<String>,
     /// Most connections from callers at once.
     #[options(no_short, meta = "N", help = "most caller connections")]
     pub max_connections: Option<String>,
@@ -284,8 +293,10 @@
     pub logs: LogSettings,
     /// Share of routing decisions that are logged, in percent.
     pub decision_log_percent: u8,
-    /// Largest request or response body in bytes.
+    /// Largest request body in bytes.
     pub max_body_bytes: usize,
+    /// Largest response body in bytes that is accepted from the local instance.
+    pub max_response_bytes: usize,
     /// Most connections from callers at once.
     pub max_connections: usize,
     /// Most probe messages per second.
@@ -375,6 +386,13 @@
                 1,
                 MAX_BODY_BYTES,
             )? as usize,
+            max_response_bytes: number(
+                "max-response-bytes",
+                &flags.max_response_bytes,
+                DEFAULT_MAX_RESPONSE_BYTES,
+                1,
+                MAX_BODY_BYTES,
+            )? as usize,
             max_connections: number(
                 "max-connections",
                 &flags.max_connections,
