Encode the answer to held pulls once per configuration

A change is sent to all nodes that hold a pull at a replica, and the answer was built and encoded for each of them in the thread that also runs the agreement. Nodes with the same configuration now share one encoding.

--- a/components/control/src/pulls.rs
+++ b/components/control/src/pulls.rs
@@ -1,9 +1,12 @@
 //! Pulls of nodes that are held until there is a newer configuration.
 
-use mesh::ReplyTo;
+use mesh::{Bytes, ReplyTo};
 use model::Revision;
 use registry::{Comparison, Delta, ProfileSet};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
 use wire::{ControlReply, encode};
 
 /// A held pull and the configuration that its node has.
@@ -52,21 +55,30 @@
         });
     }
 
-    /// Answers the held pulls whose nodes lack something of `set`.
+    /// Answers the held pulls whose nodes lack something of `set`. Most nodes have the same
+    /// configuration, so their answer is encoded once.
     pub(crate) fn answer_outdated(&self, set: &ProfileSet) {
-        let due: Vec<(ReplyTo, ControlReply)> = {
+        let due: Vec<HeldPull> = {
             let mut held = self.lock();
-            let (due, kept): (Vec<_>, Vec<_>) = held
-                .drain(..)
-                .map(|pull| (newer_delta(set, pull.have, pull.digest), pull))
-                .partition(|(delta, _)| delta.is_some());
-            *held = kept.into_iter().map(|(_, pull)| pull).collect();
-            due.into_iter()
-                .filter_map(|(delta, pull)| Some((pull.reply, ControlReply::Newer(delta?))))
-                .collect()
+            let is_outdated = |pull: &HeldPull| {
+                matches!(
+                    set.compare(pull.have, pull.digest),
+                    Comparison::Ahead | Comparison::Diverged
+                )
+            };
+            let (due, kept) = held.drain(..).partition(is_outdated);
+            *held = kept;
+            due
         };
-        for (reply, message) in due {
-            send(reply, &message);
+        let mut encoded: BTreeMap<(Revision, u64), Bytes> = BTreeMap::new();
+        for pull in due {
+            let answer = encoded.entry((pull.have, pull.digest)).or_insert_with(|| {
+                let delta = newer_delta(set, pull.have, pull.digest);
+                let message = delta.map_or(ControlReply::Unchanged, ControlReply::Newer);
+                encode(&message)
+            });
+            // A node that lost its connection pulls again.
+            let _ = pull.reply.send(answer.clone());
         }
     }
 
