Split the settings, inputs and outputs off the replica's state machine

Its settings are in config.rs now and the types that it exchanges with its driver in io.rs; no change of behaviour. The tests of consensus pass.

--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -1,10 +1,6 @@
 //! Elections: pre-votes, candidates and votes.
 
-use crate::{
-    message::Body,
-    replica::{Replica, Role},
-    state::ReplicaId,
-};
+use crate::{io::Role, message::Body, replica::Replica, state::ReplicaId};
 
 impl Replica {
     /// Whether this replica may ask for votes. It must be a voter, have space on its disk, and have
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -1,9 +1,10 @@
 //! The leader: proposals, replication, commits, reads and leadership transfer.
 
 use crate::{
+    io::{Reply, Role},
     message::Body,
     progress::Progress,
-    replica::{Replica, Reply, Role},
+    replica::Replica,
     state::{Entry, Payload, ReplicaId},
 };
 use errors::ErrorKind;
--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -6,9 +6,11 @@
 //! them with [`Input::Persisted`]. Votes, acknowledgements and other messages that rely on saved
 //! state are held back until that state is on disk.
 
+mod config;
 mod election;
 mod follower;
 mod formation;
+mod io;
 mod leader;
 mod log;
 mod membership;
@@ -17,8 +19,10 @@
 mod replica;
 mod state;
 
+pub use config::{OpenGroup, ReplicaConfig};
+pub use io::{Input, Output, Reply, Role, Write};
 pub use message::{Body, Message};
-pub use replica::{Input, OpenGroup, Output, Replica, ReplicaConfig, Reply, Role, Write};
+pub use replica::Replica;
 pub use state::{
     Entry, Formation, HardState, Membership, Payload, RecoveredState, ReplicaId, ReplicaNumber,
     Snapshot,
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -1,7 +1,9 @@
-//! The replica state machine: inputs, outputs, roles, disk writes and applying entries.
+//! The replica state machine: roles, disk writes and applying entries.
 
 use crate::{
+    config::ReplicaConfig,
     formation::FormationState,
+    io::{Input, Output, Reply, Role, Write},
     leader::LeaderState,
     log::Log,
     message::{Body, Message},
@@ -12,7 +14,7 @@
 use errors::ErrorKind;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use registry::{Change, ChangeResult, Registry};
+use registry::Registry;
 use std::{
     collections::{BTreeSet, VecDeque},
     sync::Arc,
@@ -27,197 +29,6 @@
 /// dropped, which the protocol handles like lost messages.
 const MAX_HELD_MESSAGES: usize = 256;
 
-/// Settings of an open group: it is formed by a few replicas and other replicas may join it until
-/// it has its full size. A fixed group consists of the configured replicas only.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OpenGroup {
-    /// Number of voters of the full group. No change is accepted before it is first reached.
-    pub voters: usize,
-    /// Whether this replica may form a new group; must be false if a group may exist already.
-    pub may_form: bool,
-}
-
-/// Settings of a replica: group, timeouts and limits.
-#[derive(Clone, Debug)]
-pub struct ReplicaConfig {
-    /// Number of this replica.
-    pub number: ReplicaNumber,
-    /// Replicas that form the group. In a fixed group these are all its replicas.
-    pub group: BTreeSet<ReplicaNumber>,
-    /// Settings of an open group, which replicas outside `group` may join; absent in a fixed group.
-    pub open: Option<OpenGroup>,
-    /// Shortest time without a leader before a replica asks for votes.
-    pub election_min_us: u64,
-    /// Longest time without a leader before a replica asks for votes. A leader that has heard from
-    /// no quorum for this long steps down.
-    pub election_max_us: u64,
-    /// Time between heartbeats.
-    pub heartbeat_us: u64,
-    /// Timeout for an acknowledgement, after which entries are sent again.
-    pub resend_us: u64,
-    /// Maximum size of the entries in one append message.
-    pub max_batch_bytes: usize,
-    /// Maximum size of the unacknowledged entries sent to one replica.
-    pub max_in_flight_bytes: usize,
-    /// Maximum number of uncommitted changes; further ones are refused as busy.
-    pub max_uncommitted: usize,
-    /// Number of applied entries after which a snapshot is taken.
-    pub snapshot_entries: u64,
-    /// Size of the applied entries after which a snapshot is taken.
-    pub snapshot_bytes: usize,
-    /// Number of entries before a snapshot that stay in memory, so that replicas slightly behind
-    /// don't need the whole snapshot.
-    pub keep_entries: u64,
-}
-
-impl ReplicaConfig {
-    /// Default settings. The timeouts suit regions up to 150 ms apart; a failed leader is replaced
-    /// within about 2 s.
-    pub fn new(number: ReplicaNumber, group: impl IntoIterator<Item = ReplicaNumber>) -> Self {
-        ReplicaConfig {
-            number,
-            group: group.into_iter().collect(),
-            open: None,
-            election_min_us: 600_000,
-            election_max_us: 1_200_000,
-            heartbeat_us: 100_000,
-            resend_us: 500_000,
-            max_batch_bytes: 64 * 1024,
-            max_in_flight_bytes: 256 * 1024,
-            max_uncommitted: 1_024,
-            snapshot_entries: 2_048,
-            snapshot_bytes: 4 << 20,
-            keep_entries: 512,
-        }
-    }
-}
-
-/// Role of a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// Follows a leader, or waits for one.
-    Follower,
-    /// Asks the voters whether they would vote for it, without starting a term.
-    PreCandidate,
-    /// Asks for votes in a new term.
-    Candidate,
-    /// Replicates its log to the other replicas.
-    Leader,
-}
-
-/// Events that the driver passes to a replica.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// Time has passed. Due at the latest at [`Replica::next_wake_us`].
-    Tick,
-    /// A message arrived from another replica.
-    Message(Message),
-    /// Proposes an operator's change; answered by [`Output::Answer`].
-    Propose {
-        /// Identifies the proposal in the answer.
-        token: u64,
-        /// The operator's change, with its change id.
-        change: Change,
-    },
-    /// All writes up to `sequence` are on disk.
-    Persisted {
-        /// Sequence number of the last write on disk.
-        sequence: u64,
-    },
-    /// Asks for an applied index that covers every change answered so far; answered by
-    /// [`Output::ReadReady`].
-    ReadIndex {
-        /// Identifies the read in the answer.
-        token: u64,
-    },
-    /// The disk is full (true) or has space again (false). A leader with a full disk transfers its
-    /// leadership.
-    StorageFull(bool),
-    /// A leader transfers its leadership, because its process is about to stop.
-    TransferLeadership,
-}
-
-/// A write to the replica's files.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Write {
-    /// Appends entries to the log, after removing those at or after the index of the first one.
-    Append(Vec<Entry>),
-    /// Replaces the hard state.
-    SaveHardState(HardState),
-    /// Replaces the snapshot; log entries up to it are no longer needed.
-    SaveSnapshot {
-        /// Snapshot that replaces the one on disk.
-        snapshot: Arc<Snapshot>,
-        /// Whether the log entries after the snapshot are invalid and must be removed too.
-        discard_log: bool,
-    },
-}
-
-/// Result of a proposal or read.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// The change is committed and has this result, now or from an earlier proposal with the same
-    /// change id.
-    Committed(ChangeResult),
-    /// The request was not processed, or its result is unknown (`NoQuorum`). Sending the change
-    /// again with the same change id is safe.
-    Refused {
-        /// Why the request was refused.
-        kind: ErrorKind,
-        /// Leader to send the request to, if another replica is known to lead.
-        leader: Option<ReplicaNumber>,
-    },
-}
-
-/// Actions and notifications for the driver.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Output {
-    /// Send a message; the protocol tolerates its loss.
-    Send {
-        /// Number of the receiving replica.
-        to: ReplicaNumber,
-        /// Message that the receiver handles as [`Input::Message`].
-        message: Message,
-    },
-    /// Execute a write, in the order of the sequence numbers, and confirm it with
-    /// [`Input::Persisted`]. Several writes may share one fsync and one confirmation.
-    Persist {
-        /// Sequence number, which grows by one with each write.
-        sequence: u64,
-        /// What to change on disk.
-        write: Write,
-    },
-    /// The registry has applied an entry, or was replaced by a snapshot from the leader.
-    RegistryChanged {
-        /// Index of the last applied entry.
-        index: u64,
-    },
-    /// Answer to [`Input::Propose`].
-    Answer {
-        /// Token from [`Input::Propose`].
-        token: u64,
-        /// Result of the proposal.
-        reply: Reply,
-    },
-    /// Answer to [`Input::ReadIndex`].
-    ReadReady {
-        /// Token from [`Input::ReadIndex`].
-        token: u64,
-        /// Applied index of the registry, which is recent enough to read from; or a
-        /// [`Reply::Refused`].
-        result: Result<u64, Reply>,
-    },
-    /// The role, the term or the known leader has changed.
-    RoleChanged {
-        /// Role of this replica after the change.
-        role: Role,
-        /// Term of this replica after the change.
-        term: u64,
-        /// Leader of the term, if known.
-        leader: Option<ReplicaNumber>,
-    },
-}
-
 /// State machine of one control replica.
 #[derive(Debug)]
 pub struct Replica {
@@ -411,7 +222,7 @@
 
     /// Whether this replica has applied all that was committed, as far as it can know: it leads and
     /// has committed an entry of its term, or it follows such a leader and was not behind it within
-    /// the last [`MAX_BEHIND_US`].
+    /// the last half second.
     pub fn is_current(&self, now_us: u64) -> bool {
         match self.role {
             Role::Leader => self.has_committed_in_term(),
