--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -5,10 +5,12 @@
 mod lines;
 mod logs;
 mod node;
+mod node_flags;
 mod source;
 
 pub use control::{ControlFlags, ControlSettings, OpenGroupSettings};
 pub use headers::CallHeaders;
 pub use logs::{LogFormat, LogSettings, flush_logs, init_logs};
-pub use node::{EmbeddedControl, NodeFlags, NodeSettings};
+pub use node::{EmbeddedControl, NodeSettings};
+pub use node_flags::NodeFlags;
 pub use source::{MeshKey, SettingError, SettingSource};
