Show in metrics and logs which replicas confirm the configuration

Metrics for control replicas: whether the replica is current, its applied index and the number of voters. Log lines name replicas of open groups by address.

--- a/components/control/src/replica_threads.rs
+++ b/components/control/src/replica_threads.rs
@@ -2,7 +2,7 @@
 
 use crate::context::{ControlContext, address_of_number};
 use consensus::{
-    Input, Message, Output, RecoveredState, Replica, ReplicaConfig, ReplicaNumber, Write,
+    Input, Message, Output, RecoveredState, Replica, ReplicaConfig, ReplicaId, ReplicaNumber, Write,
 };
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use kernel::Event;
@@ -22,6 +22,9 @@
 /// Most queued inputs handled in a row before the replica's timer is checked.
 const MAX_INPUT_BATCH: usize = 64;
 
+/// Largest number of a replica of a fixed group; numbers that encode an address are larger.
+const MAX_FIXED_NUMBER: ReplicaNumber = u32::MAX as ReplicaNumber;
+
 type SequencedWrite = (u64, Write);
 
 /// The event loop and the disk thread of a replica.
@@ -141,6 +144,8 @@
             return;
         }
         self.published_is_current = is_current;
+        let metrics = &self.control.kernel.metrics;
+        metrics.replica_current.set(i64::from(is_current));
         self.control
             .update_replica_state(|state| state.is_current = is_current);
         log::info!(
@@ -153,15 +158,10 @@
             self.replica.applied_index(),
             self.replica.commit_index(),
             self.replica.term(),
-            self.leader_name()
+            leader_name(self.replica.leader())
         );
     }
 
-    fn leader_name(&self) -> String {
-        let leader = self.replica.leader();
-        leader.map_or_else(|| "unknown".to_owned(), |id| id.to_string())
-    }
-
     fn execute(&mut self, output: Output) {
         match output {
             Output::Send { to, message } => self.send(to, &message),
@@ -189,11 +189,11 @@
             Output::RegistryChanged { .. } => self.publish_registry(),
             Output::Answer { token, reply } => self.control.complete_change(token, reply),
             Output::ReadReady { token, result } => self.control.complete_read(token, result),
-            Output::RoleChanged { role, term, leader } => {
+            Output::RoleChanged { role, term, .. } => {
                 log::info!(
                     "replica: {} is {role:?} in term {term}, leader {}.",
-                    self.replica.id(),
-                    leader.map_or_else(|| "unknown".to_owned(), |id| id.to_string())
+                    replica_name(self.replica.id()),
+                    leader_name(self.replica.leader())
                 );
                 self.publish_state();
             }
@@ -239,6 +239,13 @@
         self.published_is_voter = self.replica.is_voter();
         self.published_voters = self.voter_numbers();
         let replica = &self.replica;
+        let metrics = &self.control.kernel.metrics;
+        metrics
+            .replica_voters
+            .set(self.published_voters.len() as i64);
+        metrics
+            .replica_applied_index
+            .set(replica.applied_index() as i64);
         self.control.update_replica_state(|state| {
             state.role = Some(replica.role());
             state.term = replica.term();
@@ -259,20 +266,26 @@
     }
 }
 
-/// The voters as operators see them in the log: addresses in an open group, else numbers.
+/// An identity as operators see it in the log: its address in an open group, else its number, and
+/// its disk.
+fn replica_name(id: ReplicaId) -> String {
+    let disk_id = id.disk_id;
+    match address_of_number(id.number) {
+        Some(address) if id.number > MAX_FIXED_NUMBER => format!("{address}/{disk_id:x}"),
+        _ => format!("{}/{disk_id:x}", id.number),
+    }
+}
+
 fn voter_list(replica: &Replica) -> String {
-    let name = |number: ReplicaNumber| match address_of_number(number) {
-        Some(address) if number > u64::from(u32::MAX) => address.to_string(),
-        _ => number.to_string(),
-    };
     let voters = &replica.membership().voters;
-    let names: Vec<String> = voters
-        .iter()
-        .map(|id| format!("{}/{:x}", name(id.number), id.disk_id))
-        .collect();
+    let names: Vec<String> = voters.iter().copied().map(replica_name).collect();
     format!("[{}]", names.join(" "))
 }
 
+fn leader_name(leader: Option<ReplicaId>) -> String {
+    leader.map_or_else(|| "unknown".to_owned(), replica_name)
+}
+
 /// Disk thread: executes writes in order. All writes that are queued together share one fsync.
 fn run_disk_thread(control: &ControlContext, mut store: Store, writes: &Receiver<SequencedWrite>) {
     while let Ok(first) = writes.recv() {
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -68,6 +68,12 @@
     pub revision: Gauge,
     /// Milliseconds since this node last confirmed its configuration.
     pub config_age_ms: Gauge,
+    /// Whether a control replica has applied all that it can know to be committed: 1 or 0.
+    pub replica_current: Gauge,
+    /// Last log index that a control replica has applied.
+    pub replica_applied_index: Gauge,
+    /// Voters of the control group, as known to a replica.
+    pub replica_voters: Gauge,
     /// Live members known to this node.
     pub members: Gauge,
     /// Messages to and from other processes, by channel and direction.
@@ -100,6 +106,9 @@
             started: Counter::default(),
             revision: Gauge::default(),
             config_age_ms: Gauge::default(),
+            replica_current: Gauge::default(),
+            replica_applied_index: Gauge::default(),
+            replica_voters: Gauge::default(),
             members: Gauge::default(),
             mesh_messages: Family::default(),
             mesh_bytes: Family::default(),
@@ -152,6 +161,21 @@
             "Time since the configuration was confirmed",
             self.config_age_ms.clone(),
         );
+        registry.register(
+            "replica_current",
+            "Whether the replica has applied all that it knows to be committed",
+            self.replica_current.clone(),
+        );
+        registry.register(
+            "replica_applied_index",
+            "Last applied log index",
+            self.replica_applied_index.clone(),
+        );
+        registry.register(
+            "replica_voters",
+            "Voters of the control group",
+            self.replica_voters.clone(),
+        );
         registry.register("members", "Live members", self.members.clone());
         registry.register(
             "mesh_messages",
--- a/components/node/src/sync/control.rs
+++ b/components/node/src/sync/control.rs
@@ -202,7 +202,7 @@
         if age_ms > STALE_AFTER_MS && is_due {
             state.warned_at = Some(Instant::now());
             log::warn!(
-                "sync: no control replica confirmed the configuration for {age_ms} ms; serving with revision {}.",
+                "sync: no control replica answered for {age_ms} ms; serving with revision {}.",
                 self.context.kernel.profiles.revision()
             );
         }
