--- a/components/node/src/sync/control.rs
+++ b/components/node/src/sync/control.rs
@@ -13,8 +13,10 @@
 
 /// Longest time for which a control replica holds a pull while it has nothing newer.
 const PULL_HOLD_MS: u32 = 1_000;
-/// Pause before the replicas are asked again after none of them could confirm the configuration.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a pull that did not confirm the configuration.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// The same while there is no configuration; shorter, because callers are refused until then.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Time without a confirmed configuration after which a node without any takes one that no current
 /// replica has confirmed. An outdated configuration serves most callers, none serves no caller.
 const UNCONFIRMED_AFTER: Duration = Duration::from_secs(2);
@@ -62,12 +64,20 @@
             }
             self.take_unconfirmed(&mut state);
             self.warn_if_stale(&mut state);
-            if self.context.kernel.shutdown.wait(RETRY_PAUSE) {
+            let pause = match self.has_configuration() {
+                true => RETRY_PAUSE,
+                false => FIRST_RETRY_PAUSE,
+            };
+            if self.context.kernel.shutdown.wait(pause) {
                 return;
             }
         }
     }
 
+    fn has_configuration(&self) -> bool {
+        self.context.kernel.profiles.revision() > Revision::default()
+    }
+
     /// Pulls from the current replica, or from the first one that answers; returns whether the
     /// configuration was confirmed.
     fn pull_once(&self, state: &mut PullState) -> bool {
@@ -101,7 +111,7 @@
     fn note_confirmed(&self, state: &mut PullState, replica: SocketAddr) {
         let kernel = &self.context.kernel;
         kernel.profiles.mark_confirmed(kernel.clock.now_us());
-        self.replicas().mark_answered(replica);
+        self.replicas().mark_answered(replica, Instant::now());
         state.unconfirmed = None;
         state.warned_at = None;
         if state.current != Some(replica) {
@@ -114,9 +124,13 @@
         }
     }
 
-    /// The replica that answers first, of all that are not known to be silent. They are asked at
-    /// once, so that silent ones delay nothing.
+    /// A replica that answered just now, or the first to answer of all that may be running. They
+    /// are asked at once, so that silent ones delay nothing.
     fn find_replica(&self) -> Option<SocketAddr> {
+        let answering = self.replicas().next_answering(Instant::now());
+        if answering.is_some() {
+            return answering;
+        }
         let candidates = self.replicas().candidates(Instant::now());
         let until = Instant::now() + PULL_GRACE;
         let replies = self.context.kernel.request_each(
@@ -165,7 +179,7 @@
         replica: SocketAddr,
     ) {
         let Some(delta) = delta else { return };
-        if self.context.kernel.profiles.revision() > Revision::default() {
+        if self.has_configuration() {
             self.apply_delta(*delta, replica);
             return;
         }
--- a/components/node/src/sync/replicas.rs
+++ b/components/node/src/sync/replicas.rs
@@ -12,21 +12,58 @@
 /// Time for which a silent replica is not asked again; it doubles with each further failure.
 const SILENT_PAUSE: Duration = Duration::from_millis(500);
 const MAX_SILENT_PAUSE: Duration = Duration::from_secs(8);
+/// Age up to which an answer shows that a replica is running, so that it is pulled from at once.
+const ANSWER_VALID: Duration = Duration::from_millis(500);
+
+/// What a node knows of a replica.
+#[derive(Clone, Copy, Debug)]
+enum ReplicaState {
+    Unknown,
+    /// It answered, and is asked again from `retry_at` on.
+    Answering {
+        at: Instant,
+        retry_at: Instant,
+    },
+    /// It was silent, and is asked again after `pause`.
+    Silent {
+        at: Instant,
+        pause: Duration,
+    },
+}
 
-/// A replica, and until when it is asked only if all others fail as well.
 #[derive(Clone, Copy, Debug)]
 struct KnownReplica {
     address: SocketAddr,
-    avoided_until: Option<Instant>,
-    silent_pause: Duration,
+    state: ReplicaState,
 }
 
 impl KnownReplica {
     fn new(address: SocketAddr) -> Self {
         KnownReplica {
             address,
-            avoided_until: None,
-            silent_pause: SILENT_PAUSE,
+            state: ReplicaState::Unknown,
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        matches!(self.state, ReplicaState::Silent { .. })
+    }
+
+    fn may_be_asked(&self, now: Instant) -> bool {
+        match self.state {
+            ReplicaState::Unknown => true,
+            ReplicaState::Answering { retry_at, .. } => now >= retry_at,
+            ReplicaState::Silent { at, pause } => now >= at + pause,
+        }
+    }
+
+    /// When the replica answered, if that shows that it is running and it may be asked again.
+    fn answered_at(&self, now: Instant) -> Option<Instant> {
+        match self.state {
+            ReplicaState::Answering { at, retry_at } if now >= retry_at => {
+                (now < at + ANSWER_VALID).then_some(at)
+            }
+            _ => None,
         }
     }
 }
@@ -48,24 +85,28 @@
         }
     }
 
-    /// All replicas.
-    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
-        self.known.iter().map(|replica| replica.address).collect()
+    /// The replica to pull from without asking whether it runs: of those that answered just now,
+    /// the one whose answer is oldest.
+    pub(super) fn next_answering(&self, now: Instant) -> Option<SocketAddr> {
+        let answering = self
+            .known
+            .iter()
+            .filter_map(|replica| Some((replica.answered_at(now)?, replica.address)));
+        answering.min().map(|(_, address)| address)
     }
 
-    /// The replicas to ask now: those that are not avoided, or all if every one is.
+    /// The replicas to ask whether they run. The silent ones are among them if nothing else is
+    /// left to ask.
     pub(super) fn candidates(&self, now: Instant) -> Vec<SocketAddr> {
-        let is_avoided = |replica: &&KnownReplica| replica.avoided_until.is_some_and(|at| now < at);
-        let candidates: Vec<SocketAddr> = self
-            .known
-            .iter()
-            .filter(|replica| !is_avoided(replica))
-            .map(|replica| replica.address)
-            .collect();
-        if candidates.is_empty() {
-            self.addresses()
+        let addresses = |is_chosen: &dyn Fn(&KnownReplica) -> bool| -> Vec<SocketAddr> {
+            let chosen = self.known.iter().filter(|replica| is_chosen(replica));
+            chosen.map(|replica| replica.address).collect()
+        };
+        let due = addresses(&|replica| replica.may_be_asked(now));
+        if due.is_empty() {
+            addresses(&KnownReplica::is_silent)
         } else {
-            candidates
+            due
         }
     }
 
@@ -89,29 +130,35 @@
             .collect();
     }
 
-    pub(super) fn mark_answered(&mut self, address: SocketAddr) {
-        self.update(address, |replica| *replica = KnownReplica::new(address));
+    pub(super) fn mark_answered(&mut self, address: SocketAddr, now: Instant) {
+        self.set_state(address, |_| ReplicaState::Answering {
+            at: now,
+            retry_at: now,
+        });
     }
 
     pub(super) fn mark_not_current(&mut self, address: SocketAddr, now: Instant) {
-        self.update(address, |replica| {
-            *replica = KnownReplica::new(address);
-            replica.avoided_until = Some(now + NOT_CURRENT_PAUSE);
+        self.set_state(address, |_| ReplicaState::Answering {
+            at: now,
+            retry_at: now + NOT_CURRENT_PAUSE,
         });
     }
 
     pub(super) fn mark_silent(&mut self, address: SocketAddr, now: Instant) {
-        self.update(address, |replica| {
-            replica.avoided_until = Some(now + replica.silent_pause);
-            replica.silent_pause = (replica.silent_pause * 2).min(MAX_SILENT_PAUSE);
+        self.set_state(address, |state| ReplicaState::Silent {
+            at: now,
+            pause: match state {
+                ReplicaState::Silent { pause, .. } => (pause * 2).min(MAX_SILENT_PAUSE),
+                _ => SILENT_PAUSE,
+            },
         });
     }
 
-    fn update(&mut self, address: SocketAddr, change: impl FnOnce(&mut KnownReplica)) {
+    fn set_state(&mut self, address: SocketAddr, next: impl FnOnce(ReplicaState) -> ReplicaState) {
         let replica = self.known.iter_mut().find(|known| known.address == address);
         // A reply may come from a replica that is no longer listed.
         if let Some(replica) = replica {
-            change(replica);
+            replica.state = next(replica.state);
         }
     }
 }
