--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod budget;
 mod config;
+mod control_replicas;
 mod dissemination;
 mod info;
 mod introductions;
@@ -23,6 +24,7 @@
 mod wire;
 
 pub use config::MemberConfig;
+pub use control_replicas::ControlReplicas;
 pub use info::{MAX_REPORT_BYTES, MemberAction, MemberError, MemberState, NodeInfo};
 pub use introductions::{Introduction, IntroductionReply, Introductions};
 pub use members::{Members, TICK_MS};
--- a/components/node/src/sync/control.rs
+++ b/components/node/src/sync/control.rs
@@ -13,6 +13,8 @@
 
 /// Longest time for which a control replica holds a pull while it has nothing newer.
 const PULL_HOLD_MS: u32 = 1_000;
+/// Wait for replicas that may be silent while others are known to run.
+const ASK_WAIT: Duration = Duration::from_millis(150);
 /// Pause after a pull that did not confirm the configuration.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The same while there is no configuration; shorter, because callers are refused until then.
@@ -84,18 +86,16 @@
         let Some(replica) = state.current.or_else(|| self.find_replica()) else {
             return false;
         };
-        let pulled = self.pull_from_replica(replica);
-        let now = Instant::now();
-        match pulled {
+        match self.pull_from_replica(replica) {
             Pulled::Confirmed => {
                 self.note_confirmed(state, replica);
                 return true;
             }
             Pulled::NotCurrent(delta) => {
-                self.replicas().mark_not_current(replica, now);
+                self.replicas().mark_not_current(replica, self.now_us());
                 self.keep_unconfirmed(state, delta, replica);
             }
-            Pulled::Silent => self.replicas().mark_silent(replica, now),
+            Pulled::Silent => self.replicas().mark_silent(replica, self.now_us()),
         }
         if state.current.take().is_some() {
             log::info!(
@@ -111,7 +111,7 @@
     fn note_confirmed(&self, state: &mut PullState, replica: SocketAddr) {
         let kernel = &self.context.kernel;
         kernel.profiles.mark_confirmed(kernel.clock.now_us());
-        self.replicas().mark_answered(replica, Instant::now());
+        self.replicas().mark_current(replica, kernel.clock.now_us());
         state.unconfirmed = None;
         state.warned_at = None;
         if state.current != Some(replica) {
@@ -124,26 +124,36 @@
         }
     }
 
-    /// A replica that answered just now, or the first to answer of all that may be running. They
-    /// are asked at once, so that silent ones delay nothing.
+    /// The first replica to answer of those that have not answered just now; they are asked at
+    /// once, so that silent ones delay nothing. If none does, the others have their turn.
     fn find_replica(&self) -> Option<SocketAddr> {
-        let answering = self.replicas().next_answering(Instant::now());
-        if answering.is_some() {
-            return answering;
-        }
-        let candidates = self.replicas().candidates(Instant::now());
-        let until = Instant::now() + PULL_GRACE;
+        let now_us = self.now_us();
+        let (asked, has_answering) = {
+            let replicas = self.replicas();
+            (replicas.to_ask(now_us), replicas.has_answering(now_us))
+        };
+        let wait = if has_answering { ASK_WAIT } else { PULL_GRACE };
+        self.first_answering(asked, wait)
+            .or_else(|| self.replicas().next_answering(self.now_us()))
+    }
+
+    fn first_answering(&self, mut asked: Vec<SocketAddr>, wait: Duration) -> Option<SocketAddr> {
+        let until = Instant::now() + wait;
         let replies = self.context.kernel.request_each(
-            candidates,
+            asked.iter().copied(),
             Channel::Control,
             &ControlRequest::Replicas,
-            PULL_GRACE,
+            wait,
         );
         while let Ok((replica, reply)) = replies.recv_deadline(until) {
             if matches!(reply, Some(ControlReply::Replicas(_))) {
                 return Some(replica);
             }
-            self.replicas().mark_silent(replica, Instant::now());
+            self.replicas().mark_silent(replica, self.now_us());
+            asked.retain(|other| *other != replica);
+        }
+        for replica in asked {
+            self.replicas().mark_silent(replica, self.now_us());
         }
         None
     }
--- a/components/node/src/sync/discovery.rs
+++ b/components/node/src/sync/discovery.rs
@@ -49,7 +49,7 @@
     fn discover_nodes(&self) -> bool {
         let kernel = &self.context.kernel;
         let until = Instant::now() + PULL_GRACE;
-        let replicas = self.replicas().candidates(Instant::now());
+        let replicas = self.replicas().not_silent(self.now_us());
         let replies = kernel.request_each(
             replicas,
             Channel::Control,
--- a/components/node/src/sync/mod.rs
+++ b/components/node/src/sync/mod.rs
@@ -3,15 +3,14 @@
 
 mod control;
 mod discovery;
-mod replicas;
 
 use crate::context::NodeContext;
 use crossbeam::channel::{RecvTimeoutError, bounded};
 use kernel::{Event, Kernel, PluginEntry, Role, RunningPlugin, StartError};
+use members::ControlReplicas;
 use mesh::{Channel, Inbound};
 use model::Revision;
 use registry::{Comparison, Delta};
-use replicas::Replicas;
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -34,7 +33,7 @@
 /// Keeps the profiles of this node up to date and answers pulls of peers.
 struct ConfigSync {
     context: Arc<NodeContext>,
-    replicas: Mutex<Replicas>,
+    replicas: Mutex<ControlReplicas>,
     /// The replica that confirmed the configuration last.
     current_replica: Mutex<Option<SocketAddr>>,
 }
@@ -45,7 +44,7 @@
     let has_control_group = !configured.is_empty();
     let sync = Arc::new(ConfigSync {
         context,
-        replicas: Mutex::new(Replicas::new(configured)),
+        replicas: Mutex::new(ControlReplicas::new(configured)),
         current_replica: Mutex::default(),
     });
     kernel.mesh.set_handler(Channel::Sync, {
@@ -95,10 +94,14 @@
 }
 
 impl ConfigSync {
-    fn replicas(&self) -> MutexGuard<'_, Replicas> {
+    fn replicas(&self) -> MutexGuard<'_, ControlReplicas> {
         self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn now_us(&self) -> u64 {
+        self.context.kernel.clock.now_us()
+    }
+
     fn current_replica(&self) -> Option<SocketAddr> {
         *self.lock_current_replica()
     }
