Spread the nodes over the control replicas again

Cause: "the first that answers" gives the same result at every node. Class: a choice that all nodes make alike.

Change: a node draws one of the replicas that answer within 20 ms of the first.

--- a/components/node/src/sync/control.rs
+++ b/components/node/src/sync/control.rs
@@ -4,6 +4,7 @@
 use super::{ConfigSync, PULL_GRACE};
 use mesh::Channel;
 use model::Revision;
+use rand::seq::IndexedRandom;
 use registry::Delta;
 use std::{
     net::SocketAddr,
@@ -15,6 +16,9 @@
 const PULL_HOLD_MS: u32 = 1_000;
 /// Wait for replicas that may be silent while others are known to run.
 const ASK_WAIT: Duration = Duration::from_millis(150);
+/// Time after the first answer in which others count as equally fast. Without it all nodes would
+/// follow the same replica, and a fault of that one would reach all of them at once.
+const SPREAD_WINDOW: Duration = Duration::from_millis(20);
 /// Pause after a pull that did not confirm the configuration.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The same while there is no configuration; shorter, because callers are refused until then.
@@ -124,8 +128,8 @@
         }
     }
 
-    /// The first replica to answer of those that have not answered just now; they are asked at
-    /// once, so that silent ones delay nothing. If none does, the others have their turn.
+    /// One of the first to answer of the replicas that have not answered just now; they are asked
+    /// at once, so that silent ones delay nothing. If none does, the others have their turn.
     fn find_replica(&self) -> Option<SocketAddr> {
         let now_us = self.now_us();
         let (asked, has_answering) = {
@@ -137,25 +141,31 @@
             .or_else(|| self.replicas().next_answering(self.now_us()))
     }
 
+    /// One of the replicas that answer first, drawn at random.
     fn first_answering(&self, mut asked: Vec<SocketAddr>, wait: Duration) -> Option<SocketAddr> {
-        let until = Instant::now() + wait;
         let replies = self.context.kernel.request_each(
             asked.iter().copied(),
             Channel::Control,
             &ControlRequest::Replicas,
             wait,
         );
+        let mut until = Instant::now() + wait;
+        let mut answered = Vec::new();
         while let Ok((replica, reply)) = replies.recv_deadline(until) {
+            asked.retain(|other| *other != replica);
             if matches!(reply, Some(ControlReply::Replicas(_))) {
-                return Some(replica);
+                answered.push(replica);
+                until = until.min(Instant::now() + SPREAD_WINDOW);
+            } else {
+                self.replicas().mark_silent(replica, self.now_us());
             }
-            self.replicas().mark_silent(replica, self.now_us());
-            asked.retain(|other| *other != replica);
         }
-        for replica in asked {
-            self.replicas().mark_silent(replica, self.now_us());
+        if answered.is_empty() {
+            for replica in asked {
+                self.replicas().mark_silent(replica, self.now_us());
+            }
         }
-        None
+        answered.choose(&mut rand::rng()).copied()
     }
 
     fn pull_from_replica(&self, replica: SocketAddr) -> Pulled {
