Recover from a write that lost a sector before its end

What callers saw: nothing that is traced to this. After a loss of power a replica whose last write had lost one of its sectors would have refused to start, for good. Power lost everywhere while a change is written can do that to a majority; no configuration is then read back, and nodes get none.

Cause: only a missing end of the last record counted as torn; a hole before the end was damage. Class: a fault model that is narrower than the device. In the other direction, a zero sector at the end of the file made any invalid record count as torn, also one that confirmed records follow.

Change: a record is torn if a part of it was not written and no record follows it, else damaged.

Evidence: missing_sector (not opened) and lost_sector_before_later_records (opened without the confirmed entry) failed before; both pass, also flipped_bytes as it was. Open: a hole inside a write of several records still counts as damage, since the format doesn't tell where a write begins.

--- a/components/store/src/record.rs
+++ b/components/store/src/record.rs
@@ -59,32 +59,63 @@
     if rest.len() < HEADER_BYTES {
         return ParsedRecord::Torn;
     }
-    let read_u32 =
-        |at: usize| u32::from_le_bytes([rest[at], rest[at + 1], rest[at + 2], rest[at + 3]]);
-    if crc32fast::hash(&rest[..8]) != read_u32(8) {
+    if !has_valid_header(rest) {
         return torn_or_damaged(bytes, offset, "the record header fails its checksum");
     }
-    let end = HEADER_BYTES + read_u32(0) as usize;
+    let end = record_end(rest);
     if rest.len() <= end {
         return ParsedRecord::Torn;
     }
-    let payload = &rest[HEADER_BYTES..end];
-    if crc32fast::hash(payload) != read_u32(4) || rest[end] != END_MARK {
-        return torn_or_damaged(bytes, offset, "the record fails its checksum");
+    match valid_payload(rest) {
+        Some(payload) => ParsedRecord::Record(payload, offset + end + 1),
+        None => torn_or_damaged(bytes, offset, "the record fails its checksum"),
     }
-    ParsedRecord::Record(payload, offset + end + 1)
 }
 
-/// Classifies an invalid record: it is torn if the file ends in at least one whole unwritten
-/// sector, or if nothing of the record was written. Otherwise it is damaged.
+fn read_u32(bytes: &[u8], at: usize) -> u32 {
+    u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
+}
+
+fn has_valid_header(bytes: &[u8]) -> bool {
+    bytes.len() >= HEADER_BYTES && crc32fast::hash(&bytes[..8]) == read_u32(bytes, 8)
+}
+
+/// Position of the end mark of a record with a valid header.
+fn record_end(bytes: &[u8]) -> usize {
+    HEADER_BYTES + read_u32(bytes, 0) as usize
+}
+
+/// The payload of a record with a valid header, if the rest of the record is valid too.
+fn valid_payload(bytes: &[u8]) -> Option<&[u8]> {
+    let end = record_end(bytes);
+    let payload = bytes.get(HEADER_BYTES..end)?;
+    let is_valid =
+        crc32fast::hash(payload) == read_u32(bytes, 4) && bytes.get(end) == Some(&END_MARK);
+    is_valid.then_some(payload)
+}
+
+/// Classifies an invalid record: it is torn if a part of it was never written and no record follows,
+/// since only the last write can be incomplete. Otherwise it is damaged.
 fn torn_or_damaged<'a>(bytes: &[u8], offset: usize, reason: &'static str) -> ParsedRecord<'a> {
-    let written_end = bytes
-        .iter()
-        .rposition(|b| *b != 0)
-        .map_or(0, |last| last + 1);
-    let first_zero_sector = written_end.next_multiple_of(SECTOR_BYTES);
-    if written_end <= offset || first_zero_sector < bytes.len() {
+    if has_unwritten_part(bytes, offset) && !has_record_after(bytes, offset) {
         return ParsedRecord::Torn;
     }
     ParsedRecord::Damaged(reason)
 }
+
+/// Whether a sector from `offset` on was not written. Of the sector at `offset` only the rest
+/// counts, if it is long enough for a header, which is never zero.
+fn has_unwritten_part(bytes: &[u8], offset: usize) -> bool {
+    let is_unwritten = |part: &[u8]| part.iter().all(|byte| *byte == 0);
+    let sector_end = bytes.len().min((offset + 1).next_multiple_of(SECTOR_BYTES));
+    let (rest_of_sector, sectors) = bytes[offset..].split_at(sector_end - offset);
+    (rest_of_sector.len() >= HEADER_BYTES && is_unwritten(rest_of_sector))
+        || sectors.chunks(SECTOR_BYTES).any(is_unwritten)
+}
+
+/// Whether a valid record starts anywhere after `offset`.
+fn has_record_after(bytes: &[u8], offset: usize) -> bool {
+    (offset + 1..bytes.len())
+        .map(|start| &bytes[start..])
+        .any(|rest| has_valid_header(rest) && valid_payload(rest).is_some())
+}
--- a/components/store/tests/damaged_files.rs
+++ b/components/store/tests/damaged_files.rs
@@ -1,12 +1,13 @@
 //! Guards against undetected damage to files: a replica that loses a confirmed entry or vote could
 //! help to undo an accepted change.
 
-use consensus::{Entry, HardState, Payload, RecoveredState, Snapshot};
+use consensus::{Entry, HardState, Membership, Payload, RecoveredState, ReplicaId, Snapshot};
 use errors::ErrorKind;
 use std::{fs, path::Path, sync::Arc};
 use store::{Store, StoreError};
 
 const LOG: &str = "log-0000000000000001";
+const SECTOR_BYTES: usize = 512;
 
 fn entry(index: u64) -> Entry {
     Entry {
@@ -35,6 +36,23 @@
     store.save_snapshot(&Arc::new(snapshot), false).unwrap();
 }
 
+/// Appends an entry that covers several sectors.
+fn append_large_entry(path: &Path, index: u64) {
+    let voter = |number: u64| ReplicaId {
+        number: u64::MAX - number,
+        disk_id: u64::MAX - number * 7,
+    };
+    let membership = Membership {
+        voters: (0..120).map(voter).collect(),
+    };
+    let entry = Entry {
+        payload: Payload::Membership(membership),
+        ..entry(index)
+    };
+    let (mut store, _) = Store::open(path).unwrap();
+    store.append(&[entry]).unwrap();
+}
+
 fn open_with_content(path: &Path, name: &str, bytes: &[u8]) -> Result<RecoveredState, StoreError> {
     fs::write(path.join(name), bytes).unwrap();
     Store::open(path).map(|(_, recovered)| recovered)
@@ -108,6 +126,50 @@
     }
 }
 
+/// Power can be lost when some sectors of the last write are on the disk and others are not.
+#[test]
+fn missing_sector() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    write_data(path);
+    let before = fs::read(path.join(LOG)).unwrap().len();
+    append_large_entry(path, 7);
+    let content = fs::read(path.join(LOG)).unwrap();
+    let sector_count = content.len().div_ceil(SECTOR_BYTES);
+    assert!(sector_count > 4, "{} bytes", content.len());
+    for sector in 0..sector_count {
+        let mut bytes = content.clone();
+        let start = (sector * SECTOR_BYTES).max(before);
+        let end = content.len().min((sector + 1) * SECTOR_BYTES);
+        bytes[start..end].fill(0);
+        let recovered =
+            open_with_content(path, LOG, &bytes).expect("an incomplete record is removed");
+        let last = recovered.entries.last().map(|entry| entry.index);
+        assert_eq!(last, Some(6), "sector {sector} is missing");
+    }
+}
+
+/// A sector that is lost later is damage: the records after it were confirmed.
+#[test]
+fn lost_sector_before_later_records() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    write_data(path);
+    append_large_entry(path, 7);
+    let large_end = fs::read(path.join(LOG)).unwrap().len();
+    append_large_entry(path, 8);
+    let content = fs::read(path.join(LOG)).unwrap();
+    for sector in 1..large_end / SECTOR_BYTES {
+        for unwritten_end in [0, 2 * SECTOR_BYTES] {
+            let mut bytes = content.clone();
+            bytes[sector * SECTOR_BYTES..][..SECTOR_BYTES].fill(0);
+            bytes.resize(bytes.len() + unwritten_end, 0);
+            let result = open_with_content(path, LOG, &bytes);
+            assert_damaged(result, path, LOG, sector * SECTOR_BYTES);
+        }
+    }
+}
+
 #[test]
 fn truncated_state_and_snapshot() {
     let folder = tempfile::tempdir().unwrap();
