Start a node again whose clock went back, above its former incarnation

What callers saw: nothing that is traced to this. A node that was started again after its wall clock went back was ignored by all others, ended itself as soon as it heard of its predecessor, and so did the next process, until the clock had passed the old start. Its instance got no calls meanwhile, and the ends count as ends of its own.

Cause: a process is identified by its start time on the wall clock, and the process was given up when others knew a later one. Class: an order taken from a clock that may go back.

Change: a node that hears of a later incarnation at its own address stops and starts again in the same process, above that incarnation. It takes no new calls in between, since the others can't call its instance.

--- a/components/kernel/src/run.rs
+++ b/components/kernel/src/run.rs
@@ -18,7 +18,10 @@
     any::{Any, TypeId},
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 use wire::{decode, encode};
@@ -60,20 +63,24 @@
     settings: Settings,
     shared: Mutex<HashMap<TypeId, Arc<dyn Any + Send + Sync>>>,
     addresses: Mutex<HashMap<&'static str, SocketAddr>>,
+    /// Incarnation in which other members know this node's address, if it is above this one's.
+    superseded_by: AtomicU64,
 }
 
 impl Kernel {
     /// Opens the mesh and starts all plug-ins of the process.
     pub fn start(settings: Settings) -> Result<KernelHandle, StartError> {
-        Kernel::start_with_signal(settings, StopSignal::new())
+        Kernel::start_above(settings, StopSignal::new(), 0)
     }
 
-    /// Like `start`, with a stop signal that may be raised while the plug-ins are starting.
-    pub fn start_with_signal(
+    /// Like `start`, with a stop signal that may be raised while the plug-ins are starting, and with
+    /// the start time as incarnation unless that is not above `above_incarnation`.
+    pub fn start_above(
         settings: Settings,
         stop: StopSignal,
+        above_incarnation: u64,
     ) -> Result<KernelHandle, StartError> {
-        let kernel = Arc::new(Kernel::new(settings, stop)?);
+        let kernel = Arc::new(Kernel::new(settings, stop, above_incarnation)?);
         let mut handle = KernelHandle {
             kernel,
             running: Vec::new(),
@@ -92,7 +99,11 @@
         Ok(handle)
     }
 
-    fn new(settings: Settings, stop: StopSignal) -> Result<Self, StartError> {
+    fn new(
+        settings: Settings,
+        stop: StopSignal,
+        above_incarnation: u64,
+    ) -> Result<Self, StartError> {
         let (listen, key) = match &settings {
             Settings::Node(node) => (node.mesh_listen, &node.mesh_key),
             Settings::Control(control) => (control.listen, &control.mesh_key),
@@ -100,6 +111,7 @@
         let mesh = Mesh::builder()
             .listen(listen)
             .key(key.0)
+            .incarnation(Clock::unix_us().max(above_incarnation + 1))
             .start()
             .map_err(|error| StartError::new("mesh", format!("{error}; choose a free address")))?;
         let events = Events::default();
@@ -116,9 +128,23 @@
             settings,
             shared: Mutex::default(),
             addresses: Mutex::default(),
+            superseded_by: AtomicU64::new(0),
         })
     }
 
+    /// Stops the kernel so that it can start again above `incarnation`, in which other members know
+    /// this node's address.
+    pub fn rejoin_above(&self, incarnation: u64) {
+        self.superseded_by.store(incarnation, Ordering::Release);
+        self.stop.raise();
+    }
+
+    /// The incarnation above which this kernel should start again, if it stops for that reason.
+    pub fn superseded_by(&self) -> Option<u64> {
+        let incarnation = self.superseded_by.load(Ordering::Acquire);
+        (incarnation > 0).then_some(incarnation)
+    }
+
     /// Settings of the node. Only plug-ins of the role `Node` may call this.
     ///
     /// # Panics
--- a/components/kernel/src/stop.rs
+++ b/components/kernel/src/stop.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StopSignal {
     raised: Arc<AtomicBool>,
+    /// Flag of the signal that this one was made from.
+    parent_raised: Option<Arc<AtomicBool>>,
     sighup_received: Arc<AtomicBool>,
     wake: Arc<(Mutex<()>, Condvar)>,
 }
@@ -27,6 +29,16 @@
         Self::default()
     }
 
+    /// A signal that is raised with this one, and may be raised on its own.
+    pub(crate) fn child(&self) -> Self {
+        StopSignal {
+            raised: Arc::default(),
+            parent_raised: Some(Arc::clone(&self.raised)),
+            sighup_received: Arc::clone(&self.sighup_received),
+            wake: Arc::clone(&self.wake),
+        }
+    }
+
     /// Raises the signal when the process receives SIGTERM or SIGINT. SIGHUP, which would end the
     /// process by default, is only recorded.
     pub fn raise_on_signals(&self) -> io::Result<()> {
@@ -50,7 +62,8 @@
 
     /// Whether the signal has been raised.
     pub fn is_raised(&self) -> bool {
-        self.raised.load(Ordering::Acquire)
+        let is_set = |flag: &Arc<AtomicBool>| flag.load(Ordering::Acquire);
+        is_set(&self.raised) || self.parent_raised.as_ref().is_some_and(is_set)
     }
 
     /// Waits until the signal is raised, at most for `period`; returns whether it is raised.
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -34,7 +34,7 @@
 /// Maximum of concurrent requests of one connection.
 const MAX_PIPELINED: usize = 16;
 /// Time after the stop notice (`stop_notice_ms`) in which requests still in transit are accepted.
-const ARRIVAL_GRACE_MS: u64 = 200;
+const ARRIVAL_GRACE: Duration = Duration::from_millis(200);
 /// Latency target of calls whose route has none, in milliseconds.
 const DEFAULT_TARGET_MS: u64 = 400;
 /// Interval of the check for lost probes.
@@ -85,7 +85,7 @@
         max_connections: kernel.node_settings().max_connections,
         max_body_bytes: kernel.node_settings().max_body_bytes,
         max_pipelined: MAX_PIPELINED,
-        stop_grace_ms: ARRIVAL_GRACE_MS,
+        stop_grace_ms: ARRIVAL_GRACE.as_millis() as u64,
         thread_name: "entry".to_owned(),
         ..ServerConfig::default()
     };
@@ -105,13 +105,14 @@
         }
     });
     let stopping = Arc::clone(&server);
-    let notice = Duration::from_millis(kernel.node_settings().stop_notice_ms);
+    let stopping_kernel = Arc::downgrade(kernel);
     Ok(RunningPlugin::new(
         move |until| {
             // Callers learn from the readiness check and from replies that this node is stopping.
             stopping.drain();
+            let notice = stopping_kernel.upgrade().map(|kernel| stop_notice(&kernel));
             let left = until.saturating_duration_since(Instant::now());
-            thread::sleep(notice.min(left));
+            thread::sleep(notice.unwrap_or_default().min(left));
             stopping.stop_until(Some(until));
         },
         move || {
@@ -121,6 +122,15 @@
     ))
 }
 
+/// Time for which a stopping node still takes new calls. A node that starts again at once takes none:
+/// until it has done so, the others can't call the instance beside it.
+fn stop_notice(kernel: &Kernel) -> Duration {
+    match kernel.superseded_by() {
+        Some(_) => Duration::ZERO,
+        None => Duration::from_millis(kernel.node_settings().stop_notice_ms),
+    }
+}
+
 /// Applies the request limits of the configuration in effect, now and whenever it changes.
 fn apply_limits_on_change(kernel: &Arc<Kernel>, server: &Arc<Server>) {
     let (weak, largest) = (
@@ -201,10 +211,10 @@
     /// could be cut off. Only connections that were never idle since the stop request still deliver
     /// calls then.
     fn is_stop_notice_over(&self, now_us: u64) -> bool {
-        let notice_ms = self.context.kernel.node_settings().stop_notice_ms + ARRIVAL_GRACE_MS;
+        let notice = stop_notice(&self.context.kernel) + ARRIVAL_GRACE;
         let stop_requested_us = self.context.stop_requested_us.get();
         stop_requested_us
-            .is_some_and(|stop_requested_us| now_us > stop_requested_us + notice_ms * 1_000)
+            .is_some_and(|stop_requested_us| now_us > stop_requested_us + notice.as_micros() as u64)
     }
 
     /// Error response for a call; statuses 429 and 503 carry a `retry-after` header.
--- a/components/node/src/gossip/mod.rs
+++ b/components/node/src/gossip/mod.rs
@@ -194,8 +194,9 @@
                 }
                 MemberAction::ReportReceived(report) => self.merge_suspects(&report),
                 MemberAction::Superseded { by } => {
-                    log::error!("gossip: {by} runs at this node's address; stopping.");
-                    self.context.kernel.stop.raise();
+                    let own = self.context.kernel.mesh.local_id();
+                    log::warn!("gossip: others know {own} as {by}; starting again above that.");
+                    self.context.kernel.rejoin_above(by.incarnation);
                 }
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
 //! Code shared by the binaries of geraniumyard: startup, signal handling and exit codes.
 
-use kernel::{Kernel, Settings, StopSignal};
+use kernel::{Settings, StopSignal, run_until_stopped};
 use settings::flush_logs;
 use std::{fmt::Display, process::exit};
 
@@ -33,17 +33,11 @@
     if let Err(error) = stop.raise_on_signals() {
         log::error!("kernel: signals can't be handled: {error}.");
     }
-    let mut handle = match Kernel::start_with_signal(settings, stop) {
-        Ok(handle) => handle,
-        Err(error) => {
-            log::error!("kernel: {error}.");
-            flush_logs();
-            eprintln!("error: {error}");
-            exit(EXIT_START);
-        }
-    };
-    handle.wait_for_stop();
-    log::info!("kernel: stopping.");
-    handle.stop();
+    if let Err(error) = run_until_stopped(&settings, &stop) {
+        log::error!("kernel: {error}.");
+        flush_logs();
+        eprintln!("error: {error}");
+        exit(EXIT_START);
+    }
     flush_logs();
 }
