Ask one replica to lead when a leader stops

What callers saw: nothing that is traced to this. After the planned stop of the leading control replica, or when its disk is full, no change was accepted for an election timeout of 0.3 to 0.6 s.

Cause: a leader that transfers its leadership asked the first replica to start an election, and then every other one whose acknowledgement arrived. Their elections started at once and split the votes. Class: an action that is repeated for each reply instead of done once.

Change: the transfer remembers which replica was asked. It is one that was heard within the shortest election timeout, since a silent one may be down.

Evidence: one_candidate_on_stop failed with 4 candidates in place of 1 and passes.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -23,6 +23,16 @@
     round: u64,
 }
 
+/// A leadership transfer in progress.
+#[derive(Debug)]
+struct Transfer {
+    /// Time at which the transfer is cancelled if no other replica has become leader.
+    deadline_us: u64,
+    /// The replica that was asked to start an election. Only one is asked, since several elections
+    /// at once would split the votes.
+    asked: Option<ReplicaId>,
+}
+
 /// State that a replica has only while it is the leader.
 #[derive(Debug)]
 pub(crate) struct LeaderState {
@@ -31,8 +41,8 @@
     pub(crate) heartbeat_due_us: u64,
     /// Time of the next membership check. Separate from the heartbeat, which each read postpones.
     pub(crate) membership_check_due_us: u64,
-    /// Time at which an unfinished leadership transfer is cancelled; set only during a transfer.
-    pub(crate) transfer_deadline_us: Option<u64>,
+    /// The leadership transfer in progress.
+    transfer: Option<Transfer>,
     /// Number of the last heartbeat round.
     round: u64,
     /// Index and token of each uncommitted proposal, in log order.
@@ -53,7 +63,7 @@
             progress,
             heartbeat_due_us: now_us + self.config.heartbeat_us,
             membership_check_due_us: now_us + self.config.heartbeat_us,
-            transfer_deadline_us: None,
+            transfer: None,
             round: 0,
             proposals: VecDeque::new(),
             reads: VecDeque::new(),
@@ -106,9 +116,7 @@
             None => Some(ErrorKind::NotLeader),
             Some(_) if self.is_storage_full => Some(ErrorKind::StorageFull),
             Some(_) if self.is_growing() => Some(ErrorKind::NoQuorum),
-            Some(leader_state) if leader_state.transfer_deadline_us.is_some() => {
-                Some(ErrorKind::NotLeader)
-            }
+            Some(leader_state) if leader_state.transfer.is_some() => Some(ErrorKind::NotLeader),
             Some(leader_state) if leader_state.proposals.len() >= self.config.max_uncommitted => {
                 Some(ErrorKind::Busy)
             }
@@ -284,7 +292,7 @@
             self.advance_commit(now_us);
         }
         self.send_entries(now_us, from);
-        self.continue_transfer(from);
+        self.continue_transfer(now_us, from);
     }
 
     /// Continues with further entries although the follower's disk has not written the last ones.
@@ -462,44 +470,58 @@
         }
     }
 
-    /// Transfers leadership to the first voter that has the whole log; refuses proposals meanwhile.
+    /// Transfers leadership to a voter that was heard recently and has the whole log; refuses proposals meanwhile.
     pub(crate) fn transfer_leadership(&mut self, now_us: u64) {
-        let until_us = now_us + self.config.election_max_us;
+        let deadline_us = now_us + self.config.election_max_us;
         if let Some(leader_state) = &mut self.leader_state {
-            leader_state.transfer_deadline_us = Some(until_us);
+            leader_state.transfer = Some(Transfer {
+                deadline_us,
+                asked: None,
+            });
         }
         for id in self.replication_targets() {
-            if self.continue_transfer(id) {
+            if self.continue_transfer(now_us, id) {
                 return;
             }
         }
     }
 
-    /// Asks `to` to start an election if a transfer is in progress and `to` has the whole log.
-    fn continue_transfer(&mut self, to: ReplicaId) -> bool {
-        let last = self.log.last_index();
-        let is_voter = self.log.membership().contains(to);
-        let Some(leader_state) = &self.leader_state else {
-            return false;
-        };
-        let has_whole_log = leader_state
-            .progress
-            .get(&to)
-            .is_some_and(|p| p.matched == last);
-        if leader_state.transfer_deadline_us.is_none() || !is_voter || !has_whole_log {
+    /// Asks `to` to start an election if a transfer is in progress, no other replica was asked, and
+    /// `to` can win it.
+    fn continue_transfer(&mut self, now_us: u64, to: ReplicaId) -> bool {
+        if !self.can_lead(now_us, to) {
             return false;
         }
+        let transfer = self
+            .leader_state
+            .as_mut()
+            .and_then(|state| state.transfer.as_mut());
+        let Some(transfer) = transfer.filter(|transfer| transfer.asked.is_none()) else {
+            return false;
+        };
+        transfer.asked = Some(to);
         self.send_after_save(to, Body::TimeoutNow);
         true
     }
 
+    /// Whether a replica is a voter, was heard recently and has the whole log.
+    fn can_lead(&self, now_us: u64, id: ReplicaId) -> bool {
+        let progress = self.leader_state.as_ref().and_then(|s| s.progress.get(&id));
+        self.log.membership().contains(id)
+            && progress.is_some_and(|p| {
+                p.matched == self.log.last_index()
+                    && now_us.saturating_sub(p.last_heard_us) < self.config.election_min_us
+            })
+    }
+
     fn cancel_overdue_transfer(&mut self, now_us: u64) {
         if let Some(leader_state) = &mut self.leader_state
             && leader_state
-                .transfer_deadline_us
-                .is_some_and(|until| now_us >= until)
+                .transfer
+                .as_ref()
+                .is_some_and(|transfer| now_us >= transfer.deadline_us)
         {
-            leader_state.transfer_deadline_us = None;
+            leader_state.transfer = None;
         }
     }
 }
--- a/components/consensus/tests/partitions.rs
+++ b/components/consensus/tests/partitions.rs
@@ -97,6 +97,27 @@
 
 /// Guards against a graceful stop of the leader after which the group waits for an election
 /// timeout.
+/// A leader that stops asks one replica to lead. If it asked all of them, their elections would split
+/// the votes, and no change would be accepted for an election timeout.
+#[test]
+fn one_candidate_on_stop() {
+    for seed in 0..20 {
+        let mut group = Cluster::new(5, 900 + seed);
+        assert!(is_accepted(&group.commit(1, &add(1, "browse"))));
+        let leader = group.wait_for_leader();
+        group.run(500_000);
+        let before = group.events.len();
+        // Replies to the read's heartbeats arrive after the request to stop.
+        group.read(leader, 2);
+        group.step();
+        group.input(leader, consensus::Input::TransferLeadership);
+        group.run(200_000);
+        let is_candidate = |event: &&String| event.contains("is Candidate");
+        let candidates = group.events[before..].iter().filter(is_candidate).count();
+        assert_eq!(candidates, 1, "{}", group.report());
+    }
+}
+
 #[test]
 fn leadership_transfer_on_stop() {
     let mut group = Cluster::new(3, 36);
