--- a/src/bin/gyard-control.rs
+++ b/src/bin/gyard-control.rs
@@ -14,5 +14,5 @@
     let settings = exit_on_error(ControlSettings::read(&flags, &source));
     init_logs(settings.logs);
     control::register();
-    run(Settings::Control(Box::new(settings)));
+    run(&Settings::Control(Box::new(settings)));
 }
--- a/src/bin/gyard-node.rs
+++ b/src/bin/gyard-node.rs
@@ -15,5 +15,5 @@
     init_logs(settings.logs);
     node::register();
     control::register();
-    run(Settings::Node(Box::new(settings)));
+    run(&Settings::Node(Box::new(settings)));
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,14 +26,14 @@
 }
 
 /// Runs a process until it receives SIGTERM or SIGINT, then stops it.
-pub fn run(settings: Settings) {
+pub fn run(settings: &Settings) {
     // Signals are handled from here on: the start takes a while, and a signal during it must not
     // kill the process.
     let stop = StopSignal::new();
     if let Err(error) = stop.raise_on_signals() {
         log::error!("kernel: signals can't be handled: {error}.");
     }
-    if let Err(error) = run_until_stopped(&settings, &stop) {
+    if let Err(error) = run_until_stopped(settings, &stop) {
         log::error!("kernel: {error}.");
         flush_logs();
         eprintln!("error: {error}");
