Hand over the vote of a control replica before it stops

With the sequence below the group has no leader, no configuration is read back and no restarted node gets one.

Its successor starts first and counts as ready when the old one is asked to stop; the loss of two disks within that second left two of five votes. Class: a planned end that is handled like a crash.

Change: a stopping voter of an open group tells the leader, with each of its messages. If another replica has caught up, the leader promotes that one while both run, and then removes the stopping one; the process waits for it, at most 1.5 s. A learner that catches up is promoted at once and not with the next check. Without a successor nothing changes.

--- a/components/consensus/src/follower.rs
+++ b/components/consensus/src/follower.rs
@@ -36,6 +36,7 @@
         self.has_met_leader = true;
         self.reset_election_timer(now_us);
         self.round = self.round.max(round);
+        self.announce_leaving(from);
         true
     }
 
--- a/components/consensus/src/io.rs
+++ b/components/consensus/src/io.rs
@@ -49,8 +49,9 @@
     /// The disk is full (true) or has space again (false). A leader with a full disk transfers its
     /// leadership.
     StorageFull(bool),
-    /// A leader transfers its leadership, because its process is about to stop.
-    TransferLeadership,
+    /// The process is about to stop: a leader transfers its leadership, and a voter of an open group
+    /// hands its vote over to a replica that is ready to take its place, if there is one.
+    Stop,
 }
 
 /// A write to the replica's files.
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -290,6 +290,7 @@
         let has_advanced = progress.record_accepted(now_us, matched);
         if has_advanced {
             self.advance_commit(now_us);
+            self.consider_learner(now_us, from, matched);
         }
         self.send_entries(now_us, from);
         self.continue_transfer(now_us, from);
--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -20,6 +20,9 @@
 /// its successor waits: the loss of two further disks would then stop the group. A voter that was
 /// only slow joins again in place of the next silent one.
 const VOTER_REPLACEABLE_AFTER_US: u64 = 1_000_000;
+/// Age up to which the notice of a voter that is about to stop counts; five heartbeats, with each of
+/// which it is repeated.
+const LEAVING_VALID_US: u64 = 500_000;
 /// Time without a message after which the leader stops replicating to a non-voter.
 const LEARNER_TIMEOUT_US: u64 = 10_000_000;
 
@@ -66,26 +69,89 @@
         self.advance_commit(now_us);
     }
 
+    /// Promotes a learner as soon as it has caught up, and doesn't wait for the next check.
+    pub(crate) fn consider_learner(&mut self, now_us: u64, id: ReplicaId, matched: u64) {
+        if matched >= self.commit && !self.log.membership().contains(id) {
+            self.maintain_membership(now_us);
+        }
+    }
+
+    pub(crate) fn on_leaving(&mut self, now_us: u64, from: ReplicaId, term: u64) {
+        if term != self.hard_state.term {
+            return;
+        }
+        if let Some(progress) = self.progress_mut(from) {
+            progress.leaving_at_us = Some(now_us);
+            self.maintain_membership(now_us);
+        }
+    }
+
+    /// Most voters of the group.
+    fn voter_limit(&self) -> usize {
+        self.config.open.map_or(usize::MAX, |open| open.voters)
+    }
+
+    /// Identities that are not voters, may become one and have caught up.
+    fn ready_learners(&self, now_us: u64) -> impl Iterator<Item = ReplicaId> {
+        let membership = self.log.membership();
+        let progress = self.leader_state.iter().flat_map(|state| &state.progress);
+        progress
+            .filter(move |(id, p)| {
+                !membership.contains(**id)
+                    && self.may_join(**id)
+                    && p.matched >= self.commit
+                    && now_us.saturating_sub(p.last_heard_us) < self.config.election_min_us
+            })
+            .map(|(id, _)| *id)
+    }
+
     /// The membership after the next removal or promotion, if one is due.
     fn next_membership(&self, now_us: u64) -> Option<Membership> {
+        self.handover_membership(now_us)
+            .or_else(|| self.replacement_membership(now_us))
+    }
+
+    /// The next step in which a voter that is about to stop hands its vote over. It still runs, so
+    /// its successor is promoted first: no step needs more replicas than run at that time.
+    fn handover_membership(&self, now_us: u64) -> Option<Membership> {
+        let membership = self.log.membership();
+        if membership.voters.len() > self.voter_limit() {
+            let leaving = self.leaving_voter(now_us);
+            let surplus = leaving.or_else(|| self.longest_silent_voter(now_us))?;
+            return Some(membership.without(surplus));
+        }
+        self.leaving_voter(now_us)?;
+        let is_full = membership.voters.len() == self.voter_limit();
+        let successor = self
+            .ready_learners(now_us)
+            .find(|id| membership.by_number(id.number).is_none());
+        successor
+            .filter(|_| is_full)
+            .map(|successor| membership.with(successor))
+    }
+
+    /// A voter that is about to stop.
+    fn leaving_voter(&self, now_us: u64) -> Option<ReplicaId> {
+        let progress = &self.leader_state.as_ref()?.progress;
+        let is_leaving = |p: &Progress| {
+            p.leaving_at_us
+                .is_some_and(|at_us| now_us.saturating_sub(at_us) < LEAVING_VALID_US)
+        };
+        let voters = self.log.membership().voters.iter().copied();
+        voters
+            .filter(|id| *id != self.id)
+            .find(|id| progress.get(id).is_some_and(is_leaving))
+    }
+
+    /// The next step in which a learner takes the place of a voter that is gone.
+    fn replacement_membership(&self, now_us: u64) -> Option<Membership> {
         let leader_state = self.leader_state.as_ref()?;
         let membership = self.log.membership();
         let silent_us = |p: &Progress| now_us.saturating_sub(p.last_heard_us);
-        let can_become_voter = |id: &ReplicaId, p: &Progress| {
-            !membership.contains(*id)
-                && self.may_join(*id)
-                && p.matched >= self.commit
-                && silent_us(p) < self.config.election_min_us
-        };
-        for (id, _) in leader_state
-            .progress
-            .iter()
-            .filter(|(id, p)| can_become_voter(id, p))
-        {
+        for id in self.ready_learners(now_us) {
             let Some(old) = membership.by_number(id.number) else {
-                let limit = self.config.open.map_or(usize::MAX, |open| open.voters);
-                if membership.voters.len() < limit {
-                    return Some(membership.with(*id));
+                if membership.voters.len() < self.voter_limit() {
+                    return Some(membership.with(id));
                 }
                 // In a full open group the new replica takes the place of a voter that has been
                 // silent for long.
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -119,4 +119,6 @@
         /// Last index that is equal.
         index: u64,
     },
+    /// The sender, a voter of an open group, is about to stop and may be replaced now.
+    Leaving,
 }
--- a/components/consensus/src/progress.rs
+++ b/components/consensus/src/progress.rs
@@ -20,6 +20,8 @@
     pub(crate) last_heard_us: u64,
     /// Highest heartbeat round that the replica confirmed.
     pub(crate) round: u64,
+    /// Time of the last notice that the replica is about to stop.
+    pub(crate) leaving_at_us: Option<u64>,
     /// Whether the leader still searches for the last equal index; meanwhile it sends one message
     /// at a time.
     pub(crate) is_probing: bool,
@@ -39,6 +41,7 @@
             next,
             last_heard_us: now_us,
             round: 0,
+            leaving_at_us: None,
             is_probing: true,
             pending_snapshot: None,
             in_flight: VecDeque::new(),
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -69,6 +69,8 @@
     /// until it first has.
     pub(crate) current_at_us: Option<u64>,
     pub(crate) is_storage_full: bool,
+    /// Whether the process is about to stop.
+    is_stopping: bool,
     /// Size of the entries applied since the last snapshot.
     applied_bytes: usize,
     /// Last log index that is on disk.
@@ -131,6 +133,7 @@
             is_ack_due: false,
             current_at_us: None,
             is_storage_full: false,
+            is_stopping: false,
             applied_bytes: 0,
             persisted_index: log.last_index(),
             persisted_sequence: 0,
@@ -157,7 +160,7 @@
             Input::Persisted { sequence } => self.on_persisted(now_us, sequence),
             Input::ReadIndex { token } => self.on_read_index(now_us, token),
             Input::StorageFull(full) => self.on_storage_full(now_us, full),
-            Input::TransferLeadership => self.transfer_leadership(now_us),
+            Input::Stop => self.on_stop(now_us),
         }
         self.report_role_change();
         std::mem::take(&mut self.outputs)
@@ -324,6 +327,7 @@
             }
             Body::TimeoutNow => self.on_timeout_now(now_us, from, term),
             Body::AppendReceived { index } => self.on_append_received(now_us, from, term, index),
+            Body::Leaving => self.on_leaving(now_us, from, term),
         }
     }
 
@@ -516,6 +520,22 @@
         self.drop_leadership();
     }
 
+    fn on_stop(&mut self, now_us: u64) {
+        self.is_stopping = true;
+        match self.leader {
+            Some(leader) if leader != self.id => self.announce_leaving(leader),
+            _ => self.transfer_leadership(now_us),
+        }
+    }
+
+    /// Tells the leader that this voter is about to stop. Repeated with each message of the leader,
+    /// which may have become leader after the first time.
+    pub(crate) fn announce_leaving(&mut self, leader: ReplicaId) {
+        if self.is_stopping && self.config.open.is_some() && self.is_voter() {
+            self.send(leader, self.hard_state.term, Body::Leaving);
+        }
+    }
+
     // Applying
 
     /// Applies committed entries, answers their proposals, and takes a snapshot if one is due.
--- a/components/consensus/tests/partitions.rs
+++ b/components/consensus/tests/partitions.rs
@@ -110,7 +110,7 @@
         // Replies to the read's heartbeats arrive after the request to stop.
         group.read(leader, 2);
         group.step();
-        group.input(leader, consensus::Input::TransferLeadership);
+        group.input(leader, consensus::Input::Stop);
         group.run(200_000);
         let is_candidate = |event: &&String| event.contains("is Candidate");
         let candidates = group.events[before..].iter().filter(is_candidate).count();
@@ -124,7 +124,7 @@
     group.commit(1, &add(1, "browse"));
     group.run(500_000);
     let old = group.leader().unwrap();
-    group.input(old, consensus::Input::TransferLeadership);
+    group.input(old, consensus::Input::Stop);
     group.run_until("another leader", 300_000, |c| {
         c.leader().is_some_and(|l| l != old)
     });
--- a/components/consensus/tests/random_schedules.rs
+++ b/components/consensus/tests/random_schedules.rs
@@ -136,7 +136,7 @@
             let input = if is_storage_event {
                 Input::StorageFull(group.rng.random_range(0..2) == 0)
             } else {
-                Input::TransferLeadership
+                Input::Stop
             };
             group.input(number, input);
         }
--- a/components/consensus/tests/replaced_hosts.rs
+++ b/components/consensus/tests/replaced_hosts.rs
@@ -14,6 +14,8 @@
 const SUCCESSOR: ReplicaNumber = 6;
 /// Time after the start of the successor from which the replacement counts as complete.
 const REPLACED_WITHIN_US: u64 = 4_000_000;
+/// Time from the request to stop until the process has ended.
+const STOP_US: u64 = 1_500_000;
 
 fn open_group(config: &mut ReplicaConfig) {
     config.group = [1, 2, 3].into();
@@ -76,7 +78,7 @@
         let gone = 1 + seed % 5;
         group.restart(SUCCESSOR);
         group.run(1_000_000);
-        group.input(gone, Input::TransferLeadership);
+        group.input(gone, Input::Stop);
         group.run(500_000);
         group.crash(gone);
         group.run(REPLACED_WITHIN_US - 1_500_000);
@@ -84,6 +86,22 @@
     }
 }
 
+/// Two disks and all power are lost right after the old replica has stopped. Its successor has been
+/// running for long enough by then that the replacement counts as complete.
+#[test]
+fn stopped_replica_hands_over_vote() {
+    for seed in 0..20 {
+        let mut group = full_group(700 + seed);
+        let gone = 1 + seed % 5;
+        group.restart(SUCCESSOR);
+        group.run(REPLACED_WITHIN_US);
+        group.input(gone, Input::Stop);
+        group.run(STOP_US);
+        group.crash(gone);
+        lose_two_disks_and_power(&mut group, gone, seed);
+    }
+}
+
 /// The leader fails while a voter is gone, so that the next leader has not seen that voter leave.
 #[test]
 fn replaced_under_new_leader() {
@@ -147,6 +165,9 @@
     Replaced,
     /// The same, but the other one starts first.
     PlannedReplacement,
+    /// The other one starts first, and the replica is asked to stop once the other one counts as a
+    /// full member. Its end is no loss.
+    Handover,
     /// It can't reach the others for a while.
     Cut,
 }
@@ -205,6 +226,14 @@
                 self.lost.push((number, complete_us));
                 return;
             }
+            Loss::Handover => {
+                self.start_successor(group, number);
+                group.run(REPLACED_WITHIN_US);
+                group.input(number, Input::Stop);
+                group.run(STOP_US);
+                group.crash(number);
+                return;
+            }
         };
         self.lost
             .push((returned, group.now_us + REPLACED_WITHIN_US));
@@ -226,9 +255,10 @@
 
 fn draw_loss(group: &mut Cluster, hosts: &Hosts) -> Loss {
     let has_spare = hosts.next_spare < FIRST_SPARE + SPARES;
-    match group.rng.random_range(0..5) {
+    match group.rng.random_range(0..6) {
         0 if has_spare => Loss::Replaced,
         1 if has_spare => Loss::PlannedReplacement,
+        5 if has_spare => Loss::Handover,
         2 => Loss::Disk,
         3 => Loss::Cut,
         _ => Loss::Restart,
--- a/components/consensus/tests/stalled_disk.rs
+++ b/components/consensus/tests/stalled_disk.rs
@@ -62,7 +62,7 @@
         assert!(is_accepted(&group.commit(0, &add(100, "first"))));
         let follower = follower_of(&group, leader);
         group.hosts.get_mut(&follower).unwrap().disk_is_stuck = true;
-        group.input(leader, consensus::Input::TransferLeadership);
+        group.input(leader, consensus::Input::Stop);
         group.run_until("another leader", 5_000_000, |c| {
             c.leader().is_some_and(|other| other != leader)
         });
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -30,7 +30,12 @@
 /// heartbeats.
 const OPEN_ELECTION_MIN_US: u64 = 300_000;
 /// Time that a stopping leader has to hand over its role.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(200);
+const LEADER_HANDOVER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time that a stopping replica of an open group has to hand over its vote as well. That happens only
+/// if another replica is ready to take it, which the stopping one can't tell.
+const VOTE_HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Interval of the check for whether the vote has been handed over.
+const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 inventory::submit! {
     PluginEntry { name: "replica", role: Role::Control, order: 5, start }
@@ -66,7 +71,7 @@
         let control = Arc::clone(&control);
         move |event| {
             if *event == Event::Stopping {
-                control.send_input(Input::TransferLeadership);
+                control.send_input(Input::Stop);
             }
         }
     });
@@ -83,11 +88,13 @@
             }
         }
     });
+    let stopping = Arc::clone(&control);
+    let handover_timeout = match settings.open {
+        Some(_) => VOTE_HANDOVER_TIMEOUT,
+        None => LEADER_HANDOVER_TIMEOUT,
+    };
     Ok(RunningPlugin::new(
-        |until| {
-            let pause = until.min(Instant::now() + HANDOVER_TIMEOUT);
-            thread::sleep(pause.saturating_duration_since(Instant::now()));
-        },
+        move |until| wait_for_handover(&stopping, until.min(Instant::now() + handover_timeout)),
         move || {
             let _ = pull_check_thread.join();
             threads.join();
@@ -95,6 +102,21 @@
     ))
 }
 
+/// Waits until this replica is no voter any more, so that its end costs the group no vote.
+fn wait_for_handover(control: &ControlContext, until: Instant) {
+    while control.replica_state().is_voter && Instant::now() < until {
+        thread::sleep(HANDOVER_CHECK_INTERVAL);
+    }
+    log::info!(
+        "replica: stops, {}.",
+        if control.replica_state().is_voter {
+            "as a voter"
+        } else {
+            "its vote has been handed over"
+        }
+    );
+}
+
 fn replica_config(settings: &ControlSettings) -> Option<ReplicaConfig> {
     let Some(open) = &settings.open else {
         let numbers = 1..=settings.group.len() as u64;
