Compare a pull with the configuration while no change can pass it

What callers saw: nothing that is traced to this. A change could be in effect at a node up to 1 s later than at others, and the node counted its old configuration as confirmed meanwhile.

Class: a check and the registration for a wake-up that are not one step.

Change: the configuration is read under the lock of the held pulls.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use context::Refusal;
 pub use operator_api::OperatorApi;
+pub use pulls::{HeldPulls, Pull, SendReply};
 
 /// Does nothing; a call to it makes the linker keep this crate, whose plug-ins register themselves.
 pub fn register() {}
--- a/components/control/src/pulls.rs
+++ b/components/control/src/pulls.rs
@@ -1,66 +1,70 @@
 //! Pulls of nodes that are held until there is a newer configuration.
 
-use mesh::{Bytes, ReplyTo};
+use mesh::Bytes;
 use model::Revision;
 use registry::{Comparison, Delta, ProfileSet};
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 use wire::{ControlReply, encode};
 
-/// A held pull and the configuration that its node has.
-struct HeldPull {
-    have: Revision,
-    digest: u64,
-    until_us: u64,
-    reply: ReplyTo,
+/// Sends an encoded answer to the node that pulls.
+pub type SendReply = Box<dyn FnOnce(Bytes) + Send>;
+
+/// A pull of a node.
+pub struct Pull {
+    /// Revision that the node has.
+    pub have: Revision,
+    /// Digest of the configuration that the node has.
+    pub digest: u64,
+    /// Time until which the pull may be held.
+    pub until_us: u64,
+    /// Sends the answer.
+    pub reply: SendReply,
 }
 
 /// The pulls that one replica holds.
 #[derive(Default)]
-pub(crate) struct HeldPulls {
-    held: Mutex<Vec<HeldPull>>,
+pub struct HeldPulls {
+    held: Mutex<Vec<Pull>>,
 }
 
 impl HeldPulls {
     /// Answers a pull at once if there is a newer configuration or this replica is not current,
-    /// else holds it for at most `wait_ms`.
-    pub(crate) fn answer_or_hold(
+    /// else holds it.
+    ///
+    /// `current_set` is called while no change can wake the held pulls, so that a change is either
+    /// in that set or wakes this pull.
+    pub fn answer_or_hold(
         &self,
-        now_us: u64,
-        set: &ProfileSet,
+        pull: Pull,
         is_current: bool,
-        (have, digest): (Revision, u64),
-        wait_ms: u32,
-        reply: ReplyTo,
+        current_set: impl FnOnce() -> Arc<ProfileSet>,
     ) {
-        let newer = newer_delta(set, have, digest);
+        let mut held = self.lock();
+        let newer = newer_delta(&current_set(), pull.have, pull.digest);
         let message = match newer {
             Some(delta) if is_current => Some(ControlReply::Newer(delta)),
             Some(delta) => Some(ControlReply::Unconfirmed(delta)),
             None if !is_current => Some(ControlReply::NoLeader),
             None => None,
         };
-        if let Some(message) = message {
-            send(reply, &message);
-            return;
+        match message {
+            Some(message) => {
+                drop(held);
+                (pull.reply)(encode(&message));
+            }
+            None => held.push(pull),
         }
-        let until_us = now_us + u64::from(wait_ms) * 1000;
-        self.lock().push(HeldPull {
-            have,
-            digest,
-            until_us,
-            reply,
-        });
     }
 
     /// Answers the held pulls whose nodes lack something of `set`. Most nodes have the same
     /// configuration, so their answer is encoded once.
-    pub(crate) fn answer_outdated(&self, set: &ProfileSet) {
-        let due: Vec<HeldPull> = {
+    pub fn answer_outdated(&self, set: &ProfileSet) {
+        let due: Vec<Pull> = {
             let mut held = self.lock();
-            let is_outdated = |pull: &HeldPull| {
+            let is_outdated = |pull: &Pull| {
                 matches!(
                     set.compare(pull.have, pull.digest),
                     Comparison::Ahead | Comparison::Diverged
@@ -77,14 +81,13 @@
                 let message = delta.map_or(ControlReply::Unchanged, ControlReply::Newer);
                 encode(&message)
             });
-            // A node that lost its connection pulls again.
-            let _ = pull.reply.send(answer.clone());
+            (pull.reply)(answer.clone());
         }
     }
 
     /// Answers the pulls whose hold time has passed, or all of them if this replica is not current.
-    pub(crate) fn expire(&self, now_us: u64, is_current: bool) {
-        let due: Vec<HeldPull> = {
+    pub fn expire(&self, now_us: u64, is_current: bool) {
+        let due: Vec<Pull> = {
             let mut held = self.lock();
             let (due, kept) = held
                 .drain(..)
@@ -98,11 +101,11 @@
             ControlReply::NoLeader
         };
         for pull in due {
-            send(pull.reply, &answer);
+            (pull.reply)(encode(&answer));
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<HeldPull>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<Pull>> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -114,8 +117,3 @@
         Comparison::Behind | Comparison::Equal => None,
     }
 }
-
-fn send(reply: ReplyTo, message: &ControlReply) {
-    // A node that lost its connection pulls again.
-    let _ = reply.send(encode(message));
-}
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     context::{ControlContext, number_of_address},
+    pulls::Pull,
     replica_threads::ReplicaThreads,
 };
 use consensus::{Input, OpenGroup, RecoveredState, ReplicaConfig};
@@ -168,16 +169,20 @@
         } => {
             let now_us = control.kernel.clock.now_us();
             control.reports.record(now_us, *report);
-            let set = control.kernel.profiles.current();
+            let pull = Pull {
+                have,
+                digest,
+                until_us: now_us + u64::from(wait_ms) * 1_000,
+                reply: Box::new(move |answer| {
+                    // A node that lost its connection pulls again.
+                    let _ = inbound.reply.send(answer);
+                }),
+            };
             let is_current = control.replica_state().is_current;
-            control.pulls.answer_or_hold(
-                now_us,
-                &set,
-                is_current,
-                (have, digest),
-                wait_ms,
-                inbound.reply,
-            );
+            let profiles = &control.kernel.profiles;
+            control
+                .pulls
+                .answer_or_hold(pull, is_current, || profiles.current());
         }
         ControlRequest::Reports => {
             let reports = control.reports.list(control.kernel.clock.now_us());
