Write the entries of one write as one record of the log

What callers saw: nothing that is traced to this. A replica that lost power while it wrote several changes at once could refuse to start, for good. With two disks lost at the same time, one such replica is enough to leave the group without a quorum: no configuration is read back, and nodes get none.

A lost sector before the last of them looked like damage, since valid records followed it.

Change: a record holds all entries of one write, so any hole in it is an incomplete record at the end. Segments of the former format are read, and the last one is rewritten in the new format. An older build can't read the new one. A log line tells when an incomplete write is removed.

Evidence: missing_sector_of_several_entries failed ("is damaged at offset 104") and passes; former_format reads a segment that the former code wrote.

--- a/components/store/src/segments.rs
+++ b/components/store/src/segments.rs
@@ -3,8 +3,11 @@
 use crate::record::{self, ParsedRecord};
 use consensus::Entry;
 
-/// First bytes of each segment.
-pub(crate) const LOG_MAGIC: &[u8; 8] = b"gyardlg1";
+/// First bytes of each segment. A record holds the entries of one write, so that an incomplete write
+/// is an incomplete record, whatever part of it is missing.
+pub(crate) const LOG_MAGIC: &[u8; 8] = b"gyardlg2";
+/// First bytes of a segment of the former format, in which each entry has a record of its own.
+const FORMER_LOG_MAGIC: &[u8; 8] = b"gyardlg1";
 
 /// File name of the segment with this sequence number.
 pub(crate) fn file_name(sequence: u64) -> String {
@@ -24,11 +27,15 @@
     pub(crate) reason: String,
 }
 
-/// Entries of a segment, and the length of the file up to the last valid record.
+/// Content of a segment.
 #[derive(Debug, PartialEq)]
 pub(crate) struct Segment {
+    /// Entries in the order in which they were written.
     pub(crate) entries: Vec<Entry>,
+    /// Length of the file up to the last valid record.
     pub(crate) valid_bytes: usize,
+    /// Whether the segment has the former format.
+    pub(crate) is_former_format: bool,
 }
 
 /// Parses a segment. Only the last segment may end with an incomplete record.
@@ -40,12 +47,13 @@
     let mut segment = Segment {
         entries: Vec::new(),
         valid_bytes: 0,
+        is_former_format: bytes.starts_with(FORMER_LOG_MAGIC),
     };
     let is_magic_torn = bytes.len() < LOG_MAGIC.len() || bytes.iter().all(|b| *b == 0);
     if is_last && is_magic_torn {
         return Ok(segment);
     }
-    if !bytes.starts_with(LOG_MAGIC) {
+    if !bytes.starts_with(LOG_MAGIC) && !segment.is_former_format {
         return Err(damage(0, "the file header is not that of a log segment"));
     }
     let mut offset = LOG_MAGIC.len();
@@ -53,9 +61,9 @@
         segment.valid_bytes = offset;
         match record::parse_at(bytes, offset) {
             ParsedRecord::Record(payload, next) => {
-                let entry = record::decode(payload)
-                    .map_err(|_| damage(offset, "the record is not a log entry"))?;
-                segment.entries.push(entry);
+                let entries = decode_entries(payload, segment.is_former_format)
+                    .map_err(|_| damage(offset, "the record holds no log entries"))?;
+                segment.entries.extend(entries);
                 offset = next;
             }
             ParsedRecord::End => return Ok(segment),
@@ -65,3 +73,10 @@
         }
     }
 }
+
+fn decode_entries(payload: &[u8], is_former_format: bool) -> Result<Vec<Entry>, postcard::Error> {
+    if is_former_format {
+        return Ok(vec![record::decode(payload)?]);
+    }
+    record::decode(payload)
+}
--- a/components/store/src/store.rs
+++ b/components/store/src/store.rs
@@ -284,6 +284,18 @@
         let bytes = self.read_file(&name)?;
         let segment =
             segments::parse(&bytes, is_last).map_err(|damage| self.damaged_error(&name, damage))?;
+        let content = if segment.is_former_format {
+            self.encode_entries(LOG_MAGIC, &segment.entries.iter().collect::<Vec<_>>())?
+        } else {
+            bytes[..segment.valid_bytes].to_vec()
+        };
+        if segment.valid_bytes < bytes.len() {
+            log::warn!(
+                "store: {name} ends with an incomplete write, {} bytes are removed, last entry {}.",
+                bytes.len() - segment.valid_bytes,
+                segment.entries.last().map_or(0, |entry| entry.index)
+            );
+        }
         let mut max_index = 0;
         for entry in segment.entries {
             max_index = max_index.max(entry.index);
@@ -296,7 +308,7 @@
         });
         self.next_sequence = sequence + 1;
         if is_last {
-            self.rewrite_last_segment(&name, &bytes[..segment.valid_bytes])?;
+            self.rewrite_last_segment(&name, &content)?;
         }
         Ok(())
     }
@@ -326,11 +338,7 @@
             return Ok(());
         }
         self.check_open()?;
-        let mut bytes = Vec::new();
-        for entry in entries {
-            record::encode(&mut bytes, entry)
-                .map_err(|error| self.io_error("encoding an entry", "", io::Error::other(error)))?;
-        }
+        let bytes = self.encode_entries(&[], entries)?;
         if self
             .tail
             .as_ref()
@@ -350,6 +358,14 @@
         Ok(())
     }
 
+    /// One record with the entries, after `start`.
+    fn encode_entries(&self, start: &[u8], entries: &[&Entry]) -> Result<Vec<u8>, StoreError> {
+        let mut bytes = start.to_vec();
+        record::encode(&mut bytes, &entries)
+            .map_err(|error| self.io_error("encoding entries", "", io::Error::other(error)))?;
+        Ok(bytes)
+    }
+
     fn start_segment(&mut self) -> Result<(), StoreError> {
         let sequence = self.next_sequence;
         let name = segments::file_name(sequence);
--- a/components/store/tests/damaged_files.rs
+++ b/components/store/tests/damaged_files.rs
@@ -36,8 +36,18 @@
     store.save_snapshot(&Arc::new(snapshot), false).unwrap();
 }
 
-/// Appends an entry that covers several sectors.
-fn append_large_entry(path: &Path, index: u64) {
+/// Segment of the former format, in which each entry has a record of its own: entries 1 to 3 of
+/// term 1, then entry 3 of term 2, which replaces the first one.
+const FORMER_SEGMENT: [u8; 72] = [
+    0x67, 0x79, 0x61, 0x72, 0x64, 0x6c, 0x67, 0x31, 0x03, 0x00, 0x00, 0x00, 0x64, 0x82, 0x98, 0xe7,
+    0xf9, 0x00, 0xae, 0x3a, 0x01, 0x01, 0x00, 0xa5, 0x03, 0x00, 0x00, 0x00, 0x3d, 0x3c, 0xde, 0xe5,
+    0x64, 0x1a, 0x46, 0x0b, 0x02, 0x01, 0x00, 0xa5, 0x03, 0x00, 0x00, 0x00, 0x0a, 0x56, 0x1c, 0xe4,
+    0xd0, 0x11, 0x31, 0xad, 0x03, 0x01, 0x00, 0xa5, 0x03, 0x00, 0x00, 0x00, 0xc9, 0x05, 0x31, 0xcf,
+    0x7e, 0x63, 0xa5, 0x2b, 0x03, 0x02, 0x00, 0xa5,
+];
+
+/// An entry that covers several sectors.
+fn large_entry(index: u64) -> Entry {
     let voter = |number: u64| ReplicaId {
         number: u64::MAX - number,
         disk_id: u64::MAX - number * 7,
@@ -45,12 +55,16 @@
     let membership = Membership {
         voters: (0..120).map(voter).collect(),
     };
-    let entry = Entry {
+    Entry {
         payload: Payload::Membership(membership),
         ..entry(index)
-    };
+    }
+}
+
+/// Appends an entry that covers several sectors.
+fn append_large_entry(path: &Path, index: u64) {
     let (mut store, _) = Store::open(path).unwrap();
-    store.append(&[entry]).unwrap();
+    store.append(&[large_entry(index)]).unwrap();
 }
 
 fn open_with_content(path: &Path, name: &str, bytes: &[u8]) -> Result<RecoveredState, StoreError> {
@@ -149,6 +163,58 @@
     }
 }
 
+/// The same, in a write of several entries: none of them was confirmed.
+#[test]
+fn missing_sector_of_several_entries() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    write_data(path);
+    let before = fs::read(path.join(LOG)).unwrap().len();
+    let (mut store, _) = Store::open(path).unwrap();
+    let entries = [large_entry(7), entry(8), large_entry(9), entry(10)];
+    store.append(&entries).unwrap();
+    drop(store);
+    let content = fs::read(path.join(LOG)).unwrap();
+    for sector in 0..content.len().div_ceil(SECTOR_BYTES) {
+        let mut bytes = content.clone();
+        let start = (sector * SECTOR_BYTES).max(before);
+        let end = content.len().min((sector + 1) * SECTOR_BYTES);
+        bytes[start..end].fill(0);
+        let recovered =
+            open_with_content(path, LOG, &bytes).expect("an incomplete write is removed");
+        let last = recovered.entries.last().map(|entry| entry.index);
+        assert_eq!(last, Some(6), "sector {sector} is missing");
+    }
+}
+
+/// A data directory of the former format is read, and its last segment is continued.
+#[test]
+fn former_format() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path();
+    drop(Store::open(path).unwrap());
+    for cut in [FORMER_SEGMENT.len(), FORMER_SEGMENT.len() - 5] {
+        fs::write(path.join(LOG), &FORMER_SEGMENT[..cut]).unwrap();
+        let (mut store, recovered) = Store::open(path).unwrap();
+        let position = |entry: &Entry| (entry.index, entry.term);
+        let last_term = if cut == FORMER_SEGMENT.len() { 2 } else { 1 };
+        let expected = [(1, 1), (2, 1), (3, last_term)];
+        let read: Vec<_> = recovered.entries.iter().map(position).collect();
+        assert_eq!(read, expected);
+        store.append(&[entry(4), entry(5)]).unwrap();
+        drop(store);
+        let (_, recovered) = Store::open(path).unwrap();
+        assert_eq!(recovered.entries.len(), 5);
+        assert_eq!(
+            recovered.entries[..3]
+                .iter()
+                .map(position)
+                .collect::<Vec<_>>(),
+            expected
+        );
+    }
+}
+
 /// A sector that is lost later is damage: the records after it were confirmed.
 #[test]
 fn lost_sector_before_later_records() {
