--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod disk;
 mod error;
+mod files;
 mod record;
+mod recovery;
 mod segments;
 mod store;
 
