Ask the next replica to lead if the asked one can't

If the disk of the asked replica is stuck, it can't save its vote for itself, and nobody else was asked: the transfer failed ("not reached: another leader").

Change: the leader asks the next replica after half of the shortest election timeout.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -1,11 +1,13 @@
-//! The leader: proposals, replication, commits, reads and leadership transfer.
+//! The leader: proposals, replication and commits.
 
 use crate::{
     io::{Reply, Role},
     message::Body,
     progress::Progress,
+    reads::PendingRead,
     replica::Replica,
     state::{Entry, Payload, ReplicaId},
+    transfer::Transfer,
 };
 use errors::ErrorKind;
 use model::Revision;
@@ -15,24 +17,6 @@
     sync::Arc,
 };
 
-/// A read that waits until a quorum confirms a heartbeat round.
-#[derive(Debug)]
-struct PendingRead {
-    token: u64,
-    /// Round whose replies show that this replica still led after the read arrived.
-    round: u64,
-}
-
-/// A leadership transfer in progress.
-#[derive(Debug)]
-struct Transfer {
-    /// Time at which the transfer is cancelled if no other replica has become leader.
-    deadline_us: u64,
-    /// The replica that was asked to start an election. Only one is asked, since several elections
-    /// at once would split the votes.
-    asked: Option<ReplicaId>,
-}
-
 /// State that a replica has only while it is the leader.
 #[derive(Debug)]
 pub(crate) struct LeaderState {
@@ -42,12 +26,12 @@
     /// Time of the next membership check. Separate from the heartbeat, which each read postpones.
     pub(crate) membership_check_due_us: u64,
     /// The leadership transfer in progress.
-    transfer: Option<Transfer>,
+    pub(crate) transfer: Option<Transfer>,
     /// Number of the last heartbeat round.
-    round: u64,
+    pub(crate) round: u64,
     /// Index and token of each uncommitted proposal, in log order.
     proposals: VecDeque<(u64, u64)>,
-    reads: VecDeque<PendingRead>,
+    pub(crate) reads: VecDeque<PendingRead>,
 }
 
 impl Replica {
@@ -168,7 +152,7 @@
         }
     }
 
-    fn replication_targets(&self) -> Vec<ReplicaId> {
+    pub(crate) fn replication_targets(&self) -> Vec<ReplicaId> {
         let leader_state = self.leader_state.as_ref();
         leader_state.map_or_else(Vec::new, |state| state.progress.keys().copied().collect())
     }
@@ -214,7 +198,7 @@
     }
 
     /// Starts a heartbeat round.
-    fn start_round(&mut self, now_us: u64) {
+    pub(crate) fn start_round(&mut self, now_us: u64) {
         if let Some(leader_state) = &mut self.leader_state {
             leader_state.round += 1;
             leader_state.heartbeat_due_us = now_us + self.config.heartbeat_us;
@@ -369,7 +353,7 @@
             self.become_follower(now_us, term, None);
             return;
         }
-        self.cancel_overdue_transfer(now_us);
+        self.tick_transfer(now_us);
         let is_due = |at_us: Option<u64>| at_us.is_some_and(|at_us| now_us >= at_us);
         if is_due(
             self.leader_state
@@ -404,125 +388,4 @@
         });
         heard.count() >= membership.quorum()
     }
-
-    // Reads
-
-    pub(crate) fn on_read_index(&mut self, now_us: u64, token: u64) {
-        let Some(leader_state) = &mut self.leader_state else {
-            let reply = self.refused_reply(ErrorKind::NotLeader);
-            self.answer_read(token, Err(reply));
-            return;
-        };
-        // A read needs a round that starts after it arrived. One round confirms all earlier reads.
-        let is_round_running = !leader_state.reads.is_empty();
-        let round = leader_state.round + 1;
-        leader_state.reads.push_back(PendingRead { token, round });
-        if !is_round_running {
-            self.start_round(now_us);
-        }
-        self.complete_reads(now_us);
-    }
-
-    fn complete_reads(&mut self, now_us: u64) {
-        let Some(leader_state) = &mut self.leader_state else {
-            return;
-        };
-        if leader_state.reads.is_empty() || self.log.term(self.commit) != Some(self.hard_state.term)
-        {
-            return;
-        }
-        let membership = self.log.membership();
-        let is_confirmed = |round: u64| {
-            let voters = membership.voters.iter().filter(|id| {
-                let has_reached = |p: &Progress| p.round >= round;
-                **id == self.id || leader_state.progress.get(id).is_some_and(has_reached)
-            });
-            voters.count() >= membership.quorum()
-        };
-        let ready_count = leader_state
-            .reads
-            .iter()
-            .take_while(|read| read.round <= leader_state.round && is_confirmed(read.round))
-            .count();
-        let tokens: Vec<u64> = leader_state
-            .reads
-            .drain(..ready_count)
-            .map(|read| read.token)
-            .collect();
-        let waits_for_round = leader_state
-            .reads
-            .front()
-            .is_some_and(|read| read.round > leader_state.round);
-        for token in tokens {
-            let index = self.applied;
-            self.answer_read(token, Ok(index));
-        }
-        if waits_for_round {
-            self.start_round(now_us);
-        }
-    }
-
-    // Leadership transfer
-
-    pub(crate) fn on_storage_full(&mut self, now_us: u64, full: bool) {
-        self.is_storage_full = full;
-        if full {
-            self.transfer_leadership(now_us);
-        }
-    }
-
-    /// Transfers leadership to a voter that was heard recently and has the whole log; refuses proposals meanwhile.
-    pub(crate) fn transfer_leadership(&mut self, now_us: u64) {
-        let deadline_us = now_us + self.config.election_max_us;
-        if let Some(leader_state) = &mut self.leader_state {
-            leader_state.transfer = Some(Transfer {
-                deadline_us,
-                asked: None,
-            });
-        }
-        for id in self.replication_targets() {
-            if self.continue_transfer(now_us, id) {
-                return;
-            }
-        }
-    }
-
-    /// Asks `to` to start an election if a transfer is in progress, no other replica was asked, and
-    /// `to` can win it.
-    fn continue_transfer(&mut self, now_us: u64, to: ReplicaId) -> bool {
-        if !self.can_lead(now_us, to) {
-            return false;
-        }
-        let transfer = self
-            .leader_state
-            .as_mut()
-            .and_then(|state| state.transfer.as_mut());
-        let Some(transfer) = transfer.filter(|transfer| transfer.asked.is_none()) else {
-            return false;
-        };
-        transfer.asked = Some(to);
-        self.send_after_save(to, Body::TimeoutNow);
-        true
-    }
-
-    /// Whether a replica is a voter, was heard recently and has the whole log.
-    fn can_lead(&self, now_us: u64, id: ReplicaId) -> bool {
-        let progress = self.leader_state.as_ref().and_then(|s| s.progress.get(&id));
-        self.log.membership().contains(id)
-            && progress.is_some_and(|p| {
-                p.matched == self.log.last_index()
-                    && now_us.saturating_sub(p.last_heard_us) < self.config.election_min_us
-            })
-    }
-
-    fn cancel_overdue_transfer(&mut self, now_us: u64) {
-        if let Some(leader_state) = &mut self.leader_state
-            && leader_state
-                .transfer
-                .as_ref()
-                .is_some_and(|transfer| now_us >= transfer.deadline_us)
-        {
-            leader_state.transfer = None;
-        }
-    }
 }
--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -15,9 +15,12 @@
 mod log;
 mod membership;
 mod message;
+mod output;
 mod progress;
+mod reads;
 mod replica;
 mod state;
+mod transfer;
 
 pub use config::{OpenGroup, ReplicaConfig};
 pub use io::{Input, Output, Reply, Role, Write};
