--- a/components/bench/src/policy/mod.rs
+++ b/components/bench/src/policy/mod.rs
@@ -5,7 +5,9 @@
 //! arrivals and disturbances.
 
 mod chooser;
+mod event;
 mod instance;
+mod owner;
 mod plot;
 mod report;
 mod scenario;
--- a/components/bench/src/policy/sim.rs
+++ b/components/bench/src/policy/sim.rs
@@ -2,15 +2,14 @@
 
 use super::{
     chooser::{AttemptKind, ChoiceContext, ChosenInstance, Entry, Policy},
+    event::{Event, ScheduledEvent},
     instance::Instance,
     report::Stats,
-    scenario::{Arrival, Disturbance, Scenario, Workload, exponential},
+    scenario::{Arrival, Scenario, Workload, exponential},
     settings::Settings,
 };
-use errors::ErrorKind;
-use limits::{AdmissionRequest, AdmissionResult, CancelResult, QueueDecision};
-use model::{AttemptId, CallId, LoadSignal, Priority, UpstreamState};
-use rand::{RngExt, SeedableRng};
+use model::{AttemptId, CallId, LoadSignal, UpstreamState};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use routing::{AttemptResult, UpstreamKey};
 use std::{cmp::Reverse, collections::BinaryHeap};
@@ -24,9 +23,9 @@
 /// Mean of the random part of each delay between hosts, in microseconds.
 const NETWORK_JITTER_US: f64 = 50.0;
 /// Time between an instance's load reports, in microseconds.
-const REPORT_INTERVAL_US: u64 = 50_000;
+pub(super) const REPORT_INTERVAL_US: u64 = 50_000;
 /// Shortest and longest delay of a load report or of gossip, in microseconds.
-const REPORT_DELAY_US: (u64, u64) = (5_000, 200_000);
+pub(super) const REPORT_DELAY_US: (u64, u64) = (5_000, 200_000);
 
 /// Latencies and counters of one run.
 #[derive(Clone, Debug, Default)]
@@ -46,8 +45,8 @@
 
 /// An attempt of a call, as its entry sees it.
 #[derive(Clone, Copy, Debug)]
-struct Attempt {
-    instance: usize,
+pub(super) struct Attempt {
+    pub(super) instance: usize,
     /// The router's key of the instance, if the router chose it.
     key: Option<UpstreamKey>,
     sent_us: u64,
@@ -56,116 +55,34 @@
     /// Whether a retry is reserved in case the owner refuses the attempt after its longest wait.
     reserved: bool,
     /// Whether a cancellation overtook the attempt on its way to the owner.
-    cancelled: bool,
+    pub(super) cancelled: bool,
 }
 
 /// A call, as its entry sees it.
 #[derive(Clone, Copy, Debug, Default)]
-struct Call {
-    attempts: [Option<Attempt>; MAX_ATTEMPTS],
+pub(super) struct Call {
+    pub(super) attempts: [Option<Attempt>; MAX_ATTEMPTS],
     attempt_count: usize,
     done: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    /// A call arrives at its entry.
-    CallArrived(usize),
-    /// An attempt arrives at the owner, with the longest wait in its queue.
-    AttemptArrived(AttemptId, Option<u64>),
-    /// The next call finishes at an instance, unless its generation has changed.
-    CallFinished { instance: usize, generation: u64 },
-    /// A waiting attempt of the instance may have reached its latest start.
-    QueueTimer(usize),
-    /// The response to an attempt arrives at its entry.
-    ResponseArrived {
-        attempt: AttemptId,
-        result: AttemptResult,
-        /// Whether the owner refused it because the instance is stopping.
-        stopping: bool,
-        signal: LoadSignal,
-    },
-    /// A call reaches its deadline.
-    Deadline(usize),
-    /// A call has run for so long that it is hedged.
-    HedgeTimer(usize),
-    /// A cancellation arrives at the owner of the instance.
-    CancelArrived(AttemptId, usize),
-    /// A probe arrives at the owner of the instance.
-    ProbeArrived {
-        entry: usize,
-        instance: usize,
-        sent_us: u64,
-    },
-    ProbeReplyArrived {
-        entry: usize,
-        key: UpstreamKey,
-        signal: LoadSignal,
-        sent_us: u64,
-    },
-    /// An instance sends its load report.
-    SendReport(usize),
-    /// A load report arrives at an entry.
-    ReportArrived {
-        entry: usize,
-        instance: usize,
-        load: u32,
-    },
-    /// A disturbance of the workload takes effect.
-    Disturbance(usize),
-    /// Gossip about an instance's state arrives at an entry.
-    GossipArrived {
-        entry: usize,
-        instance: usize,
-        restarts: u64,
-        state: UpstreamState,
-    },
-}
-
-/// An event in the queue, ordered by time and then by the order of scheduling.
-struct ScheduledEvent {
-    at_us: u64,
-    sequence: u64,
-    event: Event,
-}
-
-impl PartialEq for ScheduledEvent {
-    fn eq(&self, other: &Self) -> bool {
-        self.sequence == other.sequence
-    }
-}
-
-impl Eq for ScheduledEvent {}
-
-impl PartialOrd for ScheduledEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for ScheduledEvent {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_us, self.sequence).cmp(&(other.at_us, other.sequence))
-    }
-}
-
 /// State of a run.
-struct Simulation<'a> {
-    policy: Policy,
-    scenario: &'a Scenario,
-    settings: &'a Settings,
-    workload: &'a Workload,
-    now_us: u64,
-    events: BinaryHeap<Reverse<ScheduledEvent>>,
+pub(super) struct Simulation<'a> {
+    pub(super) policy: Policy,
+    pub(super) scenario: &'a Scenario,
+    pub(super) settings: &'a Settings,
+    pub(super) workload: &'a Workload,
+    pub(super) now_us: u64,
+    pub(super) events: BinaryHeap<Reverse<ScheduledEvent>>,
     /// Sequence number of the event scheduled last.
-    sequence: u64,
-    instances: Vec<Instance>,
-    entries: Vec<Entry>,
-    calls: Vec<Call>,
+    pub(super) sequence: u64,
+    pub(super) instances: Vec<Instance>,
+    pub(super) entries: Vec<Entry>,
+    pub(super) calls: Vec<Call>,
     /// Mean one-way delays, by entry and instance.
-    network_us: Vec<Vec<f64>>,
-    rng: Pcg64Mcg,
-    result: SimulationResult,
+    pub(super) network_us: Vec<Vec<f64>>,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) result: SimulationResult,
 }
 
 /// Simulates one policy on one workload.
@@ -249,7 +166,7 @@
             .sum();
     }
 
-    fn schedule(&mut self, at_us: u64, event: Event) {
+    pub(super) fn schedule(&mut self, at_us: u64, event: Event) {
         self.sequence += 1;
         self.events.push(Reverse(ScheduledEvent {
             at_us,
@@ -354,7 +271,7 @@
         }
     }
 
-    fn arrival(&self, index: usize) -> Arrival {
+    pub(super) fn arrival(&self, index: usize) -> Arrival {
         self.workload.arrivals[index]
     }
 
@@ -451,124 +368,6 @@
         }
     }
 
-    /// Asks the owner's admission for a slot for an attempt that has arrived.
-    fn admit(&mut self, id: AttemptId, max_queue_wait_us: Option<u64>) {
-        let index = id.call.sequence as usize;
-        let Some(attempt) = self.calls[index].attempts[usize::from(id.attempt)] else {
-            return;
-        };
-        let arrival = self.arrival(index);
-        let deadline_us = arrival.at_us + self.settings.deadline_us;
-        let request = AdmissionRequest {
-            attempt: id,
-            priority: Priority::Normal,
-            deadline_us,
-            start_by_us: max_queue_wait_us.map_or(deadline_us, |wait_us| self.now_us + wait_us),
-            expected_us: 0,
-            target_us: u64::MAX,
-            start_now: false,
-            queue_limit: self.settings.queue_limit,
-        };
-        let instance = &mut self.instances[attempt.instance];
-        instance.in_transit -= 1;
-        if attempt.cancelled {
-            return;
-        }
-        match instance.admission.admit(self.now_us, request) {
-            AdmissionResult::Start => {
-                instance.start(self.now_us, id, arrival.work_us);
-                self.reschedule_end(attempt.instance);
-            }
-            AdmissionResult::Queued | AdmissionResult::QueuedInstead(_) => {
-                let at_us = request.start_by_us.min(deadline_us);
-                self.schedule(at_us, Event::QueueTimer(attempt.instance));
-            }
-            AdmissionResult::Refused(kind) => self.refuse(attempt.instance, id, kind),
-        }
-    }
-
-    /// Responds to the calls that an instance has finished and starts waiting ones.
-    fn finish_calls(&mut self, instance: usize, generation: u64) {
-        if self.instances[instance].generation != generation {
-            return;
-        }
-        for finished in self.instances[instance].take_finished(self.now_us) {
-            let service_us = if finished.failed {
-                self.settings.deadline_us
-            } else {
-                finished.service_us
-            };
-            let admission = &mut self.instances[instance].admission;
-            let decisions = admission.finish(self.now_us, finished.attempt, service_us);
-            let result = if finished.failed {
-                AttemptResult::Failed
-            } else {
-                AttemptResult::Ok
-            };
-            self.respond(instance, finished.attempt, result, false);
-            self.apply_decisions(instance, decisions);
-        }
-        self.reschedule_end(instance);
-    }
-
-    /// Schedules the next end of a call at an instance after its speed or its calls have changed.
-    fn reschedule_end(&mut self, instance: usize) {
-        let Some(at_us) = self.instances[instance].next_end_us() else {
-            return;
-        };
-        let generation = self.instances[instance].generation;
-        self.schedule(
-            at_us.max(self.now_us),
-            Event::CallFinished {
-                instance,
-                generation,
-            },
-        );
-    }
-
-    fn apply_decisions(&mut self, instance: usize, decisions: Vec<QueueDecision>) {
-        for decision in decisions {
-            match decision {
-                QueueDecision::Start(id) => {
-                    let work_us = self.arrival(id.call.sequence as usize).work_us;
-                    self.instances[instance].start(self.now_us, id, work_us);
-                    self.reschedule_end(instance);
-                }
-                QueueDecision::Refuse(id, kind) => self.refuse(instance, id, kind),
-            }
-        }
-    }
-
-    fn refuse(&mut self, instance: usize, id: AttemptId, kind: ErrorKind) {
-        self.respond(
-            instance,
-            id,
-            AttemptResult::Refused,
-            kind == ErrorKind::Stopping,
-        );
-    }
-
-    /// Sends the result of an attempt to its entry.
-    fn respond(
-        &mut self,
-        instance: usize,
-        attempt: AttemptId,
-        result: AttemptResult,
-        stopping: bool,
-    ) {
-        let signal = self.instances[instance].next_load_signal(self.now_us);
-        let at_us = self.now_us + self.draw_delay_us(attempt.call.origin as usize, instance);
-        self.schedule(
-            at_us,
-            Event::ResponseArrived {
-                attempt,
-                result,
-                stopping,
-                signal,
-            },
-        );
-    }
-
     fn handle_response(
         &mut self,
         id: AttemptId,
@@ -709,77 +508,8 @@
         }
     }
 
-    /// Cancels an attempt at the owner. If it has not arrived there yet, it is marked and will not
-    /// be admitted.
-    fn handle_cancel(&mut self, id: AttemptId, instance: usize) {
-        match self.instances[instance].admission.cancel(id) {
-            CancelResult::Running => {}
-            CancelResult::NotStarted => return,
-            CancelResult::Unknown => {
-                let call = &mut self.calls[id.call.sequence as usize];
-                if let Some(attempt) = &mut call.attempts[usize::from(id.attempt)] {
-                    attempt.cancelled = true;
-                }
-                return;
-            }
-        }
-        self.instances[instance].abort(self.now_us, id);
-        let decisions = self.instances[instance]
-            .admission
-            .release_slot(self.now_us, id);
-        self.apply_decisions(instance, decisions);
-        self.reschedule_end(instance);
-    }
-
-    /// Sends an instance's load to all entries and schedules its next report.
-    fn send_report(&mut self, instance: usize) {
-        let signal = self.instances[instance].next_load_signal(self.now_us);
-        let load = signal.in_flight + signal.queued;
-        for entry in 0..self.entries.len() {
-            let at_us = self.now_us + self.rng.random_range(REPORT_DELAY_US.0..REPORT_DELAY_US.1);
-            self.schedule(
-                at_us,
-                Event::ReportArrived {
-                    entry,
-                    instance,
-                    load,
-                },
-            );
-        }
-        self.schedule(
-            self.now_us + REPORT_INTERVAL_US,
-            Event::SendReport(instance),
-        );
-    }
-
-    /// Applies a disturbance; gossip carries a change of state to all entries.
-    fn apply_disturbance(&mut self, index: usize) {
-        let (_, instance, disturbance) = self.workload.disturbances[index];
-        let decisions = self.instances[instance].apply_disturbance(self.now_us, disturbance);
-        self.apply_decisions(instance, decisions);
-        self.reschedule_end(instance);
-        if !matches!(disturbance, Disturbance::Draining | Disturbance::Restarted) {
-            return;
-        }
-        let Instance {
-            restarts, state, ..
-        } = self.instances[instance];
-        for entry in 0..self.entries.len() {
-            let at_us = self.now_us + self.rng.random_range(REPORT_DELAY_US.0..REPORT_DELAY_US.1);
-            self.schedule(
-                at_us,
-                Event::GossipArrived {
-                    entry,
-                    instance,
-                    restarts,
-                    state,
-                },
-            );
-        }
-    }
-
     /// Draws the one-way delay of a message.
-    fn draw_delay_us(&mut self, entry: usize, instance: usize) -> u64 {
+    pub(super) fn draw_delay_us(&mut self, entry: usize, instance: usize) -> u64 {
         let mean_us = self.network_us[entry][instance];
         if mean_us <= LOCAL_DELAY_US {
             return mean_us as u64;
