--- a/components/consensus/src/membership.rs
+++ b/components/consensus/src/membership.rs
@@ -8,6 +8,9 @@
 //! A and B working. If A or B crashes between the two steps, the group waits for it, as it would
 //! have done before the first step. Afterwards any leader finds a replica number without a voter
 //! and promotes the identity that has caught up.
+//!
+//! A voter of an open group that is about to stop still works, so its successor is promoted first
+//! and it is removed afterwards.
 
 use crate::{
     progress::Progress,
@@ -76,6 +79,7 @@
         }
     }
 
+    /// Handles the notice of a voter that it is about to stop.
     pub(crate) fn on_leaving(&mut self, now_us: u64, from: ReplicaId, term: u64) {
         if term != self.hard_state.term {
             return;
