Don't log a handed-over vote for a replica that had none

What operators saw: a control replica that had not joined yet, or had been replaced before, logged at its stop that its vote had been handed over. The operators' page lets another disk be lost only after that line.

Cause: the line was chosen by the state after the wait alone. Change: the state before the wait decides too. Found while reading the diff; the text of one log line only, no test looks at it.

--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -105,15 +105,16 @@
 
 /// Waits until this replica is no voter any more, so that its end costs the group no vote.
 fn wait_for_handover(control: &ControlContext, until: Instant) {
+    let had_vote = control.replica_state().is_voter;
     while control.replica_state().is_voter && Instant::now() < until {
         thread::sleep(HANDOVER_CHECK_INTERVAL);
     }
     log::info!(
         "replica: stops, {}.",
-        if control.replica_state().is_voter {
-            "as a voter"
-        } else {
-            "its vote has been handed over"
+        match (had_vote, control.replica_state().is_voter) {
+            (_, true) => "as a voter",
+            (true, false) => "its vote has been handed over",
+            (false, false) => "it had no vote",
         }
     );
 }
