Match each response of an instance to its request, and don't complete cut bodies

Callers saw: a caller was told 503 (not run) for a request that its instance was running, after the instance had written an earlier refusal once more on a kept connection; the owner looked at the refusal mark before the request id, and put the connection back into the pool, so that each later response was taken for the next request. And an answer without a declared length passed as complete when the deadline or a cancellation closed its connection on our side.

Cause: the check of the id stood in the owner, after the refusal check and after the connection had been released. A body that ends with the connection didn't distinguish who closed it.

Change: AsyncPool compares the header that the server repeats. It skips a copy of an earlier response and reads on, fails a response that belongs to no known call as possibly run, and closes the connection in both cases. A call whose id was used on a connection before goes over another one, since a copy couldn't be told from its own response. A body that this process cut off is truncated.

Shown on: repeated_responses::copies_are_skipped (first copy ends as 503 or a failed call), response_end::deadline_truncates_body and cancellation_truncates_body fail there; all pass now. The test instance repeats the request id in its 421, as instances of the platform do.

--- a/components/bench/src/load/sender.rs
+++ b/components/bench/src/load/sender.rs
@@ -113,7 +113,7 @@
         CallError::Truncated => CallOutcome::CutOff,
         CallError::ConnectionLost => CallOutcome::Lost,
         CallError::TimedOut | CallError::Cancelled => CallOutcome::TimedOut,
-        CallError::TooLarge | CallError::Malformed => CallOutcome::Mismatch,
+        CallError::TooLarge | CallError::Malformed | CallError::Mismatched => CallOutcome::Mismatch,
     }
 }
 
--- a/components/http/src/async_pool.rs
+++ b/components/http/src/async_pool.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     CallError, CancelToken, PoolConfig, Request, Response,
+    echo::{EchoHistory, EchoMatch, EchoValue},
     message::encode_request,
-    pool::{READ_TIMEOUT_WITHOUT_DEADLINE, connect, receive_response, send_request},
+    pool::{READ_TIMEOUT_WITHOUT_DEADLINE, Received, connect, receive_response, send_request},
     read_buffer::{ReadBuffer, is_timeout},
     response_budget::ResponseBudget,
     socket::{Peeked, peek, send_now},
@@ -18,7 +19,10 @@
     io,
     net::{Shutdown, TcpStream},
     panic::{AssertUnwindSafe, catch_unwind},
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::Builder,
     time::{Duration, Instant},
 };
@@ -26,6 +30,9 @@
 /// Stack of a connection's thread in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 
+/// Most late copies of earlier responses that are skipped before the response to a request.
+const MAX_SKIPPED_COPIES: usize = 4;
+
 /// How often a closed pool checks whether its last call has ended.
 const CLOSING_CHECK: Duration = Duration::from_millis(500);
 
@@ -35,6 +42,8 @@
 struct PendingCall {
     request_bytes: Vec<u8>,
     is_head: bool,
+    /// Value that the response must repeat.
+    echo: EchoValue,
     deadline: Instant,
     cancel: CancelToken,
     callback: Callback,
@@ -62,16 +71,26 @@
 #[derive(Default)]
 struct ConnectionState {
     call: Option<PendingCall>,
+    /// Repeated values of the earlier calls on this connection.
+    history: EchoHistory,
     has_timed_out: bool,
     /// Set by the connection's thread before it ends, so that no further call is sent on it.
     is_closed: bool,
 }
 
+/// The part of a call that is needed to read its response.
+struct ExpectedResponse {
+    is_head: bool,
+    echo: EchoValue,
+}
+
 /// One connection and the call that it carries.
 struct Connection {
     id: u64,
     stream: Arc<TcpStream>,
     state: Mutex<ConnectionState>,
+    /// Whether this process has shut the connection down.
+    is_shut_down: AtomicBool,
 }
 
 impl Connection {
@@ -80,6 +99,7 @@
     }
 
     fn shut_down(&self) {
+        self.is_shut_down.store(true, Ordering::Release);
         // Fails only if the connection is closed already.
         let _ = self.stream.shutdown(Shutdown::Both);
     }
@@ -162,6 +182,7 @@
         let call = PendingCall {
             request_bytes,
             is_head: request.method == "HEAD",
+            echo: EchoValue::of(self.0.config.echoed_header, &request.headers),
             deadline,
             cancel: cancel.clone(),
             callback: Box::new(callback),
@@ -242,6 +263,9 @@
     }
 
     /// Sends the call on the connection; returns it if certainly none of its bytes were sent.
+    ///
+    /// A call whose repeated value was used on this connection before is not sent: a late copy of
+    /// the earlier response would pass for its own.
     fn try_send_on(
         self: &Arc<Self>,
         connection: &Arc<Connection>,
@@ -249,7 +273,10 @@
     ) -> Result<(), PendingCall> {
         // Held during the write, so that the connection's thread doesn't see a half-written call.
         let mut state = connection.state();
-        if state.is_closed || peek(&connection.stream) != Peeked::Quiet {
+        let is_usable = !state.is_closed
+            && !state.history.contains(call.echo)
+            && peek(&connection.stream) == Peeked::Quiet;
+        if !is_usable {
             drop(state);
             connection.shut_down();
             return Err(call);
@@ -300,6 +327,7 @@
                 id: state.next_id,
                 stream,
                 state: Mutex::default(),
+                is_shut_down: AtomicBool::new(false),
             });
             state.busy.insert(connection.id, Arc::clone(&connection));
             connection
@@ -337,41 +365,81 @@
                     Ok(_) | Err(_) => {}
                 }
             }
-            let is_head = {
+            let expected = {
                 let mut state = connection.state();
-                let is_head = state.call.as_ref().map(|call| call.is_head);
-                state.is_closed = is_head.is_none();
-                is_head
+                let expected = state.call.as_ref().map(|call| ExpectedResponse {
+                    is_head: call.is_head,
+                    echo: call.echo,
+                });
+                state.is_closed = expected.is_none();
+                expected
             };
-            let Some(is_head) = is_head else {
+            let Some(expected) = expected else {
                 lock(&self.state)
                     .idle
                     .retain(|(other, _)| other.id != connection.id);
                 return;
             };
-            let limits = (&self.config, &self.budget);
-            let result = receive_response(limits, &connection.stream, &mut buffer, is_head, None);
+            let result = self.receive(connection, &mut buffer, &expected);
             if !self.complete_call(connection, result) {
                 return;
             }
         }
     }
 
+    /// Reads the response to the current call and skips late copies of earlier responses. The
+    /// connection isn't reused after a copy, since others may follow.
+    fn receive(
+        &self,
+        connection: &Connection,
+        buffer: &mut ReadBuffer,
+        expected: &ExpectedResponse,
+    ) -> Result<Received, CallError> {
+        let limits = (&self.config, &self.budget);
+        for skipped in 0..=MAX_SKIPPED_COPIES {
+            let mut received =
+                receive_response(limits, &connection.stream, buffer, expected.is_head, None)?;
+            received.reusable &= skipped == 0;
+            let echo = EchoValue::of(self.config.echoed_header, &received.response.headers);
+            let echo_match = connection.state().history.compare(expected.echo, echo);
+            match echo_match {
+                EchoMatch::Expected => return Ok(received),
+                EchoMatch::EarlierCall => log::warn!(
+                    "http: {} sent a copy of an earlier response with status {}; it is skipped.",
+                    self.config.address,
+                    received.response.status
+                ),
+                EchoMatch::Unknown => break,
+            }
+        }
+        Err(CallError::Mismatched)
+    }
+
     /// Completes the call of a connection; false if the connection ends with it.
     fn complete_call(
         self: &Arc<Self>,
         connection: &Arc<Connection>,
-        result: Result<(Response, bool), CallError>,
+        result: Result<Received, CallError>,
     ) -> bool {
         let (call, has_timed_out) = {
             let mut state = connection.state();
-            state.is_closed = !matches!(result, Ok((_, true)));
-            (state.call.take(), state.has_timed_out)
+            state.is_closed = !matches!(&result, Ok(received) if received.reusable);
+            let call = state.call.take();
+            if let Some(call) = &call {
+                state.history.record(call.echo);
+            }
+            (call, state.has_timed_out)
         };
         let Some(call) = call else { return false };
         let is_intact = call.cancel.release() && !has_timed_out;
+        let is_cut_off = !is_intact || connection.is_shut_down.load(Ordering::Acquire);
+        let result = match result {
+            // This process has closed the connection, which then did not end the body.
+            Ok(received) if received.ended_by_close && is_cut_off => Err(CallError::Truncated),
+            result => result,
+        };
         let (result, reusable) = match result {
-            Ok((response, reusable)) => (Ok(response), reusable && is_intact),
+            Ok(received) => (Ok(received.response), received.reusable && is_intact),
             Err(_) if has_timed_out => (Err(CallError::TimedOut), false),
             Err(_) if !is_intact => (Err(CallError::Cancelled), false),
             Err(error) => (Err(error), false),
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod cancel;
 mod connection;
+mod echo;
 mod head;
 mod headers;
 mod message;
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -47,6 +47,9 @@
     /// Most bytes of all response bodies that are being received at the same time. Beyond it, calls
     /// whose response takes more than its share fail.
     pub max_buffered_bytes: usize,
+    /// Header whose value the server repeats from the request in its response. A response with
+    /// another value is never the result of a call. Only `AsyncPool` checks it.
+    pub echoed_header: Option<&'static str>,
 }
 
 impl PoolConfig {
@@ -60,6 +63,7 @@
             max_head_bytes: 64 * 1024,
             max_body_bytes: 8 * 1024 * 1024,
             max_buffered_bytes: 32 * 1024 * 1024,
+            echoed_header: None,
         }
     }
 }
@@ -86,6 +90,9 @@
     /// The response is not valid HTTP/1.x.
     #[snafu(display("the response is not valid HTTP/1.1"))]
     Malformed,
+    /// The response is not for this request, because the header that the server repeats differs.
+    #[snafu(display("the response is for another request"))]
+    Mismatched,
     /// The token was cancelled after the request had been sent, at least in part.
     #[snafu(display("the call was cancelled"))]
     Cancelled,
@@ -198,11 +205,15 @@
             );
             let is_cancelled = !cancel.release();
             match result {
-                Ok((response, reusable)) => {
-                    if reusable && !is_cancelled {
+                // The cancellation has closed the connection, which then did not end the body.
+                Ok(received) if received.ended_by_close && is_cancelled => {
+                    return Err(CallError::Cancelled);
+                }
+                Ok(received) => {
+                    if received.reusable && !is_cancelled {
                         guard.release();
                     }
-                    return Ok(response);
+                    return Ok(received.response);
                 }
                 // Nothing was written, so a retry on another connection can't run the request
                 // twice.
@@ -332,14 +343,24 @@
     Ok(stream)
 }
 
-/// Writes the request and reads its response; the flag tells whether the connection can be reused.
+/// A response as it was read from a connection.
+pub(crate) struct Received {
+    pub(crate) response: Response,
+    /// Whether the connection can carry another request.
+    pub(crate) reusable: bool,
+    /// Whether the end of the connection ended the body. If this process closed the connection, the
+    /// body is truncated.
+    pub(crate) ended_by_close: bool,
+}
+
+/// Writes the request and reads its response.
 fn exchange(
     limits: (&PoolConfig, &ResponseBudget),
     connection: &mut PooledConnection,
     request_bytes: &[u8],
     is_head: bool,
     deadline: Instant,
-) -> Result<(Response, bool), CallError> {
+) -> Result<Received, CallError> {
     send_request(&connection.stream, request_bytes, 0, deadline)?;
     receive_response(
         limits,
@@ -350,15 +371,14 @@
     )
 }
 
-/// Reads one response; the flag tells whether the connection can be reused. Without a deadline,
-/// waits until the connection ends.
+/// Reads one response. Without a deadline, waits until the connection ends.
 pub(crate) fn receive_response(
     (config, budget): (&PoolConfig, &ResponseBudget),
     stream: &TcpStream,
     buffer: &mut ReadBuffer,
     is_head: bool,
     deadline: Option<Instant>,
-) -> Result<(Response, bool), CallError> {
+) -> Result<Received, CallError> {
     let head = read_final_head(config, stream, buffer, is_head, deadline)?;
     let mut decoder = BodyDecoder::new(head.framing, config.max_body_bytes);
     let mut buffered = budget.start_response();
@@ -383,7 +403,11 @@
         headers: head.headers,
         body: decoder.into_body(),
     };
-    Ok((response, reusable))
+    Ok(Received {
+        response,
+        reusable,
+        ended_by_close: head.framing == Framing::UntilClose,
+    })
 }
 
 /// Writes the request bytes from offset `written` on.
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -59,6 +59,7 @@
         max_response_bytes: usize,
         health_checks_per_s: u32,
         announced_slots: u32,
+        echoed_header: Option<&'static str>,
     ) -> Option<Self> {
         let max_connections = upstream
             .connections
@@ -69,6 +70,7 @@
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             max_body_bytes: max_response_bytes,
             max_buffered_bytes: max_response_bytes.max(RESPONSE_BUFFER_BYTES),
+            echoed_header,
             ..PoolConfig::new(upstream.address)
         };
         let mut admission = Admission::new(AdmissionConfig {
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -49,7 +49,7 @@
     }
     match outcome {
         Ok(response) if is_refusal(owner, &response) => finish_refusal(owner, job, &response),
-        Ok(response) if is_foreign_response(owner, &job, &response) => {
+        Ok(response) if is_encoded(owner, &response) => {
             finish_error(owner, job, CallError::Malformed);
         }
         Ok(response) => finish_answer(owner, job, response, service_us),
@@ -70,23 +70,11 @@
     is_marked || is_misdirected
 }
 
-/// Whether the response can't be the instance's answer to this call: its request id differs, or it
-/// has a content encoding. A faulty instance or an intermediary sends such responses.
-fn is_foreign_response(owner: &Owner, job: &Job, response: &Response) -> bool {
+/// Whether the body was encoded on its way. Where upstreams repeat the request id, requests ask for
+/// no encoding, so these are not the bytes of the instance.
+fn is_encoded(owner: &Owner, response: &Response) -> bool {
     let names = &owner.context.kernel.node_settings().headers;
-    let Some(name) = names.request_id else {
-        return false;
-    };
-    let sent = find_header(&job.call.request.headers, name);
-    let is_other = sent.is_some() && response.headers.get(name) != sent;
-    is_other || response.headers.contains("content-encoding")
-}
-
-fn find_header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    headers
-        .iter()
-        .find(|(field, _)| field.eq_ignore_ascii_case(name))
-        .map(|(_, value)| value.as_str())
+    names.request_id.is_some() && response.headers.contains("content-encoding")
 }
 
 fn finish_refusal(owner: &Arc<Owner>, job: Job, response: &Response) {
@@ -141,7 +129,7 @@
         CallError::NotSent if job.cancel.is_cancelled() => RunResult::Refused(ErrorKind::Cancelled),
         CallError::NotSent => RunResult::Refused(ErrorKind::UpstreamRefused),
         CallError::TimedOut | CallError::Cancelled => RunResult::Failed(ErrorKind::DeadlinePassed),
-        CallError::ConnectionLost | CallError::Malformed => {
+        CallError::ConnectionLost | CallError::Malformed | CallError::Mismatched => {
             RunResult::Failed(ErrorKind::UpstreamLost)
         }
         CallError::Truncated => RunResult::Failed(ErrorKind::AnswerTruncated),
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -101,6 +101,7 @@
                         self.max_response_bytes(),
                         self.health_checks_per_s(),
                         announced_slots,
+                        self.context.kernel.node_settings().headers.request_id,
                     )
                 });
                 drop(guard);
