Follow an instance past reports with odd numbers, and reject addresses without a port

Callers would have seen 503 for good: after one report whose start or sequence number no instance reaches, every later report of the real instance counted as late, and its lease ran out. A report with port 0 or an unspecified address named an instance, and each call to it failed.

Cause: start and sequence alone decided which of two reports is newer. Announced addresses were not checked, and the platform's heartbeats passed none of the checks of the node's own interface.

Change: the order of reports is a module of its own (members/report_order). Both interfaces check start and address.

--- a/components/node/src/announce.rs
+++ b/components/node/src/announce.rs
@@ -8,6 +8,9 @@
 const MAX_SLOTS: u32 = 10_000;
 /// Most rules of one instance, so that its record stays small enough to be gossiped.
 const MAX_RULES: usize = 16;
+/// Latest start that an instance may announce: the end of the year 9999, in milliseconds since the
+/// Unix epoch.
+const MAX_STARTED_MS: u64 = 253_402_300_799_999;
 /// Longest path prefix of a rule in bytes.
 const MAX_PREFIX_BYTES: usize = 64;
 
@@ -70,7 +73,24 @@
         Ok(announcement)
     }
 
-    fn validate(&self) -> Result<(), String> {
+    /// Checks the values that the types allow but no instance may announce; the error names the
+    /// field.
+    pub fn validate(&self) -> Result<(), String> {
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(format!(
+                "address: {} can't be connected to; give the port and address of the instance",
+                self.address
+            ));
+        }
+        if let Some(started_ms) = self
+            .started_ms
+            .filter(|started_ms| *started_ms > MAX_STARTED_MS)
+        {
+            return Err(format!(
+                "started_ms: {started_ms} is out of range; allowed are 0 to {MAX_STARTED_MS}"
+            ));
+        }
         if self.slots == 0 || self.slots > MAX_SLOTS {
             return Err(format!(
                 "slots: {} is out of range; allowed are 1 to {MAX_SLOTS}",
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -2,11 +2,9 @@
 
 use crate::announce::Announcement;
 use kernel::{Clock, Event, Kernel};
+use members::{ReportOrder, ReportPosition};
 use model::{ServiceName, Upstream, UpstreamName, UpstreamState};
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
-};
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// The announced instance, its lease and the order of its reports.
 #[derive(Default)]
@@ -19,23 +17,10 @@
     announced_slots: u32,
     /// Service of the last announced instance, kept after that instance was removed.
     service: Option<ServiceName>,
-    /// Newest report of each instance name, to detect late reports.
-    reports: HashMap<UpstreamName, ReportOrder>,
+    /// Detects late reports.
+    report_order: ReportOrder,
 }
 
-/// Order of the reports of one instance name: by start time, then by report number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ReportOrder {
-    started_ms: u64,
-    /// Set when the instance withdraws. It sorts after every report of the same start, so that none
-    /// of them counts any more.
-    withdrawn: bool,
-    sequence: u64,
-}
-
-/// Most instance names whose newest reports are kept.
-const MAX_REPORT_NAMES: usize = 256;
-
 /// Holds the announced local instance and publishes its changes to the other plug-ins.
 pub(crate) struct LocalInstance {
     kernel: Arc<Kernel>,
@@ -85,31 +70,22 @@
             self.announce(announcement);
             return true;
         };
-        let order = ReportOrder {
+        let position = ReportPosition {
             started_ms: announcement.started_ms.unwrap_or(0),
-            withdrawn: false,
             sequence: announcement.sequence.unwrap_or(0),
         };
-        {
-            let mut guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            let state = &mut *guard;
-            let newest_start = state.reports.values().map(|held| held.started_ms).max();
-            let held = state.reports.get(name);
-            let is_late = held.is_some_and(|held| *held >= order)
-                || newest_start.is_some_and(|newest| newest > order.started_ms);
-            if is_late {
-                log::info!(
-                    "platform: a late report of instance {name} was ignored; start {} ms, \
-                     sequence {}.",
-                    order.started_ms,
-                    order.sequence
-                );
-                return false;
-            }
-            if state.reports.len() >= MAX_REPORT_NAMES {
-                state.reports.clear();
-            }
-            state.reports.insert(name.clone(), order);
+        let now_us = self.kernel.clock.now_us();
+        let is_current = {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.report_order.accept(now_us, name, position)
+        };
+        if !is_current {
+            log::info!(
+                "platform: a late report of instance {name} was ignored; start {} ms, sequence {}.",
+                position.started_ms,
+                position.sequence
+            );
+            return false;
         }
         self.announce(announcement);
         true
@@ -119,9 +95,7 @@
     pub(crate) fn withdraw_named(&self, name: &UpstreamName) -> bool {
         let is_announced = {
             let mut guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            if let Some(held) = guard.reports.get_mut(name) {
-                held.withdrawn = true;
-            }
+            guard.report_order.withdraw(name);
             guard.upstream.as_ref().is_some_and(|u| u.name == *name)
         };
         is_announced && self.withdraw()
