Estimate the wait of a call by the calls that start before it

Callers saw: requests of the Tontine deployment failed with 500, because a short call that their instance made was refused at once, while long calls waited half a second for slots of the same upstream.

Cause: the expected wait was the number of waiting calls of the same priority and above times the mean service time of the upstream. Calls that waited for a slow host were refused at their latest start even if slots were free and they could still have ended before their deadlines.

Change: the wait is the work of the calls that next_request would return first, each with its own service time, and the rest of one running call, over the slots of that priority. At its latest start, a held call starts if it can end before its deadline at the pace of the host.

--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission of calls at the owner: slots, queues by priority, and early refusal of calls that
 //! can't finish in time.
 
+use crate::USUAL_PACE_PERCENT;
 use errors::ErrorKind;
 use model::{AttemptId, LoadSignal, Priority, UpstreamState};
 use std::collections::VecDeque;
@@ -88,6 +89,8 @@
 struct Running {
     attempt: AttemptId,
     started_us: u64,
+    /// Expected service time at its start.
+    expected_us: u64,
 }
 
 /// Slots and queues of one upstream, kept by its owner. It decides which call starts, waits or is
@@ -100,6 +103,8 @@
     waiting: [VecDeque<AdmissionRequest>; PRIORITIES],
     /// End of the time for which no call starts because the host is slow.
     held_until_us: u64,
+    /// Time that work takes on the slow host, in percent of the usual time.
+    held_pace_percent: u32,
     /// Estimate of the service time; 0 before the first finished call.
     service_us: u64,
     /// Time of the last change of the estimate.
@@ -117,6 +122,7 @@
             running: Vec::with_capacity(config.slots as usize),
             waiting: Default::default(),
             held_until_us: 0,
+            held_pace_percent: USUAL_PACE_PERCENT,
             service_us: 0,
             estimated_us: 0,
             sequence: 0,
@@ -136,13 +142,13 @@
             && self.has_slot_for(request.priority)
             && self.queued_from(request.priority) == 0
         {
-            self.occupy_slot(now_us, request.attempt);
+            self.occupy_slot(now_us, &request);
             return AdmissionResult::Start;
         }
         if request.start_now {
             return AdmissionResult::Refused(ErrorKind::Overloaded);
         }
-        if !self.can_finish(now_us + self.expected_wait_us(request.priority), &request) {
+        if !self.can_finish(now_us + self.expected_wait_us(now_us, &request), &request) {
             return AdmissionResult::Refused(ErrorKind::Overloaded);
         }
         if self.queued() < request.queue_limit.min(self.config.queue_limit) {
@@ -201,7 +207,7 @@
     /// Refuses each waiting attempt whose deadline or latest start has passed, and starts others if
     /// there are free slots.
     pub fn expire(&mut self, now_us: u64) -> Vec<QueueDecision> {
-        let mut decisions = Vec::new();
+        let mut decisions = self.start_despite_hold(now_us);
         for queue in &mut self.waiting {
             queue.retain(|request| match expiry_reason(now_us, request) {
                 Some(kind) => {
@@ -228,9 +234,12 @@
             .collect()
     }
 
-    /// Starts no calls for `for_us` because the host is slow. They start at the end of that time,
-    /// or with `resume`. Has no effect while calls are already held.
-    pub fn hold(&mut self, now_us: u64, for_us: u64) {
+    /// Starts no calls for `for_us` because work takes `pace_percent` of the usual time on the host.
+    /// They start at the end of that time, or with `resume`; a call whose latest start comes before
+    /// that starts then, if it can finish in time at this pace. Has no effect on the time while
+    /// calls are already held.
+    pub fn hold(&mut self, now_us: u64, for_us: u64, pace_percent: u32) {
+        self.held_pace_percent = pace_percent;
         if now_us >= self.held_until_us {
             self.held_until_us = now_us + for_us;
         }
@@ -297,11 +306,16 @@
     }
 
     fn has_slot_for(&self, priority: Priority) -> bool {
+        self.in_flight() < self.slots_for(priority)
+    }
+
+    /// Slots that calls of this priority may use.
+    fn slots_for(&self, priority: Priority) -> u32 {
         let urgent_slots = match priority {
             Priority::Low => 0,
             Priority::Normal | Priority::High => self.config.urgent_slots,
         };
-        self.in_flight() < self.config.slots + urgent_slots
+        self.config.slots + urgent_slots
     }
 
     /// Number of waiting calls of this priority and above.
@@ -312,13 +326,48 @@
             .sum()
     }
 
-    fn occupy_slot(&mut self, now_us: u64, attempt: AttemptId) {
+    fn occupy_slot(&mut self, now_us: u64, request: &AdmissionRequest) {
         self.running.push(Running {
-            attempt,
+            attempt: request.attempt,
             started_us: now_us,
+            expected_us: self.service_us_of(request),
         });
     }
 
+    /// Starts the calls of a held queue whose latest start has come, as far as there are free slots
+    /// and the calls can finish before their deadlines at the present pace. Refused, their callers
+    /// would have waited for nothing.
+    fn start_despite_hold(&mut self, now_us: u64) -> Vec<QueueDecision> {
+        let mut decisions = Vec::new();
+        if !self.is_held(now_us) {
+            return decisions;
+        }
+        for priority in [Priority::High, Priority::Normal, Priority::Low] {
+            while self.has_slot_for(priority) {
+                let queue = &self.waiting[queue_index(priority)];
+                let due = queue.iter().position(|request| {
+                    now_us >= request.start_by_us && self.can_finish_slowly(now_us, request)
+                });
+                let Some(request) =
+                    due.and_then(|index| self.waiting[queue_index(priority)].remove(index))
+                else {
+                    break;
+                };
+                self.occupy_slot(now_us, &request);
+                decisions.push(QueueDecision::Start(request.attempt));
+            }
+        }
+        decisions
+    }
+
+    /// Whether a call that starts now ends before its deadline at the pace of the slow host.
+    fn can_finish_slowly(&self, now_us: u64, request: &AdmissionRequest) -> bool {
+        let service_us = self.service_us_of(request).max(1);
+        let slow_us = service_us.saturating_mul(u64::from(self.held_pace_percent))
+            / u64::from(USUAL_PACE_PERCENT);
+        now_us.saturating_add(slow_us) <= request.deadline_us
+    }
+
     /// Starts waiting calls while there are free slots, and refuses those that can no longer finish
     /// in time.
     fn start_waiting(&mut self, now_us: u64) -> Vec<QueueDecision> {
@@ -333,7 +382,7 @@
             decisions.push(match refusal {
                 Some(kind) => QueueDecision::Refuse(request.attempt, kind),
                 None => {
-                    self.occupy_slot(now_us, request.attempt);
+                    self.occupy_slot(now_us, &request);
                     QueueDecision::Start(request.attempt)
                 }
             });
@@ -350,38 +399,83 @@
             .into_iter()
             .filter(|priority| self.has_slot_for(*priority))
             .count();
-        let estimate_us = self.service_us;
-        let can_meet_target = |request: &AdmissionRequest| {
-            let service_us = match request.expected_us {
-                0 => estimate_us,
-                expected_us => expected_us,
-            };
-            now_us + service_us <= request.target_us
-        };
-        let queues = &mut self.waiting[..open_queues];
-        for queue in queues.iter_mut() {
-            let most_urgent = (0..queue.len())
-                .filter(|index| can_meet_target(&queue[*index]))
-                .min_by_key(|index| queue[*index].target_us);
+        for queue in 0..open_queues {
+            let waiting = &self.waiting[queue];
+            let most_urgent = (0..waiting.len())
+                .filter(|index| self.can_meet_target(now_us, &waiting[*index]))
+                .min_by_key(|index| waiting[*index].target_us);
             if let Some(index) = most_urgent {
-                return queue.remove(index);
+                return self.waiting[queue].remove(index);
             }
         }
-        queues.iter_mut().find_map(VecDeque::pop_front)
+        self.waiting[..open_queues]
+            .iter_mut()
+            .find_map(VecDeque::pop_front)
     }
 
-    fn can_finish(&self, start_us: u64, request: &AdmissionRequest) -> bool {
-        let service_us = match request.expected_us {
+    /// Expected service time of a request.
+    fn service_us_of(&self, request: &AdmissionRequest) -> u64 {
+        match request.expected_us {
             0 => self.service_us,
             expected_us => expected_us,
-        };
+        }
+    }
+
+    fn can_meet_target(&self, now_us: u64, request: &AdmissionRequest) -> bool {
+        now_us + self.service_us_of(request) <= request.target_us
+    }
+
+    fn can_finish(&self, start_us: u64, request: &AdmissionRequest) -> bool {
+        let service_us = self.service_us_of(request);
         start_us <= request.start_by_us && start_us + service_us <= request.deadline_us
     }
 
-    fn expected_wait_us(&self, priority: Priority) -> u64 {
-        let ahead = self.queued_from(priority);
-        let slots = u64::from(self.config.slots.max(1));
-        (ahead as u64 + 1) * self.service_us / slots
+    /// Time until a request that arrives now gets a slot: until one of the running calls ends, and
+    /// for the calls that start before it. Each counts with its own service time, so that a short
+    /// call is not refused because the instance also runs long calls that start after it.
+    fn expected_wait_us(&self, now_us: u64, request: &AdmissionRequest) -> u64 {
+        let ahead_us: u64 = self
+            .waiting
+            .iter()
+            .flatten()
+            .filter(|other| self.starts_before(now_us, other, request))
+            .map(|other| self.service_us_of(other))
+            .sum();
+        let slots = u64::from(self.slots_for(request.priority).max(1));
+        (self.mean_remaining_us(now_us) + ahead_us) / slots
+    }
+
+    /// Whether `next_request` returns the waiting call before the request.
+    fn starts_before(
+        &self,
+        now_us: u64,
+        waiting: &AdmissionRequest,
+        request: &AdmissionRequest,
+    ) -> bool {
+        let is_above = queue_index(waiting.priority) < queue_index(request.priority);
+        let is_equal = waiting.priority == request.priority;
+        match (
+            self.can_meet_target(now_us, waiting),
+            self.can_meet_target(now_us, request),
+        ) {
+            (true, true) => is_above || (is_equal && waiting.target_us <= request.target_us),
+            (false, false) => is_above || is_equal,
+            (can_meet_target, _) => can_meet_target,
+        }
+    }
+
+    /// Mean time that the running calls still need. A call that has exceeded its expected time is
+    /// expected to need as much again.
+    fn mean_remaining_us(&self, now_us: u64) -> u64 {
+        let remaining_us: u64 = self
+            .running
+            .iter()
+            .map(|running| {
+                let age_us = now_us.saturating_sub(running.started_us);
+                running.expected_us.checked_sub(age_us).unwrap_or(age_us)
+            })
+            .sum();
+        remaining_us / self.running.len().max(1) as u64
     }
 
     /// Removes the newest waiting attempt of the lowest priority below this one.
