Apply request limits that change while their subscriber starts

Cause (read in the sources, size-readings): the limits were applied before the subscription, so that a configuration that came between them had no effect on request limits until the next change.

--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -3,7 +3,7 @@
 use model::{Revision, ServiceName, Upstream, UpstreamName};
 use std::{
     net::SocketAddr,
-    sync::{Arc, RwLock},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
 };
 
 /// Event that one plug-in publishes to the others.
@@ -44,15 +44,32 @@
         let mut list = self
             .subscribers
             .write()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+            .unwrap_or_else(PoisonError::into_inner);
         list.push(Arc::new(subscriber));
     }
 
+    /// Runs `apply` now and at each event that `matches`, one run at a time. Subscribes first, so that
+    /// the last run sees a change that is published during the first one.
+    pub fn apply_on(
+        &self,
+        matches: impl Fn(&Event) -> bool + Send + Sync + 'static,
+        apply: impl Fn() + Send + Sync + 'static,
+    ) {
+        let apply = Arc::new(Mutex::new(apply));
+        let subscribed = Arc::clone(&apply);
+        self.subscribe(move |event| {
+            if matches(event) {
+                lock(&subscribed)();
+            }
+        });
+        lock(&apply)();
+    }
+
     /// Removes all subscribers.
     pub(crate) fn clear(&self) {
         self.subscribers
             .write()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .unwrap_or_else(PoisonError::into_inner)
             .clear();
     }
 
@@ -62,7 +79,7 @@
             let guard = self
                 .subscribers
                 .read()
-                .unwrap_or_else(std::sync::PoisonError::into_inner);
+                .unwrap_or_else(PoisonError::into_inner);
             guard.clone()
         };
         for subscriber in &list {
@@ -70,3 +87,7 @@
         }
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -151,12 +151,9 @@
             idle_timeout_ms: limits.idle_timeout_ms,
         });
     };
-    apply();
-    kernel.events.subscribe(move |event| {
-        if let Event::ProfilesChanged(_) = event {
-            apply();
-        }
-    });
+    kernel
+        .events
+        .apply_on(|event| matches!(event, Event::ProfilesChanged(_)), apply);
 }
 
 impl Entry {
