Check that an instance runs before a restarted node uses its first report

Callers would have seen calls sent to an instance that had left: its node restarted, knew nothing of the departure, and took a late heartbeat for the announcement of a running instance, for the length of a lease (10 s).

Change: where instances send their names with health checks, the first report that a node's process gets from an instance that is older than the process is confirmed by one health check on the same host. Without a good answer the report is held back until the sender reports again a second later, so that a running instance whose health check fails is not lost.

The rule without sockets: report_order::first_report_after_restart_checked.

--- a/components/members/src/report_order.rs
+++ b/components/members/src/report_order.rs
@@ -16,6 +16,12 @@
 /// which the late reports of a sender that has ended usually arrive, since those come together.
 const OVERTAKE_US: u64 = 2_500_000;
 
+/// Time after which a sender whose first report was held back is heard again if it is running.
+/// Late reports of a sender that has ended arrive together.
+const HELD_BACK_US: u64 = 1_000_000;
+/// Number of the first report after an instance's start.
+const FIRST_SEQUENCE: u64 = 1;
+
 /// Position of a report among those of its sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ReportPosition {
@@ -32,6 +38,12 @@
     started_ms: u64,
 }
 
+impl InstanceStart {
+    fn is_of(&self, name: &UpstreamName, started_ms: u64) -> bool {
+        self.name == *name && self.started_ms == started_ms
+    }
+}
+
 /// Newest report of one start.
 #[derive(Clone, Copy, Debug)]
 struct Newest {
@@ -65,9 +77,46 @@
 pub struct ReportOrder {
     newest: HashMap<InstanceStart, Newest>,
     candidate: Option<Candidate>,
+    /// Sender of the report that was held back, before any report was accepted.
+    held_back: Option<Candidate>,
 }
 
 impl ReportOrder {
+    /// Whether it must be checked that the sender of this report is running. This process has
+    /// started after the instance, so the instance may have withdrawn from its predecessor.
+    pub fn needs_check(&self, now_us: u64, name: &UpstreamName, position: ReportPosition) -> bool {
+        if !self.newest.is_empty() || position.sequence <= FIRST_SEQUENCE {
+            return false;
+        }
+        let reports_on = self.held_back.as_ref().is_some_and(|held| {
+            held.start.is_of(name, position.started_ms)
+                && position.sequence > held.sequence
+                && now_us.saturating_sub(held.first_us) >= HELD_BACK_US
+        });
+        !reports_on
+    }
+
+    /// Holds a report back whose sender may have ended. If the sender reports again after a while,
+    /// it is running.
+    pub fn hold_back(&mut self, now_us: u64, name: &UpstreamName, position: ReportPosition) {
+        let is_known = self
+            .held_back
+            .as_ref()
+            .is_some_and(|held| held.start.is_of(name, position.started_ms));
+        if is_known {
+            return;
+        }
+        self.held_back = Some(Candidate {
+            start: InstanceStart {
+                name: name.clone(),
+                started_ms: position.started_ms,
+            },
+            sequence: position.sequence,
+            first_us: now_us,
+            reports: 1,
+        });
+    }
+
     /// Whether the report is current, and records it if so.
     pub fn accept(&mut self, now_us: u64, name: &UpstreamName, position: ReportPosition) -> bool {
         let ReportPosition {
--- a/components/members/tests/report_order.rs
+++ b/components/members/tests/report_order.rs
@@ -1,5 +1,6 @@
-//! Guards against two failures: a late report restores an instance that has left, and a start time
-//! or sequence number that is too high keeps a running instance out for good.
+//! Guards against two failures: a late report restores an instance that has left, also after a
+//! restart of the node, and a start time or sequence number that is too high keeps a running instance
+//! out for good.
 
 use members::{ReportOrder, ReportPosition};
 use model::UpstreamName;
@@ -106,3 +107,22 @@
         assert!(order.accept(9 * SECOND_US, &name("a"), at(1_000, 9)));
     }
 }
+
+#[test]
+fn first_report_after_restart_checked() {
+    let mut order = ReportOrder::default();
+    assert!(
+        !order.needs_check(0, &name("new"), at(100, 1)),
+        "a starting instance has not withdrawn"
+    );
+    assert!(order.needs_check(0, &name("a"), at(100, 7)));
+    order.hold_back(0, &name("a"), at(100, 7));
+    // Late reports that arrive together, and a copy that arrives later, prove nothing.
+    assert!(order.needs_check(SECOND_US / 10, &name("a"), at(100, 8)));
+    order.hold_back(SECOND_US / 10, &name("a"), at(100, 8));
+    assert!(order.needs_check(5 * SECOND_US, &name("a"), at(100, 7)));
+    assert!(order.needs_check(5 * SECOND_US, &name("b"), at(100, 9)));
+    assert!(!order.needs_check(INTERVAL_US, &name("a"), at(100, 9)));
+    assert!(order.accept(INTERVAL_US, &name("a"), at(100, 9)));
+    assert!(!order.needs_check(INTERVAL_US, &name("b"), at(200, 9)));
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod generations;
 mod gossip;
+mod health_request;
 mod instance_api;
 mod local;
 mod owner;
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -1,6 +1,6 @@
 //! The local instance, which runs beside this node: its announcement, lease and state.
 
-use crate::announce::Announcement;
+use crate::{announce::Announcement, health_request::is_serving};
 use kernel::{Clock, Event, Kernel};
 use members::{ReportOrder, ReportPosition};
 use model::{ServiceName, Upstream, UpstreamName, UpstreamState};
@@ -75,11 +75,24 @@
             sequence: announcement.sequence.unwrap_or(0),
         };
         let now_us = self.kernel.clock.now_us();
-        let is_current = {
-            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            state.report_order.accept(now_us, name, position)
-        };
-        if !is_current {
+        if self.report_order(|order| order.needs_check(now_us, name, position))
+            && !is_serving(
+                &self.kernel,
+                &announcement.service,
+                name,
+                announcement.address,
+            )
+        {
+            log::info!(
+                "platform: the first report of instance {name} was held back, because its health \
+                 check failed; start {} ms, sequence {}.",
+                position.started_ms,
+                position.sequence
+            );
+            self.report_order(|order| order.hold_back(now_us, name, position));
+            return false;
+        }
+        if !self.report_order(|order| order.accept(now_us, name, position)) {
             log::info!(
                 "platform: a late report of instance {name} was ignored; start {} ms, sequence {}.",
                 position.started_ms,
@@ -91,6 +104,11 @@
         true
     }
 
+    fn report_order<T>(&self, run: impl FnOnce(&mut ReportOrder) -> T) -> T {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        run(&mut state.report_order)
+    }
+
     /// Withdraws the named instance at its own request; returns whether it was the announced one.
     pub(crate) fn withdraw_named(&self, name: &UpstreamName) -> bool {
         let is_announced = {
--- a/components/node/src/owner/health.rs
+++ b/components/node/src/owner/health.rs
@@ -5,8 +5,9 @@
     instance::{Instance, Job},
     state::Owner,
 };
+use crate::health_request::health_request;
 use calls::Fingerprint;
-use http::{AsyncPool, CallError, CancelToken, Headers, Request, Response};
+use http::{AsyncPool, CallError, CancelToken, Response};
 use kernel::Event;
 use limits::PaceStatus;
 use model::ServiceName;
@@ -29,7 +30,7 @@
     /// Sends a health check; when it ends, also by a failure, the calls that wait for it go to
     /// admission.
     pub(super) fn check_health(self: &Arc<Self>, service: &ServiceName, pool: &Arc<AsyncPool>) {
-        let request = self.health_request(service);
+        let request = health_request(&self.context.kernel, service);
         let deadline = Instant::now() + HEALTH_CHECK_TIMEOUT;
         let owner = Arc::clone(self);
         self.context.kernel.metrics.health_checks.inc();
@@ -65,7 +66,7 @@
         let Some(service) = service else {
             return;
         };
-        let request = self.health_request(&service);
+        let request = health_request(&self.context.kernel, &service);
         let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
         let (owner, next) = (Arc::clone(self), Arc::clone(pool));
         pool.call(&request, deadline, &CancelToken::new(), move |outcome| {
@@ -117,25 +118,9 @@
         }
     }
 
-    fn health_request(&self, service: &ServiceName) -> Request {
-        Request {
-            method: "GET".to_owned(),
-            target: self.health_path(service),
-            headers: Headers::new(),
-            body: Vec::new(),
-            peer: self.context.kernel.mesh.local_id().mesh,
-        }
-    }
-
     fn end_health_check(&self) {
         if let Some(instance) = self.lock_instance().as_mut() {
             instance.pace.end_query();
         }
     }
-
-    fn health_path(&self, service: &ServiceName) -> String {
-        let routes = self.context.kernel.profiles.routes();
-        let path = routes.and_then(|table| table.health_path(service));
-        path.map_or_else(|| "/health".to_owned(), |path| path.to_string())
-    }
 }
--- a/components/settings/src/headers.rs
+++ b/components/settings/src/headers.rs
@@ -13,6 +13,8 @@
     pub caller_service: Option<&'static str>,
     /// Name of the only upstream that may run the call; sent to upstreams.
     pub expected_upstream: Option<&'static str>,
+    /// Name of the upstream, in the responses to health checks.
+    pub upstream_name: Option<&'static str>,
     /// Set by an upstream that did not run the call.
     pub not_run: Option<&'static str>,
     /// Load figures in an upstream's responses, separated by commas: running calls, waiting calls,
@@ -27,6 +29,7 @@
             request_id: None,
             caller_service: None,
             expected_upstream: None,
+            upstream_name: None,
             not_run: None,
             load: None,
         }
