Split admission and the asynchronous pool by job

Admission: requests and decisions, the hold for slow hosts, and the expected wait are files of their own; the pool: one connection with its call. Moves only; no behaviour changes.

--- a/components/http/src/async_pool.rs
+++ b/components/http/src/async_pool/mod.rs
@@ -4,25 +4,23 @@
 //! request and the connection's thread runs the callback, which saves a proxy a worker thread and
 //! one thread wake-up per call.
 
+mod connection;
+
 use crate::{
     CallError, CancelToken, PoolConfig, Request, Response,
-    echo::{EchoHistory, EchoMatch, EchoValue},
+    echo::{EchoMatch, EchoValue},
     message::encode_request,
-    pool::{READ_TIMEOUT_WITHOUT_DEADLINE, Received, connect, receive_response, send_request},
+    pool::{READ_TIMEOUT_WITHOUT_DEADLINE, Received, connect, receive_response},
     read_buffer::{ReadBuffer, is_timeout},
     response_budget::ResponseBudget,
     socket::{Peeked, peek, send_now},
     wake_timer::WakeTimer,
 };
+use connection::{Connection, ExpectedResponse, PendingCall, spawn_remaining_write};
 use std::{
     collections::{HashMap, VecDeque},
     io,
-    net::{Shutdown, TcpStream},
-    panic::{AssertUnwindSafe, catch_unwind},
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError, Weak,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     thread::Builder,
     time::{Duration, Instant},
 };
@@ -36,75 +34,6 @@
 /// How often a closed pool checks whether its last call has ended.
 const CLOSING_CHECK: Duration = Duration::from_millis(500);
 
-type Callback = Box<dyn FnOnce(Result<Response, CallError>) + Send>;
-
-/// A call that has no result yet.
-struct PendingCall {
-    request_bytes: Vec<u8>,
-    is_head: bool,
-    /// Value that the response must repeat.
-    echo: EchoValue,
-    deadline: Instant,
-    cancel: CancelToken,
-    callback: Callback,
-}
-
-impl PendingCall {
-    /// Whether the call was cancelled or its deadline has passed.
-    fn is_abandoned(&self) -> bool {
-        self.cancel.is_cancelled() || self.deadline <= Instant::now()
-    }
-
-    fn fail_unsent(self) {
-        self.complete(Err(CallError::NotSent));
-    }
-
-    /// Runs the callback. A panic in it must not leak the connection's slot in the pool.
-    fn complete(self, result: Result<Response, CallError>) {
-        let callback = self.callback;
-        if catch_unwind(AssertUnwindSafe(|| callback(result))).is_err() {
-            log::error!("http: a callback panicked");
-        }
-    }
-}
-
-#[derive(Default)]
-struct ConnectionState {
-    call: Option<PendingCall>,
-    /// Repeated values of the earlier calls on this connection.
-    history: EchoHistory,
-    has_timed_out: bool,
-    /// Set by the connection's thread before it ends, so that no further call is sent on it.
-    is_closed: bool,
-}
-
-/// The part of a call that is needed to read its response.
-struct ExpectedResponse {
-    is_head: bool,
-    echo: EchoValue,
-}
-
-/// One connection and the call that it carries.
-struct Connection {
-    id: u64,
-    stream: Arc<TcpStream>,
-    state: Mutex<ConnectionState>,
-    /// Whether this process has shut the connection down.
-    is_shut_down: AtomicBool,
-}
-
-impl Connection {
-    fn state(&self) -> MutexGuard<'_, ConnectionState> {
-        lock(&self.state)
-    }
-
-    fn shut_down(&self) {
-        self.is_shut_down.store(true, Ordering::Release);
-        // Fails only if the connection is closed already.
-        let _ = self.stream.shutdown(Shutdown::Both);
-    }
-}
-
 #[derive(Default)]
 struct State {
     /// Idle connections, each with the time at which it became idle.
@@ -323,12 +252,7 @@
             let mut state = lock(&self.state);
             state.opened_count += 1;
             state.next_id += 1;
-            let connection = Arc::new(Connection {
-                id: state.next_id,
-                stream,
-                state: Mutex::default(),
-                is_shut_down: AtomicBool::new(false),
-            });
+            let connection = Arc::new(Connection::new(state.next_id, stream));
             state.busy.insert(connection.id, Arc::clone(&connection));
             connection
         };
@@ -432,7 +356,7 @@
         };
         let Some(call) = call else { return false };
         let is_intact = call.cancel.release() && !has_timed_out;
-        let is_cut_off = !is_intact || connection.is_shut_down.load(Ordering::Acquire);
+        let is_cut_off = !is_intact || connection.was_shut_down();
         let result = match result {
             // This process has closed the connection, which then did not end the body.
             Ok(received) if received.ended_by_close && is_cut_off => Err(CallError::Truncated),
@@ -529,22 +453,3 @@
         (next, abandoned, closed)
     }
 }
-
-/// Writes the rest of a large request on a separate thread, since the calling thread must not
-/// block.
-fn spawn_remaining_write(
-    connection: &Arc<Connection>,
-    request_bytes: Vec<u8>,
-    written: usize,
-    deadline: Instant,
-) {
-    let writing = Arc::clone(connection);
-    let body = move || {
-        if send_request(&writing.stream, &request_bytes, written, deadline).is_err() {
-            writing.shut_down();
-        }
-    };
-    if spawn(body).is_err() {
-        connection.shut_down();
-    }
-}
--- a/components/limits/src/admission.rs
+++ b/components/limits/src/admission/mod.rs
@@ -1,6 +1,14 @@
 //! Admission of calls at the owner: slots, queues by priority, and early refusal of calls that
 //! can't finish in time.
 
+mod hold;
+mod request;
+mod wait;
+
+pub use request::{
+    AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
+};
+
 use crate::USUAL_PACE_PERCENT;
 use errors::ErrorKind;
 use model::{AttemptId, LoadSignal, Priority, UpstreamState};
@@ -15,75 +23,6 @@
 /// Number of priorities; each has its own queue.
 const PRIORITIES: usize = 3;
 
-/// Limits of the admission to one upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct AdmissionConfig {
-    /// Calls that the upstream can run at once.
-    pub slots: u32,
-    /// Additional slots for calls above the lowest priority. Calls in them make the upstream
-    /// slower, so calls of the lowest priority may not use them.
-    pub urgent_slots: u32,
-    /// Maximum number of waiting calls, even if the `queue_limit` of their requests is higher.
-    pub queue_limit: u32,
-}
-
-/// Request of an attempt for a slot.
-#[derive(Clone, Copy, Debug)]
-pub struct AdmissionRequest {
-    /// Attempt that needs a slot.
-    pub attempt: AttemptId,
-    /// Priority in the queue.
-    pub priority: Priority,
-    /// Deadline of the call; the attempt doesn't start at or after it.
-    pub deadline_us: u64,
-    /// Latest start. An attempt that still waits then is refused, so that the entry can send it to
-    /// another owner. The deadline or later if the attempt may wait until its deadline.
-    pub start_by_us: u64,
-    /// Expected service time, or 0 to use the owner's own estimate.
-    pub expected_us: u64,
-    /// Time until which an answer is fully useful. Calls that would miss it run when no call that
-    /// can meet its target waits. The deadline or later if the call has no such target.
-    pub target_us: u64,
-    /// Whether to refuse the attempt unless it can start at once and the host is not slow.
-    pub start_now: bool,
-    /// Longest queue that the attempt may join, in calls; with 0 it starts at once or is refused.
-    pub queue_limit: u32,
-}
-
-/// Result of an [`AdmissionRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AdmissionResult {
-    /// The attempt has a slot; run it now.
-    Start,
-    /// The attempt waits; a later [`QueueDecision`] starts or refuses it.
-    Queued,
-    /// The attempt waits in place of the given one of lower priority, which is refused as
-    /// `QueueFull`.
-    QueuedInstead(AttemptId),
-    /// The attempt has not run and won't run.
-    Refused(ErrorKind),
-}
-
-/// Decision on an attempt that waited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QueueDecision {
-    /// Run the attempt now.
-    Start(AttemptId),
-    /// Refuse the attempt; it has not run and won't run.
-    Refuse(AttemptId, ErrorKind),
-}
-
-/// State in which a cancellation found the attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CancelResult {
-    /// The attempt was waiting. It has been removed and never starts.
-    NotStarted,
-    /// The attempt is running and holds its slot until `finish` or `release_slot` is called.
-    Running,
-    /// The attempt is neither waiting nor running.
-    Unknown,
-}
-
 /// An attempt that holds a slot.
 #[derive(Clone, Copy, Debug)]
 struct Running {
@@ -234,28 +173,6 @@
             .collect()
     }
 
-    /// Starts no calls for `for_us` because work takes `pace_percent` of the usual time on the host.
-    /// They start at the end of that time, or with `resume`; a call whose latest start comes before
-    /// that starts then, if it can finish in time at this pace. Has no effect on the time while
-    /// calls are already held.
-    pub fn hold(&mut self, now_us: u64, for_us: u64, pace_percent: u32) {
-        self.held_pace_percent = pace_percent;
-        if now_us >= self.held_until_us {
-            self.held_until_us = now_us + for_us;
-        }
-    }
-
-    /// Whether no calls start because the host is slow.
-    pub fn is_held(&self, now_us: u64) -> bool {
-        now_us < self.held_until_us
-    }
-
-    /// Ends a hold and starts waiting calls as far as there are free slots.
-    pub fn resume(&mut self, now_us: u64) -> Vec<QueueDecision> {
-        self.held_until_us = 0;
-        self.start_waiting(now_us)
-    }
-
     /// Sets the number of slots after the upstream has announced another one.
     pub fn set_slots(&mut self, now_us: u64, slots: u32, urgent_slots: u32) -> Vec<QueueDecision> {
         self.config.slots = slots;
@@ -334,40 +251,6 @@
         });
     }
 
-    /// Starts the calls of a held queue whose latest start has come, as far as there are free slots
-    /// and the calls can finish before their deadlines at the present pace. Refused, their callers
-    /// would have waited for nothing.
-    fn start_despite_hold(&mut self, now_us: u64) -> Vec<QueueDecision> {
-        let mut decisions = Vec::new();
-        if !self.is_held(now_us) {
-            return decisions;
-        }
-        for priority in [Priority::High, Priority::Normal, Priority::Low] {
-            while self.has_slot_for(priority) {
-                let queue = &self.waiting[queue_index(priority)];
-                let due = queue.iter().position(|request| {
-                    now_us >= request.start_by_us && self.can_finish_slowly(now_us, request)
-                });
-                let Some(request) =
-                    due.and_then(|index| self.waiting[queue_index(priority)].remove(index))
-                else {
-                    break;
-                };
-                self.occupy_slot(now_us, &request);
-                decisions.push(QueueDecision::Start(request.attempt));
-            }
-        }
-        decisions
-    }
-
-    /// Whether a call that starts now ends before its deadline at the pace of the slow host.
-    fn can_finish_slowly(&self, now_us: u64, request: &AdmissionRequest) -> bool {
-        let service_us = self.service_us_of(request).max(1);
-        let slow_us = service_us.saturating_mul(u64::from(self.held_pace_percent))
-            / u64::from(USUAL_PACE_PERCENT);
-        now_us.saturating_add(slow_us) <= request.deadline_us
-    }
-
     /// Starts waiting calls while there are free slots, and refuses those that can no longer finish
     /// in time.
     fn start_waiting(&mut self, now_us: u64) -> Vec<QueueDecision> {
@@ -413,71 +296,6 @@
             .find_map(VecDeque::pop_front)
     }
 
-    /// Expected service time of a request.
-    fn service_us_of(&self, request: &AdmissionRequest) -> u64 {
-        match request.expected_us {
-            0 => self.service_us,
-            expected_us => expected_us,
-        }
-    }
-
-    fn can_meet_target(&self, now_us: u64, request: &AdmissionRequest) -> bool {
-        now_us + self.service_us_of(request) <= request.target_us
-    }
-
-    fn can_finish(&self, start_us: u64, request: &AdmissionRequest) -> bool {
-        let service_us = self.service_us_of(request);
-        start_us <= request.start_by_us && start_us + service_us <= request.deadline_us
-    }
-
-    /// Time until a request that arrives now gets a slot: until one of the running calls ends, and
-    /// for the calls that start before it. Each counts with its own service time, so that a short
-    /// call is not refused because the instance also runs long calls that start after it.
-    fn expected_wait_us(&self, now_us: u64, request: &AdmissionRequest) -> u64 {
-        let ahead_us: u64 = self
-            .waiting
-            .iter()
-            .flatten()
-            .filter(|other| self.starts_before(now_us, other, request))
-            .map(|other| self.service_us_of(other))
-            .sum();
-        let slots = u64::from(self.slots_for(request.priority).max(1));
-        (self.mean_remaining_us(now_us) + ahead_us) / slots
-    }
-
-    /// Whether `next_request` returns the waiting call before the request.
-    fn starts_before(
-        &self,
-        now_us: u64,
-        waiting: &AdmissionRequest,
-        request: &AdmissionRequest,
-    ) -> bool {
-        let is_above = queue_index(waiting.priority) < queue_index(request.priority);
-        let is_equal = waiting.priority == request.priority;
-        match (
-            self.can_meet_target(now_us, waiting),
-            self.can_meet_target(now_us, request),
-        ) {
-            (true, true) => is_above || (is_equal && waiting.target_us <= request.target_us),
-            (false, false) => is_above || is_equal,
-            (can_meet_target, _) => can_meet_target,
-        }
-    }
-
-    /// Mean time that the running calls still need. A call that has exceeded its expected time is
-    /// expected to need as much again.
-    fn mean_remaining_us(&self, now_us: u64) -> u64 {
-        let remaining_us: u64 = self
-            .running
-            .iter()
-            .map(|running| {
-                let age_us = now_us.saturating_sub(running.started_us);
-                running.expected_us.checked_sub(age_us).unwrap_or(age_us)
-            })
-            .sum();
-        remaining_us / self.running.len().max(1) as u64
-    }
-
     /// Removes the newest waiting attempt of the lowest priority below this one.
     fn shed_below(&mut self, priority: Priority) -> Option<AttemptId> {
         self.waiting[queue_index(priority) + 1..]
--- /dev/null
+++ b/components/limits/src/admission/wait.rs
@@ -0,0 +1,71 @@
+//! Expected wait of a call. It matters when short and long calls share the slots of one upstream: a
+//! short call starts before long ones, so their number says little about its wait.
+
+use super::{Admission, AdmissionRequest, queue_index};
+
+impl Admission {
+    /// Expected service time of a request.
+    pub(super) fn service_us_of(&self, request: &AdmissionRequest) -> u64 {
+        match request.expected_us {
+            0 => self.service_us,
+            expected_us => expected_us,
+        }
+    }
+
+    pub(super) fn can_meet_target(&self, now_us: u64, request: &AdmissionRequest) -> bool {
+        now_us + self.service_us_of(request) <= request.target_us
+    }
+
+    pub(super) fn can_finish(&self, start_us: u64, request: &AdmissionRequest) -> bool {
+        let service_us = self.service_us_of(request);
+        start_us <= request.start_by_us && start_us + service_us <= request.deadline_us
+    }
+
+    /// Time until a request that arrives now gets a slot: until one of the running calls ends, and
+    /// for the calls that start before it. Each counts with its own service time, so that a short
+    /// call is not refused because the instance also runs long calls that start after it.
+    pub(super) fn expected_wait_us(&self, now_us: u64, request: &AdmissionRequest) -> u64 {
+        let ahead_us: u64 = self
+            .waiting
+            .iter()
+            .flatten()
+            .filter(|other| self.starts_before(now_us, other, request))
+            .map(|other| self.service_us_of(other))
+            .sum();
+        let slots = u64::from(self.slots_for(request.priority).max(1));
+        (self.mean_remaining_us(now_us) + ahead_us) / slots
+    }
+
+    /// Whether `next_request` returns the waiting call before the request.
+    fn starts_before(
+        &self,
+        now_us: u64,
+        waiting: &AdmissionRequest,
+        request: &AdmissionRequest,
+    ) -> bool {
+        let is_above = queue_index(waiting.priority) < queue_index(request.priority);
+        let is_equal = waiting.priority == request.priority;
+        match (
+            self.can_meet_target(now_us, waiting),
+            self.can_meet_target(now_us, request),
+        ) {
+            (true, true) => is_above || (is_equal && waiting.target_us <= request.target_us),
+            (false, false) => is_above || is_equal,
+            (can_meet_target, _) => can_meet_target,
+        }
+    }
+
+    /// Mean time that the running calls still need. A call that has exceeded its expected time is
+    /// expected to need as much again.
+    fn mean_remaining_us(&self, now_us: u64) -> u64 {
+        let remaining_us: u64 = self
+            .running
+            .iter()
+            .map(|running| {
+                let age_us = now_us.saturating_sub(running.started_us);
+                running.expected_us.checked_sub(age_us).unwrap_or(age_us)
+            })
+            .sum();
+        remaining_us / self.running.len().max(1) as u64
+    }
+}
