Don't start calls on a slow host at their latest start

Late work on the slow host holds slots that calls in time need when the host is fast again.

The expected wait stays as it is.

--- a/components/limits/src/admission/mod.rs
+++ b/components/limits/src/admission/mod.rs
@@ -9,7 +9,6 @@
     AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
 };
 
-use crate::USUAL_PACE_PERCENT;
 use errors::ErrorKind;
 use model::{AttemptId, LoadSignal, Priority, UpstreamState};
 use std::collections::VecDeque;
@@ -42,8 +41,6 @@
     waiting: [VecDeque<AdmissionRequest>; PRIORITIES],
     /// End of the time for which no call starts because the host is slow.
     held_until_us: u64,
-    /// Time that work takes on the slow host, in percent of the usual time.
-    held_pace_percent: u32,
     /// Estimate of the service time; 0 before the first finished call.
     service_us: u64,
     /// Time of the last change of the estimate.
@@ -61,7 +58,6 @@
             running: Vec::with_capacity(config.slots as usize),
             waiting: Default::default(),
             held_until_us: 0,
-            held_pace_percent: USUAL_PACE_PERCENT,
             service_us: 0,
             estimated_us: 0,
             sequence: 0,
@@ -146,7 +142,7 @@
     /// Refuses each waiting attempt whose deadline or latest start has passed, and starts others if
     /// there are free slots.
     pub fn expire(&mut self, now_us: u64) -> Vec<QueueDecision> {
-        let mut decisions = self.start_despite_hold(now_us);
+        let mut decisions = Vec::new();
         for queue in &mut self.waiting {
             queue.retain(|request| match expiry_reason(now_us, request) {
                 Some(kind) => {
--- a/components/node/src/owner/arrivals.rs
+++ b/components/node/src/owner/arrivals.rs
@@ -54,8 +54,7 @@
             }
             PaceStatus::Usual => self.admit_call(guard, now_us, deadline_us, call, reply_to),
             PaceStatus::Slow => {
-                let pace_percent = instance.pace.percent();
-                instance.admission.hold(now_us, SLOW_HOLD_US, pace_percent);
+                instance.admission.hold(now_us, SLOW_HOLD_US);
                 self.admit_call(guard, now_us, deadline_us, call, reply_to);
             }
         }
@@ -94,7 +93,7 @@
         };
         instance.pace.record(now_us, percent);
         if instance.pace.is_slow() {
-            instance.admission.hold(now_us, SLOW_HOLD_US, percent);
+            instance.admission.hold(now_us, SLOW_HOLD_US);
         } else if instance.admission.is_held(now_us) {
             let decisions = instance.admission.resume(now_us);
             self.execute(guard, &decisions);
