--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -49,7 +49,8 @@
     }
 
     /// Runs `apply` now and at each event that `matches`, one run at a time. Subscribes first, so that
-    /// the last run sees a change that is published during the first one.
+    /// the last run sees a change that is published during the first one. `apply` must not publish
+    /// such an event itself.
     pub fn apply_on(
         &self,
         matches: impl Fn(&Event) -> bool + Send + Sync + 'static,
