Show that a late heartbeat restores an instance that has left (review case 5)

A node forgets the DELETE of an instance that it had no report of; the first heartbeat of that instance, arriving 4 s late, announces it as ready.

review/build.sh && review/5/run.sh

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,4 +7,4 @@
 for program in "$driver" target/release/gyard-platform; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec "$driver" lost-at-start review/5
+exec "$driver" late-heartbeats review/5
