--- a/review/standin/src/early_answer.rs
+++ b/review/standin/src/early_answer.rs
@@ -21,8 +21,13 @@
 const READ_FIRST_BYTES: usize = 64 << 10;
 /// Time after the answer from which the instance reads on.
 const PAUSE: Duration = Duration::from_millis(1_500);
-/// Deadline of the requests, that of `window-read`.
-const DEADLINE_MS: u64 = 10_000;
+/// Deadline of the requests, that of `order-place`.
+const DEADLINE_MS: u64 = 5_000;
+/// Ordinary requests before the long one, and the clients that send them.
+const ORDINARY: usize = 300;
+const CLIENTS: usize = 6;
+/// Answers of the instance for each one that it garbles, at least: `x` is .02.
+const ANSWERS_FOR_EACH: usize = 50;
 const WORK: Duration = Duration::from_millis(20);
 
 /// What the instance read where the rest of the long body was due.
@@ -47,7 +52,7 @@
     };
     let options = Options {
         cores: 5,
-        nodes: vec!["huvo11a", "wuno96b"],
+        nodes: vec!["huvo11a", "wuno96b", "wuno96b"],
         bounds: Vec::new(),
     };
     let route = |prefix, kind| Route {
@@ -67,27 +72,47 @@
     )?;
     running.wait_until_served(0, "/short/warm")?;
     let at = running.deployment.call_address(0);
+    let ordinary = |each: usize, name: &'static str| {
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                let record = Arc::clone(&play.record);
+                thread::spawn(move || {
+                    for number in 0..each {
+                        let id = format!("{name}-{client}-{number}");
+                        let request = client_request("GET", "/short/1", HOST, &id, 2_000, b"");
+                        let answer = call(at, &request, Duration::from_secs(3)).map(|a| a.status);
+                        record.note(format!("client: {id} is answered {answer:?}"));
+                    }
+                })
+            })
+            .collect();
+        clients.into_iter().for_each(|client| drop(client.join()));
+    };
+    ordinary(ORDINARY / CLIENTS, "before");
     let body: Vec<u8> = (0..BODY_BYTES).map(pattern).collect();
     let request = client_request("POST", "/long/1", HOST, "long-1", DEADLINE_MS, &body);
     play.record.note(format!(
         "client: sends long-1 with {BODY_BYTES} bytes of body"
     ));
-    let answer = call(at, &request, Duration::from_secs(12));
+    let answer = call(at, &request, Duration::from_secs(6));
     play.record.note(format!(
         "client: long-1 is answered {:?}",
         answer.map(|a| a.status)
     ));
-    for number in 1..=3 {
-        let id = format!("short-{number}");
-        let request = client_request("GET", "/short/1", HOST, &id, 2_000, b"");
-        play.record.note(format!("client: sends {id}"));
-        let answer = call(at, &request, Duration::from_secs(3));
-        play.record.note(format!(
-            "client: {id} is answered {:?}",
-            answer.map(|a| a.status)
-        ));
-    }
+    ordinary(2, "after");
     thread::sleep(Duration::from_secs(2));
+    let garbled = running
+        .instances
+        .iter()
+        .map(|instance| instance.arrivals())
+        .find(|arrivals| arrivals.iter().any(|arrival| arrival.id == "long-1"));
+    let answers = garbled.map_or(0, |arrivals| arrivals.len());
+    play.record.note(format!(
+        "the instance that got long-1 answered {answers} requests"
+    ));
+    if answers < ANSWERS_FOR_EACH {
+        return Err("too few answers for one that is garbled".to_owned());
+    }
     let rest = rest.lock().unwrap_or_else(PoisonError::into_inner);
     if has_trouble {
         play.record.note(format!(
--- a/review/standin/src/grace_period.rs
+++ b/review/standin/src/grace_period.rs
@@ -14,8 +14,13 @@
 const GRACE_PERIOD: Duration = Duration::from_secs(10);
 /// Deadline of `window-read`.
 const DEADLINE_MS: u64 = 10_000;
-/// Work of the requests: `window-read` takes up to 3.3 s, and twice as long at a cold instance.
-const WORK: Duration = Duration::from_millis(6_500);
+/// Work of the requests: `window-read` takes up to 3.3 s, and five times as long while others press
+/// its machine.
+const WORK: Duration = Duration::from_millis(4_200);
+/// Interval of the platform's readiness check, and the time from its first miss to the requests:
+/// clients leave a node after two misses.
+const READINESS: Duration = Duration::from_millis(1_000);
+const SENT_AFTER_MISS: Duration = Duration::from_millis(600);
 const CLIENTS: usize = 3;
 
 pub fn play(play: &Play) -> Outcome {
@@ -39,26 +44,44 @@
             ("retry_budget_slack", "630"),
         ],
     };
-    let route = |prefix, kind| Route {
+    let route = |prefix| Route {
         prefix,
-        kind,
+        kind: "safe",
         service: "wuno96b",
         timeout_ms: DEADLINE_MS,
         target_ms: 1_500,
         attempts: 1,
     };
-    let routes = [route("/window/", "unsafe"), route("/warm/", "safe")];
+    let routes = [route("/window/"), route("/warm/")];
     let document = document(1, &["huvo11a", "wuno96b"], &routes);
     let mut running = setup::start(play, options, &document, serve)?;
     running.wait_until_served(0, "/warm/1")?;
-    thread::sleep(Duration::from_secs(4));
+    thread::sleep(Duration::from_secs(6));
     let at = running.deployment.call_address(0);
+    // The platform asks once per second; the SIGTERM follows a question.
+    play.record.note(format!(
+        "platform: readiness is 200: {}",
+        running.deployment.is_ready(0)
+    ));
+    if play.has_trouble {
+        running.deployment.node(0).signal("TERM");
+        play.record.note(format!(
+            "platform: SIGTERM to sidecar-0; SIGKILL would follow after {} s",
+            GRACE_PERIOD.as_secs()
+        ));
+    }
+    thread::sleep(READINESS);
+    play.record.note(format!(
+        "platform: readiness is 200: {}",
+        running.deployment.is_ready(0)
+    ));
+    thread::sleep(SENT_AFTER_MISS);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let record = Arc::clone(&play.record);
             thread::spawn(move || {
-                let id = format!("slip-{client}");
-                let request = client_request("POST", "/window/1", HOST, &id, DEADLINE_MS, b"{}");
+                let id = format!("window-{client}");
+                let request = client_request("GET", "/window/1", HOST, &id, DEADLINE_MS, b"");
                 record.note(format!("client: sends {id}"));
                 let answer = call(at, &request, Duration::from_secs(11));
                 record.note(format!(
@@ -69,13 +92,7 @@
             })
         })
         .collect();
-    thread::sleep(Duration::from_millis(300));
     if play.has_trouble {
-        running.deployment.node(0).signal("TERM");
-        play.record.note(format!(
-            "platform: SIGTERM to sidecar-0; SIGKILL would follow after {} s",
-            GRACE_PERIOD.as_secs()
-        ));
         for _ in 0..200 {
             if let Some(status) = running.deployment.node(0).exit_status() {
                 play.record
--- a/review/standin/src/large_bodies.rs
+++ b/review/standin/src/large_bodies.rs
@@ -30,8 +30,10 @@
 /// Ends of its own that the rule allows on a machine.
 const ENDS: u32 = 3;
 /// Work of the request that is in flight when the body is sent.
-const WORK: Duration = Duration::from_millis(2_500);
-const DEADLINE_MS: u64 = 10_000;
+/// `score-swap` takes up to 500 ms, and 1.7 times as long at an instance that is nearly full.
+const WORK: Duration = Duration::from_millis(800);
+/// Deadline of `score-swap`.
+const DEADLINE_MS: u64 = 1_000;
 
 pub fn play(play: &Play) -> Outcome {
     let serve = |instance: &Instance, connection: &mut Connection, head: &Head| {
@@ -74,17 +76,17 @@
                 move || {
                     let request =
                         client_request("POST", "/swap/in-flight", HOST, &id, DEADLINE_MS, b"{}");
-                    call(at, &request, Duration::from_secs(11))
+                    call(at, &request, Duration::from_secs(3))
                 }
             });
-            thread::sleep(Duration::from_millis(300));
+            thread::sleep(Duration::from_millis(100));
             let program = running.deployment.nodes[usize::from(node)].take();
             let watch = Watch::start(&play.record, program.ok_or("the node doesn't run")?);
             let upload = format!("upload-{node}-{round}");
             play.record
                 .note(format!("client: sends {upload} with {bytes} bytes of body"));
             let request = client_request("POST", "/swap/1", HOST, &upload, DEADLINE_MS, &body);
-            let answer = call(at, &request, Duration::from_secs(11)).map(|answer| answer.status);
+            let answer = call(at, &request, Duration::from_secs(3)).map(|answer| answer.status);
             play.record
                 .note(format!("client: {upload} ends with {answer:?}"));
             let answer = waiting
--- a/review/standin/src/late_heartbeats.rs
+++ b/review/standin/src/late_heartbeats.rs
@@ -94,7 +94,7 @@
     let late: Vec<_> = instance
         .arrivals()
         .into_iter()
-        .filter(|arrival| arrival.at > acked + DRAIN)
+        .filter(|arrival| arrival.has_run && arrival.at > acked + DRAIN)
         .collect();
     play.record.note(format!(
         "{sent} requests were sent; {} reached i-77a later than {} ms after the acknowledgement",
