Decide when a reply is written whether it closes a draining connection

Cause: ReplyQueue::store decided with the encoded response whether a reply is the last one. The reply then waits for its turn while further requests are read and passed on, and drops them when it is written. Ruled out: that the stop itself closes the connection. The test only drains; it fails if the second reply is stored after the drain has begun, and passes if it is stored before.

Change: the decision is made when a reply is moved to the output. It is the last one if no slot follows and no request is being read; the slot of a request is added under the lock that ends its reading.

--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -74,13 +74,12 @@
     }
     let mut buffer = ReadBuffer::default();
     let end = loop {
-        let read = read_request(shared, stream, peer, &mut buffer, replies);
-        replies.set_reading(false);
-        match read {
+        match read_request(shared, stream, peer, &mut buffer, replies) {
             Ok((request, keep_alive)) => start_handler(shared, replies, request, keep_alive),
             Err(end) => break end,
         }
     };
+    replies.set_reading(false);
     replies.notify_caller_closed();
     replies.wait_until_running_below(1);
     if let ReadEnd::Refused(kind) = end
@@ -97,10 +96,9 @@
     request: Request,
     keep_alive: bool,
 ) {
-    if replies.is_closing() {
+    let Some(early) = replies.push_request(&request, keep_alive) else {
         return;
-    }
-    let early = replies.push_request(&request, keep_alive);
+    };
     let run = {
         let (shared, replies, early) = (Arc::clone(shared), Arc::clone(replies), early.clone());
         move || {
@@ -197,7 +195,7 @@
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
     let mut deadline = None;
     loop {
-        if !buffer.unread().is_empty() && !replies.is_closing() {
+        if !buffer.unread().is_empty() && !replies.takes_no_request() {
             replies.set_reading(true);
             let (max_head, max_body) = (limits.max_head_bytes, limits.max_body_bytes);
             if let Some(head) = parse_request_head(buffer.unread(), max_head, max_body)? {
@@ -212,7 +210,7 @@
         };
         match read {
             Ok(0) => return Err(ReadEnd::Closed),
-            Ok(_) if replies.is_closing() => buffer.consume(buffer.unread().len()),
+            Ok(_) if replies.takes_no_request() => buffer.consume(buffer.unread().len()),
             Ok(_) => {}
             Err(error) if is_timeout(&error) && deadline.is_none() => {
                 // After a reply that closes the connection, the caller gets some time to close its
--- a/components/http/src/message.rs
+++ b/components/http/src/message.rs
@@ -71,8 +71,19 @@
     matches!(status, 100..=199 | 204 | 304)
 }
 
-/// Writes head and body of a response into `out`, which is cleared first.
-pub(crate) fn encode_response(out: &mut Vec<u8>, response: &Response, is_head: bool, close: bool) {
+/// Header field that ends a connection after the message.
+const CLOSE_FIELD: &[u8] = b"connection: close\r\n";
+/// The empty line that ends a head.
+const HEAD_END: &[u8] = b"\r\n";
+
+/// Writes head and body of a response into `out`, which is cleared first. Returns the length of the
+/// head in bytes.
+pub(crate) fn encode_response(
+    out: &mut Vec<u8>,
+    response: &Response,
+    is_head: bool,
+    close: bool,
+) -> usize {
     out.clear();
     let status = response.status;
     let reason = if has_no_control_characters(&response.reason) {
@@ -96,12 +107,22 @@
         );
     }
     if close {
-        out.extend_from_slice(b"connection: close\r\n");
+        out.extend_from_slice(CLOSE_FIELD);
     }
-    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(HEAD_END);
+    let head_bytes = out.len();
     if !is_head && !has_no_body(status) {
         out.extend_from_slice(&response.body);
     }
+    head_bytes
+}
+
+/// Adds the field that ends the connection to a message that was encoded without it; `head_bytes` is
+/// the length of its head. A message without a head stays as it is.
+pub(crate) fn insert_close(message: &mut Vec<u8>, head_bytes: usize) {
+    if let Some(at) = head_bytes.checked_sub(HEAD_END.len()) {
+        message.splice(at..at, CLOSE_FIELD.iter().copied());
+    }
 }
 
 /// Writes head and body of a request into `out`; false if method or target can't be sent.
--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -1,6 +1,10 @@
 //! Queue that writes the replies of one connection in the order of its requests.
 
-use crate::{Request, Response, message::encode_response, socket::send_now};
+use crate::{
+    Request, Response,
+    message::{encode_response, insert_close},
+    socket::send_now,
+};
 use std::{
     collections::VecDeque,
     io::Write,
@@ -18,8 +22,17 @@
 enum Slot {
     /// The handler has not answered yet.
     Waiting,
-    /// Encoded and waiting for its turn; `close` closes the connection after it.
-    Ready { bytes: Vec<u8>, close: bool },
+    /// Encoded and waiting for its turn.
+    Ready(EncodedReply),
+}
+
+/// A reply as it is written to the connection.
+struct EncodedReply {
+    bytes: Vec<u8>,
+    /// Length of the head in bytes, with the empty line that ends it.
+    head_bytes: usize,
+    /// Whether the connection ends after this reply, whatever was read behind its request.
+    must_close: bool,
 }
 
 struct State {
@@ -74,22 +87,30 @@
         })
     }
 
-    /// Adds a slot for the reply to the next request and counts its handler as running.
+    /// Adds a slot for the reply to the request that was just read, and counts its handler as
+    /// running. `None` if a reply has closed the connection: the request must not run
+    /// then, because it can't be answered.
     pub(crate) fn push_request(
         self: &Arc<Self>,
         request: &Request,
         keep_alive: bool,
-    ) -> EarlyReply {
+    ) -> Option<EarlyReply> {
         let mut state = self.lock();
+        // Under the same lock as the new slot: in between, the reply before would take itself for
+        // the last one and close the connection.
+        state.is_reading = false;
+        if state.takes_no_request() {
+            return None;
+        }
         let number = state.first_number + state.slots.len() as u64;
         state.slots.push_back(Slot::Waiting);
         state.running_handlers += 1;
-        EarlyReply {
+        Some(EarlyReply {
             replies: Arc::clone(self),
             number,
             keep_alive,
             is_head: request.method == "HEAD",
-        }
+        })
     }
 
     /// Ends a handler: stores its response unless an early one was sent, and writes what is
@@ -158,6 +179,11 @@
         self.lock().is_closing
     }
 
+    /// Whether bytes that arrive from now on are no request that could be answered.
+    pub(crate) fn takes_no_request(&self) -> bool {
+        self.lock().takes_no_request()
+    }
+
     pub(crate) fn set_reading(&self, is_reading: bool) {
         self.lock().is_reading = is_reading;
     }
@@ -184,21 +210,27 @@
 
     /// Stores a response until its turn comes; false if the request was answered already.
     fn store(&self, early: &EarlyReply, response: &Response) -> bool {
-        let must_close = !early.keep_alive || response.headers.has_token("connection", "close");
+        let mut bytes = Vec::new();
+        let head_bytes = encode_response(&mut bytes, response, early.is_head, false);
+        self.store_reply(
+            early.number,
+            EncodedReply {
+                bytes,
+                head_bytes,
+                must_close: !early.keep_alive || response.headers.has_token("connection", "close"),
+            },
+        )
+    }
+
+    fn store_reply(&self, number: u64, reply: EncodedReply) -> bool {
         let mut state = self.lock();
-        let Some(index) = early.number.checked_sub(state.first_number) else {
+        let Some(index) = number.checked_sub(state.first_number) else {
             return false;
         };
-        // A draining server closes the connection after the last request that it has read, not
-        // before.
-        let is_last = index as usize + 1 == state.slots.len();
-        let close = must_close || (is_last && self.is_draining.load(Ordering::Acquire));
         let Some(slot @ Slot::Waiting) = state.slots.get_mut(index as usize) else {
             return false;
         };
-        let mut bytes = Vec::new();
-        encode_response(&mut bytes, response, early.is_head, close);
-        *slot = Slot::Ready { bytes, close };
+        *slot = Slot::Ready(reply);
         true
     }
 
@@ -207,7 +239,7 @@
     fn flush(&self, may_block: bool) {
         let mut state = self.lock();
         loop {
-            state.move_ready_to_output();
+            state.move_ready_to_output(self.is_draining.load(Ordering::Acquire));
             if state.is_writing {
                 return;
             }
@@ -246,21 +278,29 @@
 }
 
 impl State {
-    /// Moves the replies whose turn has come to the output.
-    fn move_ready_to_output(&mut self) {
-        while !self.is_closing && matches!(self.slots.front(), Some(Slot::Ready { .. })) {
+    fn takes_no_request(&self) -> bool {
+        self.is_closing
+    }
+
+    /// Moves the replies whose turn has come to the output. Whether a reply is the last one is
+    /// decided only now: while it waited for its turn, further requests may have been read.
+    fn move_ready_to_output(&mut self, is_draining: bool) {
+        while !self.is_closing && matches!(self.slots.front(), Some(Slot::Ready(_))) {
+            let Some(Slot::Ready(mut reply)) = self.slots.pop_front() else {
+                return;
+            };
             self.first_number += 1;
-            if let Some(Slot::Ready { bytes, close }) = self.slots.pop_front() {
-                if self.output.is_empty() {
-                    self.output = bytes;
-                } else {
-                    self.output.extend_from_slice(&bytes);
-                }
-                if close {
-                    self.is_closing = true;
-                    // Requests after a reply that closes the connection count as not read.
-                    self.slots.clear();
-                }
+            let is_last = self.slots.is_empty() && !self.is_reading;
+            if reply.must_close || (is_last && is_draining) {
+                insert_close(&mut reply.bytes, reply.head_bytes);
+                self.is_closing = true;
+                // Requests after a reply that closes the connection count as not read.
+                self.slots.clear();
+            }
+            if self.output.is_empty() {
+                self.output = reply.bytes;
+            } else {
+                self.output.extend_from_slice(&reply.bytes);
             }
         }
     }
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -4,11 +4,15 @@
 use std::{
     io::Write,
     sync::{Barrier, Mutex, mpsc::channel},
+    time::Duration,
 };
 
 mod common;
 use common::{TEST_TIMEOUT, connect, echo, read_until, start, wait_until};
 
+/// Time in which a handler that has nothing to wait for returns.
+const HANDLER_END: Duration = Duration::from_millis(200);
+
 fn request(target: &str) -> String {
     format!("GET {target} HTTP/1.1\r\nhost: a\r\n\r\n")
 }
@@ -153,3 +157,82 @@
     assert_eq!(text.matches("connection: close").count(), 1, "{text}");
     server.stop();
 }
+
+/// The second reply waits behind the first one when the server drains, and a third request is read
+/// and run meanwhile. A server that took the second reply for the last one would throw away the
+/// answer to the third.
+#[test]
+fn read_behind_waiting_reply() {
+    let config = ServerConfig {
+        max_pipelined: 3,
+        ..ServerConfig::default()
+    };
+    let (entered, wait_entered) = channel();
+    let (release, released) = channel::<()>();
+    let (release_second, second_released) = channel::<()>();
+    let (released, second_released) = (Mutex::new(released), Mutex::new(second_released));
+    let server = start(config, move |request, _| {
+        entered.send(()).unwrap();
+        let wait_for = match request.target.as_str() {
+            "/first" => Some(&released),
+            "/second" => Some(&second_released),
+            _ => None,
+        };
+        if let Some(released) = wait_for {
+            released.lock().unwrap().recv_timeout(TEST_TIMEOUT).unwrap();
+        }
+        Response::new(200, request.target)
+    });
+    let mut stream = connect(server.address());
+    let first_two = ["/first", "/second"].map(request).concat();
+    stream.write_all(first_two.as_bytes()).unwrap();
+    for _ in 0..2 {
+        wait_entered.recv_timeout(TEST_TIMEOUT).unwrap();
+    }
+    server.drain();
+    release_second.send(()).unwrap();
+    std::thread::sleep(HANDLER_END);
+    stream.write_all(request("/third").as_bytes()).unwrap();
+    wait_entered.recv_timeout(TEST_TIMEOUT).unwrap();
+    std::thread::sleep(HANDLER_END);
+    release.send(()).unwrap();
+    let mut text = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
+    assert_eq!(text.matches("HTTP/1.1 200").count(), 3, "{text}");
+    assert_eq!(text.matches("connection: close").count(), 1, "{text}");
+    assert!(text.ends_with("connection: close\r\n\r\n/third"), "{text}");
+    server.stop();
+}
+
+/// The reply that comes before a request whose bytes are still arriving must not close the
+/// connection of a draining server: that request is answered too.
+#[test]
+fn reply_beside_arriving_request() {
+    let config = ServerConfig {
+        max_pipelined: 2,
+        ..ServerConfig::default()
+    };
+    let (entered, wait_entered) = channel();
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let server = start(config, move |request, _| {
+        entered.send(()).unwrap();
+        if request.target == "/1" {
+            released.lock().unwrap().recv_timeout(TEST_TIMEOUT).unwrap();
+        }
+        Response::new(200, request.target)
+    });
+    let mut stream = connect(server.address());
+    let both = ["/1", "/2"].map(request).concat();
+    let (sent, rest) = both.split_at(both.len() - 10);
+    stream.write_all(sent.as_bytes()).unwrap();
+    wait_entered.recv_timeout(TEST_TIMEOUT).unwrap();
+    std::thread::sleep(HANDLER_END);
+    server.drain();
+    release.send(()).unwrap();
+    read_until(&mut stream, "/1");
+    stream.write_all(rest.as_bytes()).unwrap();
+    let text = read_until(&mut stream, "/2");
+    assert!(text.contains("connection: close\r\n"), "{text}");
+    server.stop();
+}
