Run no request behind one that announces the end of the connection

A caller that sends 'Connection: close' with a request and another request behind it got no answer to the second one, though it had been passed on and run: its slot was dropped with the close.

Cause: the reader didn't know that a request was the last one; only its reply did.

Change: the reply queue keeps that the caller has announced the end and takes no request from then on; bytes behind are discarded until the caller closes.

Before, on: nothing_runs_after_last_request: left: ["/2", "/1"] right: ["/1"] After: passes.

--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -44,6 +44,8 @@
     is_writing: bool,
     /// A reply closed the connection; no further reply is sent.
     is_closing: bool,
+    /// The caller has announced that the request just read is its last one.
+    has_last_request: bool,
     is_caller_closed: bool,
     /// This process shut down reading, so the end of the stream does not mean that the caller
     /// closed.
@@ -76,6 +78,7 @@
                 output: Vec::new(),
                 is_writing: false,
                 is_closing: false,
+                has_last_request: false,
                 is_caller_closed: false,
                 is_read_shut_down: false,
                 is_reading: false,
@@ -88,8 +91,8 @@
     }
 
     /// Adds a slot for the reply to the request that was just read, and counts its handler as
-    /// running. `None` if a reply has closed the connection: the request must not run
-    /// then, because it can't be answered.
+    /// running. `None` if a reply has closed the connection or the caller has announced its end: the
+    /// request must not run then, because it can't be answered.
     pub(crate) fn push_request(
         self: &Arc<Self>,
         request: &Request,
@@ -105,10 +108,10 @@
         let number = state.first_number + state.slots.len() as u64;
         state.slots.push_back(Slot::Waiting);
         state.running_handlers += 1;
+        state.has_last_request = !keep_alive;
         Some(EarlyReply {
             replies: Arc::clone(self),
             number,
-            keep_alive,
             is_head: request.method == "HEAD",
         })
     }
@@ -217,7 +220,7 @@
             EncodedReply {
                 bytes,
                 head_bytes,
-                must_close: !early.keep_alive || response.headers.has_token("connection", "close"),
+                must_close: response.headers.has_token("connection", "close"),
             },
         )
     }
@@ -279,7 +282,7 @@
 
 impl State {
     fn takes_no_request(&self) -> bool {
-        self.is_closing
+        self.is_closing || self.has_last_request
     }
 
     /// Moves the replies whose turn has come to the output. Whether a reply is the last one is
@@ -291,7 +294,8 @@
             };
             self.first_number += 1;
             let is_last = self.slots.is_empty() && !self.is_reading;
-            if reply.must_close || (is_last && is_draining) {
+            let ends_connection = self.has_last_request || is_draining;
+            if reply.must_close || (is_last && ends_connection) {
                 insert_close(&mut reply.bytes, reply.head_bytes);
                 self.is_closing = true;
                 // Requests after a reply that closes the connection count as not read.
@@ -312,7 +316,6 @@
 pub struct EarlyReply {
     replies: Arc<ReplyQueue>,
     number: u64,
-    keep_alive: bool,
     is_head: bool,
 }
 
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -236,3 +236,32 @@
     assert!(text.contains("connection: close\r\n"), "{text}");
     server.stop();
 }
+
+/// A request behind one that announces the end of the connection can't be answered, so it must not
+/// run.
+#[test]
+fn nothing_runs_after_last_request() {
+    let config = ServerConfig {
+        max_pipelined: 2,
+        ..ServerConfig::default()
+    };
+    let (entered, wait_entered) = channel();
+    let server = start(config, move |request, _| {
+        entered.send(request.target.clone()).unwrap();
+        if request.target == "/1" {
+            std::thread::sleep(HANDLER_END);
+        }
+        Response::new(200, request.target)
+    });
+    let mut stream = connect(server.address());
+    let last = "GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    stream
+        .write_all(format!("{last}{}", request("/2")).as_bytes())
+        .unwrap();
+    let mut text = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
+    assert!(text.ends_with("/1"), "{text}");
+    server.stop();
+    let run: Vec<String> = wait_entered.try_iter().collect();
+    assert_eq!(run, ["/1"]);
+}
