Keep a failed handler from cutting off the requests before it

A handler that panicked, or whose thread could not be started, shut down its connection both ways: requests before it on the same connection that were still running got no answer.

Change: the connection ends in place of the reply of the handler that panicked, when its turn comes. A request whose handler can't be started is refused in order; that it was not run is certain.

Before, on: panic_behind_running_request fails with an empty answer in place of the reply to /1. After: passes. The refusal without a thread has no test of its own: a test would have to use up the threads of the machine.

--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -112,7 +112,7 @@
     };
     if let Err(error) = shared.workers.run(run) {
         log::warn!("http: the thread of a handler can't be started: {error}");
-        replies.abort(&early);
+        replies.finish(&early, &error_response(ErrorKind::Overloaded));
     }
 }
 
--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -124,11 +124,18 @@
         self.end_handler(early.number);
     }
 
-    /// Ends a handler that panicked or was not started, and shuts down its connection.
+    /// Ends a handler that panicked. The connection ends in place of its reply, after the replies to
+    /// the requests before it.
     pub(crate) fn abort(&self, early: &EarlyReply) {
-        // Fails only if the connection is closed already.
-        let _ = self.stream.shutdown(Shutdown::Both);
-        self.lock().is_closing = true;
+        self.store_reply(
+            early.number,
+            EncodedReply {
+                bytes: Vec::new(),
+                head_bytes: 0,
+                must_close: true,
+            },
+        );
+        self.flush(true);
         self.end_handler(early.number);
     }
 
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -265,3 +265,25 @@
     let run: Vec<String> = wait_entered.try_iter().collect();
     assert_eq!(run, ["/1"]);
 }
+
+/// A handler that panics ends the connection in place of its own reply; the reply to a request
+/// before it that is still running must not be lost with it.
+#[test]
+fn panic_behind_running_request() {
+    let config = ServerConfig {
+        max_pipelined: 2,
+        ..ServerConfig::default()
+    };
+    let server = start(config, |request, _| {
+        assert!(request.target != "/panic", "panic of the test");
+        std::thread::sleep(HANDLER_END);
+        Response::new(200, request.target)
+    });
+    let mut stream = connect(server.address());
+    let both = ["/1", "/panic"].map(request).concat();
+    stream.write_all(both.as_bytes()).unwrap();
+    let mut text = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
+    assert!(text.ends_with("/1"), "{text}");
+    server.stop();
+}
