Keep late heartbeats from restoring an instance that has left

Cause: a report was taken for proof that its sender runs. A withdrawal was forgotten if its instance was unknown, the first report of a start was never checked, after a restart of the node the second one wasn't either, and three reports in turn overtook a newer one, even an acknowledged drain. Ruled out: that gossip brings the record back; each way has a test with one node's heartbeats only.

Change: ReportOrder keeps withdrawals with their time and returns a verdict. Until late reports can no longer arrive (one lease), an unknown start that may have withdrawn counts only with a health check, or not at all if it began before the withdrawal. Overtaking needs a health check or reports for a whole lease.

--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -29,5 +29,5 @@
 pub use info::{MAX_REPORT_BYTES, MemberAction, MemberError, MemberState, NodeInfo};
 pub use introductions::{Introduction, IntroductionReply, Introductions};
 pub use members::{Members, TICK_MS};
-pub use report_order::{ReportOrder, ReportPosition};
+pub use report_order::{Moment, ReportOrder, ReportPosition, ReportVerdict};
 pub use wire::{Datagram, MAX_DATAGRAM_BYTES};
--- a/components/members/src/report_order.rs
+++ b/components/members/src/report_order.rs
@@ -4,23 +4,43 @@
 //! numbers identify late reports, but neither can be trusted alone: the time of day may have gone
 //! back before an instance started, and another writer may send a number that no instance reaches.
 //! A sender that keeps reporting while the newer one is silent is therefore current after a while.
+//!
+//! A withdrawal names an instance, but not its start. A start that was never heard of may have
+//! withdrawn already, from this process or, before a restart, from its predecessor. Until late
+//! reports can no longer arrive, such a start must have begun after the withdrawal, or show that it
+//! is running.
 
 use model::UpstreamName;
 use std::collections::HashMap;
 
-/// Most instances whose newest reports are kept.
+/// Most instances whose newest reports, or whose withdrawals, are kept.
 const MAX_INSTANCES: usize = 256;
 /// Reports in a row that make an apparently outdated sender current.
 const OVERTAKE_REPORTS: u32 = 3;
-/// Shortest time from the first to the last of these reports. It is longer than the delay within
-/// which the late reports of a sender that has ended usually arrive, since those come together.
+/// Shortest time from the first to the last of these reports. Late reports of a sender that has
+/// ended often come together.
 const OVERTAKE_US: u64 = 2_500_000;
 
-/// Time after which a sender whose first report was held back is heard again if it is running.
-/// Late reports of a sender that has ended arrive together.
-const HELD_BACK_US: u64 = 1_000_000;
-/// Number of the first report after an instance's start.
-const FIRST_SEQUENCE: u64 = 1;
+/// A point in time on the clocks of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Moment {
+    /// Time on a monotonic clock in microseconds.
+    pub now_us: u64,
+    /// Time of day in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
+/// What a report is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportVerdict {
+    /// The newest report of the instance; it is recorded.
+    Current,
+    /// Its sender may have withdrawn or ended. It counts only if the instance passes a health check
+    /// now, and then has to be recorded with `ReportOrder::confirm`.
+    Unconfirmed,
+    /// Late, or of a sender that has withdrawn.
+    Outdated,
+}
 
 /// Position of a report among those of its sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,12 +58,6 @@
     started_ms: u64,
 }
 
-impl InstanceStart {
-    fn is_of(&self, name: &UpstreamName, started_ms: u64) -> bool {
-        self.name == *name && self.started_ms == started_ms
-    }
-}
-
 /// Newest report of one start.
 #[derive(Clone, Copy, Debug)]
 struct Newest {
@@ -72,53 +86,70 @@
     reports: u32,
 }
 
-/// Decides which reports are current. Time is in microseconds on a monotonic clock.
-#[derive(Debug, Default)]
+/// Decides which reports are current.
+#[derive(Debug)]
 pub struct ReportOrder {
     newest: HashMap<InstanceStart, Newest>,
     candidate: Option<Candidate>,
-    /// Sender of the report that was held back, before any report was accepted.
-    held_back: Option<Candidate>,
+    /// Instances that have withdrawn, each with the last time.
+    withdrawn: HashMap<UpstreamName, Moment>,
+    /// Start of this process.
+    created: Moment,
+    /// Longest delay of a report in microseconds.
+    max_delay_us: u64,
 }
 
 impl ReportOrder {
-    /// Whether it must be checked that the sender of this report is running. This process has
-    /// started after the instance, so the instance may have withdrawn from its predecessor.
-    pub fn needs_check(&self, now_us: u64, name: &UpstreamName, position: ReportPosition) -> bool {
-        if !self.newest.is_empty() || position.sequence <= FIRST_SEQUENCE {
-            return false;
+    /// Creates the order of a process that starts now. Reports are taken to arrive within
+    /// `max_delay_us` or not at all.
+    pub fn new(created: Moment, max_delay_us: u64) -> Self {
+        ReportOrder {
+            newest: HashMap::new(),
+            candidate: None,
+            withdrawn: HashMap::new(),
+            created,
+            max_delay_us,
         }
-        let reports_on = self.held_back.as_ref().is_some_and(|held| {
-            held.start.is_of(name, position.started_ms)
-                && position.sequence > held.sequence
-                && now_us.saturating_sub(held.first_us) >= HELD_BACK_US
-        });
-        !reports_on
     }
 
-    /// Holds a report back whose sender may have ended. If the sender reports again after a while,
-    /// it is running.
-    pub fn hold_back(&mut self, now_us: u64, name: &UpstreamName, position: ReportPosition) {
-        let is_known = self
-            .held_back
-            .as_ref()
-            .is_some_and(|held| held.start.is_of(name, position.started_ms));
-        if is_known {
-            return;
+    /// Decides whether a report that arrives at `now_us` is current, and records it if so.
+    pub fn assess(
+        &mut self,
+        now_us: u64,
+        name: &UpstreamName,
+        position: ReportPosition,
+    ) -> ReportVerdict {
+        let start = InstanceStart {
+            name: name.clone(),
+            started_ms: position.started_ms,
+        };
+        let held = self.newest.get(&start).copied();
+        let verdict = match held {
+            Some(held) if held.has_withdrawn => ReportVerdict::Outdated,
+            Some(_) => ReportVerdict::Current,
+            None => self.assess_unknown_start(now_us, &start),
+        };
+        if verdict == ReportVerdict::Outdated {
+            return verdict;
+        }
+        if self.is_newest(held, position) {
+            if verdict == ReportVerdict::Current {
+                self.confirm(name, position);
+            }
+            return verdict;
+        }
+        match self.overtaking(now_us, &start, position.sequence) {
+            ReportVerdict::Current if verdict == ReportVerdict::Current => {
+                self.confirm(name, position);
+                ReportVerdict::Current
+            }
+            ReportVerdict::Outdated => ReportVerdict::Outdated,
+            _ => ReportVerdict::Unconfirmed,
         }
-        self.held_back = Some(Candidate {
-            start: InstanceStart {
-                name: name.clone(),
-                started_ms: position.started_ms,
-            },
-            sequence: position.sequence,
-            first_us: now_us,
-            reports: 1,
-        });
     }
 
-    /// Whether the report is current, and records it if so.
-    pub fn accept(&mut self, now_us: u64, name: &UpstreamName, position: ReportPosition) -> bool {
+    /// Records a report as current, after `assess` or after the health check that it asked for.
+    pub fn confirm(&mut self, name: &UpstreamName, position: ReportPosition) {
         let ReportPosition {
             started_ms,
             sequence,
@@ -128,29 +159,52 @@
             started_ms,
         };
         let held = self.newest.get(&start).copied();
-        if held.is_some_and(|held| held.has_withdrawn) {
-            return false;
-        }
         let limit = if self.is_newest(held, position) {
-            self.candidate = None;
             held.and_then(|held| held.limit)
-        } else if self.overtakes(now_us, &start, sequence) {
+        } else {
             self.mark_overtaken(started_ms);
             held.map(|held| held.sequence)
                 .filter(|held_sequence| *held_sequence >= sequence)
-        } else {
-            return false;
         };
+        self.candidate = None;
         self.record(start, sequence, limit);
-        true
     }
 
     /// Records that an instance has withdrawn: its reports no longer count until it starts again.
-    pub fn withdraw(&mut self, name: &UpstreamName) {
+    pub fn withdraw(&mut self, now: Moment, name: &UpstreamName) {
         self.newest
             .iter_mut()
             .filter(|(start, _)| start.name == *name)
             .for_each(|(_, held)| held.has_withdrawn = true);
+        let max_delay_us = self.max_delay_us;
+        self.withdrawn
+            .retain(|_, at| now.now_us.saturating_sub(at.now_us) < max_delay_us);
+        if self.withdrawn.len() >= MAX_INSTANCES {
+            self.drop_oldest_withdrawal();
+        }
+        self.withdrawn.insert(name.clone(), now);
+    }
+
+    fn drop_oldest_withdrawal(&mut self) {
+        let oldest = self.withdrawn.iter().min_by_key(|(_, at)| at.now_us);
+        if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+            self.withdrawn.remove(&oldest);
+        }
+    }
+
+    /// Whether a start that was not heard of before may have withdrawn already.
+    fn assess_unknown_start(&self, now_us: u64, start: &InstanceStart) -> ReportVerdict {
+        let is_recent = |at: &Moment| now_us.saturating_sub(at.now_us) < self.max_delay_us;
+        match self.withdrawn.get(&start.name).filter(|at| is_recent(at)) {
+            Some(at) if start.started_ms <= at.unix_ms => return ReportVerdict::Outdated,
+            // The time of day may have gone back since the start that has withdrawn.
+            Some(_) => return ReportVerdict::Unconfirmed,
+            None => {}
+        }
+        if is_recent(&self.created) && start.started_ms <= self.created.unix_ms {
+            return ReportVerdict::Unconfirmed;
+        }
+        ReportVerdict::Current
     }
 
     /// Whether the report follows the newest one of its start, and no other instance started later.
@@ -165,8 +219,10 @@
             && latest_start.is_none_or(|latest| position.started_ms >= latest)
     }
 
-    /// Counts a report of an apparently outdated sender; true if the sender is current from now on.
-    fn overtakes(&mut self, now_us: u64, start: &InstanceStart, sequence: u64) -> bool {
+    /// Counts a report of an apparently outdated sender, which is current from now on if it has
+    /// reported for longer than reports are delayed. Before that, a few reports and a health check
+    /// show it too.
+    fn overtaking(&mut self, now_us: u64, start: &InstanceStart, sequence: u64) -> ReportVerdict {
         let continued = self
             .candidate
             .as_mut()
@@ -178,19 +234,21 @@
                 first_us: now_us,
                 reports: 1,
             });
-            return false;
+            return ReportVerdict::Outdated;
         };
         if sequence <= candidate.sequence {
-            return false;
+            return ReportVerdict::Outdated;
         }
         candidate.sequence = sequence;
         candidate.reports += 1;
-        let is_current = candidate.reports >= OVERTAKE_REPORTS
-            && now_us.saturating_sub(candidate.first_us) >= OVERTAKE_US;
-        if is_current {
-            self.candidate = None;
+        let reported_us = now_us.saturating_sub(candidate.first_us);
+        if candidate.reports < OVERTAKE_REPORTS || reported_us < OVERTAKE_US {
+            ReportVerdict::Outdated
+        } else if reported_us < self.max_delay_us {
+            ReportVerdict::Unconfirmed
+        } else {
+            ReportVerdict::Current
         }
-        is_current
     }
 
     /// Takes instances with later starts for outdated from now on, unless they keep reporting too.
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -2,12 +2,11 @@
 
 use crate::{announce::Announcement, health_request::is_serving};
 use kernel::{Clock, Event, Kernel};
-use members::{ReportOrder, ReportPosition};
+use members::{Moment, ReportOrder, ReportPosition, ReportVerdict};
 use model::{ServiceName, Upstream, UpstreamName, UpstreamState};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// The announced instance, its lease and the order of its reports.
-#[derive(Default)]
 struct State {
     upstream: Option<Upstream>,
     lease_until_us: u64,
@@ -31,13 +30,23 @@
     pub(crate) fn new(kernel: &Arc<Kernel>) -> Self {
         LocalInstance {
             kernel: Arc::clone(kernel),
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                upstream: None,
+                lease_until_us: 0,
+                drained_by_operator: false,
+                version: 0,
+                announced_slots: 0,
+                service: None,
+                // An instance that is silent for a whole lease counts as gone, so no report is
+                // expected to be on its way for longer.
+                report_order: ReportOrder::new(moment(kernel), lease_us(kernel)),
+            }),
         }
     }
 
     /// Renews the lease and publishes the upstream record if it has changed.
     pub(crate) fn announce(&self, announcement: &Announcement) -> Upstream {
-        let lease_us = self.kernel.node_settings().lease_ms * 1000;
+        let lease_us = lease_us(&self.kernel);
         let (upstream, changed) = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             state.service = Some(announcement.service.clone());
@@ -75,26 +84,16 @@
             sequence: announcement.sequence.unwrap_or(0),
         };
         let now_us = self.kernel.clock.now_us();
-        if self.report_order(|order| order.needs_check(now_us, name, position))
-            && !is_serving(
-                &self.kernel,
-                &announcement.service,
-                name,
-                announcement.address,
-            )
-        {
-            log::info!(
-                "platform: the first report of instance {name} was held back, because its health \
-                 check failed; start {} ms, sequence {}.",
-                position.started_ms,
-                position.sequence
-            );
-            self.report_order(|order| order.hold_back(now_us, name, position));
-            return false;
-        }
-        if !self.report_order(|order| order.accept(now_us, name, position)) {
+        let verdict = self.report_order(|order| order.assess(now_us, name, position));
+        let is_current = match verdict {
+            ReportVerdict::Current => true,
+            ReportVerdict::Unconfirmed => self.confirm_report(announcement, name, position),
+            ReportVerdict::Outdated => false,
+        };
+        if !is_current {
             log::info!(
-                "platform: a late report of instance {name} was ignored; start {} ms, sequence {}.",
+                "platform: a report of instance {name} was ignored, {verdict:?}; start {} ms, \
+                 sequence {}.",
                 position.started_ms,
                 position.sequence
             );
@@ -104,6 +103,25 @@
         true
     }
 
+    /// Takes a report whose sender may have ended for current if the instance passes a health check.
+    fn confirm_report(
+        &self,
+        announcement: &Announcement,
+        name: &UpstreamName,
+        position: ReportPosition,
+    ) -> bool {
+        let is_serving = is_serving(
+            &self.kernel,
+            &announcement.service,
+            name,
+            announcement.address,
+        );
+        if is_serving {
+            self.report_order(|order| order.confirm(name, position));
+        }
+        is_serving
+    }
+
     fn report_order<T>(&self, run: impl FnOnce(&mut ReportOrder) -> T) -> T {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         run(&mut state.report_order)
@@ -113,7 +131,7 @@
     pub(crate) fn withdraw_named(&self, name: &UpstreamName) -> bool {
         let is_announced = {
             let mut guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            guard.report_order.withdraw(name);
+            guard.report_order.withdraw(moment(&self.kernel), name);
             guard.upstream.as_ref().is_some_and(|u| u.name == *name)
         };
         is_announced && self.withdraw()
@@ -252,6 +270,17 @@
     }
 }
 
+fn moment(kernel: &Kernel) -> Moment {
+    Moment {
+        now_us: kernel.clock.now_us(),
+        unix_ms: Clock::unix_us() / 1_000,
+    }
+}
+
+fn lease_us(kernel: &Kernel) -> u64 {
+    kernel.node_settings().lease_ms * 1_000
+}
+
 fn usable_slots(slots: u32, percent: u8) -> u32 {
     (slots * u32::from(percent) / 100).max(1)
 }
