--- a/components/kernel/src/run.rs
+++ b/components/kernel/src/run.rs
@@ -10,7 +10,10 @@
     stop::{StopSignal, lock},
     suspects::SuspectTable,
 };
-use crossbeam::channel::{Receiver, unbounded};
+use crossbeam::{
+    channel::{Receiver, Sender, unbounded},
+    select,
+};
 use mesh::{Channel, Mesh};
 use serde::{Serialize, de::DeserializeOwned};
 use settings::{ControlSettings, NodeSettings};
@@ -65,6 +68,9 @@
     addresses: Mutex<HashMap<&'static str, SocketAddr>>,
     /// Incarnation in which other members know this node's address, if it is above this one's.
     superseded_by: AtomicU64,
+    /// Ends the waits of `request_until_shutdown` when it is dropped.
+    waits: Mutex<Option<Sender<()>>>,
+    waits_ended: Receiver<()>,
 }
 
 impl Kernel {
@@ -115,6 +121,7 @@
             .start()
             .map_err(|error| StartError::new("mesh", format!("{error}; choose a free address")))?;
         let events = Events::default();
+        let (waits, waits_ended) = unbounded();
         Ok(Kernel {
             clock: Clock::start(),
             mesh,
@@ -129,6 +136,8 @@
             shared: Mutex::default(),
             addresses: Mutex::default(),
             superseded_by: AtomicU64::new(0),
+            waits: Mutex::new(Some(waits)),
+            waits_ended,
         })
     }
 
@@ -193,6 +202,23 @@
         replies.recv_timeout(wait).ok().and_then(|(_, reply)| reply)
     }
 
+    /// Like `request_blocking`, but ends without a reply when the kernel shuts down. For requests
+    /// that the peer holds until it has news.
+    pub fn request_until_shutdown<T: DeserializeOwned + Send + 'static>(
+        &self,
+        to: SocketAddr,
+        channel: Channel,
+        request: &impl Serialize,
+        wait: Duration,
+    ) -> Option<T> {
+        let replies = self.request_each([to], channel, request, wait);
+        select! {
+            recv(replies) -> reply => reply.ok().and_then(|(_, reply)| reply),
+            recv(self.waits_ended) -> _ => None,
+            default(wait) => None,
+        }
+    }
+
     /// Sends the same request to several peers at once. Each peer has one entry in the receiver, in
     /// the order of the replies; without a reply it is `None`, at the latest after `wait`.
     pub fn request_each<T: DeserializeOwned + Send + 'static>(
@@ -226,6 +252,12 @@
         lock(&self.addresses).get(plugin).copied()
     }
 
+    /// Ends the background threads of the plug-ins and what they wait for.
+    fn shut_down(&self) {
+        self.shutdown.raise();
+        lock(&self.waits).take();
+    }
+
     /// Drops mesh handlers, event subscribers and shared state. They hold references to the kernel
     /// and with it to the mesh, whose UDP socket would otherwise keep its port until the process
     /// exits.
@@ -293,7 +325,7 @@
             log::debug!("kernel: drained {name}.");
             stops.push(running.stop);
         }
-        self.kernel.shutdown.raise();
+        self.kernel.shut_down();
         for stop in stops {
             stop();
         }
@@ -306,7 +338,7 @@
     pub fn abort(&mut self) {
         self.kernel.mesh.stop();
         self.kernel.stop.raise();
-        self.kernel.shutdown.raise();
+        self.kernel.shut_down();
         for (_, running) in self.running.drain(..).rev() {
             (running.stop)();
         }
--- a/components/node/src/sync/control.rs
+++ b/components/node/src/sync/control.rs
@@ -178,7 +178,7 @@
         };
         let wait = Duration::from_millis(u64::from(PULL_HOLD_MS)) + PULL_GRACE;
         let kernel = &self.context.kernel;
-        match kernel.request_blocking(replica, Channel::Control, &request, wait) {
+        match kernel.request_until_shutdown(replica, Channel::Control, &request, wait) {
             Some(ControlReply::Newer(delta)) => {
                 self.apply_delta(*delta, replica);
                 Pulled::Confirmed
