Wait at a stop for the calls of a withdrawn instance

A node that was stopped after its instance had withdrawn cut off the calls that still ran there: their callers got 502 from other nodes. A cancellation didn't reach such calls either.

Cause: the running calls were kept with the announced instance and were forgotten with it, so that the owner counted none in flight.

Change: running calls belong to the owner until they end.

The cancellation has no test of its own.

--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -1,5 +1,6 @@
 //! The local instance: its connection pool, admission control, and the calls that wait or run.
 
+use super::running::RunningCalls;
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig};
 use limits::{Admission, AdmissionConfig, HostPace, QueueDecision, ServiceTimes};
@@ -27,18 +28,13 @@
     pub(crate) reply: ReplyTo,
 }
 
-/// Handle of a running call.
-pub(super) struct RunningCall {
-    pub(super) cancel: CancelToken,
-}
-
 /// State of the local instance and its calls, under one lock since a node has one instance.
 pub(super) struct Instance {
     pub(super) upstream: Upstream,
     pub(super) pool: Arc<AsyncPool>,
     pub(super) admission: Admission,
     pub(super) waiting: HashMap<AttemptId, Job>,
-    pub(super) running: HashMap<AttemptId, RunningCall>,
+    running: Arc<RunningCalls>,
     pub(super) service_times: ServiceTimes,
     pub(super) pace: HostPace,
     /// Calls that wait for a health check to read the host's pace.
@@ -60,6 +56,7 @@
         health_checks_per_s: u32,
         announced_slots: u32,
         echoed_header: Option<&'static str>,
+        running: &Arc<RunningCalls>,
     ) -> Option<Self> {
         let max_connections = upstream
             .connections
@@ -91,7 +88,7 @@
             pool,
             admission,
             waiting: HashMap::new(),
-            running: HashMap::new(),
+            running: Arc::clone(running),
             service_times: ServiceTimes::default(),
             pace: HostPace::new(health_checks_per_s),
             pending_arrivals: Vec::new(),
@@ -133,13 +130,8 @@
         }
     }
 
-    pub(super) fn mark_running(&mut self, job: &Job) {
-        self.running.insert(
-            job.call.attempt,
-            RunningCall {
-                cancel: job.cancel.clone(),
-            },
-        );
+    pub(super) fn mark_running(&self, job: &Job) {
+        self.running.insert(job.call.attempt, job.cancel.clone());
     }
 
     /// Moves the calls that admission started from the waiting to the running ones.
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -5,6 +5,7 @@
 mod health;
 mod instance;
 mod run;
+mod running;
 mod state;
 
 use crate::context::NodeContext;
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -4,6 +4,7 @@
     crash_incidents::CrashIncidents,
     instance::{Instance, Job, take_refused},
     run::{FIRST_FAILURE_STATUS, run_job},
+    running::RunningCalls,
 };
 use crate::context::NodeContext;
 use calls::{
@@ -32,6 +33,7 @@
 pub(crate) struct Owner {
     pub(crate) context: Arc<NodeContext>,
     instance: Mutex<Option<Instance>>,
+    running: Arc<RunningCalls>,
     records: Mutex<CallRecords>,
     crashes: Mutex<CrashIncidents>,
     /// Admitted calls that are still to be sent to the instance.
@@ -60,6 +62,7 @@
             start_queue: Mutex::default(),
             start_lock: Mutex::default(),
             wake,
+            running: Arc::default(),
             is_refusing: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         }
@@ -102,6 +105,7 @@
                         self.health_checks_per_s(),
                         announced_slots,
                         self.context.kernel.node_settings().headers.request_id,
+                        &self.running,
                     )
                 });
                 drop(guard);
@@ -131,11 +135,13 @@
             .map(|instance| instance.load_signal(now_us))
     }
 
-    /// Calls that wait or run.
+    /// Calls that wait or run, also those that still run at an instance that has withdrawn.
     pub(crate) fn in_flight(&self) -> usize {
-        self.lock_instance().as_ref().map_or(0, |instance| {
-            instance.waiting.len() + instance.running.len()
-        })
+        let instance = self.lock_instance();
+        let waiting = instance
+            .as_ref()
+            .map_or(0, |instance| instance.waiting.len());
+        waiting + self.running.count()
     }
 
     /// Refuses queued calls whose latest start has passed; returns the time until the next one.
@@ -180,6 +186,7 @@
         let attempt = job.call.attempt;
         let now_us = self.now_us();
         self.record_result(now_us, attempt, &result);
+        self.running.remove(attempt);
         let (signal, decisions, mut guard) = {
             let mut guard = self.lock_instance();
             let Some(instance) = guard.as_mut() else {
@@ -187,7 +194,6 @@
                 reply(job.reply, LoadSignal::default(), result);
                 return;
             };
-            instance.running.remove(&attempt);
             if let (RunResult::Answer { status, .. }, Some(time_us)) = (&result, counted_us)
                 && *status < FIRST_FAILURE_STATUS
             {
@@ -339,14 +345,13 @@
         let mut dropped = None;
         {
             let mut guard = self.lock_instance();
-            if let Some(instance) = guard.as_mut() {
-                if instance.admission.cancel(request.attempt) == CancelResult::NotStarted {
-                    dropped = instance.waiting.remove(&request.attempt);
-                } else if let Some(running_call) = instance.running.get(&request.attempt) {
-                    running_call.cancel.cancel();
-                }
+            if let Some(instance) = guard.as_mut()
+                && instance.admission.cancel(request.attempt) == CancelResult::NotStarted
+            {
+                dropped = instance.waiting.remove(&request.attempt);
             }
         }
+        self.running.cancel(request.attempt);
         let status = self
             .lock_records()
             .cancel(now_us, &request.to_status_query(now_us));
