Collect bodies in pieces that the whole process uses again

Cause: bodies grew in vectors that double, on a thread for each connection; each doubling leaves memory to the thread's arena, and the budget of 32 MiB counted bytes of bodies only. Told apart by runs: 222 MB as it was, 96 MB with MALLOC_ARENA_MAX=1, 69 MB with MALLOC_MMAP_THRESHOLD_=65536; copies at other hops would not change.

Change: BodyBuffer keeps a body in pieces of 64 KiB from a list of the process; the budget counts their memory, and all pools of a node share it. Bodies of up to one piece stay in one vector, as before.

--- a/components/http/src/async_pool/mod.rs
+++ b/components/http/src/async_pool/mod.rs
@@ -49,7 +49,7 @@
 
 struct Inner {
     config: PoolConfig,
-    budget: ResponseBudget,
+    budget: Arc<ResponseBudget>,
     state: Mutex<State>,
     timer: Arc<WakeTimer>,
 }
@@ -65,8 +65,14 @@
 impl AsyncPool {
     /// Creates an empty pool; connections are opened on demand.
     pub fn new(config: PoolConfig) -> io::Result<Self> {
+        let budget = ResponseBudget::new(config.max_buffered_bytes);
+        AsyncPool::with_budget(config, &Arc::new(budget))
+    }
+
+    /// Like `new`, with a budget that other pools may share in place of `max_buffered_bytes`.
+    pub fn with_budget(config: PoolConfig, budget: &Arc<ResponseBudget>) -> io::Result<Self> {
         let inner = Arc::new(Inner {
-            budget: ResponseBudget::new(config.max_buffered_bytes),
+            budget: Arc::clone(budget),
             config,
             state: Mutex::default(),
             timer: Arc::default(),
@@ -319,7 +325,7 @@
         buffer: &mut ReadBuffer,
         expected: &ExpectedResponse,
     ) -> Result<Received, CallError> {
-        let limits = (&self.config, &self.budget);
+        let limits = (&self.config, &*self.budget);
         for skipped in 0..=MAX_SKIPPED_COPIES {
             let mut received =
                 receive_response(limits, &connection.stream, buffer, expected.is_head, None)?;
--- a/components/http/src/body.rs
+++ b/components/http/src/body.rs
@@ -3,7 +3,7 @@
 //! Chunk sizes are read with `httparse`. The decoder of `chunked_transfer` is unsuitable: it
 //! rejects trailers and treats the end of the stream inside a chunk as the end of the body.
 
-use crate::ParseError;
+use crate::{ParseError, body_buffer::BodyBuffer};
 
 /// Longest line with a chunk size and its extensions in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub struct BodyDecoder {
     state: State,
-    body: Vec<u8>,
+    body: BodyBuffer,
     max_body_bytes: usize,
 }
 
@@ -58,7 +58,7 @@
         };
         BodyDecoder {
             state,
-            body: Vec::with_capacity(reserved.min(MAX_RESERVED_BYTES)),
+            body: BodyBuffer::with_capacity(reserved.min(MAX_RESERVED_BYTES)),
             max_body_bytes,
         }
     }
@@ -68,14 +68,14 @@
         matches!(self.state, State::Done)
     }
 
-    /// Number of bytes of the body that have arrived.
-    pub fn body_bytes(&self) -> usize {
-        self.body.len()
+    /// Bytes of memory that the body takes so far.
+    pub fn memory_bytes(&self) -> usize {
+        self.body.capacity()
     }
 
     /// Returns the body as far as it has arrived.
     pub fn into_body(self) -> Vec<u8> {
-        self.body
+        self.body.into_vec()
     }
 
     /// Decodes bytes from the start of `input` and returns how many were consumed. The caller
@@ -136,7 +136,7 @@
         if self.body.len() + appended > self.max_body_bytes {
             return Err(ParseError::BodyTooLarge);
         }
-        self.body.extend_from_slice(&input[..appended]);
+        self.body.extend(&input[..appended]);
         Ok(appended)
     }
 
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod async_pool;
 mod body;
+mod body_buffer;
 mod caller;
 mod cancel;
 mod connection;
@@ -27,4 +28,5 @@
 pub use message::{Request, Response, error_response};
 pub use pool::{CallError, Pool, PoolConfig};
 pub use reply_queue::EarlyReply;
+pub use response_budget::ResponseBudget;
 pub use server::{RequestLimits, ServeError, Server, ServerConfig, serve};
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -385,7 +385,7 @@
     loop {
         let consumed = decoder.decode(buffer.unread())?;
         buffer.consume(consumed);
-        buffered.grow_to(decoder.body_bytes())?;
+        buffered.grow_to(decoder.memory_bytes())?;
         if decoder.is_complete() {
             break;
         }
--- a/components/http/src/response_budget.rs
+++ b/components/http/src/response_budget.rs
@@ -1,18 +1,19 @@
-//! Limit of the memory that the responses of one pool use while they are received.
+//! Limit of the memory that responses use while they are received.
 
 use crate::CallError;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Bytes of all response bodies that are being received.
+/// Memory of all response bodies that are being received by the pools that share it.
 #[derive(Debug)]
-pub(crate) struct ResponseBudget {
+pub struct ResponseBudget {
     max_bytes: usize,
     bytes: AtomicUsize,
     responses: AtomicUsize,
 }
 
 impl ResponseBudget {
-    pub(crate) fn new(max_bytes: usize) -> Self {
+    /// Creates a budget of this size.
+    pub fn new(max_bytes: usize) -> Self {
         ResponseBudget {
             max_bytes,
             bytes: AtomicUsize::new(0),
@@ -36,7 +37,7 @@
 }
 
 impl BufferedResponse<'_> {
-    /// Records the current size of the body. Fails if the budget is exceeded and this response
+    /// Records the memory that the body takes now. Fails if the budget is exceeded and this response
     /// takes more than an equal share of it, so that small responses are received beside large
     /// ones.
     pub(crate) fn grow_to(&mut self, bytes: usize) -> Result<(), CallError> {
--- a/components/http/tests/endless_responses.rs
+++ b/components/http/tests/endless_responses.rs
@@ -2,7 +2,7 @@
 //! or in a body: a call must fail with a clear error long before its deadline, and the connection
 //! must be closed, so that memory and processor time stay bounded.
 
-use http::{AsyncPool, CallError, CancelToken, Pool, PoolConfig, Response};
+use http::{AsyncPool, CallError, CancelToken, Pool, PoolConfig, Response, ResponseBudget};
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -182,3 +182,33 @@
         .count();
     assert_eq!((small, too_large), (1, 3), "{} received", received.len());
 }
+
+/// Responses of several pools may not use more memory together than the budget that they share.
+#[test]
+fn pools_share_memory() {
+    const POOLS: usize = 6;
+    let budget = std::sync::Arc::new(ResponseBudget::new(MAX_BUFFERED_BYTES));
+    let (sender, results) = channel();
+    let pools: Vec<_> = (0..POOLS)
+        .map(|_| {
+            let listener = listen();
+            let address = listener.local_addr().unwrap();
+            thread::spawn(move || {
+                let mut stream = accept_request(&listener);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+                let _ = stream.write_all(&vec![b'a'; MAX_BUFFERED_BYTES / 4]);
+                thread::sleep(TEST_TIMEOUT);
+            });
+            let mut config = config(address);
+            config.max_body_bytes = MAX_BUFFERED_BYTES;
+            let pool = AsyncPool::with_budget(config, &budget).unwrap();
+            start_call(&pool, sender.clone());
+            pool
+        })
+        .collect();
+    for _ in 0..POOLS - 4 {
+        let result = results.recv_timeout(TEST_TIMEOUT).unwrap();
+        assert_eq!(result, Err(CallError::TooLarge));
+    }
+    drop(pools);
+}
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -2,7 +2,7 @@
 
 use super::running::RunningCalls;
 use errors::ErrorKind;
-use http::{AsyncPool, CancelToken, PoolConfig};
+use http::{AsyncPool, CancelToken, PoolConfig, ResponseBudget};
 use limits::{Admission, AdmissionConfig, HostPace, QueueDecision, ServiceTimes};
 use mesh::ReplyTo;
 use model::{AttemptId, LoadSignal, Upstream, UpstreamState};
@@ -28,6 +28,24 @@
     pub(crate) reply: ReplyTo,
 }
 
+/// What the instances that follow one another at an owner have in common.
+pub(super) struct SharedByInstances {
+    /// Calls that run at any of them.
+    pub(super) running: Arc<RunningCalls>,
+    /// Memory for the responses that are being received from all of them.
+    pub(super) response_budget: Arc<ResponseBudget>,
+}
+
+impl SharedByInstances {
+    pub(super) fn new(max_response_bytes: usize) -> Self {
+        let budget = ResponseBudget::new(max_response_bytes.max(RESPONSE_BUFFER_BYTES));
+        SharedByInstances {
+            running: Arc::default(),
+            response_budget: Arc::new(budget),
+        }
+    }
+}
+
 /// State of the local instance and its calls, under one lock since a node has one instance.
 pub(super) struct Instance {
     pub(super) upstream: Upstream,
@@ -56,7 +74,7 @@
         health_checks_per_s: u32,
         announced_slots: u32,
         echoed_header: Option<&'static str>,
-        running: &Arc<RunningCalls>,
+        shared: &SharedByInstances,
     ) -> Option<Self> {
         let max_connections = upstream
             .connections
@@ -66,7 +84,6 @@
             max_connections: max_connections as usize,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             max_body_bytes: max_response_bytes,
-            max_buffered_bytes: max_response_bytes.max(RESPONSE_BUFFER_BYTES),
             echoed_header,
             ..PoolConfig::new(upstream.address)
         };
@@ -76,7 +93,7 @@
             queue_limit: MAX_QUEUE,
         });
         admission.set_state(upstream.state);
-        let pool = match AsyncPool::new(config) {
+        let pool = match AsyncPool::with_budget(config, &shared.response_budget) {
             Ok(pool) => Arc::new(pool),
             Err(error) => {
                 log::error!("owner: no thread could be started for the instance: {error}.");
@@ -88,7 +105,7 @@
             pool,
             admission,
             waiting: HashMap::new(),
-            running: Arc::clone(running),
+            running: Arc::clone(&shared.running),
             service_times: ServiceTimes::default(),
             pace: HostPace::new(health_checks_per_s),
             pending_arrivals: Vec::new(),
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -2,9 +2,8 @@
 
 use super::{
     crash_incidents::CrashIncidents,
-    instance::{Instance, Job, take_refused},
+    instance::{Instance, Job, SharedByInstances, take_refused},
     run::{FIRST_FAILURE_STATUS, run_job},
-    running::RunningCalls,
 };
 use crate::context::NodeContext;
 use calls::{
@@ -33,7 +32,7 @@
 pub(crate) struct Owner {
     pub(crate) context: Arc<NodeContext>,
     instance: Mutex<Option<Instance>>,
-    running: Arc<RunningCalls>,
+    shared: SharedByInstances,
     records: Mutex<CallRecords>,
     crashes: Mutex<CrashIncidents>,
     /// Admitted calls that are still to be sent to the instance.
@@ -62,7 +61,7 @@
             start_queue: Mutex::default(),
             start_lock: Mutex::default(),
             wake,
-            running: Arc::default(),
+            shared: SharedByInstances::new(context.kernel.node_settings().max_response_bytes),
             is_refusing: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         }
@@ -105,7 +104,7 @@
                         self.health_checks_per_s(),
                         announced_slots,
                         self.context.kernel.node_settings().headers.request_id,
-                        &self.running,
+                        &self.shared,
                     )
                 });
                 drop(guard);
@@ -141,7 +140,7 @@
         let waiting = instance
             .as_ref()
             .map_or(0, |instance| instance.waiting.len());
-        waiting + self.running.count()
+        waiting + self.shared.running.count()
     }
 
     /// Refuses queued calls whose latest start has passed; returns the time until the next one.
@@ -186,7 +185,7 @@
         let attempt = job.call.attempt;
         let now_us = self.now_us();
         self.record_result(now_us, attempt, &result);
-        self.running.remove(attempt);
+        self.shared.running.remove(attempt);
         let (signal, decisions, mut guard) = {
             let mut guard = self.lock_instance();
             let Some(instance) = guard.as_mut() else {
@@ -351,7 +350,7 @@
                 dropped = instance.waiting.remove(&request.attempt);
             }
         }
-        self.running.cancel(request.attempt);
+        self.shared.running.cancel(request.attempt);
         let status = self
             .lock_records()
             .cancel(now_us, &request.to_status_query(now_us));
