Don't reuse a connection whose request is still being written

Cause: the rest of a long request is written by a thread of its own, and the connection's state didn't hold that it was still writing, so the response made the connection idle. The same thread could close the connection at its own deadline, under a later call.

Change: the state says that a request is being written; a response that comes before its end closes the connection.

--- a/components/http/src/async_pool/connection.rs
+++ b/components/http/src/async_pool/connection.rs
@@ -54,6 +54,8 @@
     /// Repeated values of the earlier calls on this connection.
     pub(super) history: EchoHistory,
     pub(super) has_timed_out: bool,
+    /// Whether the request of the call, or of the last one, is not written to its end yet.
+    pub(super) is_writing: bool,
     /// Set by the connection's thread before it ends, so that no further call is sent on it.
     pub(super) is_closed: bool,
 }
@@ -99,7 +101,7 @@
 }
 
 /// Writes the rest of a large request on a separate thread, since the calling thread must not
-/// block.
+/// block. Until it has ended, the connection carries no other call.
 pub(super) fn spawn_remaining_write(
     connection: &Arc<Connection>,
     request_bytes: Vec<u8>,
@@ -107,10 +109,9 @@
     deadline: Instant,
 ) {
     let writing = Arc::clone(connection);
-    let body = move || {
-        if send_request(&writing.stream, &request_bytes, written, deadline).is_err() {
-            writing.shut_down();
-        }
+    let body = move || match send_request(&writing.stream, &request_bytes, written, deadline) {
+        Ok(()) => writing.state().is_writing = false,
+        Err(_) => writing.shut_down(),
     };
     if spawn(body).is_err() {
         connection.shut_down();
--- a/components/http/src/async_pool/mod.rs
+++ b/components/http/src/async_pool/mod.rs
@@ -230,6 +230,7 @@
         };
         let (request_bytes, deadline) = (std::mem::take(&mut call.request_bytes), call.deadline);
         state.call = Some(call);
+        state.is_writing = written < request_bytes.len();
         drop(state);
         // Requested only now: an earlier wake-up would find no call on the connection.
         self.timer.wake_at(deadline);
@@ -349,10 +350,15 @@
     fn complete_call(
         self: &Arc<Self>,
         connection: &Arc<Connection>,
-        result: Result<Received, CallError>,
+        mut result: Result<Received, CallError>,
     ) -> bool {
         let (call, has_timed_out) = {
             let mut state = connection.state();
+            if let Ok(received) = &mut result {
+                // The server has answered before it read the whole request. The next one would be
+                // taken for a part of this one's body.
+                received.reusable &= !state.is_writing;
+            }
             state.is_closed = !matches!(&result, Ok(received) if received.reusable);
             let call = state.call.take();
             if let Some(call) = &call {
