Keep a late or refused request from cancelling the one before it

Cause: every end of reading counted as a caller that had left, also a late head or body and a refused request.

Change: only the end of the connection does. After a late or refused request, what arrives is discarded until the earlier requests are answered, so that a caller who closes is still noticed.

Before: bad_request_behind_running_one: 'POST /2 ... abc': counted as closed. After: passes for a slow body, a slow head and a malformed request; closed_behind_bad_request passes before and after.

--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -20,7 +20,7 @@
 
 /// How often an idle connection checks whether a reply closed it or its idle timeout has passed.
 const IDLE_CHECK: Duration = Duration::from_secs(5);
-/// How often a connection at `max_pipelined` requests checks whether a handler has ended.
+/// How often a connection that reads no request for now checks whether a handler has ended.
 const HANDLER_SLOT_CHECK: Duration = Duration::from_millis(10);
 /// Most bytes read ahead while as many handlers run as allowed.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
@@ -51,7 +51,10 @@
 
 /// Why no further request is read from a connection.
 enum ReadEnd {
+    /// The caller closed the connection, it failed, or it was idle for too long.
     Closed,
+    /// A head or body did not arrive before its deadline.
+    TimedOut,
     Refused(ErrorKind),
 }
 
@@ -80,7 +83,13 @@
         }
     };
     replies.set_reading(false);
-    replies.notify_caller_closed();
+    if matches!(end, ReadEnd::Closed) {
+        replies.notify_caller_closed();
+    } else {
+        // A late or refused request doesn't mean that the caller no longer waits for the answers to
+        // the requests before it.
+        discard_until_answered(stream, &mut buffer, replies);
+    }
     replies.wait_until_running_below(1);
     if let ReadEnd::Refused(kind) = end
         && !replies.is_closing()
@@ -89,6 +98,21 @@
     }
 }
 
+/// Discards what arrives while handlers run, so that a caller that closes the connection is noticed.
+fn discard_until_answered(stream: &TcpStream, buffer: &mut ReadBuffer, replies: &ReplyQueue) {
+    while replies.running_handlers() > 0 {
+        buffer.consume(buffer.unread().len());
+        match buffer.fill(stream, HANDLER_SLOT_CHECK) {
+            Ok(read) if read > 0 => {}
+            Err(error) if is_timeout(&error) => {}
+            Ok(_) | Err(_) => {
+                replies.notify_caller_closed();
+                return;
+            }
+        }
+    }
+}
+
 /// Starts the handler of a request on a worker thread.
 fn start_handler(
     shared: &Arc<Shared>,
@@ -140,8 +164,10 @@
         }
         let deadline = *deadline.get_or_insert_with(|| read_deadline(&limits));
         match buffer.fill_until(stream, deadline) {
-            Ok(0) | Err(_) => return Err(ReadEnd::Closed),
+            Ok(0) => return Err(ReadEnd::Closed),
             Ok(_) => {}
+            Err(error) if is_timeout(&error) => return Err(ReadEnd::TimedOut),
+            Err(_) => return Err(ReadEnd::Closed),
         }
     }
     let request = Request {
@@ -220,12 +246,11 @@
                     return Err(ReadEnd::Closed);
                 }
             }
-            Err(error) => {
-                if is_timeout(&error) {
-                    log::debug!("http: a request head did not arrive before its deadline");
-                }
-                return Err(ReadEnd::Closed);
+            Err(error) if is_timeout(&error) => {
+                log::debug!("http: a request head did not arrive before its deadline");
+                return Err(ReadEnd::TimedOut);
             }
+            Err(_) => return Err(ReadEnd::Closed),
         }
     }
 }
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -287,3 +287,65 @@
     assert!(text.ends_with("/1"), "{text}");
     server.stop();
 }
+
+/// A request that arrives too slowly, or that is refused, must not cancel the request before it: its
+/// caller still waits for that answer.
+#[test]
+fn bad_request_behind_running_one() {
+    let slow_body = "POST /2 HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc";
+    let slow_head = "GET /2 HTTP/1.1\r\nhos";
+    let malformed = "GET /2 HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n";
+    for behind in [slow_body, slow_head, malformed] {
+        let config = ServerConfig {
+            max_pipelined: 2,
+            head_timeout_ms: 100,
+            ..ServerConfig::default()
+        };
+        let (report_close, closes) = channel();
+        let server = start(config, move |request, caller| {
+            let report_close = report_close.clone();
+            // The test may have ended.
+            caller.on_close(move || {
+                let _ = report_close.send(());
+            });
+            std::thread::sleep(2 * HANDLER_END);
+            Response::new(200, request.target)
+        });
+        let mut stream = connect(server.address());
+        let both = format!("{}{behind}", request("/1"));
+        stream.write_all(both.as_bytes()).unwrap();
+        let mut text = String::new();
+        std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
+        assert!(text.starts_with("HTTP/1.1 200 OK"), "{behind:?}: {text}");
+        let is_refused = text.contains("HTTP/1.1 400");
+        assert_eq!(is_refused, behind == malformed, "{behind:?}: {text}");
+        assert!(closes.try_recv().is_err(), "{behind:?}: counted as closed");
+        server.stop();
+    }
+}
+
+/// A caller that closes its connection after a refused request has left: its running request is
+/// cancelled.
+#[test]
+fn closed_behind_bad_request() {
+    let config = ServerConfig {
+        max_pipelined: 2,
+        ..ServerConfig::default()
+    };
+    let (report_close, closes) = channel();
+    let (entered, wait_entered) = channel();
+    let server = start(config, move |request, caller| {
+        entered.send(()).unwrap();
+        let report_close = report_close.clone();
+        caller.on_close(move || report_close.send(()).unwrap());
+        wait_until("the caller closes its connection", || caller.is_closed());
+        Response::new(200, request.target)
+    });
+    let mut stream = connect(server.address());
+    let both = format!("{}GET /2 HTTP/1.1\r\n\r\n", request("/1"));
+    stream.write_all(both.as_bytes()).unwrap();
+    wait_entered.recv_timeout(TEST_TIMEOUT).unwrap();
+    std::thread::sleep(HANDLER_END);
+    drop(stream);
+    closes.recv_timeout(TEST_TIMEOUT).unwrap();
+}
