Leave the application's idempotency keys to the application

An empty or long key was refused with 400.

Change: the header's name is one of those that a binary sets. The adapter sets none, so the header is only forwarded.

Before: idempotency_key_forwarded_only: left: Some("") right: Some("") After: passes.

--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -5,6 +5,7 @@
 use errors::ErrorKind;
 use http::{Request, strip_hop_by_hop};
 use model::{CallId, Profile, ServiceName};
+use settings::CallHeaders;
 use wire::HttpMessage;
 
 /// Longest deadline that a caller may ask for, in milliseconds.
@@ -58,19 +59,16 @@
             version,
         } = self.resolve_target(&request)?;
         let refuse = |kind| (Some(service.clone()), kind);
-        let key = idempotency_key(&request, &service, &profile).map_err(refuse)?;
+        let headers = &kernel.node_settings().headers;
+        let key = idempotency_key(headers, &request, &service, &profile).map_err(refuse)?;
         let longest_ms = if key.is_some() {
             MAX_KEYED_CALL_MS
         } else {
             MAX_DEADLINE_MS
         };
-        let deadline_ms = deadline_ms(
-            kernel.node_settings().headers.deadline_ms,
-            &request,
-            &profile,
-        )
-        .map_err(refuse)?
-        .min(longest_ms);
+        let deadline_ms = deadline_ms(headers.deadline_ms, &request, &profile)
+            .map_err(refuse)?
+            .min(longest_ms);
         let fingerprint = fingerprint(&service, &request);
         let suspected = match kernel.suspects.with(|s| s.verdict(now_us, &fingerprint)) {
             Verdict::Refuse => return Err(refuse(ErrorKind::CrashSuspect)),
@@ -195,14 +193,16 @@
     }
 }
 
-/// Hash of the `idempotency-key` header. `None` if it is absent or the profile allows calls to be
-/// repeated anyway.
+/// Hash of the idempotency key. `None` if there is none or the profile allows calls to be repeated
+/// anyway.
 fn idempotency_key(
+    headers: &CallHeaders,
     request: &Request,
     service: &ServiceName,
     profile: &Profile,
 ) -> Result<Option<KeyHash>, ErrorKind> {
-    let Some(text) = request.headers.get("idempotency-key") else {
+    let name = headers.idempotency_key;
+    let Some(text) = name.and_then(|name| request.headers.get(name)) else {
         return Ok(None);
     };
     let text = text.trim();
--- a/components/settings/src/headers.rs
+++ b/components/settings/src/headers.rs
@@ -6,6 +6,9 @@
 pub struct CallHeaders {
     /// Time left for the call in milliseconds, from callers and to upstreams.
     pub deadline_ms: &'static str,
+    /// Key of a call that its caller may send again. Without a name, a field that callers send between
+    /// themselves and upstreams is forwarded and has no meaning here.
+    pub idempotency_key: Option<&'static str>,
     /// The caller's request id, which upstreams repeat in their responses.
     pub request_id: Option<&'static str>,
     /// Service of the caller, which is the service beside the node that accepted the call; sent to
@@ -26,6 +29,7 @@
     fn default() -> Self {
         CallHeaders {
             deadline_ms: "x-gyard-deadline-ms",
+            idempotency_key: Some("idempotency-key"),
             request_id: None,
             caller_service: None,
             expected_upstream: None,
