--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -25,16 +25,18 @@
 
 /// Creates the response to a refused request from the error table.
 pub fn error_response(kind: ErrorKind, detail: impl AsRef<str>) -> AdminResponse {
+    json_response(kind.info().status, &error_body(kind, detail.as_ref()))
+}
+
+/// The JSON body of the response to a refused request.
+pub fn error_body(kind: ErrorKind, detail: &str) -> Value {
     let info = kind.info();
-    json_response(
-        info.status,
-        &json!({
-            "error": info.code,
-            "message": info.message,
-            "detail": detail.as_ref(),
-            "advice": info.advice,
-        }),
-    )
+    json!({
+        "error": info.code,
+        "message": info.message,
+        "detail": detail,
+        "advice": info.advice,
+    })
 }
 
 /// Creates the response with the metrics page.
@@ -47,31 +49,18 @@
     Response::from_data(Vec::new()).with_status_code(status)
 }
 
-/// Creates a response with a body that is encoded as JSON already.
-pub fn json_bytes_response(status: u16, body: impl Into<Vec<u8>>) -> AdminResponse {
-    with_content_type(Response::from_data(body), status, "application/json")
-}
-
 /// Reads a body of at most [`MAX_BODY_BYTES`].
 pub fn read_body(request: &mut Request) -> Result<Vec<u8>, (ErrorKind, String)> {
-    read_body_up_to(request, MAX_BODY_BYTES)
-}
-
-/// Reads a body of at most `max_bytes`.
-pub fn read_body_up_to(
-    request: &mut Request,
-    max_bytes: u64,
-) -> Result<Vec<u8>, (ErrorKind, String)> {
     let mut bytes = Vec::new();
     request
         .as_reader()
-        .take(max_bytes + 1)
+        .take(MAX_BODY_BYTES + 1)
         .read_to_end(&mut bytes)
         .map_err(|error| (ErrorKind::MalformedRequest, error.to_string()))?;
-    if bytes.len() as u64 > max_bytes {
+    if bytes.len() as u64 > MAX_BODY_BYTES {
         return Err((
             ErrorKind::BodyTooLarge,
-            format!("a request has at most {max_bytes} bytes"),
+            format!("a request has at most {MAX_BODY_BYTES} bytes"),
         ));
     }
     Ok(bytes)
