Use an instance again that a late withdrawal has taken out

A DELETE names no start, so that it can't be told from one of the new start when it arrives.

Change: a withdrawn start that still reports when late reports can no longer arrive (one lease) counts as running if it passes a health check.

Before: late_withdrawal_recovers: left: None right: Some(9000000).

--- a/components/members/src/report_order.rs
+++ b/components/members/src/report_order.rs
@@ -125,7 +125,7 @@
         };
         let held = self.newest.get(&start).copied();
         let verdict = match held {
-            Some(held) if held.has_withdrawn => ReportVerdict::Outdated,
+            Some(held) if held.has_withdrawn => self.assess_withdrawn_start(now_us, name),
             Some(_) => ReportVerdict::Current,
             None => self.assess_unknown_start(now_us, &start),
         };
@@ -192,16 +192,34 @@
         }
     }
 
+    /// Whether a start whose instance has withdrawn is running all the same. A withdrawal may arrive
+    /// late too, after the instance has started again under its name.
+    fn assess_withdrawn_start(&self, now_us: u64, name: &UpstreamName) -> ReportVerdict {
+        match self.recent_withdrawal(now_us, name) {
+            Some(_) => ReportVerdict::Outdated,
+            None => ReportVerdict::Unconfirmed,
+        }
+    }
+
+    /// The last withdrawal of the name, if reports that were sent before it may still arrive.
+    fn recent_withdrawal(&self, now_us: u64, name: &UpstreamName) -> Option<&Moment> {
+        let withdrawal = self.withdrawn.get(name);
+        withdrawal.filter(|at| self.is_recent(now_us, at))
+    }
+
+    fn is_recent(&self, now_us: u64, at: &Moment) -> bool {
+        now_us.saturating_sub(at.now_us) < self.max_delay_us
+    }
+
     /// Whether a start that was not heard of before may have withdrawn already.
     fn assess_unknown_start(&self, now_us: u64, start: &InstanceStart) -> ReportVerdict {
-        let is_recent = |at: &Moment| now_us.saturating_sub(at.now_us) < self.max_delay_us;
-        match self.withdrawn.get(&start.name).filter(|at| is_recent(at)) {
+        match self.recent_withdrawal(now_us, &start.name) {
             Some(at) if start.started_ms <= at.unix_ms => return ReportVerdict::Outdated,
             // The time of day may have gone back since the start that has withdrawn.
             Some(_) => return ReportVerdict::Unconfirmed,
             None => {}
         }
-        if is_recent(&self.created) && start.started_ms <= self.created.unix_ms {
+        if self.is_recent(now_us, &self.created) && start.started_ms <= self.created.unix_ms {
             return ReportVerdict::Unconfirmed;
         }
         ReportVerdict::Current
