--- a/components/http/src/async_pool/connection.rs
+++ b/components/http/src/async_pool/connection.rs
@@ -4,7 +4,7 @@
 use crate::{
     CallError, CancelToken, Response,
     echo::{EchoHistory, EchoValue},
-    pool::send_request,
+    exchange::send_request,
 };
 use std::{
     net::{Shutdown, TcpStream},
--- a/components/http/src/async_pool/mod.rs
+++ b/components/http/src/async_pool/mod.rs
@@ -9,8 +9,9 @@
 use crate::{
     CallError, CancelToken, PoolConfig, Request, Response,
     echo::{EchoMatch, EchoValue},
+    exchange::{READ_TIMEOUT_WITHOUT_DEADLINE, Received, receive_response},
     message::encode_request,
-    pool::{READ_TIMEOUT_WITHOUT_DEADLINE, Received, connect, receive_response},
+    pool::connect,
     read_buffer::{ReadBuffer, is_timeout},
     response_budget::ResponseBudget,
     socket::{Peeked, peek, send_now},
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -7,6 +7,7 @@
 mod cancel;
 mod connection;
 mod echo;
+mod exchange;
 mod head;
 mod headers;
 mod message;
