Answer the calls that are still in progress when the stop timeout passes

Cause: the entry aborted its server with requests in progress.

Change: these requests get 502 stop-timeout (outcome unknown), and what waits behind them on the connection is written. The kind of error is the last one of the list, so that the numbers of the others on the mesh stay.

Before: ends_within_grace_period: the call gets a final response left: None right: Some(502) After: passes; ready_behind_unfinished passes (it uses the new call, so it doesn't build before).

--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -125,6 +125,8 @@
     NotFound,
     /// An unexpected condition inside geraniumyard.
     Internal,
+    /// The node stopped while it waited for the answer to a call.
+    StopTimeout,
 }
 
 impl ErrorKind {
@@ -173,6 +175,7 @@
         ErrorKind::NoRoute,
         ErrorKind::NotFound,
         ErrorKind::Internal,
+        ErrorKind::StopTimeout,
     ];
 
     /// How this kind is reported.
@@ -479,6 +482,13 @@
                 "An unexpected condition inside geraniumyard.",
                 "Report it with the log lines around it.",
             ),
+            ErrorKind::StopTimeout => (
+                "stop-timeout",
+                502,
+                Outcome::Unknown,
+                "The node stopped while it waited for the answer.",
+                "Resend only if the call is idempotent or carries an idempotency-key.",
+            ),
         };
         ErrorInfo {
             code,
--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -21,7 +21,10 @@
 /// The reply to one request.
 enum Slot {
     /// The handler has not answered yet.
-    Waiting,
+    Waiting {
+        /// Whether the request's method is `HEAD`, whose replies have no body.
+        is_head: bool,
+    },
     /// Encoded and waiting for its turn.
     Ready(EncodedReply),
 }
@@ -35,6 +38,18 @@
     must_close: bool,
 }
 
+impl EncodedReply {
+    fn new(response: &Response, is_head: bool) -> Self {
+        let mut bytes = Vec::new();
+        let head_bytes = encode_response(&mut bytes, response, is_head, false);
+        EncodedReply {
+            bytes,
+            head_bytes,
+            must_close: response.headers.has_token("connection", "close"),
+        }
+    }
+}
+
 struct State {
     /// Number of the request that the first slot belongs to.
     first_number: u64,
@@ -106,13 +121,14 @@
             return None;
         }
         let number = state.first_number + state.slots.len() as u64;
-        state.slots.push_back(Slot::Waiting);
+        let is_head = request.method == "HEAD";
+        state.slots.push_back(Slot::Waiting { is_head });
         state.running_handlers += 1;
         state.has_last_request = !keep_alive;
         Some(EarlyReply {
             replies: Arc::clone(self),
             number,
-            is_head: request.method == "HEAD",
+            is_head,
         })
     }
 
@@ -124,6 +140,27 @@
         self.end_handler(early.number);
     }
 
+    /// Answers all requests that have no response yet, so that the responses behind them are sent.
+    /// Returns their number; what their handlers return later is dropped.
+    pub(crate) fn answer_waiting(&self, response: &Response) -> usize {
+        let answered = {
+            let mut state = self.lock();
+            state.has_last_request = true;
+            let mut answered = 0;
+            for slot in &mut state.slots {
+                if let Slot::Waiting { is_head } = *slot {
+                    *slot = Slot::Ready(EncodedReply::new(response, is_head));
+                    answered += 1;
+                }
+            }
+            answered
+        };
+        if answered > 0 {
+            self.flush(false);
+        }
+        answered
+    }
+
     /// Ends a handler that panicked. The connection ends in place of its reply, after the replies to
     /// the requests before it.
     pub(crate) fn abort(&self, early: &EarlyReply) {
@@ -220,16 +257,7 @@
 
     /// Stores a response until its turn comes; false if the request was answered already.
     fn store(&self, early: &EarlyReply, response: &Response) -> bool {
-        let mut bytes = Vec::new();
-        let head_bytes = encode_response(&mut bytes, response, early.is_head, false);
-        self.store_reply(
-            early.number,
-            EncodedReply {
-                bytes,
-                head_bytes,
-                must_close: response.headers.has_token("connection", "close"),
-            },
-        )
+        self.store_reply(early.number, EncodedReply::new(response, early.is_head))
     }
 
     fn store_reply(&self, number: u64, reply: EncodedReply) -> bool {
@@ -237,7 +265,7 @@
         let Some(index) = number.checked_sub(state.first_number) else {
             return false;
         };
-        let Some(slot @ Slot::Waiting) = state.slots.get_mut(index as usize) else {
+        let Some(slot @ Slot::Waiting { .. }) = state.slots.get_mut(index as usize) else {
             return false;
         };
         *slot = Slot::Ready(reply);
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -224,6 +224,21 @@
         }
     }
 
+    /// Answers all requests in progress with this response, in place of their handlers, and returns
+    /// their number. Connections close behind it.
+    pub fn answer_unfinished(&self, response: &Response) -> usize {
+        let connections: Vec<_> = self
+            .shared
+            .connections()
+            .values()
+            .map(|connection| Arc::clone(&connection.replies))
+            .collect();
+        let answered = connections
+            .iter()
+            .map(|replies| replies.answer_waiting(response));
+        answered.sum()
+    }
+
     /// Closes the listener and all connections immediately; requests in progress get no response.
     pub fn abort(&self) {
         self.stop_accepting();
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -4,7 +4,7 @@
 use std::{
     io::Write,
     sync::{Barrier, Mutex, mpsc::channel},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 mod common;
@@ -349,3 +349,35 @@
     drop(stream);
     closes.recv_timeout(TEST_TIMEOUT).unwrap();
 }
+
+/// At the end of a stop a request is still running. The answer to the request behind it, which is
+/// ready, must not be lost with it.
+#[test]
+fn ready_behind_unfinished() {
+    let config = ServerConfig {
+        max_pipelined: 2,
+        stop_grace_ms: 0,
+        ..ServerConfig::default()
+    };
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let server = start(config, move |request, _| {
+        if request.target == "/running" {
+            released.lock().unwrap().recv_timeout(TEST_TIMEOUT).unwrap();
+        }
+        Response::new(200, request.target)
+    });
+    let mut stream = connect(server.address());
+    let both = ["/running", "/ready"].map(request).concat();
+    stream.write_all(both.as_bytes()).unwrap();
+    std::thread::sleep(HANDLER_END);
+    server.stop_until(Some(Instant::now() + HANDLER_END));
+    let unfinished = server.answer_unfinished(&Response::new(502, "cut off"));
+    assert_eq!(unfinished, 1);
+    let mut text = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 502"), "{text}");
+    assert!(text.ends_with("connection: close\r\n\r\n/ready"), "{text}");
+    drop(stream);
+    release.send(()).unwrap();
+}
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -35,6 +35,8 @@
 const MAX_PIPELINED: usize = 16;
 /// Time after the stop notice (`stop_notice_ms`) in which requests still in transit are accepted.
 const ARRIVAL_GRACE: Duration = Duration::from_millis(200);
+/// Longest wait for the final responses of a stop to be written and their connections to close.
+const FINAL_WRITE: Duration = Duration::from_millis(100);
 /// Latency target of calls whose route has none, in milliseconds.
 const DEFAULT_TARGET_MS: u64 = 400;
 /// Interval of the check for lost probes.
@@ -114,6 +116,7 @@
             let left = until.saturating_duration_since(Instant::now());
             thread::sleep(notice.unwrap_or_default().min(left));
             stopping.stop_until(Some(until));
+            answer_unfinished(&stopping);
         },
         move || {
             server.abort();
@@ -122,6 +125,16 @@
     ))
 }
 
+/// Gives the calls that are still in progress their final response, since the process ends. It also
+/// lets finished responses through that wait behind them on their connection.
+fn answer_unfinished(server: &Server) {
+    let unfinished = server.answer_unfinished(&error_response(ErrorKind::StopTimeout));
+    if unfinished > 0 {
+        log::warn!("entry: the stop timeout passed with {unfinished} calls in progress.");
+        server.stop_until(Some(Instant::now() + FINAL_WRITE));
+    }
+}
+
 /// Time for which a stopping node still takes new calls. A node that starts again at once takes none:
 /// until it has done so, the others can't call the instance beside it.
 fn stop_notice(kernel: &Kernel) -> Duration {
