Apply reports and withdrawals of instances one at a time

Since the platform's ports have a thread for each connection, a DELETE could be applied while a heartbeat of the same instance was between its check and its announcement, which then restored the instance (DRAIN).

Change: LocalInstance applies one at a time, with the health check that a report may need.

--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -4,7 +4,7 @@
 use kernel::{Clock, Event, Kernel};
 use members::{Moment, ReportOrder, ReportPosition, ReportVerdict};
 use model::{ServiceName, Upstream, UpstreamName, UpstreamState};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// The announced instance, its lease and the order of its reports.
 struct State {
@@ -24,6 +24,9 @@
 pub(crate) struct LocalInstance {
     kernel: Arc<Kernel>,
     state: Mutex<State>,
+    /// Held while a report or a withdrawal is applied, also during the health check of a report: one
+    /// that was checked before a withdrawal must not be announced after it.
+    report_lock: Mutex<()>,
 }
 
 impl LocalInstance {
@@ -41,6 +44,7 @@
                 // expected to be on its way for longer.
                 report_order: ReportOrder::new(moment(kernel), lease_us(kernel)),
             }),
+            report_lock: Mutex::default(),
         }
     }
 
@@ -75,6 +79,7 @@
     /// Calls `announce` unless the report is older than one that was applied before: a late report
     /// must not restore an instance that has withdrawn or that another one has replaced.
     pub(crate) fn report(&self, announcement: &Announcement) -> bool {
+        let _applying = self.lock_reports();
         let Some(name) = &announcement.name else {
             self.announce(announcement);
             return true;
@@ -122,6 +127,12 @@
         is_serving
     }
 
+    fn lock_reports(&self) -> MutexGuard<'_, ()> {
+        self.report_lock
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn report_order<T>(&self, run: impl FnOnce(&mut ReportOrder) -> T) -> T {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         run(&mut state.report_order)
@@ -129,6 +140,7 @@
 
     /// Withdraws the named instance at its own request; returns whether it was the announced one.
     pub(crate) fn withdraw_named(&self, name: &UpstreamName) -> bool {
+        let _applying = self.lock_reports();
         let is_announced = {
             let mut guard = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             guard.report_order.withdraw(moment(&self.kernel), name);
