Fetch the answer of an idempotent call whose only attempt lost its connection

Cause: the entry gave an idempotent call up when the connection to its owner was lost and no other attempt was allowed (attempts spent, or no retry budget). It never asked the owner, as it does for calls that are not idempotent, and the owner would not have kept the answer.

Change: such an attempt is queried when no other may be sent, and the owner keeps the answer of an attempt that has been queried. A caller isn't held for an owner that can't be reached: it may send an idempotent call again.

Tests: lost_connection::only_attempt_recovered and only_owner_ended; both fail before the change ("call 0 -> Fail(OwnerLost)" right after the loss).

--- a/components/calls/src/entry/mod.rs
+++ b/components/calls/src/entry/mod.rs
@@ -161,6 +161,9 @@
     Cancelling { disconnected: bool },
     /// Did not and will not run.
     NotRun,
+    /// The connection was lost, and the idempotent call has gone on to another upstream. The status
+    /// is queried if no other attempt may be sent.
+    Lost,
     /// May have run; no answer is expected any more.
     Ended,
 }
@@ -176,7 +179,7 @@
 
     /// Whether the attempt may still lead to an answer.
     fn is_open(self) -> bool {
-        !matches!(self, State::NotRun | State::Ended)
+        !matches!(self, State::NotRun | State::Lost | State::Ended)
     }
 
     /// Time at which the state changes without an event, if any.
@@ -392,7 +395,7 @@
         }
         self.pending = Pending::None;
         if !self.has_open() {
-            self.fail(kind);
+            self.query_lost_or_fail(kind);
         }
     }
 
@@ -411,7 +414,9 @@
     fn on_answered(&mut self, attempt: AttemptId, answer: Arc<[u8]>) {
         // An idempotent call also accepts the answer of an attempt whose connection was lost.
         if self
-            .index_in(attempt, |s| s.is_sent() || s == State::Ended)
+            .index_in(attempt, |s| {
+                s.is_sent() || matches!(s, State::Lost | State::Ended)
+            })
             .is_some()
         {
             self.deliver(attempt, answer);
@@ -439,7 +444,7 @@
             return;
         }
         if is_final(kind) {
-            self.fail(kind);
+            self.query_lost_or_fail(kind);
         } else {
             self.retry(now_us);
         }
@@ -450,9 +455,7 @@
             return;
         };
         self.attempts[index].state = State::Ended;
-        self.failure_after_start.get_or_insert(kind);
-        self.has_failed_after_crash |= self.has_crashed;
-        self.has_crashed |= kind == ErrorKind::UpstreamLost;
+        self.record_failure(kind);
         if !self.spec.idempotent {
             self.fail(kind);
         } else if !self.is_past_deadline {
@@ -460,6 +463,13 @@
         }
     }
 
+    /// Records that an attempt may have run and has no answer so far.
+    fn record_failure(&mut self, kind: ErrorKind) {
+        self.failure_after_start.get_or_insert(kind);
+        self.has_failed_after_crash |= self.has_crashed;
+        self.has_crashed |= kind == ErrorKind::UpstreamLost;
+    }
+
     fn on_connection_lost(&mut self, now_us: u64, attempt: AttemptId) {
         if let Some(index) = self.index_in(attempt, |s| {
             s == State::Cancelling {
@@ -473,7 +483,11 @@
             return;
         };
         if self.spec.idempotent {
-            self.on_failed(now_us, attempt, ErrorKind::OwnerLost);
+            self.attempts[index].state = State::Lost;
+            self.record_failure(ErrorKind::OwnerLost);
+            if !self.is_past_deadline {
+                self.retry(now_us);
+            }
             return;
         }
         if now_us < self.spec.deadline_us {
@@ -503,7 +517,14 @@
     }
 
     fn on_status_unavailable(&mut self, now_us: u64, attempt: AttemptId) {
-        if let Some(index) = self.index_in(attempt, |s| s == State::Queried) {
+        let Some(index) = self.index_in(attempt, |s| s == State::Queried) else {
+            return;
+        };
+        // The caller of an idempotent call may send it again, so it isn't held until its deadline
+        // for an owner that can't be reached.
+        if self.spec.idempotent {
+            self.on_failed(now_us, attempt, ErrorKind::OwnerLost);
+        } else {
             self.schedule_query(now_us, index);
         }
     }
@@ -522,7 +543,7 @@
             return;
         }
         if !self.may_send_another() {
-            self.fail(self.last_refusal);
+            self.query_lost_or_fail(self.last_refusal);
             return;
         }
         self.pending = Pending::RetryBudget;
@@ -556,7 +577,23 @@
             kind @ (ErrorKind::Overloaded | ErrorKind::QueueFull) if self.spec.moves > 0 => kind,
             _ => ErrorKind::RetryBudgetSpent,
         };
-        self.fail(kind);
+        self.query_lost_or_fail(kind);
+    }
+
+    /// Queries the attempts whose connections were lost, since they may still run and no other may
+    /// be sent; fails the call if there are none.
+    fn query_lost_or_fail(&mut self, kind: ErrorKind) {
+        let mut is_queried = false;
+        for index in 0..self.attempts.len() {
+            if self.attempts[index].state == State::Lost {
+                self.attempts[index].state = State::Queried;
+                self.actions.push(Action::QueryStatus(self.id(index)));
+                is_queried = true;
+            }
+        }
+        if !is_queried {
+            self.fail(kind);
+        }
     }
 
     fn on_hedge_allowed(&mut self, now_us: u64, allowed: bool) {
--- a/components/calls/src/entry/timers.rs
+++ b/components/calls/src/entry/timers.rs
@@ -80,7 +80,7 @@
                     self.attempts[index].state = State::Cancelling { disconnected };
                     self.actions.push(Action::Cancel(self.id(index)));
                 }
-                State::Cancelling { .. } | State::NotRun | State::Ended => {}
+                State::Cancelling { .. } | State::NotRun | State::Lost | State::Ended => {}
             }
         }
     }
--- a/components/calls/src/records.rs
+++ b/components/calls/src/records.rs
@@ -32,7 +32,8 @@
     pub deadline_us: u64,
     /// Whether the call has an idempotency key and is not idempotent.
     pub keyed: bool,
-    /// Whether the answer is kept for status queries; not needed for idempotent calls.
+    /// Whether the answer is kept for status queries from the start; that of an idempotent call is
+    /// kept only once its status has been queried.
     pub keep_answer: bool,
 }
 
@@ -269,13 +270,21 @@
         if query.target == self.config.incarnation && self.is_queued(query.attempt) {
             self.end(awake_us, query.attempt, State::NotStarted);
         }
-        self.query_status(now_us, query)
+        self.status_or_tombstone(awake_us, query)
     }
 
     /// Handles a status query. An unknown attempt gets a tombstone, because its message may still
     /// be on the way over a lost connection and must not start it after this reply.
     pub fn query_status(&mut self, now_us: u64, query: &StatusQuery) -> AttemptStatus {
         let awake_us = self.advance(now_us);
+        if let Some(record) = self.records.get_mut(&query.attempt) {
+            // The entry has lost the connection for the reply; a later query fetches the answer.
+            record.keep_answer = true;
+        }
+        self.status_or_tombstone(awake_us, query)
+    }
+
+    fn status_or_tombstone(&mut self, awake_us: u64, query: &StatusQuery) -> AttemptStatus {
         let call = query.attempt.call;
         if query.target != self.config.incarnation {
             return AttemptStatus::Forgotten;
--- a/components/calls/tests/suite/lost_connection.rs
+++ b/components/calls/tests/suite/lost_connection.rs
@@ -71,3 +71,34 @@
     }
     insta::assert_snapshot!(simulation.trace());
 }
+
+/// Guards against a failed call when only the connection is lost: an idempotent call that may not be
+/// sent to another upstream gets the answer of the attempt that runs.
+#[test]
+fn only_attempt_recovered() {
+    let mut simulation = Simulation::new([]);
+    simulation.start_limited_call(0, true, None, 1_000_000, 1);
+    simulation.deliver_all();
+    simulation.lose_connection(0, 0);
+    simulation.deliver_all();
+    simulation.finish(0, 0);
+    simulation.drop_message(0);
+    // First the time of a hedge, which may not be sent, then that of the next query.
+    for _ in 0..2 {
+        simulation.advance();
+        simulation.deliver_all();
+    }
+    insta::assert_snapshot!(simulation.trace());
+}
+
+/// Guards against an idempotent call that waits until its deadline for an owner that has ended,
+/// though its caller could send it again.
+#[test]
+fn only_owner_ended() {
+    let mut simulation = Simulation::new([]);
+    simulation.start_limited_call(0, true, None, 1_000_000, 1);
+    simulation.deliver_all();
+    simulation.restart_owner(0);
+    simulation.deliver_all();
+    insta::assert_snapshot!(simulation.trace());
+}
--- a/components/calls/tests/suite/simulation.rs
+++ b/components/calls/tests/suite/simulation.rs
@@ -359,6 +359,18 @@
         idempotent: bool,
         key: Option<u8>,
         remaining_us: u64,
+    ) {
+        self.start_limited_call(entry, idempotent, key, remaining_us, 4);
+    }
+
+    /// Like `start_call`, with at most `attempts` attempts.
+    pub(crate) fn start_limited_call(
+        &mut self,
+        entry: usize,
+        idempotent: bool,
+        key: Option<u8>,
+        remaining_us: u64,
+        attempts: u16,
     ) {
         let number = self.callers.len();
         let spec = CallSpec {
@@ -370,7 +382,7 @@
             keyed: key.is_some(),
             suspected: false,
             deadline_us: self.now_us + remaining_us,
-            attempts: 4,
+            attempts,
             moves: 0,
             hedge_after_us: Some(20_000),
         };
