Wait longer for a leader after each election without one

Cause: a starting replica asks for votes again after 100 to 200 ms. An election needs two syncs, the candidate's and the voters'. If they take longer, the next election starts before the votes arrive, and no election ever succeeds.

Change: the election timeout doubles with each term that has passed without a leader, three times at most. A leader resets it, so healthy groups elect as fast as before.

Test: open_groups::elects_on_slow_disks (syncs of 100, 200 and 400 ms, 20 seeds each, bound 15 s).

--- a/components/consensus/src/follower.rs
+++ b/components/consensus/src/follower.rs
@@ -33,7 +33,7 @@
         }
         self.become_follower(now_us, term, Some(from));
         self.leader_last_heard_us = now_us;
-        self.has_met_leader = true;
+        self.meet_leader();
         self.reset_election_timer(now_us);
         self.round = self.round.max(round);
         self.announce_leaving(from);
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -42,7 +42,7 @@
         let progress = others.map(|id| (id, Progress::new(now_us, next))).collect();
         self.role = Role::Leader;
         self.leader = Some(self.id);
-        self.has_met_leader = true;
+        self.meet_leader();
         self.leader_state = Some(LeaderState {
             progress,
             heartbeat_due_us: now_us + self.config.heartbeat_us,
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -19,6 +19,8 @@
 
 /// Divides the election timeout of a replica of an open group until it first hears of a leader.
 const FIRST_ELECTION_DIVISOR: u64 = 3;
+/// Most times that the election timeout is doubled after elections without a leader.
+const MAX_ELECTION_DOUBLINGS: u32 = 3;
 /// Longest time for which a follower that lacks committed entries, or hears no heartbeat, still
 /// counts as current: five heartbeats. Entries that are on their way arrive within it.
 const MAX_BEHIND_US: u64 = 500_000;
@@ -43,6 +45,8 @@
     pub(crate) leader_last_heard_us: u64,
     /// Whether this process has heard from a leader, or led, since it started.
     pub(crate) has_met_leader: bool,
+    /// Last term in which this replica has heard from a leader, or led; its first term after a start.
+    pub(crate) last_led_term: u64,
     pub(crate) election_due_us: u64,
     /// Identities that granted a vote or pre-vote in the current attempt.
     pub(crate) votes: BTreeSet<ReplicaId>,
@@ -116,6 +120,7 @@
             leader: None,
             leader_last_heard_us: now_us,
             has_met_leader: false,
+            last_led_term: hard_state.term,
             election_due_us: 0,
             votes: BTreeSet::new(),
             transfer_election: false,
@@ -335,7 +340,17 @@
             // the pre-vote doesn't depose it.
             wait_us /= FIRST_ELECTION_DIVISOR;
         }
-        self.election_due_us = now_us + wait_us;
+        // An election needs two writes to disk, the candidate's and the voters'. If the next one
+        // starts before they are done, as on a slow disk, none ever succeeds.
+        let failed_elections = self.hard_state.term.saturating_sub(self.last_led_term);
+        let doublings = failed_elections.min(u64::from(MAX_ELECTION_DOUBLINGS));
+        self.election_due_us = now_us + (wait_us << doublings);
+    }
+
+    /// Records that the current term has a leader.
+    pub(crate) fn meet_leader(&mut self) {
+        self.has_met_leader = true;
+        self.last_led_term = self.hard_state.term;
     }
 
     /// Becomes a follower in `term`. A higher term clears the vote and is saved.
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -77,6 +77,8 @@
     pub queued_writes: VecDeque<(u64, Write)>,
     /// While the disk is stuck, writes stay queued.
     pub disk_is_stuck: bool,
+    /// End of the sync that is in progress, if `Faults::disk_sync_us` is set.
+    pub sync_ends_us: Option<u64>,
     /// Speed of the local clock in percent of simulated time.
     pub clock_percent: u64,
     /// Simulated and local time of the last change of the clock's speed.
@@ -99,6 +101,8 @@
     pub max_delay_us: u64,
     /// Chance, before each queued write, that the disk writes no more in this step.
     pub disk_lag_percent: u32,
+    /// Time that each sync of a disk takes.
+    pub disk_sync_us: u64,
 }
 
 /// The simulated group.
@@ -191,6 +195,7 @@
                 image: DiskImage::default(),
                 queued_writes: VecDeque::new(),
                 disk_is_stuck: false,
+                sync_ends_us: None,
                 clock_percent: 100,
                 clock_base_us: (0, 0),
             };
@@ -419,6 +424,13 @@
         if host.disk_is_stuck || host.replica.is_none() {
             return;
         }
+        if self.faults.disk_sync_us > 0 && !host.queued_writes.is_empty() {
+            let ends_us = self.now_us + self.faults.disk_sync_us;
+            if *host.sync_ends_us.get_or_insert(ends_us) > self.now_us {
+                return;
+            }
+            host.sync_ends_us = None;
+        }
         let mut last_written = None;
         let lag_percent = self.faults.disk_lag_percent;
         while self.rng.random_range(0..100) >= lag_percent
--- a/components/consensus/tests/open_groups.rs
+++ b/components/consensus/tests/open_groups.rs
@@ -15,6 +15,8 @@
 /// Time for one election: the longest election timeout of a starting replica, which is a third of
 /// the usual one, and the votes.
 const ONE_ELECTION_US: u64 = 600_000;
+/// Time in which the group serves again after all its hosts have started.
+const RECOVERY_US: u64 = 15_000_000;
 
 fn open_group(config: &mut ReplicaConfig) {
     config.group = [1, 2, 3].into();
@@ -164,3 +166,30 @@
         group.run_until("a leader", ONE_ELECTION_US, |c| c.leader().is_some());
     }
 }
+
+/// Guards against a group that elects no leader as long as syncs of the disks take longer than the
+/// first election timeout: each election began before the votes of the last one were on disk.
+#[test]
+fn elects_on_slow_disks() {
+    for disk_sync_us in [100_000, 200_000, 400_000] {
+        for seed in 0..20 {
+            let mut group = Cluster::with_config(5, 700 + seed, open_group);
+            group.faults.disk_sync_us = disk_sync_us;
+            group.run_until("five voters", RECOVERY_US, |c| voter_count(c) == VOTERS);
+            for number in group.numbers() {
+                group.crash(number);
+            }
+            for number in group.numbers() {
+                group.restart(number);
+            }
+            let reply = {
+                group.run_until("a leader", RECOVERY_US, |c| {
+                    c.leader()
+                        .is_some_and(|l| c.replica(l).commit_index() >= c.max_committed)
+                });
+                group.commit(1, &add(1, "browse"))
+            };
+            assert!(is_accepted(&reply), "sync {disk_sync_us} us, seed {seed}");
+        }
+    }
+}
--- a/components/consensus/tests/random_schedules.rs
+++ b/components/consensus/tests/random_schedules.rs
@@ -163,6 +163,7 @@
             .rng
             .random_range(STEP_US..if has_many_faults { 60_000 } else { 200_000 }),
         disk_lag_percent: group.rng.random_range(0..80),
+        ..Faults::default()
     };
     let max_down_us = if has_many_faults { 300_000 } else { 3_000_000 };
     let fault_percent = group
