Hold customers, cold limits and evacuated zones in the configuration group

What is missing: a configuration with customers, limits of cold instances or public routes was accepted without them, and there was no state for evacuated zones.

Deltas for nodes have hashes in place of keys. What uses none of it is encoded as before: wire/tests/stored_settings compares with bytes that the former build wrote. Nothing acts on the new fields yet.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -1,5 +1,6 @@
 //! A configuration as an operator submits it.
 
+use crate::{customer::Customer, quantity::Quantity};
 use model::ServiceName;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -16,6 +17,8 @@
     pub limits: CallerLimits,
     /// Routes by virtual host.
     pub hosts: Vec<VirtualHost>,
+    /// Customers whose keys callers present. `None`: callers need no key.
+    pub customers: Option<Vec<Customer>>,
 }
 
 /// A service and how its instances are reached.
@@ -31,6 +34,17 @@
     pub protocol: Arc<str>,
     /// Whether the instances expect TLS.
     pub tls: bool,
+    /// What its instances bear while they are cold.
+    pub cold: ColdLimit,
+}
+
+/// Limit on the calls of a service's instances that are cold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdLimit {
+    /// Time for which an instance is cold after its start.
+    pub duration_s: Option<Quantity>,
+    /// Calls per second that a cold instance bears; no limit if absent.
+    pub calls_per_s: Option<Quantity>,
 }
 
 /// Limits on what a caller may send, and on the time that it may take.
@@ -72,6 +86,8 @@
     pub rank: u32,
     /// Maximum number of instances that one call may be sent to.
     pub attempts: u16,
+    /// Whether callers need no key of a customer.
+    pub is_public: bool,
     /// Where the calls go.
     pub destination: Destination,
 }
@@ -85,6 +101,17 @@
     Split(Vec<WeightedService>),
 }
 
+impl Configuration {
+    /// The configuration with hashes in place of the customers' keys, as nodes get it.
+    pub fn with_hashed_keys(&self) -> Self {
+        let customers = self.customers.as_ref();
+        Configuration {
+            customers: customers.map(|all| all.iter().map(Customer::with_hashed_keys).collect()),
+            ..self.clone()
+        }
+    }
+}
+
 impl Destination {
     /// All services of the destination.
     pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,13 +1,20 @@
-//! Configurations as operators submit them: virtual hosts, routes, weighted splits and limits for
-//! callers.
+//! Configurations as operators submit them: virtual hosts, routes, weighted splits, customers and
+//! limits for callers.
 
 mod check;
+mod customer;
 mod document;
+mod quantity;
+mod stored;
 mod table;
 mod weighted_round_robin;
 
+pub use customer::{ApiKey, Customer, hash_key};
 pub use document::{
-    CallerLimits, Configuration, Destination, Route, Service, VirtualHost, Weight, WeightedService,
+    CallerLimits, ColdLimit, Configuration, Destination, Route, Service, VirtualHost, Weight,
+    WeightedService,
 };
+pub use quantity::Quantity;
+pub use stored::BaseConfiguration;
 pub use table::{MatchedRoute, RouteTable};
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/components/config/src/table.rs
+++ b/components/config/src/table.rs
@@ -100,10 +100,14 @@
     }
 }
 
-/// The ranks that the routes use, in order.
+/// The ranks that routes and customers use, in order.
 fn ranks(configuration: &Configuration) -> BTreeSet<u32> {
     let routes = configuration.hosts.iter().flat_map(|host| &host.routes);
-    routes.map(|route| route.rank).collect()
+    let customers = configuration.customers.iter().flatten();
+    routes
+        .map(|route| route.rank)
+        .chain(customers.filter_map(|customer| customer.rank))
+        .collect()
 }
 
 fn matched_route(route: &Route, ranks: &BTreeSet<u32>, seed: u64) -> MatchedRoute {
--- a/components/config/tests/route_match.rs
+++ b/components/config/tests/route_match.rs
@@ -2,8 +2,8 @@
 //! accepted with invalid fields.
 
 use config::{
-    CallerLimits, Configuration, Destination, Route, RouteTable, Service, VirtualHost, Weight,
-    WeightedService,
+    CallerLimits, ColdLimit, Configuration, Destination, Route, RouteTable, Service, VirtualHost,
+    Weight, WeightedService,
 };
 use model::{Priority, ServiceName};
 use std::sync::Arc;
@@ -21,6 +21,7 @@
         latency_target_ms: 200,
         rank,
         attempts: 2,
+        is_public: false,
         destination: Destination::Service(service("catalogue")),
     }
 }
@@ -35,6 +36,7 @@
                 max_connections: 260,
                 protocol: "h1".into(),
                 tls: false,
+                cold: ColdLimit::default(),
             })
             .into(),
         limits: CallerLimits {
@@ -47,6 +49,7 @@
             host: "Scores.example".into(),
             routes,
         }],
+        customers: None,
     }
 }
 
--- a/components/control/src/operator_api.rs
+++ b/components/control/src/operator_api.rs
@@ -51,6 +51,6 @@
     ///
     /// The reason why no quorum confirmed it.
     pub fn configuration(&self) -> Result<Option<Arc<Configuration>>, Refusal> {
-        Ok(self.control.newest_configuration()?.configuration)
+        Ok(self.control.newest_configuration()?.settings.configuration)
     }
 }
--- a/components/control/src/pulls.rs
+++ b/components/control/src/pulls.rs
@@ -112,8 +112,8 @@
 
 fn newer_delta(set: &ProfileSet, have: Revision, digest: u64) -> Option<Box<Delta>> {
     match set.compare(have, digest) {
-        Comparison::Ahead => Some(Box::new(set.delta_since(have))),
-        Comparison::Diverged => Some(Box::new(set.full_delta())),
+        Comparison::Ahead => Some(Box::new(set.delta_since(have).for_node())),
+        Comparison::Diverged => Some(Box::new(set.full_delta().for_node())),
         Comparison::Behind | Comparison::Equal => None,
     }
 }
--- a/components/kernel/src/profiles.rs
+++ b/components/kernel/src/profiles.rs
@@ -3,11 +3,14 @@
 use crate::stop::lock;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use config::RouteTable;
-use model::{Profile, ProfileName, Revision};
+use model::{AvailabilityZone, Profile, ProfileName, Revision};
 use registry::{Delta, ProfileSet};
-use std::sync::{
-    Arc, Mutex,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 /// Profiles and routes, which calls read without a lock.
@@ -49,6 +52,11 @@
         self.routes.load_full()
     }
 
+    /// Availability zones whose upstreams get no calls.
+    pub fn evacuated_zones(&self) -> Arc<BTreeSet<AvailabilityZone>> {
+        Arc::clone(self.current.load().evacuated_zones())
+    }
+
     /// Applies a delta if it advances the set; returns whether it did.
     pub fn apply(&self, delta: Delta) -> bool {
         self.update(|set| set.apply(delta))
--- a/components/node/src/sync/mod.rs
+++ b/components/node/src/sync/mod.rs
@@ -212,8 +212,8 @@
     fn reply_to_pull(&self, have: Revision, digest: u64) -> SyncReply {
         let set = self.context.kernel.profiles.current();
         match set.compare(have, digest) {
-            Comparison::Ahead => SyncReply::Newer(Box::new(set.delta_since(have))),
-            Comparison::Diverged => SyncReply::Newer(Box::new(set.full_delta())),
+            Comparison::Ahead => SyncReply::Newer(Box::new(set.delta_since(have).for_node())),
+            Comparison::Diverged => SyncReply::Newer(Box::new(set.full_delta().for_node())),
             Comparison::Behind | Comparison::Equal => SyncReply::Unchanged,
         }
     }
--- a/components/registry/src/change.rs
+++ b/components/registry/src/change.rs
@@ -1,9 +1,12 @@
 //! Changes that operators submit, and the answers to them.
 
-use crate::digest::{Digest, fnv128};
+use crate::{
+    digest::{Digest, fnv128},
+    stored::StoredOp,
+};
 use config::Configuration;
 use errors::ErrorKind;
-use model::{Profile, ProfileName, Revision};
+use model::{AvailabilityZone, Profile, ProfileName, Revision};
 use serde::{Deserialize, Serialize};
 use std::{error, fmt, sync::Arc};
 
@@ -78,8 +81,9 @@
     }
 }
 
-/// What a change does to the profiles or the configuration.
+/// What a change does to the profiles, the configuration or the zones.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredOp", into = "StoredOp")]
 pub enum Op {
     /// Adds a profile. No live profile may have its name.
     Add(Profile),
@@ -94,6 +98,10 @@
     },
     /// Replaces the whole configuration if the new version is the highest so far.
     Configure(Arc<Configuration>),
+    /// Evacuates an availability zone; no effect if it is evacuated already.
+    Evacuate(AvailabilityZone),
+    /// Ends the evacuation of an availability zone, if it is evacuated.
+    Readmit(AvailabilityZone),
 }
 
 impl fmt::Display for Op {
@@ -105,6 +113,8 @@
             Op::Configure(configuration) => {
                 write!(f, "configure version {}", configuration.version)
             }
+            Op::Evacuate(zone) => write!(f, "evacuate zone {zone}"),
+            Op::Readmit(zone) => write!(f, "readmit zone {zone}"),
         }
     }
 }
@@ -137,6 +147,8 @@
                 .add_text(successor.as_ref().map_or("", ProfileName::as_str)),
             // Resends have the same version, and the content of a version never changes.
             Op::Configure(configuration) => digest.add_number(4).add_number(configuration.version),
+            Op::Evacuate(zone) => digest.add_number(5).add_text(zone.as_str()),
+            Op::Readmit(zone) => digest.add_number(6).add_text(zone.as_str()),
         };
         digest.add_number(self.expect.map_or(0, |revision| revision.wrapping_add(1)));
         digest.finish() as u32
--- a/components/registry/src/profile_set.rs
+++ b/components/registry/src/profile_set.rs
@@ -1,10 +1,13 @@
 //! The profiles and the configuration at one revision, and the deltas between revisions.
 
-use crate::{change::ChangeId, digest::Digest};
+use crate::{change::ChangeId, digest::Digest, settings::GroupSettings};
 use config::Configuration;
-use model::{Profile, ProfileName, Revision};
+use model::{AvailabilityZone, Profile, ProfileName, Revision};
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 /// Whether a name is live or retired.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,12 +84,23 @@
     pub records: Vec<Record>,
     /// Lowest revision number for which the receiver may create deltas after applying this one.
     pub delta_floor: u64,
-    /// The configuration in effect, if it is newer than `base`.
-    pub configuration: Option<Arc<Configuration>>,
-    /// Number of the accepted change that put the configuration in effect.
+    /// Configuration and evacuated zones, if they are newer than `base`; the default otherwise.
+    pub settings: GroupSettings,
+    /// Number of the accepted change that created the settings.
     pub configured_at: u64,
 }
 
+impl Delta {
+    /// The delta as nodes get it: with hashes in place of the customers' keys. The digest doesn't
+    /// depend on the form of the keys.
+    pub fn for_node(self) -> Self {
+        Delta {
+            settings: self.settings.with_hashed_keys(),
+            ..self
+        }
+    }
+}
+
 /// Result of comparing a set with the revision and digest of another process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Comparison {
@@ -110,8 +124,8 @@
     /// Lowest revision number for which this set can create a delta; below it, records were
     /// dropped.
     delta_floor: u64,
-    configuration: Option<Arc<Configuration>>,
-    /// Number of the accepted change that put the configuration in effect.
+    settings: GroupSettings,
+    /// Number of the accepted change that created the settings.
     configured_at: u64,
     /// Whether the content is known to differ from that of the replicas at the same revision.
     #[serde(skip)]
@@ -148,15 +162,21 @@
 
     /// The configuration in effect, if an operator has submitted one.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
-        self.configuration.as_ref()
+        self.settings.configuration.as_ref()
+    }
+
+    /// Availability zones whose upstreams get no calls.
+    pub fn evacuated_zones(&self) -> &Arc<BTreeSet<AvailabilityZone>> {
+        &self.settings.evacuated_zones
     }
 
-    /// Digest over the revision, all records and the version of the configuration.
+    /// Digest over the revision, all records, the version of the configuration and the evacuated
+    /// zones.
     pub fn digest(&self) -> u64 {
         digest_at(
             self.revision,
             self.records_digest,
-            version_for_digest(self.configuration.as_ref()),
+            self.settings.digest_number(),
         )
     }
 
@@ -196,7 +216,7 @@
             self.records.values().filter(changed).cloned().collect(),
         );
         if self.configured_at <= revision.number {
-            delta.configuration = None;
+            delta.settings = GroupSettings::default();
         }
         delta
     }
@@ -222,7 +242,7 @@
             digest: self.digest(),
             records,
             delta_floor: self.delta_floor,
-            configuration: self.configuration.clone(),
+            settings: self.settings.clone(),
             configured_at: self.configured_at,
         }
     }
@@ -236,12 +256,7 @@
             .records
             .iter()
             .fold(0u64, |sum, record| sum.wrapping_add(record.digest()));
-        if digest_at(
-            delta.to,
-            sum,
-            version_for_digest(delta.configuration.as_ref()),
-        ) != delta.digest
-        {
+        if digest_at(delta.to, sum, delta.settings.digest_number()) != delta.digest {
             return false;
         }
         let by_name = |record: Record| (record.name().clone(), record);
@@ -251,7 +266,7 @@
             records_digest: sum,
             delta_floor: delta.delta_floor,
             configured_at: delta.configured_at,
-            configuration: delta.configuration,
+            settings: delta.settings,
             diverged: false,
         };
         true
@@ -272,13 +287,19 @@
             let old = self.records.get(record.name()).map_or(0, Record::digest);
             sum = sum.wrapping_sub(old).wrapping_add(record.digest());
         }
-        let configuration = delta.configuration.as_ref().or(self.configuration.as_ref());
-        if digest_at(delta.to, sum, version_for_digest(configuration)) != delta.digest {
+        // Settings that are older than the base of the delta are not in it.
+        let has_settings = delta.configured_at > base.number;
+        let settings = if has_settings {
+            &delta.settings
+        } else {
+            &self.settings
+        };
+        if digest_at(delta.to, sum, settings.digest_number()) != delta.digest {
             self.diverged = true;
             return false;
         }
-        if delta.configuration.is_some() {
-            self.configuration = delta.configuration;
+        if has_settings {
+            self.settings = delta.settings;
             self.configured_at = delta.configured_at;
         }
         for record in newer_records {
@@ -320,14 +341,40 @@
         revision: Revision,
         configuration: &Arc<Configuration>,
     ) -> bool {
-        let current = self.configuration.as_ref();
+        let current = self.settings.configuration.as_ref();
         if current.is_some_and(|current| current.version >= configuration.version) {
             return false;
         }
+        self.settings.configuration = Some(Arc::clone(configuration));
+        self.mark_configured(revision);
+        true
+    }
+
+    /// Evacuates a zone, or ends its evacuation. Returns whether that was a change.
+    pub(crate) fn set_evacuated(
+        &mut self,
+        revision: Revision,
+        zone: &AvailabilityZone,
+        is_evacuated: bool,
+    ) -> bool {
+        let zones = &self.settings.evacuated_zones;
+        if zones.contains(zone) == is_evacuated {
+            return false;
+        }
+        let mut zones = BTreeSet::clone(zones);
+        if is_evacuated {
+            zones.insert(zone.clone());
+        } else {
+            zones.remove(zone);
+        }
+        self.settings.evacuated_zones = Arc::new(zones);
+        self.mark_configured(revision);
+        true
+    }
+
+    fn mark_configured(&mut self, revision: Revision) {
         self.revision = revision;
-        self.configuration = Some(Arc::clone(configuration));
         self.configured_at = revision.number;
-        true
     }
 
     /// Drops records. Sets at older revisions then need a full delta, since deltas don't list
@@ -342,16 +389,11 @@
     }
 }
 
-/// The configuration's version plus one, so that 0 means no configuration.
-fn version_for_digest(configuration: Option<&Arc<Configuration>>) -> u64 {
-    configuration.map_or(0, |current| current.version.wrapping_add(1))
-}
-
-fn digest_at(revision: Revision, records_digest: u64, version: u64) -> u64 {
+fn digest_at(revision: Revision, records_digest: u64, settings: u64) -> u64 {
     Digest::new()
         .add_number(revision.term)
         .add_number(revision.number)
         .add_number(records_digest)
-        .add_number(version)
+        .add_number(settings)
         .finish()
 }
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -75,10 +75,7 @@
             term,
             number: self.profiles.revision().number + 1,
         };
-        if let Op::Configure(configuration) = &change.op {
-            if self.profiles.configure(revision, configuration) {
-                return ChangeResult::Accepted { revision };
-            }
+        if self.apply_settings(revision, &change.op).is_some() {
             // Resends and outdated versions are accepted too, without effect.
             return ChangeResult::Accepted {
                 revision: self.profiles.revision(),
@@ -96,6 +93,17 @@
         result
     }
 
+    /// Applies a change of the configuration or of a zone; returns whether it had an effect, or
+    /// `None` for a change of a profile.
+    fn apply_settings(&mut self, revision: Revision, op: &Op) -> Option<bool> {
+        match op {
+            Op::Configure(configuration) => Some(self.profiles.configure(revision, configuration)),
+            Op::Evacuate(zone) => Some(self.profiles.set_evacuated(revision, zone, true)),
+            Op::Readmit(zone) => Some(self.profiles.set_evacuated(revision, zone, false)),
+            Op::Add(_) | Op::Update(_) | Op::Retire { .. } => None,
+        }
+    }
+
     /// Checks a change and returns the record that it creates.
     fn new_record(&self, revision: Revision, change: &Change) -> Result<Record, Rejection> {
         let record = |generation: u64, state: RecordState| Record {
@@ -124,9 +132,9 @@
                 };
                 Ok(record(old.generation, state))
             }
-            Op::Configure(_) => Err((
+            Op::Configure(_) | Op::Evacuate(_) | Op::Readmit(_) => Err((
                 ErrorKind::Internal,
-                "a configuration is no profile record".to_owned(),
+                "the change has no profile record".to_owned(),
             )),
         }
     }
--- /dev/null
+++ b/components/wire/tests/stored_settings.rs
@@ -0,0 +1,173 @@
+//! Guards against a change of the encoding of configurations without customers, cold limits or
+//! evacuations: logs, snapshots and messages of older builds must stay readable.
+
+use config::{
+    ApiKey, CallerLimits, ColdLimit, Configuration, Customer, Destination, Quantity, Route,
+    Service, VirtualHost, Weight, WeightedService,
+};
+use model::{AvailabilityZone, Revision, ServiceName};
+use registry::{Change, ChangeId, Delta, Op, Registry};
+use std::sync::Arc;
+use wire::{decode, encode};
+
+/// Encoded by a build that knew neither customers nor evacuations.
+const CHANGE: &str = "00000000000000000000000000000005000307010673636f726573072f6865616c7468840202683100808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa01010201010673636f726573d08c0100";
+const REGISTRY: &str = "01010000000107010673636f726573072f6865616c7468840202683100808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa01010201010673636f726573d08c010100";
+const DELTA: &str = "000101848fb990bed3adb06800000107010673636f726573072f6865616c7468840202683100808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa01010201010673636f726573d08c0101";
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::parse(name).unwrap()
+}
+
+fn configuration() -> Configuration {
+    let route = Route {
+        name: "r-1".into(),
+        path_prefix: "/swap/".into(),
+        idempotent: false,
+        timeout_ms: 1_000,
+        latency_target_ms: 250,
+        rank: 1,
+        attempts: 2,
+        is_public: false,
+        destination: Destination::Split(vec![WeightedService {
+            service: service("scores"),
+            weight: Weight::whole(9),
+        }]),
+    };
+    Configuration {
+        version: 7,
+        services: vec![Service {
+            name: service("scores"),
+            health_path: "/health".into(),
+            max_connections: 260,
+            protocol: "h1".into(),
+            tls: false,
+            cold: ColdLimit::default(),
+        }],
+        limits: CallerLimits {
+            max_head_bytes: 16_384,
+            max_body_bytes: 1 << 20,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        hosts: vec![VirtualHost {
+            host: "choir.example".into(),
+            routes: vec![route],
+        }],
+        customers: None,
+    }
+}
+
+fn change(id: u128, op: Op) -> Change {
+    Change {
+        change_id: ChangeId::from_u128(id),
+        expect: None,
+        op,
+        in_use: Vec::new(),
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    (0..hex.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(&hex[at..at + 2], 16).unwrap())
+        .collect()
+}
+
+fn configured() -> Registry {
+    let mut registry = Registry::default();
+    registry.apply(1, 1, &change(5, Op::Configure(Arc::new(configuration()))));
+    registry
+}
+
+#[test]
+fn first_format_unchanged() {
+    let configure = change(5, Op::Configure(Arc::new(configuration())));
+    assert_eq!(hex(&encode(&configure)), CHANGE);
+    assert_eq!(decode::<Change>(bytes(CHANGE)).unwrap(), configure);
+    let registry = configured();
+    assert_eq!(hex(&encode(&registry)), REGISTRY);
+    assert_eq!(decode::<Registry>(bytes(REGISTRY)).unwrap(), registry);
+    let delta = registry.delta_since(Revision::default());
+    assert_eq!(hex(&encode(&delta)), DELTA);
+    assert_eq!(decode::<Delta>(bytes(DELTA)).unwrap(), delta);
+}
+
+#[test]
+fn additions_round_trip() {
+    let customer = Customer {
+        name: "riga-choir".into(),
+        keys: vec![ApiKey::Plain("key-1".into())],
+        rank: Some(1),
+        rate_per_s: Some(Quantity::Whole(258)),
+        burst: Some(Quantity::Fraction(2.5)),
+    };
+    let extended = Configuration {
+        customers: Some(vec![customer]),
+        ..configuration()
+    };
+    let zone = AvailabilityZone::parse("ee-north-a").unwrap();
+    let mut registry = Registry::default();
+    registry.apply(1, 1, &change(1, Op::Configure(Arc::new(extended.clone()))));
+    registry.apply(1, 2, &change(2, Op::Evacuate(zone.clone())));
+    let read: Registry = decode(encode(&registry)).unwrap();
+    assert_eq!(read, registry);
+    assert_eq!(*read.profiles().configuration().unwrap().as_ref(), extended);
+    assert!(read.profiles().evacuated_zones().contains(&zone));
+}
+
+/// A node must never get a key, and the form of the keys must not make sets look different.
+#[test]
+fn nodes_get_hashes() {
+    let mut registry = configured();
+    let customer = Customer {
+        name: "riga-choir".into(),
+        keys: vec![ApiKey::Plain("secret-key".into())],
+        rank: None,
+        rate_per_s: None,
+        burst: None,
+    };
+    let with_customers = Configuration {
+        version: 8,
+        customers: Some(vec![customer]),
+        ..configuration()
+    };
+    registry.apply(1, 2, &change(6, Op::Configure(Arc::new(with_customers))));
+    let delta = registry.delta_since(Revision::default()).for_node();
+    assert!(!encode(&delta).windows(10).any(|part| part == b"secret-key"));
+    let mut node = registry::ProfileSet::default();
+    assert!(node.apply(delta));
+    assert_eq!(node.digest(), registry.profiles().digest());
+}
+
+/// Evacuations are idempotent, survive changes of the configuration, and reach nodes by deltas.
+#[test]
+fn evacuations_reach_nodes() {
+    let zone = AvailabilityZone::parse("ee-north-a").unwrap();
+    let mut registry = configured();
+    let mut node = registry::ProfileSet::default();
+    assert!(node.apply(registry.delta_since(Revision::default()).for_node()));
+    let before = registry.revision();
+    registry.apply(1, 2, &change(7, Op::Evacuate(zone.clone())));
+    let evacuated = registry.revision();
+    assert!(evacuated > before);
+    registry.apply(1, 3, &change(8, Op::Evacuate(zone.clone())));
+    assert_eq!(registry.revision(), evacuated);
+    assert!(node.apply(registry.delta_since(before).for_node()));
+    assert!(node.evacuated_zones().contains(&zone));
+    let newer = Configuration {
+        version: 9,
+        ..configuration()
+    };
+    registry.apply(1, 4, &change(9, Op::Configure(Arc::new(newer))));
+    assert!(node.apply(registry.delta_since(evacuated).for_node()));
+    assert!(node.evacuated_zones().contains(&zone));
+    registry.apply(1, 5, &change(10, Op::Readmit(zone.clone())));
+    assert!(node.apply(registry.delta_since(evacuated).for_node()));
+    assert!(node.evacuated_zones().is_empty());
+    assert_eq!(node.digest(), registry.profiles().digest());
+}
