Limit the calls to cold upstreams at their owner

Cause: an instance that has just started was sent as many calls as it has slots for. A cold instance can handle only calls_per_s of its service's ColdLimit and crashes above that rate.

The cold period follows from announcements, responses to health checks and the configured duration after a start; the latest end applies. A new process of the owner counts its first second as full.

--- a/components/config/src/table.rs
+++ b/components/config/src/table.rs
@@ -1,7 +1,7 @@
 //! Lookup of the route of a request.
 
 use crate::{
-    document::{Configuration, Destination, Route},
+    document::{ColdLimit, Configuration, Destination, Route},
     weighted_round_robin::WeightedRoundRobin,
 };
 use model::{Priority, Profile, ProfileName, ServiceName};
@@ -91,6 +91,12 @@
         Some(Arc::clone(&service.health_path))
     }
 
+    /// Limit on the calls to a service's instances while they are cold.
+    pub fn cold_limit(&self, service: &ServiceName) -> Option<ColdLimit> {
+        let services = &self.configuration.services;
+        Some(services.iter().find(|s| s.name == *service)?.cold)
+    }
+
     /// Whether the configuration lists the service.
     pub fn has_service(&self, service: &ServiceName) -> bool {
         self.configuration
--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -28,6 +28,11 @@
     CrashSuspectsChanged,
     /// The process is stopping and accepts no new work.
     Stopping,
+    /// The local instance stays cold for this time.
+    LocalInstanceCold {
+        /// Rest of the cold period in milliseconds.
+        remaining_ms: u64,
+    },
 }
 
 type Subscriber = Arc<dyn Fn(&Event) + Send + Sync>;
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -87,6 +87,8 @@
     pub mesh_messages: Family<KindLabels, Gauge>,
     /// Bytes to and from other processes, by channel and direction.
     pub mesh_bytes: Family<KindLabels, Gauge>,
+    /// Calls that an owner refused because its instance is cold.
+    pub cold_refused: Counter,
 }
 
 /// Upper bound of the first bucket of `call_seconds`, in seconds.
@@ -122,6 +124,7 @@
             members: Gauge::default(),
             mesh_messages: Family::default(),
             mesh_bytes: Family::default(),
+            cold_refused: Counter::default(),
         };
         metrics.register();
         metrics
@@ -208,6 +211,11 @@
             self.mesh_messages.clone(),
         );
         registry.register("mesh_bytes", "Bytes on the mesh", self.mesh_bytes.clone());
+        registry.register(
+            "cold_refused",
+            "Calls refused because the instance is cold",
+            self.cold_refused.clone(),
+        );
     }
 
     /// All metrics as Prometheus text.
--- a/components/node/src/announce.rs
+++ b/components/node/src/announce.rs
@@ -54,6 +54,9 @@
     /// Load from 0 to 1, as the instance sees it.
     #[serde(default)]
     pub load: Option<f32>,
+    /// Time for which the instance stays cold, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: Option<u64>,
 }
 
 fn default_connections() -> u32 {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod gossip;
 mod health_request;
 mod instance_api;
+mod instance_starts;
 mod local;
 mod owner;
 mod platform;
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -1,6 +1,6 @@
 //! The local instance, which runs beside this node: its announcement, lease and state.
 
-use crate::{announce::Announcement, health_request::is_serving};
+use crate::{announce::Announcement, health_request::is_serving, instance_starts::InstanceStarts};
 use kernel::{Clock, Event, Kernel};
 use members::{Moment, ReportOrder, ReportPosition, ReportVerdict};
 use model::{ServiceName, Upstream, UpstreamName, UpstreamState};
@@ -18,6 +18,8 @@
     service: Option<ServiceName>,
     /// Detects late reports.
     report_order: ReportOrder,
+    /// Detects new processes of the instance, which are cold.
+    starts: InstanceStarts,
 }
 
 /// Holds the announced local instance and publishes its changes to the other plug-ins.
@@ -43,6 +45,7 @@
                 // An instance that is silent for a whole lease counts as gone, so no report is
                 // expected to be on its way for longer.
                 report_order: ReportOrder::new(moment(kernel), lease_us(kernel)),
+                starts: InstanceStarts::default(),
             }),
             report_lock: Mutex::default(),
         }
@@ -51,6 +54,8 @@
     /// Renews the lease and publishes the upstream record if it has changed.
     pub(crate) fn announce(&self, announcement: &Announcement) -> Upstream {
         let lease_us = lease_us(&self.kernel);
+        // Before the first call can be sent to a new instance.
+        self.publish_cold(announcement);
         let (upstream, changed) = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             state.service = Some(announcement.service.clone());
@@ -76,6 +81,37 @@
         upstream.expect("the upstream was stored above")
     }
 
+    /// Tells the owner how long the instance stays cold, by its own report or, after a start, by the
+    /// configuration; the later end applies.
+    fn publish_cold(&self, announcement: &Announcement) {
+        let node_started_ms = self.kernel.mesh.local_id().incarnation / 1_000;
+        let has_started = {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.starts.record(announcement, node_started_ms)
+        };
+        let configured_ms = has_started.then(|| self.configured_cold_ms(&announcement.service));
+        let remaining_ms = announcement.cold_ms.max(configured_ms).unwrap_or(0);
+        if remaining_ms > 0 {
+            self.kernel
+                .events
+                .publish(&Event::LocalInstanceCold { remaining_ms });
+        }
+    }
+
+    /// Time for which the local instance is cold after a start.
+    pub(crate) fn cold_ms_after_start(&self) -> u64 {
+        let service = self.service();
+        service.map_or(0, |service| self.configured_cold_ms(&service))
+    }
+
+    /// Time for which the service's instances are cold after their start.
+    fn configured_cold_ms(&self, service: &ServiceName) -> u64 {
+        let routes = self.kernel.profiles.routes();
+        let limit = routes.and_then(|routes| routes.cold_limit(service));
+        let duration_s = limit.and_then(|limit| limit.duration_s);
+        duration_s.map_or(0, |duration_s| (duration_s.as_f64() * 1_000.0) as u64)
+    }
+
     /// Calls `announce` unless the report is older than one that was applied before: a late report
     /// must not restore an instance that has withdrawn or that another one has replaced.
     pub(crate) fn report(&self, announcement: &Announcement) -> bool {
@@ -170,6 +206,7 @@
         let removed = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
             state.drained_by_operator = false;
+            state.starts.withdraw();
             state.upstream.take()
         };
         let was_announced = removed.is_some();
--- a/components/node/src/owner/arrivals.rs
+++ b/components/node/src/owner/arrivals.rs
@@ -121,6 +121,13 @@
         let Some(instance) = guard.as_mut() else {
             return;
         };
+        if let Some(kind) = self.cold_refusal(now_us) {
+            let signal = instance.load_signal(now_us);
+            drop(guard);
+            self.lock_records().refuse(now_us, attempt);
+            reply(reply_to, signal, RunResult::Refused(kind));
+            return;
+        }
         let expected_us = instance.service_times.expected_us(&call.profile);
         let target_us = now_us.saturating_add(call.target_us);
         let max_queue_wait_us = call.max_queue_wait_us.unwrap_or(u64::MAX);
--- a/components/node/src/owner/health.rs
+++ b/components/node/src/owner/health.rs
@@ -25,6 +25,7 @@
         self.context.kernel.metrics.health_checks.inc();
         pool.call(&request, deadline, &CancelToken::new(), move |outcome| {
             if let Ok(response) = &outcome {
+                owner.read_cold_header(response);
                 owner.read_load_header(response);
             }
             owner.end_health_check();
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -1,6 +1,6 @@
 //! The local instance: its connection pool, admission control, and the calls that wait or run.
 
-use super::running::RunningCalls;
+use super::{cold::ColdInstance, running::RunningCalls};
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseBudget};
 use limits::{Admission, AdmissionConfig, HostPace, QueueDecision, ServiceTimes};
@@ -34,14 +34,17 @@
     pub(super) running: Arc<RunningCalls>,
     /// Memory for the responses that are being received from all of them.
     pub(super) response_budget: Arc<ResponseBudget>,
+    /// Limit on the calls to a cold instance.
+    pub(super) cold: Arc<ColdInstance>,
 }
 
 impl SharedByInstances {
-    pub(super) fn new(max_response_bytes: usize) -> Self {
+    pub(super) fn new(started_us: u64, max_response_bytes: usize) -> Self {
         let budget = ResponseBudget::new(max_response_bytes.max(RESPONSE_BUFFER_BYTES));
         SharedByInstances {
             running: Arc::default(),
             response_budget: Arc::new(budget),
+            cold: Arc::new(ColdInstance::new(started_us)),
         }
     }
 }
@@ -53,6 +56,7 @@
     pub(super) admission: Admission,
     pub(super) waiting: HashMap<AttemptId, Job>,
     running: Arc<RunningCalls>,
+    pub(super) cold: Arc<ColdInstance>,
     pub(super) service_times: ServiceTimes,
     pub(super) pace: HostPace,
     /// Calls that wait for a health check to read the host's pace.
@@ -106,6 +110,7 @@
             admission,
             waiting: HashMap::new(),
             running: Arc::clone(&shared.running),
+            cold: Arc::clone(&shared.cold),
             service_times: ServiceTimes::default(),
             pace: HostPace::new(health_checks_per_s),
             pending_arrivals: Vec::new(),
@@ -141,10 +146,11 @@
 
     /// Current load, as attached to replies and probe replies.
     pub(super) fn load_signal(&mut self, now_us: u64) -> LoadSignal {
-        LoadSignal {
+        let signal = LoadSignal {
             pace_percent: self.pace.percent(),
             ..self.admission.next_load_signal(now_us)
-        }
+        };
+        self.with_cold_limit(now_us, signal)
     }
 
     pub(super) fn mark_running(&self, job: &Job) {
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Plug-in `owner`: admits calls to the local instance, runs them and records their status.
 
 mod arrivals;
+mod cold;
 mod crash_incidents;
 mod health;
 mod instance;
@@ -10,6 +11,7 @@
 mod suspects;
 
 use crate::context::NodeContext;
+use cold::watch_cold_instance;
 use crossbeam::channel::{Receiver, RecvTimeoutError, unbounded};
 use kernel::{Event, Kernel, PluginEntry, Role, RunningPlugin, StartError};
 use mesh::{Channel, Inbound};
@@ -63,6 +65,7 @@
             _ => (),
         }
     });
+    watch_cold_instance(&owner);
     let timer = spawn_timer(&owner, wake).map_err(|error| {
         StartError::new("owner", format!("no thread could be started: {error}"))
     })?;
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -29,6 +29,10 @@
         owner.finish(job, RunResult::Refused(kind), None);
         return;
     }
+    if let Some(kind) = owner.cold_refusal_at_start(started_us) {
+        owner.finish(job, RunResult::Refused(kind), None);
+        return;
+    }
     if !owner.try_start(job.call.attempt) {
         owner.finish(job, RunResult::Refused(ErrorKind::Cancelled), None);
         return;
@@ -136,6 +140,9 @@
         // If one connection is silent, idle ones of the same age may be silent too.
         job.pool.close_idle();
     }
+    if error == CallError::NotSent && !job.cancel.is_cancelled() {
+        owner.expect_cold_start();
+    }
     let result = match error {
         CallError::NotSent if job.cancel.is_cancelled() => RunResult::Refused(ErrorKind::Cancelled),
         CallError::NotSent => RunResult::Refused(ErrorKind::UpstreamRefused),
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -29,7 +29,7 @@
 pub(crate) struct Owner {
     pub(crate) context: Arc<NodeContext>,
     instance: Mutex<Option<Instance>>,
-    shared: SharedByInstances,
+    pub(super) shared: SharedByInstances,
     records: Mutex<CallRecords>,
     pub(super) suspicions: Suspicions,
     /// Admitted calls that are still to be sent to the instance.
@@ -58,7 +58,10 @@
             start_queue: Mutex::default(),
             start_lock: Mutex::default(),
             wake,
-            shared: SharedByInstances::new(context.kernel.node_settings().max_response_bytes),
+            shared: SharedByInstances::new(
+                context.kernel.clock.now_us(),
+                context.kernel.node_settings().max_response_bytes,
+            ),
             is_refusing: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         }
--- a/components/node/src/owner/suspects.rs
+++ b/components/node/src/owner/suspects.rs
@@ -133,6 +133,9 @@
             if matches!(outcome, Err(CallError::NotSent)) {
                 owner.confirm_crash(id);
             }
+            if let Ok(response) = &outcome {
+                owner.read_cold_header(response);
+            }
         });
     }
 
@@ -146,6 +149,7 @@
              requests were in flight.",
             id.number
         );
+        self.expect_cold_start();
         self.publish_suspects();
     }
 
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -106,7 +106,7 @@
             .filter(|candidate| !candidate.ejected || !has_healthy)
             .min_by_key(|candidate| candidate.expected_us)
             .ok_or(ErrorKind::NoUpstream)?;
-        if request.hedge && !self.has_free_slot(&best) {
+        if request.hedge && !self.has_free_slot(now_us, &best) {
             return Err(ErrorKind::Overloaded);
         }
         let reason = match (has_healthy, self.candidates.len()) {
@@ -115,7 +115,7 @@
             (true, _) => ChoiceReason::Expected,
         };
         let max_queue_wait_us = self
-            .has_free_alternative(best.upstream)
+            .has_free_alternative(now_us, best.upstream)
             .then_some(typical.service_us as u64);
         Ok(Choice {
             upstream: best.upstream,
@@ -265,7 +265,7 @@
             let estimate = tracked.estimate(now_us, typical, is_same_zone);
             let is_local_and_free = request.zone_preference == ZonePreference::Local
                 && is_same_zone
-                && estimate.load + 1.0 <= f64::from(tracked.upstream.slots);
+                && estimate.load + 1.0 <= tracked.usable_slots(now_us);
             let zone_factor = if is_local_and_free {
                 LOCAL_ZONE_FACTOR
             } else {
@@ -282,15 +282,17 @@
     }
 
     /// Whether another upstream than `chosen` seems to have a free slot.
-    fn has_free_alternative(&self, chosen: UpstreamKey) -> bool {
+    fn has_free_alternative(&self, now_us: u64, chosen: UpstreamKey) -> bool {
         self.candidates.iter().any(|candidate| {
-            candidate.upstream != chosen && !candidate.ejected && self.has_free_slot(candidate)
+            candidate.upstream != chosen
+                && !candidate.ejected
+                && self.has_free_slot(now_us, candidate)
         })
     }
 
-    fn has_free_slot(&self, candidate: &Candidate) -> bool {
-        let slots = self.upstreams[candidate.upstream].upstream.slots;
-        f64::from(candidate.load) + 1.0 <= f64::from(slots)
+    fn has_free_slot(&self, now_us: u64, candidate: &Candidate) -> bool {
+        let slots = self.upstreams[candidate.upstream].usable_slots(now_us);
+        f64::from(candidate.load) + 1.0 <= slots
     }
 
     /// Chooses an ejected upstream whose trial is due.
--- a/components/routing/src/tracked_upstream.rs
+++ b/components/routing/src/tracked_upstream.rs
@@ -11,6 +11,8 @@
 const CHANCE_SERVICE_RATIO: f64 = 2.0;
 /// Age at which the pace of a host has lost 63 % of its weight, in microseconds.
 const PACE_DECAY_US: f64 = 100_000.0;
+/// Age at which fewer slots than announced have lost 63 % of their weight, in microseconds.
+const SLOTS_DECAY_US: f64 = 1_000_000.0;
 /// Age at which the error of predictions has lost 63 % of its weight, in microseconds.
 const RESULT_DECAY_US: f64 = 300_000.0;
 /// Weight of one result in the averages of predicted and observed latency.
@@ -206,7 +208,7 @@
         is_same_zone: bool,
     ) -> Estimate {
         let service_us = self.current_service_us(now_us, typical.service_us);
-        let slots = f64::from(self.upstream.slots.max(1)) * self.ramp_share(now_us);
+        let slots = self.usable_slots(now_us).max(1.0) * self.ramp_share(now_us);
         let (other_load, weight) = self.received.map_or((typical.other_load, 0.0), |last| {
             // Most of the calls counted in a signal have ended after the time that it takes to
             // serve them.
@@ -227,6 +229,20 @@
         }
     }
 
+    /// Slots that calls can use. A fresh signal with fewer slots than announced means that the owner
+    /// limits the calls to its upstream.
+    pub(crate) fn usable_slots(&self, now_us: u64) -> f64 {
+        let announced = f64::from(self.upstream.slots);
+        self.received.map_or(announced, |last| {
+            let reported = f64::from(last.signal.slots).min(announced);
+            let weight = remaining_weight(now_us, last.received_us, SLOTS_DECAY_US);
+            match last.signal.slots {
+                0 => announced,
+                _ => interpolate(announced, reported, weight),
+            }
+        })
+    }
+
     /// The typical service time, raised if a fresh signal or overdue attempts show a longer one.
     fn current_service_us(&self, now_us: u64, typical_us: f64) -> f64 {
         let excess_us = self.received.map_or(0.0, |last| {
--- a/components/settings/src/headers.rs
+++ b/components/settings/src/headers.rs
@@ -26,6 +26,8 @@
     /// Load figures in an upstream's responses, separated by commas: running calls, waiting calls,
     /// slots, and the pace of its host (the time that work takes there, in percent of the usual).
     pub load: Option<&'static str>,
+    /// Time for which the upstream stays cold in milliseconds, in the responses to health checks.
+    pub cold_ms: Option<&'static str>,
 }
 
 impl Default for CallHeaders {
@@ -40,6 +42,7 @@
             upstream_name: None,
             not_run: None,
             load: None,
+            cold_ms: None,
         }
     }
 }
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -27,6 +27,11 @@
 const DEFAULT_STOP_TIMEOUT_MS: u64 = 30_000;
 /// Default window of the retry budget of services.
 const DEFAULT_RETRY_WINDOW_MS: u64 = 10_000;
+/// Default share of calls beyond the rate of a cold instance, in percent. It is half of what a cold
+/// instance bears, since calls take some time to arrive.
+const DEFAULT_COLD_OVERAGE_PERCENT: u64 = 25;
+/// Default number of additional calls to a cold instance in each second, half of what it bears.
+const DEFAULT_COLD_SLACK: u64 = 4;
 /// Default lease of an announced instance.
 const DEFAULT_LEASE_MS: u64 = 3_000;
 
@@ -119,6 +124,10 @@
     pub headers: CallHeaders,
     /// Service of the instance beside this node, until an instance announces itself.
     pub service: Option<ServiceName>,
+    /// Calls that a cold instance may get in any second beyond its rate, in percent of that rate.
+    pub cold_overage_percent: u32,
+    /// Additional calls that a cold instance may get in any second.
+    pub cold_slack: u32,
 }
 
 impl NodeSettings {
@@ -244,6 +253,20 @@
                 0,
                 3_600_000,
             )?,
+            cold_overage_percent: number(
+                "cold-overage-percent",
+                &flags.cold_overage_percent,
+                DEFAULT_COLD_OVERAGE_PERCENT,
+                0,
+                1_000,
+            )? as u32,
+            cold_slack: number(
+                "cold-slack",
+                &flags.cold_slack,
+                DEFAULT_COLD_SLACK,
+                0,
+                1_000_000,
+            )? as u32,
         })
     }
 }
--- a/components/settings/src/node_flags.rs
+++ b/components/settings/src/node_flags.rs
@@ -211,4 +211,18 @@
     /// Number of the control replica inside this node.
     #[options(no_short, meta = "N", help = "number of the embedded replica")]
     pub control_replica: Option<String>,
+    /// Calls beyond the rate of a cold instance, in percent of that rate.
+    #[options(
+        no_short,
+        meta = "PERCENT",
+        help = "calls to a cold instance beyond its rate, in percent of that rate (default: 25)"
+    )]
+    pub cold_overage_percent: Option<String>,
+    /// Additional calls to a cold instance in each second.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "additional calls to a cold instance in each second (default: 4)"
+    )]
+    pub cold_slack: Option<String>,
 }
