Check customers' keys at the entry

Cause: nodes had the customers of a configuration but served every caller, and passed keys and customer names on as callers sent them.

Change: CustomerTable finds a customer by the hash of a key, compared in constant time. Entry::authenticate refuses missing and unknown keys (unknown-key, 401) and several fields (ambiguous-key, 400), removes the key and what the caller sent as the customer's name, and sets the name. The customer's rank takes precedence over the route's. Crash suspects and idempotency keys are told apart by customer. The key is looked up again before each attempt. Log lines and gyard explain show the name.

--- a/components/client/src/request_trace.rs
+++ b/components/client/src/request_trace.rs
@@ -30,6 +30,9 @@
     /// Ids of the calls that entries created for the request; several if it was sent to several
     /// entries.
     calls: BTreeSet<String>,
+    /// Customer that the request was sent for, if a line names one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    customer: Option<String>,
     steps: Vec<LogLine>,
     /// The last failure that ended a call.
     cause: Option<Cause>,
@@ -73,9 +76,11 @@
             .iter()
             .rev()
             .find_map(|step| find_cause(&step.message));
+        let customer = steps.iter().find_map(|step| find_customer(&step.message));
         Ok(RequestTrace {
             request: request.to_owned(),
             calls,
+            customer,
             steps,
             cause,
         })
@@ -97,6 +102,9 @@
                 step.source, step.message
             )?;
         }
+        if let Some(customer) = &self.customer {
+            writeln!(out, "\nCustomer: {customer}")?;
+        }
         match &self.cause {
             Some(cause) => writeln!(
                 out,
@@ -186,6 +194,13 @@
     })
 }
 
+/// Returns the customer that a line of the entry names.
+fn find_customer(message: &str) -> Option<String> {
+    let (_, rest) = message.strip_prefix("entry:")?.split_once(" customer ")?;
+    let name = rest.split(' ').next()?;
+    Some(name.to_owned())
+}
+
 /// Returns the error of a log line that reports the end of a call.
 fn find_cause(message: &str) -> Option<Cause> {
     let is_end_of_call = message.starts_with("entry:")
--- a/components/client/tests/explain_request.rs
+++ b/components/client/tests/explain_request.rs
@@ -64,6 +64,29 @@
     assert!(text.contains("\"code\": \"not-configured\""), "{text}");
 }
 
+/// The customer is shown by name, from the line of the decision or of the end of the call.
+#[test]
+fn customer_of_request() {
+    let dir = tempfile::tempdir().unwrap();
+    let log = "\
+1764850000.100 INFO  entry: request r1 call a1-7 service lending customer choir profile read configuration 3 attempt 0 weighed i-2=900us/1ms chose i-2, Expected.
+1764850000.300 INFO  entry: request r2 call a1-8 customer bells ended without an answer after 200 ms, overloaded.
+";
+    for name in ["entry.log", "owner.log", "mixed.log"] {
+        fs::write(dir.path().join(name), log).unwrap();
+    }
+    for (id, customer) in [("r1", "choir"), ("r2", "bells")] {
+        let text = explain(dir.path(), id, &[]);
+        assert!(
+            text.contains(&format!("\nCustomer: {customer}\n")),
+            "{text}"
+        );
+        let text = explain(dir.path(), id, &["--output", "json"]);
+        let field = format!("\"customer\": \"{customer}\"");
+        assert!(text.contains(&field), "{text}");
+    }
+}
+
 #[test]
 fn missing_file() {
     let dir = tempfile::tempdir().unwrap();
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod customer;
+mod customer_table;
 mod document;
 mod quantity;
 mod stored;
@@ -10,6 +11,7 @@
 mod weighted_round_robin;
 
 pub use customer::{ApiKey, Customer, hash_key};
+pub use customer_table::{CustomerTable, KnownCustomer};
 pub use document::{
     CallerLimits, ColdLimit, Configuration, Destination, Route, Service, VirtualHost, Weight,
     WeightedService,
--- a/components/config/src/table.rs
+++ b/components/config/src/table.rs
@@ -1,6 +1,7 @@
 //! Lookup of the route of a request.
 
 use crate::{
+    customer_table::CustomerTable,
     document::{Configuration, Destination, Route},
     weighted_round_robin::WeightedRoundRobin,
 };
@@ -46,6 +47,7 @@
 pub struct RouteTable {
     configuration: Arc<Configuration>,
     hosts: HashMap<String, Vec<Arc<MatchedRoute>>>,
+    customers: Option<CustomerTable>,
 }
 
 impl RouteTable {
@@ -64,7 +66,9 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|matched| std::cmp::Reverse(matched.route.path_prefix.len()));
         }
+        let customers = configuration.customers.as_deref();
         RouteTable {
+            customers: customers.map(|customers| CustomerTable::new(customers, &ranks)),
             configuration,
             hosts,
         }
@@ -75,6 +79,11 @@
         &self.configuration
     }
 
+    /// The customers by their keys; `None` if callers need no key.
+    pub fn customers(&self) -> Option<&CustomerTable> {
+        self.customers.as_ref()
+    }
+
     /// The route of a virtual host with the longest matching prefix. A port in `host` is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<MatchedRoute>> {
         let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
@@ -122,22 +131,25 @@
     }
 }
 
-/// The profile of a route. The lowest rank in use becomes priority high, the second normal and all
-/// others low.
+/// Priority of a rank: the lowest rank in use is high, the second normal, and all others are low.
+pub(crate) fn priority_of(rank: u32, ranks: &BTreeSet<u32>) -> Priority {
+    match ranks.range(..rank).count() {
+        0 => Priority::High,
+        1 => Priority::Normal,
+        _ => Priority::Low,
+    }
+}
+
+/// The profile of a route.
 fn profile_of(route: &Route, ranks: &BTreeSet<u32>) -> Profile {
     let name = ProfileName::parse(&route.name)
         .or_else(|_| ProfileName::parse(DEFAULT_PROFILE_NAME))
         .expect("the default is a valid name");
-    let priority = match ranks.range(..route.rank).count() {
-        0 => Priority::High,
-        1 => Priority::Normal,
-        _ => Priority::Low,
-    };
     Profile {
         idempotent: route.idempotent,
         deadline_ms: u32::try_from(route.timeout_ms).unwrap_or(u32::MAX),
         attempts: route.attempts,
-        priority,
+        priority: priority_of(route.rank, ranks),
         ..Profile::with_defaults(name)
     }
 }
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -129,6 +129,10 @@
     StopTimeout,
     /// The same request was in flight when several upstreams crashed; it is held until a trial.
     CrashHold,
+    /// The route needs a customer's key, and the request has none or one that no customer has.
+    UnknownKey,
+    /// The request has several header fields for a customer's key.
+    AmbiguousKey,
 }
 
 impl ErrorKind {
@@ -179,6 +183,8 @@
         ErrorKind::Internal,
         ErrorKind::StopTimeout,
         ErrorKind::CrashHold,
+        ErrorKind::UnknownKey,
+        ErrorKind::AmbiguousKey,
     ];
 
     /// How this kind is reported.
@@ -499,6 +505,20 @@
                 "The node stopped while it waited for the answer.",
                 "Resend only if the call is idempotent or carries an idempotency-key.",
             ),
+            ErrorKind::UnknownKey => (
+                "unknown-key",
+                401,
+                Outcome::NotRun,
+                "The request has no key of a customer, or an unknown one.",
+                "Send a key of the configuration's customers as Authorization: Bearer KEY.",
+            ),
+            ErrorKind::AmbiguousKey => (
+                "ambiguous-key",
+                400,
+                Outcome::NotRun,
+                "The request has several header fields for the key.",
+                "Send one Authorization field.",
+            ),
         };
         ErrorInfo {
             code,
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -1,11 +1,12 @@
 //! Validates a caller's request and resolves its service, profile, deadline and idempotency key.
 
-use super::Entry;
+use super::{Entry, customers::Credential};
 use calls::{KeyHash, MAX_KEYED_CALL_MS};
 use errors::ErrorKind;
 use http::{Request, strip_hop_by_hop};
 use model::{CallId, Fingerprint, Profile, ServiceName};
 use settings::CallHeaders;
+use std::sync::Arc;
 use suspects::Verdict;
 use wire::HttpMessage;
 
@@ -26,6 +27,10 @@
     /// Version of the configuration that routed the call; 0 without one.
     pub(crate) configuration: u64,
     pub(crate) service: ServiceName,
+    /// Name of the customer that the call is sent for; `None` on public routes and without customers.
+    pub(crate) customer: Option<Arc<str>>,
+    /// Hash of the key with which the call was accepted.
+    pub(crate) key_hash: Option<[u8; 32]>,
     pub(crate) profile: Profile,
     pub(crate) deadline_us: u64,
     /// Latency target of the route as a point in time; `u64::MAX` if there is none.
@@ -45,6 +50,7 @@
     service: ServiceName,
     profile: Profile,
     latency_target_ms: Option<u64>,
+    credential: Option<Credential>,
     /// Version of the configuration that routed the request; 0 without one.
     version: u64,
 }
@@ -54,17 +60,23 @@
 
 impl Entry {
     /// Validates a request against the routes, the directory, the profiles and the header limits.
-    pub(crate) fn prepare(&self, request: Request, now_us: u64) -> Result<PreparedCall, Refusal> {
+    pub(crate) fn prepare(
+        &self,
+        mut request: Request,
+        now_us: u64,
+    ) -> Result<PreparedCall, Refusal> {
         let kernel = &self.context.kernel;
         let CallTarget {
             service,
             profile,
             latency_target_ms,
+            credential,
             version,
-        } = self.resolve_target(&request)?;
+        } = self.resolve_target(&mut request)?;
         let refuse = |kind| (Some(service.clone()), kind);
         let headers = &kernel.node_settings().headers;
-        let key = idempotency_key(headers, &request, &service, &profile).map_err(refuse)?;
+        let key = idempotency_key(headers, &request, &service, &profile, credential.as_ref())
+            .map_err(refuse)?;
         let longest_ms = if key.is_some() {
             MAX_KEYED_CALL_MS
         } else {
@@ -74,7 +86,7 @@
             .map_err(refuse)?
             .min(longest_ms);
         let fingerprint = fingerprint(&service, &request);
-        let identity = sender_identity(headers, &fingerprint, &request);
+        let identity = sender_identity(headers, &fingerprint, &request, credential.as_ref());
         let verdict = self.context.verdict(now_us, &identity);
         if verdict.is_refusal() {
             let evidence = self.context.count_refused(now_us, &identity);
@@ -99,7 +111,9 @@
             fingerprint,
             identity,
             verdict,
-            request: self.http_message(request),
+            request: self.http_message(request, credential.as_ref()),
+            key_hash: credential.as_ref().map(|credential| credential.key_hash),
+            customer: credential.map(|credential| Arc::clone(&credential.customer.name)),
             service,
             profile,
         })
@@ -109,14 +123,17 @@
 impl Entry {
     /// Resolves the target by the configuration's routes, or without a configuration by the
     /// request's service name and that service's announced rules.
-    fn resolve_target(&self, request: &Request) -> Result<CallTarget, Refusal> {
+    fn resolve_target(&self, request: &mut Request) -> Result<CallTarget, Refusal> {
         let kernel = &self.context.kernel;
-        let path = request.target.split('?').next().unwrap_or("/");
+        let path = request.target.split('?').next().unwrap_or("/").to_owned();
         if let Some(table) = kernel.profiles.routes() {
             let host = request.headers.get("host").unwrap_or_default();
             let matched = table
-                .find(host.trim(), path)
+                .find(host.trim(), &path)
                 .ok_or((None, ErrorKind::NoRoute))?;
+            let credential = self
+                .authenticate(&table, &matched.route, request)
+                .map_err(|kind| (None, kind))?;
             let service = matched
                 .next_service()
                 .ok_or((None, ErrorKind::NoUpstream))?;
@@ -124,8 +141,13 @@
                 service,
                 profile: Profile {
                     zone_preference: kernel.node_settings().route_zone_preference,
+                    priority: credential
+                        .as_ref()
+                        .and_then(|credential| credential.customer.priority)
+                        .unwrap_or(matched.profile.priority),
                     ..matched.profile.clone()
                 },
+                credential,
                 latency_target_ms: Some(matched.route.latency_target_ms),
                 version: table.configuration().version,
             });
@@ -137,7 +159,7 @@
         let refuse = |kind| (Some(service.clone()), kind);
         let name = kernel
             .directory
-            .profile_for(&service, &request.method, path)
+            .profile_for(&service, &request.method, &path)
             .ok_or_else(|| refuse(ErrorKind::UnknownService))?;
         let profile = kernel
             .profiles
@@ -147,6 +169,7 @@
             service,
             profile,
             latency_target_ms: None,
+            credential: None,
             version: 0,
         })
     }
@@ -161,9 +184,14 @@
 
     /// The request as it is sent to an owner: without hop-by-hop headers, and with this node's own
     /// values of the headers that callers must not set.
-    fn http_message(&self, mut request: Request) -> HttpMessage {
+    fn http_message(&self, mut request: Request, credential: Option<&Credential>) -> HttpMessage {
         strip_hop_by_hop(&mut request.headers);
         let names = &self.context.kernel.node_settings().headers;
+        // After the hop-by-hop fields, so that the caller's `connection` can't remove it.
+        if let (Some(name), Some(credential)) = (names.customer, credential) {
+            let customer: &str = &credential.customer.name;
+            request.headers.set(name, customer);
+        }
         if let Some(name) = names.caller_service {
             request.headers.remove(name);
             if let Some(service) = self.context.local.service() {
@@ -213,6 +241,7 @@
     request: &Request,
     service: &ServiceName,
     profile: &Profile,
+    credential: Option<&Credential>,
 ) -> Result<Option<KeyHash>, ErrorKind> {
     let name = headers.idempotency_key;
     let Some(text) = name.and_then(|name| request.headers.get(name)) else {
@@ -226,11 +255,10 @@
     if profile.idempotent {
         return Ok(None);
     }
-    Ok(Some(short_hash(&[
-        b"key",
-        service.as_str().as_bytes(),
-        text.as_bytes(),
-    ])))
+    let mut parts = vec![&b"key"[..], service.as_str().as_bytes(), text.as_bytes()];
+    // Customers may choose equal keys; one must not get the answer to another's call.
+    parts.extend(credential.map(|credential| credential.customer.name.as_bytes()));
+    Ok(Some(short_hash(&parts)))
 }
 
 /// Hash that identifies equal requests.
@@ -246,14 +274,19 @@
 }
 
 /// Hash that identifies equal requests of one sender. Upstreams often treat senders differently, so
-/// that the runs of one say nothing about those of another. Ids and times that change with each
+/// that the runs of one say nothing about those of another. A customer counts as one sender, whatever
+/// key it uses. Ids and times that change with each
 /// request are left out: a request that crashes upstreams must be known when it comes again.
 fn sender_identity(
     headers: &CallHeaders,
     fingerprint: &Fingerprint,
     request: &Request,
+    credential: Option<&Credential>,
 ) -> Fingerprint {
-    let value = |name: &&str| request.headers.get(name).unwrap_or_default().as_bytes();
+    let value = |name: &&str| match credential {
+        Some(credential) if headers.api_key == Some(*name) => credential.customer.name.as_bytes(),
+        _ => request.headers.get(name).unwrap_or_default().as_bytes(),
+    };
     let mut parts: Vec<&[u8]> = vec![b"sender", &fingerprint.0];
     parts.extend(headers.identity.iter().map(value));
     Fingerprint(short_hash(&parts))
--- a/components/node/src/entry/choose.rs
+++ b/components/node/src/entry/choose.rs
@@ -21,6 +21,9 @@
         state: &mut DriverState,
         exclude: &[UpstreamKey],
     ) -> Event<UpstreamKey> {
+        if let Err(kind) = self.entry.check_key(&self.call) {
+            return Event::NoRoute(kind);
+        }
         if self.call.verdict == Verdict::Trial {
             return self.choose_trial_upstream(exclude);
         }
--- a/components/node/src/entry/decision.rs
+++ b/components/node/src/entry/decision.rs
@@ -3,6 +3,11 @@
 use super::call::PreparedCall;
 use routing::{Choice, Router};
 
+/// The customer of a call as log lines show it, after a space; empty if there is none.
+pub(super) fn customer_note(customer: Option<&str>) -> String {
+    customer.map_or_else(String::new, |name| format!(" customer {name}"))
+}
+
 /// Logs the candidates with their expected latencies, the chosen upstream and the reason.
 pub(super) fn log_decision(
     call: &PreparedCall,
@@ -32,10 +37,11 @@
         })
         .collect();
     log::info!(
-        "entry: request {} call {} service {} profile {} configuration {} attempt {} weighed {} chose {}, {:?}.",
+        "entry: request {} call {} service {}{} profile {} configuration {} attempt {} weighed {} chose {}, {:?}.",
         call.request_id,
         call.call,
         call.service,
+        customer_note(call.customer.as_deref()),
         call.profile.name,
         call.configuration,
         earlier_attempts,
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod choose;
+mod customers;
 mod decision;
 mod driver;
 mod key_claims;
@@ -10,6 +11,7 @@
 mod status_queries;
 
 use crate::context::NodeContext;
+use decision::customer_note;
 use driver::CallDriver;
 use errors::ErrorKind;
 use http::{
@@ -199,6 +201,7 @@
         };
         metrics.calls.get_or_create(&labels).inc();
         let (call, service) = (prepared.call, prepared.service.clone());
+        let customer = customer_note(prepared.customer.as_deref());
         let result = CallDriver::new(self, prepared, caller).run(caller);
         let elapsed_us = self.context.kernel.clock.now_us() - arrived_us;
         metrics
@@ -209,7 +212,7 @@
             Ok(response) => response,
             Err(kind) => {
                 log::info!(
-                    "entry: request {request_id} call {call} ended without an answer after {} ms, {kind}.",
+                    "entry: request {request_id} call {call}{customer} ended without an answer after {} ms, {kind}.",
                     elapsed_us / 1_000
                 );
                 self.refusal_response(Some(&service), kind, target_ms)
@@ -245,6 +248,9 @@
             .get_or_create(&labels)
             .inc();
         let response = error_response(kind);
+        if kind == ErrorKind::UnknownKey {
+            return response.with_header("www-authenticate", "Bearer");
+        }
         if !matches!(response.status, 429 | 503) {
             return response;
         }
--- a/components/settings/src/headers.rs
+++ b/components/settings/src/headers.rs
@@ -26,6 +26,12 @@
     /// Load figures in an upstream's responses, separated by commas: running calls, waiting calls,
     /// slots, and the pace of its host (the time that work takes there, in percent of the usual).
     pub load: Option<&'static str>,
+    /// Key of the customer that a call is sent for, as `Bearer KEY`. Only the entry reads it, and only
+    /// if the configuration has customers; it is not forwarded then.
+    pub api_key: Option<&'static str>,
+    /// Name of the customer that a call is sent for, which the entry sends to upstreams if the
+    /// configuration has customers. What callers send in this field is removed then.
+    pub customer: Option<&'static str>,
 }
 
 impl Default for CallHeaders {
@@ -40,6 +46,8 @@
             upstream_name: None,
             not_run: None,
             load: None,
+            api_key: Some("authorization"),
+            customer: Some("x-gyard-customer"),
         }
     }
 }
