--- a/components/settings/src/headers.rs
+++ b/components/settings/src/headers.rs
@@ -28,6 +28,12 @@
     pub load: Option<&'static str>,
     /// Time for which the upstream stays cold in milliseconds, in the responses to health checks.
     pub cold_ms: Option<&'static str>,
+    /// Key of the customer that a call is sent for, as `Bearer KEY`. Only the entry reads it, and only
+    /// if the configuration has customers; it is not forwarded then.
+    pub api_key: Option<&'static str>,
+    /// Name of the customer that a call is sent for, which the entry sends to upstreams if the
+    /// configuration has customers. What callers send in this field is removed then.
+    pub customer: Option<&'static str>,
 }
 
 impl Default for CallHeaders {
@@ -43,6 +49,8 @@
             not_run: None,
             load: None,
             cold_ms: None,
+            api_key: Some("authorization"),
+            customer: Some("x-gyard-customer"),
         }
     }
 }
