Don't take the pause of a process for the silence of its peers

What callers saw: after a pause of its process for a second, a node gave up all its connections to other nodes, and each call on them had to be found again at its owner.

Cause: the silence of a connection was measured up to now, also over time in which this process did not run and could not read what had arrived.

Change: the timer thread notes by how much it woke up too late; a connection gets that time in addition.

--- a/components/mesh/src/connection.rs
+++ b/components/mesh/src/connection.rs
@@ -377,7 +377,9 @@
             }
             return TimerCheck::CheckAgain(idle_at_us.max(now_us + limits.ping_after_ms * 1_000));
         };
-        let silent_since_us = inbound_us.max(waiting_us);
+        let last_sign_us = inbound_us.max(waiting_us);
+        // The reader may not have run yet after a pause of this process.
+        let silent_since_us = last_sign_us + inner.last_pause.after_us(last_sign_us);
         let close_at_us = silent_since_us + limits.silent_after_ms * 1_000;
         if close_at_us <= now_us {
             return TimerCheck::Silent;
--- a/components/mesh/src/inner.rs
+++ b/components/mesh/src/inner.rs
@@ -6,6 +6,7 @@
     connection::{Connection, DueCallbacks, Outgoing, TimerCheck},
     datagram::{self, MAX_DATAGRAM_BYTES},
     handshake::{self, HandshakeError, Session},
+    pause::LastPause,
     peer::Peer,
     reader::Reader,
     stats::{Counters, increment},
@@ -41,6 +42,7 @@
     pub(crate) limits: Limits,
     pub(crate) counters: Counters,
     pub(crate) timer: Timer,
+    pub(crate) last_pause: LastPause,
     pub(crate) reader: Reader,
     datagram_key: [u8; 32],
     bound_address: SocketAddr,
@@ -75,6 +77,7 @@
             limits,
             counters: Counters::default(),
             timer: Timer::new(),
+            last_pause: LastPause::default(),
             reader,
             bound_address,
             started: Instant::now(),
@@ -376,7 +379,10 @@
                 run_callbacks(due);
             }
             self.timer.wake_at(next_us);
-            self.timer.sleep(|| self.now_us());
+            let late_us = self.timer.sleep(|| self.now_us());
+            let shortest_pause_us = self.limits.ping_after_ms * 1_000;
+            self.last_pause
+                .record(self.now_us(), late_us, shortest_pause_us);
         }
     }
 
--- a/components/mesh/src/lib.rs
+++ b/components/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 mod handshake;
 mod inbound;
 mod inner;
+mod pause;
 mod peer;
 mod reader;
 mod send_queue;
--- a/components/mesh/src/timer.rs
+++ b/components/mesh/src/timer.rs
@@ -40,24 +40,27 @@
         self.wake_us.store(u64::MAX, Ordering::Release);
     }
 
-    /// Sleeps until the earliest requested time.
-    pub(crate) fn sleep(&self, now_us: impl Fn() -> u64) {
+    /// Sleeps until the earliest requested time. Returns by how much the thread woke up too late.
+    pub(crate) fn sleep(&self, now_us: impl Fn() -> u64) -> u64 {
         let mut sleeping = self.sleeping.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut late_us = 0;
         loop {
+            let started_us = now_us();
             let left = self
                 .wake_us
                 .load(Ordering::Acquire)
-                .saturating_sub(now_us());
+                .saturating_sub(started_us);
             if left == 0 {
-                return;
+                return late_us;
             }
             // The limit keeps the wait in the range of the condition variable; the loop goes on.
-            let wait = Duration::from_micros(left.min(60_000_000));
+            let wait_us = left.min(60_000_000);
             sleeping = self
                 .condvar
-                .wait_timeout(sleeping, wait)
+                .wait_timeout(sleeping, Duration::from_micros(wait_us))
                 .unwrap_or_else(PoisonError::into_inner)
                 .0;
+            late_us = now_us().saturating_sub(started_us + wait_us);
         }
     }
 }
