Open the window of a cold upstream when no earlier call can be in it

Cause: an owner that had just started counted the last second as full, and again from its first configuration on, though its node sends nothing without one, and also if the instance had started after the owner.

--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -32,6 +32,8 @@
     LocalInstanceCold {
         /// Rest of the cold period in milliseconds.
         remaining_ms: u64,
+        /// Whether this is the first report of a process that has started after this node.
+        has_started: bool,
     },
 }
 
--- a/components/limits/src/cold.rs
+++ b/components/limits/src/cold.rs
@@ -41,6 +41,8 @@
     cold_until_us: Option<u64>,
     /// Time until which the window counts as full, since calls before it are not known.
     unknown_until_us: u64,
+    /// Time of the last call that was sent while there was no limit; such calls are not counted.
+    last_unlimited_us: Option<u64>,
     /// Times of the calls in the last window, in ascending order.
     sent_us: VecDeque<u64>,
 }
@@ -52,16 +54,20 @@
             max_per_window: None,
             cold_until_us: None,
             unknown_until_us: started_us + WINDOW_US,
+            last_unlimited_us: None,
             sent_us: VecDeque::new(),
         }
     }
 
     /// Sets the limit or removes it. Calls sent without a limit were not counted, so the window
-    /// counts as full for its length after the first limit.
-    pub fn set_rate(&mut self, now_us: u64, rate: Option<ColdRate>) {
+    /// counts as full for its length after the last of them.
+    pub fn set_rate(&mut self, rate: Option<ColdRate>) {
         let max_per_window = rate.map(|rate| rate.max_per_window());
-        if self.max_per_window.is_none() && max_per_window.is_some() {
-            self.unknown_until_us = self.unknown_until_us.max(now_us + WINDOW_US);
+        if self.max_per_window.is_none()
+            && max_per_window.is_some()
+            && let Some(last_us) = self.last_unlimited_us
+        {
+            self.unknown_until_us = self.unknown_until_us.max(last_us + WINDOW_US);
         }
         if max_per_window.is_none() {
             self.sent_us.clear();
@@ -69,6 +75,16 @@
         self.max_per_window = max_per_window;
     }
 
+    /// Records a call that was sent while there was no limit.
+    pub fn record_unlimited(&mut self, sent_us: u64) {
+        self.last_unlimited_us = self.last_unlimited_us.max(Some(sent_us));
+    }
+
+    /// The upstream has started after the owner, so no earlier process has sent calls to it.
+    pub fn upstream_started(&mut self) {
+        self.unknown_until_us = 0;
+    }
+
     /// The upstream is cold until this time. Of several reports the latest end applies, since one
     /// that arrives late or is wrong must not end the limit early.
     pub fn extend(&mut self, cold_until_us: u64) {
@@ -83,6 +99,7 @@
     /// Counts a call that is about to be sent, if it may be. Health checks don't count.
     pub fn try_send(&mut self, now_us: u64) -> bool {
         if self.max_per_window.is_none() {
+            self.record_unlimited(now_us);
             return true;
         }
         // Threads may read the clock in another order than they get here.
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -92,9 +92,10 @@
         let configured_ms = has_started.then(|| self.configured_cold_ms(&announcement.service));
         let remaining_ms = announcement.cold_ms.max(configured_ms).unwrap_or(0);
         if remaining_ms > 0 {
-            self.kernel
-                .events
-                .publish(&Event::LocalInstanceCold { remaining_ms });
+            self.kernel.events.publish(&Event::LocalInstanceCold {
+                remaining_ms,
+                has_started,
+            });
         }
     }
 
--- a/components/node/src/owner/cold.rs
+++ b/components/node/src/owner/cold.rs
@@ -9,7 +9,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -25,6 +25,8 @@
     limiter: Mutex<ColdLimiter>,
     /// Whether there is a limit, so that calls of services without one take no lock.
     has_rate: AtomicBool,
+    /// Time of the last call that was sent without a limit; 0 if there was none.
+    last_unlimited_us: AtomicU64,
 }
 
 impl ColdInstance {
@@ -32,12 +34,17 @@
         ColdInstance {
             limiter: Mutex::new(ColdLimiter::new(started_us)),
             has_rate: AtomicBool::new(false),
+            last_unlimited_us: AtomicU64::new(0),
         }
     }
 
-    fn set_rate(&self, now_us: u64, rate: Option<ColdRate>) {
+    fn set_rate(&self, rate: Option<ColdRate>) {
         let mut limiter = self.lock();
-        limiter.set_rate(now_us, rate);
+        let last_us = self.last_unlimited_us.load(Ordering::Acquire);
+        if last_us > 0 {
+            limiter.record_unlimited(last_us);
+        }
+        limiter.set_rate(rate);
         self.has_rate.store(limiter.has_rate(), Ordering::Release);
     }
 
@@ -51,7 +58,11 @@
     }
 
     fn try_send(&self, now_us: u64) -> bool {
-        !self.has_rate.load(Ordering::Acquire) || self.lock().try_send(now_us)
+        if !self.has_rate.load(Ordering::Acquire) {
+            self.last_unlimited_us.fetch_max(now_us, Ordering::AcqRel);
+            return true;
+        }
+        self.lock().try_send(now_us)
     }
 
     pub(super) fn limit_signal(&self, now_us: u64, signal: LoadSignal) -> LoadSignal {
@@ -71,7 +82,7 @@
     pub(super) fn apply_cold_limit(&self) {
         let service = self.context.local.service();
         let rate = service.and_then(|service| self.cold_rate(&service));
-        self.shared.cold.set_rate(self.now_us(), rate);
+        self.shared.cold.set_rate(rate);
     }
 
     /// Handles the news that the instance is cold.
@@ -140,7 +151,14 @@
     events.subscribe({
         let owner = Arc::clone(owner);
         move |event| {
-            if let Event::LocalInstanceCold { remaining_ms } = event {
+            if let Event::LocalInstanceCold {
+                remaining_ms,
+                has_started,
+            } = event
+            {
+                if *has_started {
+                    owner.shared.cold.lock().upstream_started();
+                }
                 owner.handle_cold(Duration::from_millis(*remaining_ms));
             }
         }
