Add quotas of customers over all nodes as a pure crate

Cause: a customer's rate has to hold over all nodes, whatever fails, and calls within it have to be served at any node.

Change: the coordinator keeps a token bucket for each customer and lends shares of its refill to nodes under leases of 2 s; a node without a token asks for one. Tokens in the bucket, at nodes and in answers never exceed the burst and a small allowance together. A new coordinator counts on the shares of its predecessor until their leases have ended.

--- /dev/null
+++ b/components/quota/src/coordinator.rs
@@ -0,0 +1,322 @@
+//! The coordinator, which divides the rates of all customers between the nodes. It runs at the
+//! leader of the control group.
+
+use crate::{
+    LEASE_MARGIN_US, LEASE_US,
+    customer::{CustomerLimit, CustomerQuota, CustomerUse},
+    list::{CustomerList, ListDigest},
+    message::{QuotaAnswer, QuotaDemand, QuotaGrant, QuotaGrants, QuotaReport},
+};
+use model::NodeId;
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+/// Former lists of customers that are still understood, for nodes with an older configuration.
+const KEPT_LISTS: usize = 4;
+/// Interval of the check for expired leases.
+const EXPIRY_INTERVAL_US: u64 = 50_000;
+
+/// What is known about one node.
+#[derive(Debug, Default)]
+struct NodeState {
+    incarnation: u64,
+    sequence: u64,
+    lease_until_us: u64,
+    /// Customers of which the node has a holding.
+    customers: BTreeSet<usize>,
+    /// Customers whose last grant the node has not confirmed yet.
+    unconfirmed: BTreeSet<usize>,
+    /// Customers whose share is too large.
+    oversized: BTreeSet<usize>,
+}
+
+/// Divides the rates of the customers. A new coordinator counts on shares granted by its predecessor
+/// until their leases have ended.
+#[derive(Debug)]
+pub struct QuotaCoordinator {
+    epoch: u64,
+    settled_at_us: u64,
+    is_settling: bool,
+    customers: Vec<CustomerQuota>,
+    names: Vec<Arc<str>>,
+    by_name: HashMap<Arc<str>, usize>,
+    lists: VecDeque<CustomerList>,
+    nodes: BTreeMap<SocketAddr, NodeState>,
+    next_expiry_us: u64,
+}
+
+impl QuotaCoordinator {
+    /// A coordinator that starts now. `epoch` is above 0 and differs from that of all others, such as
+    /// the term of the leader.
+    pub fn new(now_us: u64, epoch: u64) -> Self {
+        QuotaCoordinator {
+            epoch,
+            settled_at_us: now_us + LEASE_US + LEASE_MARGIN_US,
+            is_settling: true,
+            customers: Vec::new(),
+            names: Vec::new(),
+            by_name: HashMap::new(),
+            lists: VecDeque::new(),
+            nodes: BTreeMap::new(),
+            next_expiry_us: now_us,
+        }
+    }
+
+    /// Applies the limits of a configuration.
+    pub fn set_customers(
+        &mut self,
+        now_us: u64,
+        customers: impl IntoIterator<Item = (Arc<str>, CustomerLimit)>,
+    ) {
+        self.advance(now_us);
+        let is_first = self.lists.is_empty();
+        let limits: BTreeMap<Arc<str>, CustomerLimit> = customers.into_iter().collect();
+        for (name, limit) in &limits {
+            match self.by_name.get(name) {
+                Some(index) => self.change_limit(now_us, *index, *limit),
+                None => {
+                    let quota = CustomerQuota::new(now_us, *limit, !is_first);
+                    self.by_name.insert(Arc::clone(name), self.customers.len());
+                    self.names.push(Arc::clone(name));
+                    self.customers.push(quota);
+                }
+            }
+        }
+        for index in 0..self.customers.len() {
+            if !limits.contains_key(&self.names[index]) {
+                self.change_limit(now_us, index, CustomerLimit::default());
+            }
+        }
+        let list = CustomerList::new(limits.into_keys());
+        if self.lists.front().map(CustomerList::digest) != Some(list.digest()) {
+            self.lists.push_front(list);
+            self.lists.truncate(KEPT_LISTS);
+        }
+    }
+
+    /// Handles the report of a node.
+    pub fn handle(&mut self, now_us: u64, node: NodeId, report: &QuotaReport) -> QuotaAnswer {
+        self.advance(now_us);
+        let Some(numbers) = self.resolve(report) else {
+            return QuotaAnswer::OtherCustomers;
+        };
+        let known = self.nodes.get(&node.mesh);
+        if known.is_some_and(|known| {
+            (node.incarnation, report.sequence) <= (known.incarnation, known.sequence)
+        }) {
+            return QuotaAnswer::Outdated;
+        }
+        if known.is_some_and(|known| known.incarnation != node.incarnation) {
+            self.forget(now_us, node.mesh);
+        }
+        if !report.is_full && (report.epoch != self.epoch || !self.nodes.contains_key(&node.mesh)) {
+            return QuotaAnswer::ReportAll { epoch: self.epoch };
+        }
+        if report.is_full {
+            self.replace_holdings(now_us, node.mesh, report, &numbers);
+        } else {
+            self.confirm(now_us, node.mesh);
+        }
+        let state = self.nodes.entry(node.mesh).or_default();
+        state.incarnation = node.incarnation;
+        state.sequence = report.sequence;
+        state.lease_until_us = now_us + LEASE_US + LEASE_MARGIN_US;
+        let mut grants = Vec::new();
+        for (demand, index) in report.demands.iter().zip(numbers) {
+            grants.extend(self.grant(now_us, node.mesh, index, demand));
+        }
+        grants.extend(self.correct_oversized(now_us, node.mesh, report.list));
+        QuotaAnswer::Granted(QuotaGrants {
+            epoch: self.epoch,
+            is_settling: self.is_settling,
+            grants,
+        })
+    }
+
+    /// Use of all customers with a rate, by name.
+    pub fn usage(&mut self, now_us: u64) -> Vec<(Arc<str>, CustomerUse)> {
+        self.advance(now_us);
+        let mut usage = Vec::new();
+        for (name, quota) in self.names.iter().zip(&mut self.customers) {
+            if quota.limited_rate().is_some() {
+                quota.refill(now_us, self.is_settling);
+                usage.push((Arc::clone(name), quota.usage()));
+            }
+        }
+        usage.sort_by(|a, b| a.0.cmp(&b.0));
+        usage
+    }
+
+    fn change_limit(&mut self, now_us: u64, index: usize, limit: CustomerLimit) {
+        let quota = &mut self.customers[index];
+        quota.set_limit(now_us, limit, self.is_settling);
+        for node in quota.nodes() {
+            if let Some(state) = self.nodes.get_mut(&node) {
+                state.oversized.insert(index);
+            }
+        }
+    }
+
+    /// Internal numbers of the customers in a report, if its list is known.
+    fn resolve(&self, report: &QuotaReport) -> Option<Vec<usize>> {
+        let list = self
+            .lists
+            .iter()
+            .find(|list| list.digest() == report.list)?;
+        let number = |demand: &QuotaDemand| self.by_name.get(list.name(demand.customer)?).copied();
+        report.demands.iter().map(number).collect()
+    }
+
+    /// Ends the time of settling and expired leases.
+    fn advance(&mut self, now_us: u64) {
+        if self.is_settling && now_us >= self.settled_at_us {
+            for quota in &mut self.customers {
+                quota.refill(self.settled_at_us, true);
+            }
+            self.is_settling = false;
+        }
+        if now_us < self.next_expiry_us {
+            return;
+        }
+        self.next_expiry_us = now_us + EXPIRY_INTERVAL_US;
+        let expired: Vec<SocketAddr> = self
+            .nodes
+            .iter()
+            .filter(|(_, state)| state.lease_until_us <= now_us)
+            .map(|(node, _)| *node)
+            .collect();
+        for node in expired {
+            self.forget(now_us, node);
+        }
+    }
+
+    /// Forgets a node whose shares can't be in use any more.
+    fn forget(&mut self, now_us: u64, node: SocketAddr) {
+        for index in self.nodes.remove(&node).unwrap_or_default().customers {
+            self.customers[index].refill(now_us, self.is_settling);
+            self.customers[index].remove(node);
+        }
+    }
+
+    /// Replaces what is known about a node by its full report.
+    fn replace_holdings(
+        &mut self,
+        now_us: u64,
+        node: SocketAddr,
+        report: &QuotaReport,
+        numbers: &[usize],
+    ) {
+        let is_known = self.nodes.contains_key(&node);
+        let may_adopt = self.is_settling && report.epoch != self.epoch;
+        let state = self.nodes.entry(node).or_default();
+        state.unconfirmed.clear();
+        let listed: BTreeMap<usize, u32> = numbers
+            .iter()
+            .copied()
+            .zip(report.demands.iter().map(|demand| demand.share))
+            .collect();
+        for index in std::mem::take(&mut state.customers) {
+            let quota = &mut self.customers[index];
+            quota.refill(now_us, self.is_settling);
+            match listed.get(&index) {
+                Some(share) => {
+                    quota.reduce(node, *share);
+                    state.customers.insert(index);
+                }
+                None => quota.remove(node),
+            }
+        }
+        if !is_known && may_adopt {
+            for (index, share) in listed {
+                self.customers[index].refill(now_us, true);
+                self.customers[index].adopt(node, share);
+                state.customers.insert(index);
+            }
+        }
+    }
+
+    /// A report that isn't full confirms the last answer.
+    fn confirm(&mut self, now_us: u64, node: SocketAddr) {
+        let Some(state) = self.nodes.get_mut(&node) else {
+            return;
+        };
+        for index in std::mem::take(&mut state.unconfirmed) {
+            self.customers[index].refill(now_us, self.is_settling);
+            self.customers[index].confirm(node);
+            if self.customers[index].remove_unused(node) {
+                state.customers.remove(&index);
+            }
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now_us: u64,
+        node: SocketAddr,
+        index: usize,
+        demand: &QuotaDemand,
+    ) -> Option<QuotaGrant> {
+        let quota = &mut self.customers[index];
+        quota.refill(now_us, self.is_settling);
+        quota.reduce(node, demand.share);
+        quota.put_back(demand.returned, self.is_settling);
+        let oversized = quota.share_out(now_us, node, demand.demand, self.is_settling);
+        let (tokens, pause_ms) = quota.take(node, demand.waiting, self.is_settling);
+        let share = quota.share(node);
+        for other in oversized {
+            if let Some(state) = self.nodes.get_mut(&other) {
+                state.oversized.insert(index);
+            }
+        }
+        if let Some(state) = self.nodes.get_mut(&node) {
+            state.customers.insert(index);
+            state.unconfirmed.insert(index);
+            state.oversized.remove(&index);
+        }
+        let is_changed = share != demand.share || demand.waiting > 0;
+        is_changed.then_some(QuotaGrant {
+            customer: demand.customer,
+            share,
+            tokens,
+            pause_ms,
+        })
+    }
+
+    /// Reduces the shares of a node that are too large, of customers that it did not report on.
+    fn correct_oversized(
+        &mut self,
+        now_us: u64,
+        node: SocketAddr,
+        list: ListDigest,
+    ) -> Vec<QuotaGrant> {
+        let Some(state) = self.nodes.get_mut(&node) else {
+            return Vec::new();
+        };
+        let list = self.lists.iter().find(|known| known.digest() == list);
+        let mut grants = Vec::new();
+        for index in std::mem::take(&mut state.oversized) {
+            let number = list.and_then(|list| list.number(&self.names[index]));
+            let (Some(customer), true) = (number, state.customers.contains(&index)) else {
+                continue;
+            };
+            let quota = &mut self.customers[index];
+            quota.refill(now_us, self.is_settling);
+            let before = quota.share(node);
+            // The other nodes with a large share have been marked when the fair share changed.
+            quota.share_out(now_us, node, quota.demand(node), self.is_settling);
+            state.unconfirmed.insert(index);
+            if quota.share(node) != before {
+                grants.push(QuotaGrant {
+                    customer,
+                    share: quota.share(node),
+                    tokens: 0,
+                    pause_ms: 0,
+                });
+            }
+        }
+        grants
+    }
+}
