Test the bounds of quotas with one kind of fault at a time

Cause: the test through all failures did not notice a new coordinator that ignores its predecessor's shares, nodes that ignore the end of their lease, or a reduced share that is lent again too early.

Change: one customer, one kind of fault at a time, and checks of the shares in use and of the tokens at the coordinator and at nodes after each answer.

--- a/components/quota/src/customer.rs
+++ b/components/quota/src/customer.rs
@@ -50,6 +50,8 @@
     pub limit: CustomerLimit,
     /// Tokens in the bucket.
     pub tokens: f64,
+    /// Tokens that nodes may hold.
+    pub held: u64,
     /// Shares of nodes in calls per second.
     pub shares: Vec<(SocketAddr, f64)>,
     /// Tokens granted to waiting calls since the coordinator's start.
@@ -115,6 +117,7 @@
         CustomerUse {
             limit: self.limit,
             tokens: self.level,
+            held: self.reserved + self.lent,
             shares: shares
                 .map(|(node, held)| (*node, per_s(held.share)))
                 .collect(),
--- a/components/quota/tests/common/mod.rs
+++ b/components/quota/tests/common/mod.rs
@@ -95,6 +95,8 @@
     pub not_run_percent: u32,
     /// Share of messages that are lost.
     pub lost_percent: u32,
+    /// Whether the shares of a single customer are checked after each answer.
+    pub checks_shares: bool,
     pub message_bytes: u64,
     pub messages: u64,
     epoch: u64,
@@ -114,6 +116,7 @@
             loads,
             not_run_percent: 0,
             lost_percent: 0,
+            checks_shares: false,
             message_bytes: 0,
             messages: 0,
             epoch: 0,
@@ -206,6 +209,30 @@
         }
     }
 
+    /// Checks, for a single customer whose limit does not change, that the shares in use leave a fifth
+    /// of the rate, and that the tokens at the coordinator and at nodes are bounded.
+    fn assert_shares(&mut self) {
+        let ([load], Some(coordinator)) = (&self.loads[..], &mut self.coordinator) else {
+            return;
+        };
+        let Some(rate) = load.limit.rate_per_s.filter(|_| self.checks_shares) else {
+            return;
+        };
+        let live = self.nodes.iter().filter(|node| !node.is_dead);
+        let leased = live.filter(|node| node.quota.has_lease(self.now_us));
+        let shares: f64 = leased.map(|node| node.quota.shares().1).sum();
+        assert!(
+            shares <= rate * 0.8,
+            "shares of {shares} calls/s are in use, rate {rate}, at {} us",
+            self.now_us
+        );
+        for (_, usage) in coordinator.usage(self.now_us) {
+            let tokens = usage.tokens + usage.held as f64;
+            let capacity = usage.limit.burst + rate * 0.1 + 7.0;
+            assert!(tokens <= capacity, "{tokens} tokens, bound {capacity}");
+        }
+    }
+
     fn schedule(&mut self, at_us: u64, event: Event) {
         self.next_event += 1;
         self.events.push(Reverse((at_us, self.next_event, event)));
@@ -254,6 +281,7 @@
                 let answer: QuotaAnswer = postcard::from_bytes(&payload.0).expect("an answer");
                 let decided = state.quota.on_answer(self.now_us, sequence, &answer);
                 self.decide(node, decided);
+                self.assert_shares();
                 self.poll(node);
             }
         }
