Coordinate quotas at the leader of the control group

Cause: quotas need one coordinator, and two leaders must never grant at the same time.

Change: messages ControlRequest::Quota and ControlReply::Quota. Other replicas name the leader.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -1,6 +1,7 @@
 //! The leader: proposals, replication and commits.
 
 use crate::{
+    contact::RoundTimes,
     io::{Reply, Role},
     message::Body,
     progress::Progress,
@@ -29,6 +30,9 @@
     pub(crate) transfer: Option<Transfer>,
     /// Number of the last heartbeat round.
     pub(crate) round: u64,
+    pub(crate) round_times: RoundTimes,
+    /// Time until which a replica that was asked to take over may do so.
+    pub(crate) handed_over_until_us: u64,
     /// Index and token of each uncommitted proposal, in log order.
     proposals: VecDeque<(u64, u64)>,
     pub(crate) reads: VecDeque<PendingRead>,
@@ -49,6 +53,8 @@
             membership_check_due_us: now_us + self.config.heartbeat_us,
             transfer: None,
             round: 0,
+            round_times: RoundTimes::default(),
+            handed_over_until_us: 0,
             proposals: VecDeque::new(),
             reads: VecDeque::new(),
         });
@@ -201,6 +207,9 @@
     pub(crate) fn start_round(&mut self, now_us: u64) {
         if let Some(leader_state) = &mut self.leader_state {
             leader_state.round += 1;
+            let oldest_us = now_us.saturating_sub(self.config.election_min_us);
+            let round = leader_state.round;
+            leader_state.round_times.record(round, now_us, oldest_us);
             leader_state.heartbeat_due_us = now_us + self.config.heartbeat_us;
         }
         for id in self.replication_targets() {
--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -7,6 +7,7 @@
 //! state are held back until that state is on disk.
 
 mod config;
+mod contact;
 mod election;
 mod follower;
 mod formation;
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -417,6 +417,26 @@
             self.sync_node(index);
         }
         self.check_current_replicas();
+        self.check_sole_leaders();
+    }
+
+    /// Checks that at most one replica takes itself for the only leader.
+    fn check_sole_leaders(&self) {
+        let is_sole = |(number, host): &(&ReplicaNumber, &Host)| {
+            let now_us = self.local_us(**number);
+            let until_us = host.replica.as_ref()?.sole_leader_until_us(now_us);
+            (now_us < until_us?).then_some(**number)
+        };
+        let sole: Vec<_> = self
+            .hosts
+            .iter()
+            .filter_map(|host| is_sole(&host))
+            .collect();
+        assert!(
+            sole.len() <= 1,
+            "replicas {sole:?} take themselves for the only leader\n{}",
+            self.report()
+        );
     }
 
     fn write_disk(&mut self, number: ReplicaNumber) {
--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -1,6 +1,6 @@
 //! State that the plug-ins of one control replica share in addition to the kernel.
 
-use crate::{pulls::HeldPulls, reports::NodeReports};
+use crate::{pulls::HeldPulls, quotas::Quotas, reports::NodeReports};
 use consensus::{Input, ReplicaId, ReplicaNumber, Reply, Role};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use errors::ErrorKind;
@@ -39,6 +39,8 @@
     pub(crate) applied_index: u64,
     /// Error of the last write, while the disk is full.
     pub(crate) storage_error: Option<String>,
+    /// Time on the clock that counts suspension until which no other replica leads.
+    pub(crate) sole_leader_until_boot_us: u64,
 }
 
 impl ReplicaState {
@@ -63,6 +65,7 @@
     pub(crate) kernel: Arc<Kernel>,
     pub(crate) pulls: HeldPulls,
     pub(crate) reports: NodeReports,
+    pub(crate) quotas: Quotas,
     introductions: Mutex<Introductions>,
     inputs: Sender<Input>,
     input_receiver: Receiver<Input>,
@@ -80,6 +83,7 @@
                 kernel: Arc::clone(kernel),
                 pulls: HeldPulls::default(),
                 reports: NodeReports::default(),
+                quotas: Quotas::default(),
                 introductions: Mutex::default(),
                 inputs,
                 input_receiver,
@@ -107,6 +111,12 @@
         change(&mut self.lock_replica_state());
     }
 
+    /// Term of this replica if it is the only leader at a time on the clock that counts suspension.
+    pub(crate) fn sole_leader_term(&self, boot_us: u64) -> Option<u64> {
+        let state = self.lock_replica_state();
+        (state.is_leader() && boot_us < state.sole_leader_until_boot_us).then_some(state.term)
+    }
+
     /// Stores the introduction of a starting node and returns the records that it lacks.
     pub(crate) fn introduce(&self, introduction: Introduction) -> IntroductionReply {
         let now_us = self.kernel.clock.now_us();
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -6,6 +6,7 @@
 mod operator;
 mod operator_api;
 mod pulls;
+mod quotas;
 mod replica;
 mod replica_threads;
 mod reports;
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -212,6 +212,10 @@
                 reply(inbound, &ControlReply::Proposed(result));
             });
         }
+        ControlRequest::Quota(report) => {
+            let answer = control.quotas.handle(control, inbound.from, &report);
+            reply(inbound, &ControlReply::Quota(answer));
+        }
         ControlRequest::Read => {
             let control = Arc::clone(control);
             thread::spawn(move || reply(inbound, &ControlReply::Configuration(control.read())));
--- a/components/control/src/replica_threads.rs
+++ b/components/control/src/replica_threads.rs
@@ -5,7 +5,7 @@
     Input, Message, Output, RecoveredState, Replica, ReplicaConfig, ReplicaId, ReplicaNumber, Write,
 };
 use crossbeam::channel::{Receiver, Sender, unbounded};
-use kernel::Event;
+use kernel::{Clock, Event};
 use mesh::Channel;
 use std::{
     sync::Arc,
@@ -22,6 +22,9 @@
 /// Most queued inputs handled in a row before the replica's timer is checked.
 const MAX_INPUT_BATCH: usize = 64;
 
+/// Difference between two readings of the clocks from which on the host was suspended.
+const MAX_CLOCK_DRIFT_US: u64 = 10_000;
+
 /// Largest number of a replica of a fixed group; numbers that encode an address are larger.
 const MAX_FIXED_NUMBER: ReplicaNumber = u32::MAX as ReplicaNumber;
 
@@ -67,6 +70,8 @@
                     published_is_voter: false,
                     published_voters: Vec::new(),
                     published_is_current: false,
+                    clock_offset_us: u64::MAX / 2,
+                    resumed_us: 0,
                 }
                 .run();
             }
@@ -93,6 +98,10 @@
     published_voters: Vec<ReplicaNumber>,
     /// Whether the published state says that this replica is current.
     published_is_current: bool,
+    /// Difference between the clock that counts suspension and the replica's clock.
+    clock_offset_us: u64,
+    /// Time at which the host resumed after its last suspension.
+    resumed_us: u64,
 }
 
 impl EventLoop {
@@ -135,6 +144,33 @@
             self.publish_state();
         }
         self.publish_currency();
+        self.publish_sole_leader();
+    }
+
+    /// Publishes until when this replica is the only leader. Both clocks are read such that a
+    /// suspension of the host between them only shortens the time.
+    fn publish_sole_leader(&mut self) {
+        let boot_us = Clock::boot_us();
+        let now_us = self.now_us();
+        self.note_suspension(now_us, boot_us);
+        let is_confirmed_since = |until_us: &u64| {
+            *until_us >= self.resumed_us + self.replica.shortest_election_timeout_us()
+        };
+        let until_us = self.replica.sole_leader_until_us(now_us);
+        let until_us = until_us.filter(is_confirmed_since).unwrap_or(0);
+        let until_boot_us = boot_us + until_us.saturating_sub(now_us);
+        self.control
+            .update_replica_state(|state| state.sole_leader_until_boot_us = until_boot_us);
+    }
+
+    /// Notes when the host was suspended, which the clock of the replica doesn't count: heartbeats
+    /// from before show nothing about the others' elections.
+    fn note_suspension(&mut self, now_us: u64, boot_us: u64) {
+        let offset_us = boot_us.saturating_sub(now_us);
+        if offset_us > self.clock_offset_us + MAX_CLOCK_DRIFT_US {
+            self.resumed_us = now_us;
+        }
+        self.clock_offset_us = offset_us;
     }
 
     /// Publishes whether this replica is current; that also changes as time passes.
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -4,6 +4,7 @@
 use errors::ErrorKind;
 use members::{Introduction, IntroductionReply};
 use model::Revision;
+use quota::{QuotaAnswer, QuotaReport};
 use registry::{Change, Delta};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -34,6 +35,8 @@
     Propose(Box<Change>),
     /// Asks the leader for the newest configuration.
     Read,
+    /// Reports a node's demand for quotas of customers to the leader.
+    Quota(QuotaReport),
 }
 
 /// Reply to a [`ControlRequest`].
@@ -60,4 +63,6 @@
     /// As `NoLeader`; the replica has a configuration that the requester lacks, which may not be
     /// the newest.
     Unconfirmed(Box<Delta>),
+    /// Answer to a report about quotas.
+    Quota(QuotaAnswer),
 }
