Admit calls by the quotas of their customers at the entry

Cause: nodes had no use of the shares that the coordinator grants.

Change: plug-in quotas at the node reports to the leader and keeps the shares. The entry charges each call of a customer with a rate, refuses it as quota-exceeded (429) or quota-unconfirmed (503) with retry-after, and gives the token of a call back that ends as not run. The customer of a call is not known yet: entry/quota.rs has one function for it. Metrics gyard_quota_*, a line per second about refusals.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -1,15 +1,18 @@
 //! A whole deployment in one process: control replicas and nodes on loopback, for the demo, the
 //! measurements and the tests.
 
+use config::Configuration;
+use control::OperatorApi;
 use kernel::{Kernel, KernelHandle, KindLabels, Settings, StartError};
 use log::LevelFilter;
-use model::{AvailabilityZone, HostName, Profile, Region};
+use model::{AvailabilityZone, HostName, Profile, Region, Revision};
 use serde_json::{Value, json};
 use settings::{CallHeaders, ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings};
 use snafu::Snafu;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -226,7 +229,7 @@
     /// # Panics
     ///
     /// If the node is not running.
-    pub fn node(&self, index: usize) -> &Kernel {
+    pub fn node(&self, index: usize) -> &Arc<Kernel> {
         self.nodes[index]
             .handle
             .as_ref()
@@ -301,6 +304,28 @@
         Ok(number as usize - 1)
     }
 
+    /// Submits a whole configuration at any running replica.
+    pub fn configure(&self, configuration: &Configuration) -> Result<Revision, DeploymentError> {
+        let until = Instant::now() + CONDITION_TIMEOUT;
+        loop {
+            let running = self
+                .replicas
+                .iter()
+                .filter_map(|process| process.handle.as_ref());
+            for handle in running {
+                let api = OperatorApi::new(handle.kernel());
+                match api.configure(configuration.clone()) {
+                    Ok(revision) => return Ok(revision),
+                    Err((kind, detail)) if Instant::now() >= until => {
+                        let reason = format!("{kind}: {detail}");
+                        return Err(DeploymentError::Operator { reason });
+                    }
+                    Err(_) => thread::sleep(POLL_INTERVAL),
+                }
+            }
+        }
+    }
+
     /// Adds a profile and returns the revision number.
     pub fn add_profile(&self, profile: &Profile) -> Result<u64, DeploymentError> {
         let id = format!("add-{}", profile.name);
--- /dev/null
+++ b/components/bench/tests/quotas.rs
@@ -0,0 +1,161 @@
+//! Guards against quotas that don't hold over the nodes of a real deployment, refuse calls within the
+//! limit, or end when the leader of the control group is killed.
+
+mod system;
+
+use bench::deployment::{Deployment, DeploymentConfig};
+use config::{CallerLimits, Configuration, Customer, Quantity};
+use errors::ErrorKind;
+use node::QuotaGate;
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use system::{test_lock, wait_until};
+
+const RATE: i64 = 60;
+const WINDOW: Duration = Duration::from_secs(5);
+/// The required bound; the pause of a thread between its admission and its record of it counts too.
+const MOST_IN_WINDOW: f64 = (RATE as f64 * 5.0 + RATE as f64) * 1.1 + 20.0;
+
+fn customer(name: &str, rate: Option<i64>) -> Customer {
+    Customer {
+        name: Arc::from(name),
+        keys: Vec::new(),
+        rank: None,
+        rate_per_s: rate.map(Quantity::Whole),
+        burst: rate.map(Quantity::Whole),
+    }
+}
+
+fn configuration(version: u64) -> Configuration {
+    Configuration {
+        version,
+        services: Vec::new(),
+        limits: CallerLimits {
+            max_head_bytes: 16_384,
+            max_body_bytes: 65_536,
+            head_timeout_ms: 5_000,
+            idle_timeout_ms: 60_000,
+        },
+        hosts: Vec::new(),
+        customers: Some(vec![
+            customer("busy", Some(RATE)),
+            customer("quiet", Some(RATE)),
+            customer("unlimited", None),
+        ]),
+    }
+}
+
+fn start() -> Deployment {
+    let mut config = DeploymentConfig::new(&["zone-1", "zone-2", "zone-3"]);
+    config.decision_log_percent = 0;
+    let deployment = Deployment::start(&config).unwrap();
+    deployment.configure(&configuration(1)).unwrap();
+    for index in 0..3 {
+        wait_until("the configuration is in effect", || {
+            let routes = deployment.node(index).profiles.routes();
+            routes.is_some_and(|table| table.configuration().version == 1)
+        });
+    }
+    deployment
+}
+
+type Calls = Arc<Mutex<Vec<(Instant, Result<(), ErrorKind>)>>>;
+
+/// Sends calls of a customer to all nodes with a pause after each, until `stop`.
+fn send_calls(
+    deployment: &Deployment,
+    name: &'static str,
+    pause: Duration,
+    stop: &Arc<AtomicBool>,
+) -> (Calls, Vec<thread::JoinHandle<()>>) {
+    let calls = Calls::default();
+    let senders = (0..3).map(|index| {
+        let gate = QuotaGate::for_kernel(deployment.node(index));
+        let (calls, stop) = (Arc::clone(&calls), Arc::clone(stop));
+        thread::spawn(move || {
+            let name = Arc::from(name);
+            while !stop.load(Ordering::Relaxed) {
+                let result = gate
+                    .admit(&name)
+                    .map(|_| ())
+                    .map_err(|refused| refused.kind);
+                calls.lock().unwrap().push((Instant::now(), result));
+                thread::sleep(pause);
+            }
+        })
+    });
+    let senders = senders.collect();
+    (calls, senders)
+}
+
+fn admitted(calls: &Calls, from: Instant, until: Instant) -> usize {
+    let calls = calls.lock().unwrap();
+    let in_time = calls.iter().filter(|(at, _)| (from..until).contains(at));
+    in_time.filter(|(_, result)| result.is_ok()).count()
+}
+
+fn worst_window(calls: &Calls) -> usize {
+    let starts: Vec<Instant> = calls.lock().unwrap().iter().map(|(at, _)| *at).collect();
+    let counts = starts.iter().map(|at| admitted(calls, *at, *at + WINDOW));
+    counts.max().unwrap_or(0)
+}
+
+fn refused(calls: &Calls, from: Instant, kind: ErrorKind) -> usize {
+    let calls = calls.lock().unwrap();
+    let late = calls.iter().filter(|(at, _)| *at >= from);
+    late.filter(|(_, result)| *result == Err(kind)).count()
+}
+
+#[test]
+fn killed_leader() {
+    let _lock = test_lock();
+    let mut deployment = start();
+    let stop = Arc::new(AtomicBool::new(false));
+    // Three senders of about 250 calls/s each, and three of 10 calls/s each.
+    let (busy, mut senders) = send_calls(&deployment, "busy", Duration::from_millis(4), &stop);
+    let (quiet, more) = send_calls(&deployment, "quiet", Duration::from_millis(100), &stop);
+    senders.extend(more);
+    let (unlimited, more) = send_calls(&deployment, "unlimited", Duration::from_millis(50), &stop);
+    senders.extend(more);
+    thread::sleep(Duration::from_secs(4));
+    let settled = Instant::now();
+    thread::sleep(Duration::from_secs(6));
+    let before = admitted(&busy, settled, Instant::now());
+    let quiet_refused = refused(&quiet, settled, ErrorKind::QuotaExceeded)
+        + refused(&quiet, settled, ErrorKind::QuotaUnconfirmed);
+    let leader = deployment.leader().unwrap();
+    deployment.kill_replica(leader);
+    let killed = Instant::now();
+    thread::sleep(Duration::from_secs(8));
+    let after = Instant::now();
+    thread::sleep(Duration::from_secs(4));
+    stop.store(true, Ordering::Relaxed);
+    senders
+        .into_iter()
+        .for_each(|sender| sender.join().unwrap());
+    let late = admitted(&busy, after, Instant::now());
+    println!(
+        "busy: {before} in 6 s before the kill, {late} in the last 4 s, worst window {}; quiet: {quiet_refused} refused before, {} over its limit and {} unconfirmed after the kill",
+        worst_window(&busy),
+        refused(&quiet, killed, ErrorKind::QuotaExceeded),
+        refused(&quiet, killed, ErrorKind::QuotaUnconfirmed),
+    );
+    assert!(worst_window(&busy) as f64 <= MOST_IN_WINDOW);
+    // Far below the rate, so that a slow machine fails nothing.
+    assert!(before as i64 >= RATE * 6 / 2, "{before} calls in 6 s");
+    assert!(
+        late as i64 >= RATE * 4 / 2,
+        "{late} calls in 4 s after the kill"
+    );
+    assert!(refused(&busy, settled, ErrorKind::QuotaExceeded) > 0);
+    assert_eq!(quiet_refused, 0);
+    assert_eq!(refused(&quiet, killed, ErrorKind::QuotaExceeded), 0);
+    assert_eq!(refused(&unlimited, settled, ErrorKind::QuotaExceeded), 0);
+    assert_eq!(refused(&unlimited, settled, ErrorKind::QuotaUnconfirmed), 0);
+}
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -129,6 +129,10 @@
     StopTimeout,
     /// The same request was in flight when several upstreams crashed; it is held until a trial.
     CrashHold,
+    /// The customer is over its limit.
+    QuotaExceeded,
+    /// The node has no share of the customer's rate and can't get one.
+    QuotaUnconfirmed,
 }
 
 impl ErrorKind {
@@ -179,6 +183,8 @@
         ErrorKind::Internal,
         ErrorKind::StopTimeout,
         ErrorKind::CrashHold,
+        ErrorKind::QuotaExceeded,
+        ErrorKind::QuotaUnconfirmed,
     ];
 
     /// How this kind is reported.
@@ -499,6 +505,20 @@
                 "The node stopped while it waited for the answer.",
                 "Resend only if the call is idempotent or carries an idempotency-key.",
             ),
+            ErrorKind::QuotaExceeded => (
+                "quota-exceeded",
+                429,
+                Outcome::NotRun,
+                "The customer is over its rate and has used its burst.",
+                "Retry after the time in retry-after, or raise the customer's rate.",
+            ),
+            ErrorKind::QuotaUnconfirmed => (
+                "quota-unconfirmed",
+                503,
+                Outcome::NotRun,
+                "The node has no share of the customer's rate left and can't get one at present.",
+                "Retry after the time in retry-after; check the control group if it persists.",
+            ),
         };
         ErrorInfo {
             code,
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -65,6 +65,12 @@
     pub crash_reports_waiting: Gauge,
     /// Bytes that may be sent about crash suspects at once; nothing is while this is not above 0.
     pub crash_report_budget_bytes: Gauge,
+    /// Calls of customers with a rate, by decision; and those whose token was given back.
+    pub quota_calls: Family<KindLabels, Counter>,
+    /// Customers of which this node holds a share.
+    pub quota_customers: Gauge,
+    /// Whether the shares of this node may be used: 1 or 0.
+    pub quota_lease: Gauge,
     /// Calls running at the local upstream.
     pub in_flight: Gauge,
     /// Calls waiting at this owner.
@@ -111,6 +117,9 @@
             crash_suspects: Family::default(),
             crash_reports_waiting: Gauge::default(),
             crash_report_budget_bytes: Gauge::default(),
+            quota_calls: Family::default(),
+            quota_customers: Gauge::default(),
+            quota_lease: Gauge::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
             started: Counter::default(),
@@ -169,6 +178,21 @@
             "Bytes that may be sent about crash suspects at once",
             self.crash_report_budget_bytes.clone(),
         );
+        registry.register(
+            "quota_calls",
+            "Calls of customers with a rate",
+            self.quota_calls.clone(),
+        );
+        registry.register(
+            "quota_customers",
+            "Customers with a share at this node",
+            self.quota_customers.clone(),
+        );
+        registry.register(
+            "quota_lease",
+            "Whether the shares may be used",
+            self.quota_lease.clone(),
+        );
         registry.register(
             "in_flight",
             "Calls running at the upstream",
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -30,6 +30,8 @@
     pub(crate) revision_offers: RevisionOffers,
     /// Whether this node knows the crash suspects of its peers; it runs no calls before.
     pub(crate) knows_suspects: AtomicBool,
+    /// Mesh addresses of the control replicas.
+    control_replicas: RwLock<Arc<[SocketAddr]>>,
     /// Mesh addresses of the other live nodes.
     peers: RwLock<Arc<[SocketAddr]>>,
     /// Time of the stop request; unset while the node is not stopping.
@@ -53,6 +55,7 @@
             generations: ConnectionGenerations::default(),
             revision_offers: RevisionOffers::new(),
             knows_suspects: AtomicBool::new(false),
+            control_replicas: RwLock::new(Arc::from(&kernel.node_settings().control[..])),
             peers: RwLock::new(Arc::from([])),
             stop_requested_us: OnceLock::new(),
             max_seen_nodes: AtomicU32::new(0),
@@ -155,6 +158,18 @@
         Arc::clone(&peers)
     }
 
+    /// Mesh addresses of the control replicas: of the settings, or as the group named them last.
+    pub(crate) fn control_replicas(&self) -> Arc<[SocketAddr]> {
+        let replicas = self.control_replicas.read();
+        Arc::clone(&replicas.unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Records the control replicas that the group has named.
+    pub(crate) fn set_control_replicas(&self, named: &[SocketAddr]) {
+        let replicas = self.control_replicas.write();
+        *replicas.unwrap_or_else(PoisonError::into_inner) = Arc::from(named);
+    }
+
     /// Records the live nodes that gossip knows now; returns their number, with this one.
     pub(crate) fn set_live_nodes(&self, nodes: impl Iterator<Item = SocketAddr>) -> usize {
         let own = self.kernel.mesh.local_id().mesh;
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -5,11 +5,12 @@
 mod decision;
 mod driver;
 mod key_claims;
+mod quota;
 mod reply;
 mod routes;
 mod status_queries;
 
-use crate::context::NodeContext;
+use crate::{context::NodeContext, quotas::QuotaGate};
 use driver::CallDriver;
 use errors::ErrorKind;
 use http::{
@@ -50,6 +51,7 @@
 pub(crate) struct Entry {
     context: Arc<NodeContext>,
     routes: Routes,
+    quotas: Arc<QuotaGate>,
     /// Random number of this entry, which is part of the ids of its calls.
     origin: u64,
     next_sequence: AtomicU64,
@@ -66,6 +68,7 @@
     })?;
     let entry = Arc::new(Entry {
         routes: Routes::new(&context),
+        quotas: QuotaGate::for_kernel(kernel),
         origin: rand::random(),
         next_sequence: AtomicU64::new(1),
         context: Arc::clone(&context),
@@ -188,6 +191,10 @@
                 return self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
             }
         };
+        let permit = match self.charge_quota(&prepared) {
+            Ok(permit) => permit,
+            Err(refusal) => return self.quota_response(&prepared, refusal),
+        };
         let target_ms = match prepared.target_us {
             u64::MAX => DEFAULT_TARGET_MS,
             target_us => target_us.saturating_sub(arrived_us) / 1_000,
@@ -200,6 +207,7 @@
         metrics.calls.get_or_create(&labels).inc();
         let (call, service) = (prepared.call, prepared.service.clone());
         let result = CallDriver::new(self, prepared, caller).run(caller);
+        Self::settle_quota(permit, &result);
         let elapsed_us = self.context.kernel.clock.now_us() - arrived_us;
         metrics
             .call_seconds
--- /dev/null
+++ b/components/node/src/entry/quota.rs
@@ -0,0 +1,44 @@
+//! Charges calls to the quotas of their customers.
+
+use super::{Entry, call::PreparedCall};
+use crate::quotas::{QuotaPermit, QuotaRefusal};
+use errors::ErrorKind;
+use http::{Response, error_response};
+use kernel::ErrorLabels;
+use std::sync::Arc;
+
+/// The customer on whose behalf a call is made, if it counts towards a quota.
+fn customer_of(_call: &PreparedCall) -> Option<&Arc<str>> {
+    None
+}
+
+impl Entry {
+    /// Charges a call to its customer, or refuses it.
+    pub(super) fn charge_quota(&self, call: &PreparedCall) -> Result<QuotaPermit, QuotaRefusal> {
+        match customer_of(call) {
+            Some(customer) => self.quotas.admit(customer),
+            None => Ok(QuotaPermit::unlimited()),
+        }
+    }
+
+    /// Gives the token of a call back if the call ended as not run.
+    pub(super) fn settle_quota(permit: QuotaPermit, result: &Result<Response, ErrorKind>) {
+        if let Err(kind) = result
+            && kind.is_not_run()
+        {
+            permit.give_back();
+        }
+    }
+
+    /// Response to a call that is refused by the quota of its customer.
+    pub(super) fn quota_response(&self, call: &PreparedCall, refusal: QuotaRefusal) -> Response {
+        let labels = ErrorLabels {
+            service: call.service.to_string(),
+            code: refusal.kind.info().code.to_owned(),
+        };
+        let errors = &self.context.kernel.metrics.errors;
+        errors.get_or_create(&labels).inc();
+        let seconds = refusal.retry_after_ms as f64 / 1_000.0;
+        error_response(refusal.kind).with_header("retry-after", format!("{seconds:.3}"))
+    }
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! Plug-ins of the node: `entry` accepts calls, `owner` runs them at the local instance, `platform`
-//! serves that instance and metrics, `gossip` tracks the other nodes, `suspects` exchanges crash
+//! serves that instance and metrics, `quotas` admits calls within
+//! the limits of customers, `gossip` tracks the other nodes, `suspects` exchanges crash
 //! suspects with them, `sync` pulls configuration.
 
 mod announce;
@@ -13,12 +14,14 @@
 mod owner;
 mod platform;
 mod probes;
+mod quotas;
 mod revision_offers;
 mod suspects;
 mod sync;
 
 pub use announce::Announcement;
 pub use instance_api::InstanceApi;
+pub use quotas::{QuotaGate, QuotaPermit, QuotaRefusal};
 
 /// Does nothing; a call to it makes the linker keep this crate, whose plug-ins register themselves.
 pub fn register() {}
--- /dev/null
+++ b/components/node/src/quotas/mod.rs
@@ -0,0 +1,278 @@
+//! Plug-in `quotas`: admits calls of customers within their limits, by the shares that the
+//! coordinator in the control group grants to this node.
+
+mod refusal_log;
+mod reporter;
+
+use crate::context::NodeContext;
+use config::Configuration;
+use crossbeam::channel::{Receiver, Sender, bounded};
+use errors::ErrorKind;
+use kernel::{Clock, Event, Kernel, KindLabels, PluginEntry, Role, RunningPlugin, StartError};
+use quota::{ANSWER_TIMEOUT_US, Admission, NodeQuota, QuotaReport, Ticket, Verdict};
+use refusal_log::RefusalLog;
+use reporter::Reporter;
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread::Builder,
+    time::Duration,
+};
+
+/// Longest wait of a call; the decision is due before, unless this process is short of time.
+const MAX_WAIT: Duration = Duration::from_micros(ANSWER_TIMEOUT_US + 100_000);
+/// Retry time of a call without a decision, in milliseconds.
+const UNDECIDED_RETRY_MS: u64 = 500;
+
+inventory::submit! {
+    PluginEntry { name: "quotas", role: Role::Node, order: 45, start }
+}
+
+fn start(kernel: &Arc<Kernel>) -> Result<RunningPlugin, StartError> {
+    let gate = QuotaGate::for_kernel(kernel);
+    kernel
+        .events
+        .apply_on(|event| matches!(event, Event::ProfilesChanged(_)), {
+            let gate = Arc::clone(&gate);
+            move || gate.apply_configuration()
+        });
+    let reporter = Reporter::new(NodeContext::for_kernel(kernel), gate);
+    let thread = Builder::new()
+        .name("quotas".to_owned())
+        .spawn(move || reporter.run())
+        .map_err(|error| StartError::new("quotas", error))?;
+    Ok(RunningPlugin::with_stop(move || {
+        let _ = thread.join();
+    }))
+}
+
+/// Why a call of a customer is refused, and when to repeat it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaRefusal {
+    /// `QuotaExceeded` or `QuotaUnconfirmed`.
+    pub kind: ErrorKind,
+    /// Time until the call may succeed, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// Permission to run one call.
+pub struct QuotaPermit {
+    /// Gate and customer, if the customer has a rate.
+    charged: Option<(Arc<QuotaGate>, Arc<str>)>,
+}
+
+impl QuotaPermit {
+    /// Permission for a call that counts towards no limit.
+    pub fn unlimited() -> Self {
+        QuotaPermit { charged: None }
+    }
+
+    /// Gives the token back, since the call has not run and won't run.
+    pub fn give_back(self) {
+        if let Some((gate, customer)) = self.charged {
+            gate.count("returned");
+            gate.lock().quota.give_back(Clock::boot_us(), &customer);
+        }
+    }
+}
+
+/// Admits the calls of customers at one node.
+pub struct QuotaGate {
+    kernel: Arc<Kernel>,
+    state: Mutex<GateState>,
+    /// Wakes the reporter when a call waits.
+    wake: Sender<()>,
+    wakes: Receiver<()>,
+}
+
+struct GateState {
+    quota: NodeQuota,
+    waiting: HashMap<Ticket, Sender<Verdict>>,
+    next_ticket: Ticket,
+    /// Customers with a rate.
+    limited: HashSet<Arc<str>>,
+    configuration: Option<Arc<Configuration>>,
+    refusal_log: RefusalLog,
+}
+
+impl QuotaGate {
+    /// The gate of this kernel's node, created on first use.
+    pub fn for_kernel(kernel: &Arc<Kernel>) -> Arc<QuotaGate> {
+        kernel.shared(|| {
+            let (wake, wakes) = bounded(1);
+            QuotaGate {
+                kernel: Arc::clone(kernel),
+                state: Mutex::new(GateState {
+                    quota: NodeQuota::new(Clock::boot_us()),
+                    waiting: HashMap::new(),
+                    next_ticket: 0,
+                    limited: HashSet::new(),
+                    configuration: None,
+                    refusal_log: RefusalLog::default(),
+                }),
+                wake,
+                wakes,
+            }
+        })
+    }
+
+    /// Admits a call of a customer or refuses it; waits for the coordinator if this node has no
+    /// token.
+    ///
+    /// # Errors
+    ///
+    /// The reason for the refusal. The call must not run then.
+    pub fn admit(self: &Arc<Self>, customer: &Arc<str>) -> Result<QuotaPermit, QuotaRefusal> {
+        let verdict = match self.decide_or_wait(customer) {
+            Decision::Unlimited => return Ok(QuotaPermit::unlimited()),
+            Decision::Made(verdict) => verdict,
+            Decision::Waiting(ticket, decision) => {
+                let decided = decision.recv_timeout(MAX_WAIT).ok();
+                decided.unwrap_or_else(|| self.end_wait(customer, ticket, &decision))
+            }
+        };
+        let (kind, retry_after_ms) = match verdict {
+            Verdict::Admitted => {
+                self.count("admitted");
+                let charged = Some((Arc::clone(self), Arc::clone(customer)));
+                return Ok(QuotaPermit { charged });
+            }
+            Verdict::OverLimit { retry_after_ms } => {
+                self.count("over-limit");
+                (ErrorKind::QuotaExceeded, retry_after_ms)
+            }
+            Verdict::Unavailable { retry_after_ms } => {
+                self.count("unconfirmed");
+                (ErrorKind::QuotaUnconfirmed, retry_after_ms)
+            }
+        };
+        let refusal = QuotaRefusal {
+            kind,
+            retry_after_ms,
+        };
+        self.log_refusal(customer, refusal);
+        Err(refusal)
+    }
+
+    fn decide_or_wait(&self, customer: &Arc<str>) -> Decision {
+        let mut state = self.lock();
+        if !state.limited.contains(customer) {
+            return Decision::Unlimited;
+        }
+        state.next_ticket += 1;
+        let ticket = state.next_ticket;
+        match state.quota.admit(Clock::boot_us(), customer, ticket) {
+            Admission::Decided(verdict) => Decision::Made(verdict),
+            Admission::Waiting => {
+                let (sender, decision) = bounded(1);
+                state.waiting.insert(ticket, sender);
+                drop(state);
+                // Full if the reporter has not handled the last wake-up yet.
+                let _ = self.wake.try_send(());
+                Decision::Waiting(ticket, decision)
+            }
+        }
+    }
+
+    /// Ends the wait of a call, unless it has been decided just now.
+    fn end_wait(&self, customer: &str, ticket: Ticket, decision: &Receiver<Verdict>) -> Verdict {
+        let mut state = self.lock();
+        if let Ok(verdict) = decision.try_recv() {
+            return verdict;
+        }
+        state.waiting.remove(&ticket);
+        state.quota.cancel(customer, ticket);
+        Verdict::Unavailable {
+            retry_after_ms: UNDECIDED_RETRY_MS,
+        }
+    }
+
+    /// Passes time: decides waiting calls, and returns the next report if one is due, and the time
+    /// until the next step.
+    fn poll(&self) -> (Option<QuotaReport>, Duration) {
+        let mut state = self.lock();
+        let now_us = Clock::boot_us();
+        let decided = state.quota.expire(now_us);
+        state.deliver(decided);
+        let report = state.quota.poll(now_us);
+        let wait_us = state.quota.next_poll_us().saturating_sub(now_us);
+        let metrics = &self.kernel.metrics;
+        metrics
+            .quota_customers
+            .set(i64::try_from(state.quota.shares().0).unwrap_or(i64::MAX));
+        metrics
+            .quota_lease
+            .set(i64::from(state.quota.has_lease(now_us)));
+        let longest = match state.waiting.is_empty() {
+            true => reporter::MAX_PAUSE,
+            false => reporter::WAITING_PAUSE,
+        };
+        (report, Duration::from_micros(wait_us).min(longest))
+    }
+
+    /// Applies the customers of the configuration in effect.
+    fn apply_configuration(&self) {
+        let set = self.kernel.profiles.current();
+        let mut state = self.lock();
+        let is_same = match (set.configuration(), &state.configuration) {
+            (Some(newest), Some(applied)) => Arc::ptr_eq(newest, applied),
+            (newest, applied) => newest.is_none() && applied.is_none(),
+        };
+        if is_same {
+            return;
+        }
+        let customers = set.configuration().and_then(|c| c.customers.as_deref());
+        let customers = customers.unwrap_or_default();
+        let names = customers.iter().map(|customer| Arc::clone(&customer.name));
+        state.quota.set_customers(names);
+        let limited = customers.iter().filter(|customer| {
+            let rate = customer.rate_per_s;
+            rate.is_some_and(|rate| rate.as_f64() > 0.0)
+        });
+        state.limited = limited.map(|customer| Arc::clone(&customer.name)).collect();
+        state.configuration = set.configuration().cloned();
+    }
+
+    fn log_refusal(&self, customer: &str, refusal: QuotaRefusal) {
+        let mut state = self.lock();
+        let now_us = Clock::boot_us();
+        let Some(suppressed) = state.refusal_log.take_turn(now_us) else {
+            return;
+        };
+        let share_per_s = state.quota.share_per_s(customer);
+        let lease_ms = state.quota.lease_left_us(now_us) / 1_000;
+        drop(state);
+        log::info!(
+            "quotas: a call of customer {customer} refused, {}; share {share_per_s:.1} calls/s, lease {lease_ms} ms, retry after {} ms; {suppressed} more refusals since the last line.",
+            refusal.kind,
+            refusal.retry_after_ms
+        );
+    }
+
+    fn count(&self, kind: &'static str) {
+        let calls = &self.kernel.metrics.quota_calls;
+        calls.get_or_create(&KindLabels { kind }).inc();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Decision about a call on arrival.
+enum Decision {
+    Unlimited,
+    Made(Verdict),
+    Waiting(Ticket, Receiver<Verdict>),
+}
+
+impl GateState {
+    fn deliver(&mut self, decided: Vec<(Ticket, Verdict)>) {
+        for (ticket, verdict) in decided {
+            if let Some(waiting) = self.waiting.remove(&ticket) {
+                // Has room: each ticket is decided once.
+                let _ = waiting.try_send(verdict);
+            }
+        }
+    }
+}
--- a/components/node/src/sync/discovery.rs
+++ b/components/node/src/sync/discovery.rs
@@ -80,6 +80,7 @@
         if let Some(ControlReply::Replicas(named)) = reply
             && !named.is_empty()
         {
+            self.context.set_control_replicas(&named);
             self.replicas().adopt(named);
         }
     }
--- a/components/quota/src/local.rs
+++ b/components/quota/src/local.rs
@@ -20,6 +20,8 @@
 /// Change of the needed share from which it is reported, as factors.
 const LOWER: f64 = 0.7;
 const HIGHER: f64 = 1.25;
+/// Longest time after which a refused call is to be repeated.
+const MAX_RETRY_US: u64 = 5_000_000;
 /// Least part of a token that is given back.
 const MIN_RETURNED: f64 = 1.0 / UNITS_PER_CALL;
 /// Time whose share is given back at once, in seconds.
@@ -42,6 +44,8 @@
     /// The coordinator is not asked again before.
     paused_until_us: u64,
     reported_us: u64,
+    /// Time at which the call that was refused last is to be repeated.
+    retry_us: u64,
 }
 
 impl LocalQuota {
@@ -58,6 +62,7 @@
             returned: 0.0,
             paused_until_us: 0,
             reported_us: 0,
+            retry_us: 0,
         }
     }
 
@@ -96,13 +101,17 @@
         (left_us > 0).then_some(left_us.div_ceil(1_000))
     }
 
-    /// Time until the share refills a token, but at least the pause.
-    pub(crate) fn retry_after_ms(&self, pause_ms: u64) -> u64 {
-        if self.share == 0 {
-            return pause_ms;
-        }
-        let refill_ms = 1_000.0 * (1.0 - self.held).max(0.0) / per_s(self.share);
-        pause_ms.max(refill_ms as u64)
+    /// Time until a token is refilled for one more refused call, after those that were refused
+    /// before and are still to be repeated.
+    pub(crate) fn retry_after_ms(&mut self, now_us: u64, pause_ms: u64) -> u64 {
+        let refill_us = match self.share {
+            0 => pause_ms.max(1) * 1_000,
+            share => (1e6 / per_s(share)) as u64,
+        };
+        let earliest_us = now_us + pause_ms * 1_000;
+        let latest_us = now_us + MAX_RETRY_US;
+        self.retry_us = (self.retry_us + refill_us).clamp(earliest_us, latest_us);
+        (self.retry_us - now_us).div_ceil(1_000)
     }
 
     pub(crate) fn add_waiting(&mut self, now_us: u64, ticket: Ticket) {
--- a/components/quota/src/node.rs
+++ b/components/quota/src/node.rs
@@ -118,7 +118,7 @@
             return Admission::Decided(Verdict::Admitted);
         }
         if let Some(pause_ms) = quota.pause_ms(now_us) {
-            return Admission::Decided(shortage(self.is_settling, quota, pause_ms));
+            return Admission::Decided(shortage(now_us, self.is_settling, quota, pause_ms));
         }
         let may_ask = !self.is_cut_off && self.list.number(customer).is_some();
         if !may_ask && !quota.refills_within(MAX_REFILL_WAIT_US) {
@@ -254,6 +254,17 @@
         held.fold((0, 0.0), |(count, sum), share| (count + 1, sum + share))
     }
 
+    /// Share of a customer in calls per second.
+    pub fn share_per_s(&self, customer: &str) -> f64 {
+        let quota = self.customers.get(customer);
+        quota.map_or(0.0, LocalQuota::share_per_s)
+    }
+
+    /// Time for which the node's shares may still be used.
+    pub fn lease_left_us(&self, now_us: u64) -> u64 {
+        self.lease_until_us.saturating_sub(now_us)
+    }
+
     /// Whether the node's shares may be used.
     pub fn has_lease(&self, now_us: u64) -> bool {
         now_us < self.lease_until_us
@@ -322,7 +333,7 @@
                     Verdict::Admitted
                 } else if has_lease {
                     let pause_ms = quota.pause_ms(now_us).unwrap_or(0);
-                    shortage(self.is_settling, quota, pause_ms)
+                    shortage(now_us, self.is_settling, quota, pause_ms)
                 } else {
                     UNAVAILABLE
                 };
@@ -340,11 +351,11 @@
 }
 
 /// Verdict about a call for which the coordinator had no token.
-fn shortage(is_settling: bool, quota: &LocalQuota, pause_ms: u64) -> Verdict {
+fn shortage(now_us: u64, is_settling: bool, quota: &mut LocalQuota, pause_ms: u64) -> Verdict {
     match is_settling {
         true => UNAVAILABLE,
         false => Verdict::OverLimit {
-            retry_after_ms: quota.retry_after_ms(pause_ms),
+            retry_after_ms: quota.retry_after_ms(now_us, pause_ms),
         },
     }
 }
