Show the use of customers' quotas to operators

Cause: operators could not see which customers are refused calls or which nodes hold their shares. A coordinator took the time of its first report for its start, so that in a new deployment the first calls of all customers were refused for 2 s.

Change: gyard customers and GET /v1/customers collect counts and shares from the nodes. The coordinator counts from the time at which its replica became the only leader.

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -139,6 +139,46 @@
     pub address: SocketAddr,
 }
 
+/// Response to `GET /v1/customers`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CustomerList {
+    /// Revision of the configuration with the limits.
+    pub revision: Revision,
+    /// Customers by name.
+    pub customers: Vec<CustomerStatus>,
+    /// Nodes whose figures are missing, because they did not answer in time.
+    pub silent_nodes: Vec<SocketAddr>,
+}
+
+/// Limit of a customer and its use, summed over all nodes that answered. Nodes count since their
+/// start.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CustomerStatus {
+    /// Name of the customer.
+    pub name: String,
+    /// Calls per second over all nodes; no limit if absent.
+    pub rate_per_s: Option<f64>,
+    /// Calls beyond the rate that may come at once.
+    pub burst: f64,
+    /// Calls admitted, without those that have not run.
+    pub admitted: u64,
+    /// Calls refused because the customer was over its limit.
+    pub over_limit: u64,
+    /// Calls refused because their node had no share of the rate.
+    pub unconfirmed: u64,
+    /// Shares of the rate by node.
+    pub shares: Vec<CustomerShare>,
+}
+
+/// Share of a customer's rate that a node holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CustomerShare {
+    /// Mesh address of the node.
+    pub node: SocketAddr,
+    /// Calls per second.
+    pub calls_per_s: f64,
+}
+
 /// Body of every error response.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorBody {
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -348,6 +348,11 @@
         })
     }
 
+    /// The customers, with their use of quotas at all nodes.
+    pub fn customers(&self) -> Result<Value, DeploymentError> {
+        self.operator_request("GET", "/v1/customers", None)
+    }
+
     /// The group's status.
     pub fn status(&self) -> Result<Value, DeploymentError> {
         self.operator_request("GET", "/v1/status", None)
--- a/components/bench/tests/quotas.rs
+++ b/components/bench/tests/quotas.rs
@@ -129,6 +129,14 @@
     let before = admitted(&busy, settled, Instant::now());
     let quiet_refused = refused(&quiet, settled, ErrorKind::QuotaExceeded)
         + refused(&quiet, settled, ErrorKind::QuotaUnconfirmed);
+    let listed = deployment.customers().unwrap();
+    let busy_listed = &listed["customers"][0];
+    println!("listed: {busy_listed}");
+    assert_eq!(busy_listed["name"], "busy");
+    assert_eq!(busy_listed["rate_per_s"], RATE as f64);
+    assert!(busy_listed["admitted"].as_u64().unwrap() >= before as u64);
+    assert!(busy_listed["over_limit"].as_u64().unwrap() > 0);
+    assert!(listed["silent_nodes"].as_array().unwrap().is_empty());
     let leader = deployment.leader().unwrap();
     deployment.kill_replica(leader);
     let killed = Instant::now();
--- a/components/client/src/output.rs
+++ b/components/client/src/output.rs
@@ -1,6 +1,8 @@
 //! Text output of results: tables and lists.
 
-use api::{ChangeResponse, NodeStatus, ProfileEntry, ProfileList, Status};
+use api::{
+    ChangeResponse, CustomerList, CustomerStatus, NodeStatus, ProfileEntry, ProfileList, Status,
+};
 use std::io::{self, Write};
 
 /// Writes rows under a header, each column as wide as its longest cell.
@@ -33,6 +35,44 @@
         .unwrap_or_default()
 }
 
+pub(crate) fn write_customers(out: &mut dyn Write, list: &CustomerList) -> io::Result<()> {
+    writeln!(out, "revision {}", list.revision)?;
+    for node in &list.silent_nodes {
+        writeln!(out, "node {node} did not answer; its calls are missing")?;
+    }
+    if list.customers.is_empty() {
+        return writeln!(out, "no customers; a configuration sets them");
+    }
+    let header = [
+        "CUSTOMER",
+        "RATE/S",
+        "BURST",
+        "ADMITTED",
+        "OVER LIMIT",
+        "UNCONFIRMED",
+        "SHARES",
+    ];
+    let rows: Vec<Vec<String>> = list.customers.iter().map(customer_row).collect();
+    write_table(out, &header, &rows)
+}
+
+fn customer_row(customer: &CustomerStatus) -> Vec<String> {
+    let shares = customer.shares.iter();
+    let shares: Vec<String> = shares
+        .map(|share| format!("{} {:.1}", share.node, share.calls_per_s))
+        .collect();
+    let rate = customer.rate_per_s;
+    vec![
+        customer.name.clone(),
+        rate.map_or_else(|| "no limit".to_owned(), |rate| rate.to_string()),
+        customer.burst.to_string(),
+        customer.admitted.to_string(),
+        customer.over_limit.to_string(),
+        customer.unconfirmed.to_string(),
+        shares.join(", "),
+    ]
+}
+
 pub(crate) fn write_profile_list(out: &mut dyn Write, list: &ProfileList) -> io::Result<()> {
     writeln!(out, "revision {}", list.revision)?;
     if list.profiles.is_empty() {
--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -41,6 +41,16 @@
     pub(crate) storage_error: Option<String>,
     /// Time on the clock that counts suspension until which no other replica leads.
     pub(crate) sole_leader_until_boot_us: u64,
+    /// The last term in which this replica was the only leader.
+    pub(crate) sole_leadership: Option<SoleLeadership>,
+}
+
+/// A term in which this replica is the only leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SoleLeadership {
+    pub(crate) term: u64,
+    /// Time on the clock that counts suspension at which this replica knew first that no other leads.
+    pub(crate) since_boot_us: u64,
 }
 
 impl ReplicaState {
@@ -111,10 +121,12 @@
         change(&mut self.lock_replica_state());
     }
 
-    /// Term of this replica if it is the only leader at a time on the clock that counts suspension.
-    pub(crate) fn sole_leader_term(&self, boot_us: u64) -> Option<u64> {
+    /// The term of this replica and its beginning, if it is the only leader at a time on the clock
+    /// that counts suspension.
+    pub(crate) fn sole_leadership(&self, boot_us: u64) -> Option<SoleLeadership> {
         let state = self.lock_replica_state();
-        (state.is_leader() && boot_us < state.sole_leader_until_boot_us).then_some(state.term)
+        let leadership = state.sole_leadership.filter(|of| of.term == state.term);
+        leadership.filter(|_| state.is_leader() && boot_us < state.sole_leader_until_boot_us)
     }
 
     /// Stores the introduction of a starting node and returns the records that it lacks.
--- /dev/null
+++ b/components/control/src/customers.rs
@@ -0,0 +1,97 @@
+//! Collects the use of the quotas of customers from all nodes, for operators.
+
+use crate::context::ControlContext;
+use api::{CustomerList, CustomerShare, CustomerStatus};
+use config::{Customer, Quantity};
+use mesh::Channel;
+use registry::Delta;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use wire::{CustomerQuotaUse, NodeReport, SyncReply, SyncRequest};
+
+/// Longest wait for the nodes.
+const NODES_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The customers of the newest configuration, with their use at the nodes that answer.
+pub(crate) fn list(
+    control: &ControlContext,
+    newest: &Delta,
+    reports: &[NodeReport],
+) -> CustomerList {
+    let configured = newest.settings.configuration.as_ref();
+    let configured = configured.and_then(|configuration| configuration.customers.as_deref());
+    let mut customers: BTreeMap<String, CustomerStatus> = configured
+        .unwrap_or_default()
+        .iter()
+        .map(|customer| (customer.name.to_string(), unused(customer)))
+        .collect();
+    let mut silent: BTreeSet<SocketAddr> = match customers.is_empty() {
+        true => BTreeSet::new(),
+        false => reports.iter().map(|report| report.node.mesh).collect(),
+    };
+    for (node, usage) in usage_by_node(control, &silent) {
+        silent.remove(&node);
+        for used in usage {
+            if let Some(status) = customers.get_mut(&*used.customer) {
+                add(status, node, &used);
+            }
+        }
+    }
+    let mut customers: Vec<CustomerStatus> = customers.into_values().collect();
+    for customer in &mut customers {
+        customer.shares.sort_by_key(|share| share.node);
+    }
+    CustomerList {
+        revision: newest.to,
+        customers,
+        silent_nodes: silent.into_iter().collect(),
+    }
+}
+
+fn usage_by_node(
+    control: &ControlContext,
+    nodes: &BTreeSet<SocketAddr>,
+) -> Vec<(SocketAddr, Vec<CustomerQuotaUse>)> {
+    let until = Instant::now() + NODES_TIMEOUT;
+    let replies = control.kernel.request_each(
+        nodes.iter().copied(),
+        Channel::Sync,
+        &SyncRequest::QuotaUse,
+        NODES_TIMEOUT,
+    );
+    let mut usage = Vec::new();
+    while let Ok((node, reply)) = replies.recv_deadline(until) {
+        if let Some(SyncReply::QuotaUse(used)) = reply {
+            usage.push((node, used));
+        }
+    }
+    usage
+}
+
+fn unused(customer: &Customer) -> CustomerStatus {
+    let rate_per_s = customer.rate_per_s.map(Quantity::as_f64);
+    CustomerStatus {
+        name: customer.name.to_string(),
+        rate_per_s: rate_per_s.filter(|rate| *rate > 0.0),
+        burst: customer.burst.map_or(0.0, Quantity::as_f64),
+        admitted: 0,
+        over_limit: 0,
+        unconfirmed: 0,
+        shares: Vec::new(),
+    }
+}
+
+fn add(status: &mut CustomerStatus, node: SocketAddr, used: &CustomerQuotaUse) {
+    status.admitted += used.admitted;
+    status.over_limit += used.over_limit;
+    status.unconfirmed += used.unconfirmed;
+    if used.share_milli_per_s > 0 {
+        status.shares.push(CustomerShare {
+            node,
+            calls_per_s: used.share_milli_per_s as f64 / 1_000.0,
+        });
+    }
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -2,6 +2,7 @@
 //! idempotency keys, `operator` serves operators over HTTP.
 
 mod context;
+mod customers;
 mod keeper;
 mod operator;
 mod operator_api;
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     context::{ControlContext, Refusal, ReplicaState},
+    customers,
     reports::{STALE_AFTER_MS, merge_reports, nodes_with_instance, profiles_in_use},
 };
 use admin::{AdminResponse, error_response, json_response, metrics_response, read_body};
@@ -98,6 +99,7 @@
                 parse_body(request).and_then(|body| self.drain_instance(&body))
             }
             (Method::Get, "/v1/status") => self.status(),
+            (Method::Get, "/v1/customers") => self.customers(),
             (Method::Get, "/metrics") => return self.render_metrics(),
             _ => Err((ErrorKind::NotFound, path)),
         };
@@ -235,6 +237,12 @@
         }))
     }
 
+    fn customers(&self) -> Result<Value, Refusal> {
+        let newest = self.control.newest_configuration()?;
+        let reports = self.reports();
+        Ok(json!(customers::list(&self.control, &newest, &reports)))
+    }
+
     fn replicas(&self) -> Vec<ReplicaStatus> {
         let state = self.control.replica_state();
         let leader = state
--- a/components/control/src/quotas.rs
+++ b/components/control/src/quotas.rs
@@ -1,6 +1,6 @@
 //! Coordinates the quotas of customers while this replica is the only leader.
 
-use crate::context::ControlContext;
+use crate::context::{ControlContext, SoleLeadership};
 use config::{Configuration, Customer, Quantity};
 use kernel::Clock;
 use model::NodeId;
@@ -52,12 +52,15 @@
         let mut guard = self.lock();
         // Read under the lock, so that the coordinator's time never goes back.
         let now_us = Clock::boot_us();
-        let term = control.sole_leader_term(now_us)?;
+        let SoleLeadership {
+            term,
+            since_boot_us,
+        } = control.sole_leadership(now_us)?;
         if guard.as_ref().is_none_or(|current| current.term != term) {
             log::info!("replica: coordinates the quotas of customers in term {term}.");
             *guard = Some(TermCoordinator {
                 term,
-                coordinator: QuotaCoordinator::new(now_us, term),
+                coordinator: QuotaCoordinator::new(since_boot_us, term),
                 configuration: None,
             });
         }
@@ -65,7 +68,8 @@
         current.apply_configuration(control, now_us);
         let result = step(now_us, &mut current.coordinator);
         drop(guard);
-        (control.sole_leader_term(Clock::boot_us()) == Some(term)).then_some(result)
+        let still = control.sole_leadership(Clock::boot_us())?;
+        (still.term == term).then_some(result)
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<TermCoordinator>> {
--- a/components/control/src/replica_threads.rs
+++ b/components/control/src/replica_threads.rs
@@ -1,6 +1,6 @@
 //! Runs the replica's state machine: its event loop, its disk thread and its messages.
 
-use crate::context::{ControlContext, address_of_number};
+use crate::context::{ControlContext, SoleLeadership, address_of_number};
 use consensus::{
     Input, Message, Output, RecoveredState, Replica, ReplicaConfig, ReplicaId, ReplicaNumber, Write,
 };
@@ -159,8 +159,17 @@
         let until_us = self.replica.sole_leader_until_us(now_us);
         let until_us = until_us.filter(is_confirmed_since).unwrap_or(0);
         let until_boot_us = boot_us + until_us.saturating_sub(now_us);
-        self.control
-            .update_replica_state(|state| state.sole_leader_until_boot_us = until_boot_us);
+        let term = self.replica.term();
+        self.control.update_replica_state(|state| {
+            state.sole_leader_until_boot_us = until_boot_us;
+            let is_known = state.sole_leadership.is_some_and(|of| of.term == term);
+            if until_us > now_us && !is_known {
+                state.sole_leadership = Some(SoleLeadership {
+                    term,
+                    since_boot_us: boot_us,
+                });
+            }
+        });
     }
 
     /// Notes when the host was suspended, which the clock of the replica doesn't count: heartbeats
--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -18,6 +18,7 @@
     thread::Builder,
     time::Duration,
 };
+use wire::CustomerQuotaUse;
 
 /// Longest wait of a call; the decision is due before, unless this process is short of time.
 const MAX_WAIT: Duration = Duration::from_micros(ANSWER_TIMEOUT_US + 100_000);
@@ -71,7 +72,11 @@
     pub fn give_back(self) {
         if let Some((gate, customer)) = self.charged {
             gate.count("returned");
-            gate.lock().quota.give_back(Clock::boot_us(), &customer);
+            let mut state = gate.lock();
+            state.quota.give_back(Clock::boot_us(), &customer);
+            state.count(&customer, |counts| {
+                counts.admitted = counts.admitted.saturating_sub(1);
+            });
         }
     }
 }
@@ -93,6 +98,16 @@
     limited: HashSet<Arc<str>>,
     configuration: Option<Arc<Configuration>>,
     refusal_log: RefusalLog,
+    /// Decisions by customer; only customers with a rate have an entry.
+    counts: HashMap<Arc<str>, Counts>,
+}
+
+/// Decisions about the calls of one customer since the start of this node.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    admitted: u64,
+    over_limit: u64,
+    unconfirmed: u64,
 }
 
 impl QuotaGate {
@@ -109,6 +124,7 @@
                     limited: HashSet::new(),
                     configuration: None,
                     refusal_log: RefusalLog::default(),
+                    counts: HashMap::new(),
                 }),
                 wake,
                 wakes,
@@ -131,6 +147,11 @@
                 decided.unwrap_or_else(|| self.end_wait(customer, ticket, &decision))
             }
         };
+        self.lock().count(customer, |counts| match verdict {
+            Verdict::Admitted => counts.admitted += 1,
+            Verdict::OverLimit { .. } => counts.over_limit += 1,
+            Verdict::Unavailable { .. } => counts.unconfirmed += 1,
+        });
         let (kind, retry_after_ms) = match verdict {
             Verdict::Admitted => {
                 self.count("admitted");
@@ -230,9 +251,29 @@
             rate.is_some_and(|rate| rate.as_f64() > 0.0)
         });
         state.limited = limited.map(|customer| Arc::clone(&customer.name)).collect();
+        let GateState {
+            counts, limited, ..
+        } = &mut *state;
+        counts.retain(|customer, _| limited.contains(customer));
         state.configuration = set.configuration().cloned();
     }
 
+    /// Use of the quotas of all customers at this node.
+    pub(crate) fn usage(&self) -> Vec<CustomerQuotaUse> {
+        let state = self.lock();
+        let usage = state.counts.iter().map(|(customer, counts)| {
+            let share_milli_per_s = (state.quota.share_per_s(customer) * 1_000.0) as u64;
+            CustomerQuotaUse {
+                customer: Arc::clone(customer),
+                share_milli_per_s,
+                admitted: counts.admitted,
+                over_limit: counts.over_limit,
+                unconfirmed: counts.unconfirmed,
+            }
+        });
+        usage.collect()
+    }
+
     fn log_refusal(&self, customer: &str, refusal: QuotaRefusal) {
         let mut state = self.lock();
         let now_us = Clock::boot_us();
@@ -267,6 +308,13 @@
 }
 
 impl GateState {
+    /// Counts a decision, if the customer still has a rate.
+    fn count(&mut self, customer: &Arc<str>, change: impl FnOnce(&mut Counts)) {
+        if self.limited.contains(customer) {
+            change(self.counts.entry(Arc::clone(customer)).or_default());
+        }
+    }
+
     fn deliver(&mut self, decided: Vec<(Ticket, Verdict)>) {
         for (ticket, verdict) in decided {
             if let Some(waiting) = self.waiting.remove(&ticket) {
--- a/components/node/src/sync/mod.rs
+++ b/components/node/src/sync/mod.rs
@@ -4,7 +4,7 @@
 mod control;
 mod discovery;
 
-use crate::context::NodeContext;
+use crate::{context::NodeContext, quotas::QuotaGate};
 use crossbeam::channel::{RecvTimeoutError, bounded};
 use kernel::{Event, Kernel, PluginEntry, Role, RunningPlugin, StartError};
 use members::ControlReplicas;
@@ -192,6 +192,9 @@
                         .drain(&instance, "an operator asked for it");
                 SyncReply::Drained(drained)
             }
+            Ok(SyncRequest::QuotaUse) => {
+                SyncReply::QuotaUse(QuotaGate::for_kernel(&self.context.kernel).usage())
+            }
             Err(error) => {
                 log::warn!(
                     "sync: a message from {} was dropped: {error}.",
--- a/components/quota/src/coordinator.rs
+++ b/components/quota/src/coordinator.rs
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 pub struct QuotaCoordinator {
     epoch: u64,
+    started_us: u64,
     settled_at_us: u64,
     is_settling: bool,
     customers: Vec<CustomerQuota>,
@@ -49,19 +50,20 @@
 }
 
 impl QuotaCoordinator {
-    /// A coordinator that starts now. `epoch` is above 0 and differs from that of all others, such as
-    /// the term of the leader.
-    pub fn new(now_us: u64, epoch: u64) -> Self {
+    /// A coordinator; no other has granted anything since `started_us`. `epoch` is above 0 and differs
+    /// from that of all others, such as the term of the leader.
+    pub fn new(started_us: u64, epoch: u64) -> Self {
         QuotaCoordinator {
             epoch,
-            settled_at_us: now_us + LEASE_US + LEASE_MARGIN_US,
+            started_us,
+            settled_at_us: started_us + LEASE_US + LEASE_MARGIN_US,
             is_settling: true,
             customers: Vec::new(),
             names: Vec::new(),
             by_name: HashMap::new(),
             lists: VecDeque::new(),
             nodes: BTreeMap::new(),
-            next_expiry_us: now_us,
+            next_expiry_us: started_us,
         }
     }
 
@@ -78,7 +80,11 @@
             match self.by_name.get(name) {
                 Some(index) => self.change_limit(now_us, *index, *limit),
                 None => {
-                    let quota = CustomerQuota::new(now_us, *limit, !is_first);
+                    let quota = match (is_first, self.is_settling) {
+                        (true, true) => CustomerQuota::new(self.started_us, *limit, false),
+                        (true, false) => CustomerQuota::new(self.settled_at_us, *limit, false),
+                        (false, _) => CustomerQuota::new(now_us, *limit, true),
+                    };
                     self.by_name.insert(Arc::clone(name), self.customers.len());
                     self.names.push(Arc::clone(name));
                     self.customers.push(quota);
--- a/components/quota/tests/lost_contact.rs
+++ b/components/quota/tests/lost_contact.rs
@@ -4,8 +4,11 @@
 mod common;
 
 use common::{Load, World, caller_node};
-use quota::{CustomerLimit, LEASE_US};
-use std::sync::Arc;
+use model::NodeId;
+use quota::{
+    CustomerLimit, CustomerList, LEASE_US, QuotaAnswer, QuotaCoordinator, QuotaDemand, QuotaReport,
+};
+use std::{net::SocketAddr, sync::Arc};
 
 const SECOND_US: u64 = 1_000_000;
 
@@ -92,3 +95,45 @@
     // A report may be under way already; each takes at most 6 ms here.
     assert!(longest_us <= 12_000, "a call waited for {longest_us} us");
 }
+
+/// Tokens that the first report gets at this time from a coordinator that started at 0.
+fn first_tokens(at_us: u64) -> u32 {
+    let name: Arc<str> = Arc::from("customer");
+    let limit = CustomerLimit {
+        rate_per_s: Some(50.0),
+        burst: 50.0,
+    };
+    let mut coordinator = QuotaCoordinator::new(0, 1);
+    coordinator.set_customers(at_us, [(Arc::clone(&name), limit)]);
+    let node = NodeId {
+        mesh: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 1,
+    };
+    let report = QuotaReport {
+        list: CustomerList::new([name]).digest(),
+        epoch: 0,
+        sequence: 1,
+        is_full: true,
+        demands: vec![QuotaDemand {
+            customer: 0,
+            share: 0,
+            demand: 1,
+            waiting: 100,
+            returned: 0,
+        }],
+    };
+    match coordinator.handle(at_us, node, &report) {
+        QuotaAnswer::Granted(grants) => grants.grants[0].tokens,
+        other => panic!("not granted: {other:?}"),
+    }
+}
+
+/// A coordinator whose first report comes late must not count on shares of a predecessor, and must
+/// not grant a full burst either before the time in which it is refilled.
+#[test]
+fn first_report_long_after_the_start() {
+    assert_eq!(first_tokens(0), 0);
+    assert!(first_tokens(2_000_000) <= 20, "{}", first_tokens(2_000_000));
+    assert!(first_tokens(2_300_000) <= 20, "{}", first_tokens(2_300_000));
+    assert_eq!(first_tokens(10_000_000), 50);
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -12,4 +12,4 @@
 pub use control::{ControlReply, ControlRequest};
 pub use keeper::{KeeperReply, KeeperRequest};
 pub use probe::{PROBE_COST_BYTES, Probe};
-pub use sync::{InstanceReport, NodeReport, SyncReply, SyncRequest};
+pub use sync::{CustomerQuotaUse, InstanceReport, NodeReport, SyncReply, SyncRequest};
--- a/components/wire/src/sync.rs
+++ b/components/wire/src/sync.rs
@@ -6,7 +6,7 @@
 };
 use registry::Delta;
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 /// An instance as its node reports it to the control group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,6 +60,8 @@
         /// Name of the instance to drain.
         instance: UpstreamName,
     },
+    /// Asks a node for its use of the quotas of customers.
+    QuotaUse,
 }
 
 /// Reply to a [`SyncRequest`].
@@ -71,4 +73,21 @@
     Newer(Box<Delta>),
     /// Whether the node drains the named instance now.
     Drained(bool),
+    /// Use of quotas at this node.
+    QuotaUse(Vec<CustomerQuotaUse>),
+}
+
+/// Use of the quota of one customer at a node since its start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CustomerQuotaUse {
+    /// Name of the customer.
+    pub customer: Arc<str>,
+    /// Share of the node in thousandths of a call per second.
+    pub share_milli_per_s: u64,
+    /// Calls admitted, without those whose token was given back.
+    pub admitted: u64,
+    /// Calls refused because the customer was over its limit.
+    pub over_limit: u64,
+    /// Calls refused because the node had no share.
+    pub unconfirmed: u64,
 }
