--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -1,6 +1,6 @@
 //! State that the plug-ins of one control replica share in addition to the kernel.
 
-use crate::{pulls::HeldPulls, reports::NodeReports};
+use crate::{pulls::HeldPulls, quotas::Quotas, reports::NodeReports};
 use consensus::{Input, ReplicaId, ReplicaNumber, Reply, Role};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use errors::ErrorKind;
@@ -39,6 +39,18 @@
     pub(crate) applied_index: u64,
     /// Error of the last write, while the disk is full.
     pub(crate) storage_error: Option<String>,
+    /// Time on the clock that counts suspension until which no other replica leads.
+    pub(crate) sole_leader_until_boot_us: u64,
+    /// The last term in which this replica was the only leader.
+    pub(crate) sole_leadership: Option<SoleLeadership>,
+}
+
+/// A term in which this replica is the only leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SoleLeadership {
+    pub(crate) term: u64,
+    /// Time on the clock that counts suspension at which this replica knew first that no other leads.
+    pub(crate) since_boot_us: u64,
 }
 
 impl ReplicaState {
@@ -63,6 +75,7 @@
     pub(crate) kernel: Arc<Kernel>,
     pub(crate) pulls: HeldPulls,
     pub(crate) reports: NodeReports,
+    pub(crate) quotas: Quotas,
     introductions: Mutex<Introductions>,
     inputs: Sender<Input>,
     input_receiver: Receiver<Input>,
@@ -80,6 +93,7 @@
                 kernel: Arc::clone(kernel),
                 pulls: HeldPulls::default(),
                 reports: NodeReports::default(),
+                quotas: Quotas::default(),
                 introductions: Mutex::default(),
                 inputs,
                 input_receiver,
@@ -107,6 +121,14 @@
         change(&mut self.lock_replica_state());
     }
 
+    /// The term of this replica and its beginning, if it is the only leader at a time on the clock
+    /// that counts suspension.
+    pub(crate) fn sole_leadership(&self, boot_us: u64) -> Option<SoleLeadership> {
+        let state = self.lock_replica_state();
+        let leadership = state.sole_leadership.filter(|of| of.term == state.term);
+        leadership.filter(|_| state.is_leader() && boot_us < state.sole_leader_until_boot_us)
+    }
+
     /// Stores the introduction of a starting node and returns the records that it lacks.
     pub(crate) fn introduce(&self, introduction: Introduction) -> IntroductionReply {
         let now_us = self.kernel.clock.now_us();
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -2,10 +2,12 @@
 //! idempotency keys, `operator` serves operators over HTTP.
 
 mod context;
+mod customers;
 mod keeper;
 mod operator;
 mod operator_api;
 mod pulls;
+mod quotas;
 mod replica;
 mod replica_threads;
 mod reports;
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -133,6 +133,10 @@
     UnknownKey,
     /// The request has several header fields for a customer's key.
     AmbiguousKey,
+    /// The customer is over its limit.
+    QuotaExceeded,
+    /// The node has no share of the customer's rate and can't get one.
+    QuotaUnconfirmed,
 }
 
 impl ErrorKind {
@@ -185,6 +189,8 @@
         ErrorKind::CrashHold,
         ErrorKind::UnknownKey,
         ErrorKind::AmbiguousKey,
+        ErrorKind::QuotaExceeded,
+        ErrorKind::QuotaUnconfirmed,
     ];
 
     /// How this kind is reported.
@@ -519,6 +525,20 @@
                 "The request has several header fields for the key.",
                 "Send one Authorization field.",
             ),
+            ErrorKind::QuotaExceeded => (
+                "quota-exceeded",
+                429,
+                Outcome::NotRun,
+                "The customer is over its rate and has used its burst.",
+                "Retry after the time in retry-after, or raise the customer's rate.",
+            ),
+            ErrorKind::QuotaUnconfirmed => (
+                "quota-unconfirmed",
+                503,
+                Outcome::NotRun,
+                "The node has no share of the customer's rate left and can't get one at present.",
+                "Retry after the time in retry-after; check the control group if it persists.",
+            ),
         };
         ErrorInfo {
             code,
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -6,11 +6,12 @@
 mod decision;
 mod driver;
 mod key_claims;
+mod quota;
 mod reply;
 mod routes;
 mod status_queries;
 
-use crate::context::NodeContext;
+use crate::{context::NodeContext, quotas::QuotaGate};
 use decision::customer_note;
 use driver::CallDriver;
 use errors::ErrorKind;
@@ -52,6 +53,7 @@
 pub(crate) struct Entry {
     context: Arc<NodeContext>,
     routes: Routes,
+    quotas: Arc<QuotaGate>,
     /// Random number of this entry, which is part of the ids of its calls.
     origin: u64,
     next_sequence: AtomicU64,
@@ -68,6 +70,7 @@
     })?;
     let entry = Arc::new(Entry {
         routes: Routes::new(&context),
+        quotas: QuotaGate::for_kernel(kernel),
         origin: rand::random(),
         next_sequence: AtomicU64::new(1),
         context: Arc::clone(&context),
@@ -190,6 +193,10 @@
                 return self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
             }
         };
+        let permit = match self.charge_quota(&prepared) {
+            Ok(permit) => permit,
+            Err(refusal) => return self.quota_response(&prepared, refusal),
+        };
         let target_ms = match prepared.target_us {
             u64::MAX => DEFAULT_TARGET_MS,
             target_us => target_us.saturating_sub(arrived_us) / 1_000,
@@ -203,6 +210,7 @@
         let (call, service) = (prepared.call, prepared.service.clone());
         let customer = customer_note(prepared.customer.as_deref());
         let result = CallDriver::new(self, prepared, caller).run(caller);
+        Self::settle_quota(permit, &result);
         let elapsed_us = self.context.kernel.clock.now_us() - arrived_us;
         metrics
             .call_seconds
