Evacuate availability zones by a command of the operator

Cause: an operator could only drain instances one by one, and an instance that started later in the same zone got calls.

Entries leave the upstreams of evacuated zones out, and owners there refuse calls that arrive or wait as not run, so that they move without a retry. The registry keeps the answers to these commands: a resend with the same change id no longer has an effect after a later command.

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -75,6 +75,47 @@
     pub service: Option<ServiceName>,
 }
 
+/// Body of `POST` and `DELETE /v1/zones/ZONE/evacuation`; it may be left out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneCommandRequest {
+    /// Id of the command. A resend carries the same id, so that it has no effect after a later
+    /// command.
+    pub change_id: String,
+}
+
+/// Response to an accepted `POST` or `DELETE /v1/zones/ZONE/evacuation`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneCommandResponse {
+    /// Zone in the command.
+    pub zone: AvailabilityZone,
+    /// Whether the command evacuates the zone.
+    pub evacuated: bool,
+    /// Revision from which the command is in effect.
+    pub revision: Revision,
+}
+
+/// Response to `GET /v1/zones`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneList {
+    /// Newest accepted revision.
+    pub revision: Revision,
+    /// Nodes whose last report shows an older revision.
+    pub lagging_nodes: u32,
+    /// Zones of known nodes, and evacuated ones.
+    pub zones: Vec<ZoneEntry>,
+}
+
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneEntry {
+    /// Name of the zone.
+    pub zone: AvailabilityZone,
+    /// Whether its upstreams get no calls.
+    pub evacuated: bool,
+    /// Known nodes in the zone.
+    pub nodes: u32,
+}
+
 /// Response to `GET /v1/status`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -468,6 +468,7 @@
     let url = format!("http://{address}{path}");
     let request = match method {
         "GET" => attohttpc::get(url),
+        "DELETE" => attohttpc::delete(url),
         _ => attohttpc::post(url),
     };
     let text = body.map(Value::to_string).unwrap_or_default();
--- a/components/client/src/change.rs
+++ b/components/client/src/change.rs
@@ -153,7 +153,7 @@
 
 /// Generates a random change id. The standard library seeds `RandomState` from the operating
 /// system.
-fn random_id() -> ChangeId {
+pub(crate) fn random_id() -> ChangeId {
     let random_64_bits = || u128::from(RandomState::new().build_hasher().finish());
     ChangeId::from_u128(random_64_bits() << 64 | random_64_bits())
 }
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -12,5 +12,6 @@
 mod request_trace;
 mod run;
 mod wait;
+mod zone;
 
 pub use run::run;
--- a/components/client/src/operator_client.rs
+++ b/components/client/src/operator_client.rs
@@ -74,6 +74,15 @@
         self.request(&Method::POST, path, &body)
     }
 
+    pub(crate) fn delete<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, RequestError> {
+        let body = serde_json::to_vec(body).expect("plain data encodes");
+        self.request(&Method::DELETE, path, &body)
+    }
+
     /// Sends the same request to the replicas in turn until one answers or the timeout has passed.
     fn request<T: DeserializeOwned>(
         &self,
--- a/components/client/src/options.rs
+++ b/components/client/src/options.rs
@@ -45,6 +45,40 @@
     Drain(DrainFlags),
     #[options(help = "tell from log files what became of a request")]
     Explain(ExplainFlags),
+    #[options(help = "evacuate, readmit or list availability zones")]
+    Zone(ZoneFlags),
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct ZoneFlags {
+    #[options(no_short, help = "print this help")]
+    pub(crate) help: bool,
+    #[options(command)]
+    pub(crate) command: Option<ZoneCommand>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) enum ZoneCommand {
+    #[options(help = "send no more calls to the instances of a zone")]
+    Evacuate(ZoneCommandFlags),
+    #[options(help = "send calls to the instances of a zone again")]
+    Readmit(ZoneCommandFlags),
+    #[options(help = "list all zones and whether they are evacuated")]
+    List(StatusFlags),
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct ZoneCommandFlags {
+    #[options(no_short, help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "name of the availability zone")]
+    pub(crate) zone: Vec<String>,
+    #[options(no_short, meta = "ID", help = "id of the command, to resend it")]
+    pub(crate) change_id: Option<String>,
+    #[options(no_short, help = "return once the command is in effect everywhere")]
+    pub(crate) wait: bool,
+    #[options(no_short, meta = "MS", help = "longest --wait, 10000 by default")]
+    pub(crate) wait_ms: Option<u64>,
 }
 
 #[derive(Debug, Options)]
@@ -189,6 +223,12 @@
     }
 }
 
+impl ZoneCommandFlags {
+    pub(crate) fn wait_duration(&self) -> Option<Duration> {
+        wait_duration(self.wait, self.wait_ms)
+    }
+}
+
 impl RetireFlags {
     pub(crate) fn submit_options(&self) -> SubmitOptions {
         SubmitOptions {
--- a/components/client/src/output.rs
+++ b/components/client/src/output.rs
@@ -1,6 +1,9 @@
 //! Text output of results: tables and lists.
 
-use api::{ChangeResponse, NodeStatus, ProfileEntry, ProfileList, Status};
+use api::{
+    ChangeResponse, NodeStatus, ProfileEntry, ProfileList, Status, ZoneCommandResponse, ZoneEntry,
+    ZoneList,
+};
 use std::io::{self, Write};
 
 /// Writes rows under a header, each column as wide as its longest cell.
@@ -111,6 +114,45 @@
     )
 }
 
+pub(crate) fn write_zone_command(
+    out: &mut dyn Write,
+    answer: &ZoneCommandResponse,
+    is_in_effect: bool,
+) -> io::Result<()> {
+    let state = if answer.evacuated {
+        "evacuated"
+    } else {
+        "readmitted"
+    };
+    let effect = if is_in_effect {
+        ", in effect on every live node"
+    } else {
+        ""
+    };
+    writeln!(
+        out,
+        "availability zone {} is {state}, revision {}{effect}",
+        answer.zone, answer.revision
+    )
+}
+
+pub(crate) fn write_zone_list(out: &mut dyn Write, list: &ZoneList) -> io::Result<()> {
+    writeln!(
+        out,
+        "revision {}, {} nodes lag",
+        list.revision, list.lagging_nodes
+    )?;
+    let row = |entry: &ZoneEntry| {
+        vec![
+            entry.zone.to_string(),
+            yes_no(entry.evacuated),
+            entry.nodes.to_string(),
+        ]
+    };
+    let rows: Vec<Vec<String>> = list.zones.iter().map(row).collect();
+    write_table(out, &["AVAILABILITY ZONE", "EVACUATED", "NODES"], &rows)
+}
+
 fn node_row(node: &NodeStatus) -> Vec<String> {
     let effect = match (node.stale, node.in_effect) {
         (true, _) => format!("no report for {} ms", node.age_ms),
--- a/components/client/src/run.rs
+++ b/components/client/src/run.rs
@@ -5,12 +5,12 @@
     failure::Failure,
     operator_client::{OperatorClient, RequestError},
     options::{
-        Command, DrainFlags, ExplainFlags, Flags, ProfileCommand, SubmitOptions,
-        move_common_flags_first, single_argument,
+        Command, DrainFlags, ExplainFlags, Flags, ProfileCommand, SubmitOptions, ZoneCommand,
+        ZoneCommandFlags, move_common_flags_first, single_argument,
     },
     output,
     request_trace::RequestTrace,
-    wait,
+    wait, zone,
 };
 use api::{ChangeResponse, DrainRequest, ProfileEntry, ProfileList, Status};
 use gumdrop::{Options, ParsingStyle};
@@ -89,6 +89,9 @@
     if let Some(Command::Profile(profile)) = &flags.command {
         path.extend(profile.command_name());
     }
+    if let Some(Command::Zone(zone)) = &flags.command {
+        path.extend(zone.command_name());
+    }
     let path = path.join(" ");
     let mut command: &dyn Options = flags;
     while let Some(next) = command.command() {
@@ -113,7 +116,7 @@
     let is_json = flags.is_json()?;
     let Some(command) = &flags.command else {
         return Err(Failure::usage(
-            "give a command: profile, status, drain or explain",
+            "give a command: profile, status, drain, explain or zone",
         ));
     };
     let client = || -> Result<OperatorClient, Failure> {
@@ -139,6 +142,12 @@
         }
         Command::Drain(drain) => run_drain(&client()?, drain, &mut console),
         Command::Explain(flags) => explain(flags, &mut console),
+        Command::Zone(zone) => match &zone.command {
+            Some(command) => run_zone(&client()?, command, &mut console),
+            None => Err(Failure::usage(
+                "give a command: zone evacuate, readmit or list",
+            )),
+        },
     }
 }
 
@@ -222,6 +231,41 @@
     effect
 }
 
+fn run_zone(
+    client: &OperatorClient,
+    command: &ZoneCommand,
+    console: &mut Console,
+) -> Result<(), Failure> {
+    match command {
+        ZoneCommand::Evacuate(flags) => command_zone(client, flags, true, console),
+        ZoneCommand::Readmit(flags) => command_zone(client, flags, false, console),
+        ZoneCommand::List(_) => {
+            let list = zone::list(client)?;
+            console.write_result(&list, output::write_zone_list)
+        }
+    }
+}
+
+fn command_zone(
+    client: &OperatorClient,
+    flags: &ZoneCommandFlags,
+    is_evacuated: bool,
+    console: &mut Console,
+) -> Result<(), Failure> {
+    let answer = zone::command(client, flags, is_evacuated)?;
+    let effect = flags
+        .wait_duration()
+        .map(|time| wait::wait_until_in_effect(client, answer.revision, time));
+    let is_in_effect = matches!(effect, Some(Ok(())));
+    let has_failed = matches!(effect, Some(Err(_)));
+    if !has_failed || !console.is_json {
+        console.write_result(&answer, |out, answer| {
+            output::write_zone_command(out, answer, is_in_effect)
+        })?;
+    }
+    effect.unwrap_or(Ok(()))
+}
+
 fn run_drain(
     client: &OperatorClient,
     flags: &DrainFlags,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,15 +5,18 @@
 mod keeper;
 mod operator;
 mod operator_api;
+mod operator_zones;
 mod pulls;
 mod replica;
 mod replica_threads;
 mod reports;
 mod submit;
+mod zones;
 
 pub use context::Refusal;
 pub use operator_api::OperatorApi;
 pub use pulls::{HeldPulls, Pull, SendReply};
+pub use zones::EvacuatedZones;
 
 /// Does nothing; a call to it makes the linker keep this crate, whose plug-ins register themselves.
 pub fn register() {}
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     context::{ControlContext, Refusal, ReplicaState},
+    operator_zones::{command_zone, list_zones, zone_in_path},
     reports::{STALE_AFTER_MS, merge_reports, nodes_with_instance, profiles_in_use},
 };
 use admin::{AdminResponse, error_response, json_response, metrics_response, read_body};
@@ -98,6 +99,12 @@
                 parse_body(request).and_then(|body| self.drain_instance(&body))
             }
             (Method::Get, "/v1/status") => self.status(),
+            (Method::Get, "/v1/zones") => list_zones(&self.control, &self.reports()),
+            (_, path) if zone_in_path(path).is_some() => command_zone(
+                &self.control,
+                request,
+                zone_in_path(path).unwrap_or_default(),
+            ),
             (Method::Get, "/metrics") => return self.render_metrics(),
             _ => Err((ErrorKind::NotFound, path)),
         };
--- a/components/control/src/operator_api.rs
+++ b/components/control/src/operator_api.rs
@@ -1,15 +1,18 @@
 //! Operations for operators, for plug-ins that offer them over another protocol than the plug-in
 //! `operator` does.
 
-use crate::context::{ControlContext, Refusal};
+use crate::{
+    context::{ControlContext, Refusal},
+    zones::{EvacuatedZones, ZoneCommand, parse_zone},
+};
 use config::Configuration;
 use errors::ErrorKind;
 use kernel::Kernel;
 use model::{FieldError, Revision};
 use registry::{Change, ChangeId, Op};
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
-/// Submits and reads whole configurations, at any replica.
+/// Submits and reads whole configurations and evacuations of zones, at any replica.
 pub struct OperatorApi {
     control: Arc<ControlContext>,
 }
@@ -53,4 +56,47 @@
     pub fn configuration(&self) -> Result<Option<Arc<Configuration>>, Refusal> {
         Ok(self.control.newest_configuration()?.settings.configuration)
     }
+
+    /// Evacuates an availability zone: nothing more is sent to its upstreams until `readmit`. When
+    /// this returns a revision, the command is durable at a quorum.
+    ///
+    /// # Errors
+    ///
+    /// `MalformedRequest` for a name that no zone can have, or the reason why the group did not
+    /// confirm the command.
+    pub fn evacuate(&self, zone: &str, source: SocketAddr) -> Result<Revision, Refusal> {
+        self.command_zone(zone, true, source)
+    }
+
+    /// Ends the evacuation of an availability zone, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// As for `evacuate`.
+    pub fn readmit(&self, zone: &str, source: SocketAddr) -> Result<Revision, Refusal> {
+        self.command_zone(zone, false, source)
+    }
+
+    /// The evacuated zones, confirmed by a quorum.
+    ///
+    /// # Errors
+    ///
+    /// The reason why no quorum confirmed them.
+    pub fn zones(&self) -> Result<EvacuatedZones, Refusal> {
+        self.control.evacuated_zones()
+    }
+
+    fn command_zone(
+        &self,
+        zone: &str,
+        is_evacuated: bool,
+        source: SocketAddr,
+    ) -> Result<Revision, Refusal> {
+        self.control.command_zone(&ZoneCommand {
+            zone: parse_zone(zone)?,
+            is_evacuated,
+            change_id: None,
+            source,
+        })
+    }
 }
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -89,6 +89,10 @@
     pub mesh_bytes: Family<KindLabels, Gauge>,
     /// Calls that an owner refused because its instance is cold.
     pub cold_refused: Counter,
+    /// Availability zones that are evacuated, as known to this node.
+    pub evacuated_zones: Gauge,
+    /// Calls that an owner refused because its availability zone is evacuated.
+    pub evacuation_refused: Counter,
 }
 
 /// Upper bound of the first bucket of `call_seconds`, in seconds.
@@ -125,6 +129,8 @@
             mesh_messages: Family::default(),
             mesh_bytes: Family::default(),
             cold_refused: Counter::default(),
+            evacuated_zones: Gauge::default(),
+            evacuation_refused: Counter::default(),
         };
         metrics.register();
         metrics
@@ -216,6 +222,16 @@
             "Calls refused because the instance is cold",
             self.cold_refused.clone(),
         );
+        registry.register(
+            "evacuated_zones",
+            "Evacuated availability zones",
+            self.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuation_refused",
+            "Calls refused because the availability zone is evacuated",
+            self.evacuation_refused.clone(),
+        );
     }
 
     /// All metrics as Prometheus text.
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -134,9 +134,11 @@
         fingerprint: &Fingerprint,
     ) -> Option<UpstreamName> {
         let upstreams = self.kernel.directory.upstreams(service);
+        let evacuated = self.kernel.profiles.evacuated_zones();
         let names = upstreams
             .iter()
             .filter(|upstream| upstream.state.accepts_calls())
+            .filter(|upstream| !evacuated.contains(&upstream.availability_zone))
             .map(|upstream| &upstream.name);
         let trials = self.evidence(now_us, fingerprint).trials;
         suspects::trial_upstream(fingerprint, trials, names).cloned()
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod decision;
 mod driver;
+mod evacuation;
 mod key_claims;
 mod reply;
 mod routes;
@@ -12,6 +13,7 @@
 use crate::context::NodeContext;
 use driver::CallDriver;
 use errors::ErrorKind;
+use evacuation::watch_evacuations;
 use http::{
     CallerConnection, Request, RequestLimits, Response, Server, ServerConfig, error_response, serve,
 };
@@ -83,6 +85,7 @@
             _ => (),
         }
     });
+    watch_evacuations(&entry);
     let config = ServerConfig {
         max_connections: kernel.node_settings().max_connections,
         max_body_bytes: kernel.node_settings().max_body_bytes,
--- a/components/node/src/entry/routes.rs
+++ b/components/node/src/entry/routes.rs
@@ -165,16 +165,33 @@
         }
     }
 
-    /// Tracks a stable subset of the upstreams that accept calls.
+    /// Applies a change that may concern the upstreams of all services.
+    pub(crate) fn refresh_all(&self) {
+        let known: Vec<(ServiceName, Arc<ServiceRoutes>)> = self
+            .shards
+            .iter()
+            .flat_map(|shard| {
+                let services = shard.lock().unwrap_or_else(PoisonError::into_inner);
+                services.clone()
+            })
+            .collect();
+        for (service, routes) in &known {
+            self.update_tracked(service, routes);
+        }
+    }
+
+    /// Tracks a stable subset of the upstreams that accept calls, outside evacuated zones.
     fn update_tracked(&self, service: &ServiceName, routes: &ServiceRoutes) {
         // Held while reading and tracking, so that an older list can't replace a newer one.
         let mut tracked = routes.tracked();
         let upstreams = self.context.kernel.directory.upstreams(service);
         let settings = self.context.kernel.node_settings();
+        let evacuated = self.context.kernel.profiles.evacuated_zones();
         let prefers_zone = settings.route_zone_preference != ZonePreference::None;
         let (near, far): (Vec<&Upstream>, Vec<&Upstream>) = upstreams
             .iter()
             .filter(|upstream| upstream.state.accepts_calls())
+            .filter(|upstream| !evacuated.contains(&upstream.availability_zone))
             .partition(|upstream| {
                 prefers_zone && upstream.availability_zone == settings.availability_zone
             });
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -3,6 +3,7 @@
 mod arrivals;
 mod cold;
 mod crash_incidents;
+mod evacuation;
 mod health;
 mod instance;
 mod run;
@@ -13,6 +14,7 @@
 use crate::context::NodeContext;
 use cold::watch_cold_instance;
 use crossbeam::channel::{Receiver, RecvTimeoutError, unbounded};
+use evacuation::watch_evacuation;
 use kernel::{Event, Kernel, PluginEntry, Role, RunningPlugin, StartError};
 use mesh::{Channel, Inbound};
 use state::Owner;
@@ -66,6 +68,7 @@
         }
     });
     watch_cold_instance(&owner);
+    watch_evacuation(&owner);
     let timer = spawn_timer(&owner, wake).map_err(|error| {
         StartError::new("owner", format!("no thread could be started: {error}"))
     })?;
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -29,7 +29,10 @@
         owner.finish(job, RunResult::Refused(kind), None);
         return;
     }
-    if let Some(kind) = owner.cold_refusal_at_start(started_us) {
+    let refusal = owner
+        .evacuation_refusal()
+        .or_else(|| owner.cold_refusal_at_start(started_us));
+    if let Some(kind) = refusal {
         owner.finish(job, RunResult::Refused(kind), None);
         return;
     }
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -1,6 +1,7 @@
 //! The owner: handles messages of entries, the queue of the local instance and the call records.
 
 use super::{
+    evacuation::Evacuation,
     instance::{Instance, Job, SharedByInstances, take_refused},
     run::{FIRST_FAILURE_STATUS, run_job},
     suspects::Suspicions,
@@ -32,6 +33,7 @@
     pub(super) shared: SharedByInstances,
     records: Mutex<CallRecords>,
     pub(super) suspicions: Suspicions,
+    pub(super) evacuation: Evacuation,
     /// Admitted calls that are still to be sent to the instance.
     start_queue: Mutex<VecDeque<Job>>,
     /// Held by the thread that sends calls to the instance.
@@ -55,6 +57,7 @@
             instance: Mutex::new(None),
             records: Mutex::new(CallRecords::new(config)),
             suspicions: Suspicions::default(),
+            evacuation: Evacuation::default(),
             start_queue: Mutex::default(),
             start_lock: Mutex::default(),
             wake,
@@ -294,7 +297,8 @@
         if !is_here || !self.context.knows_suspects.load(Ordering::Acquire) {
             return Some(ErrorKind::NoUpstream);
         }
-        self.suspect_refusal(now_us, deadline_us, call)
+        self.evacuation_refusal()
+            .or_else(|| self.suspect_refusal(now_us, deadline_us, call))
     }
 
     /// Records a refused attempt so that it can't start later. Returns its status if the attempt
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -77,9 +77,15 @@
         };
         if self.apply_settings(revision, &change.op).is_some() {
             // Resends and outdated versions are accepted too, without effect.
-            return ChangeResult::Accepted {
+            let result = ChangeResult::Accepted {
                 revision: self.profiles.revision(),
             };
+            if matches!(change.op, Op::Evacuate(_) | Op::Readmit(_)) {
+                // A resent evacuation must not undo a readmission that came in between. A
+                // configuration needs no kept answer, since its version shows that it is outdated.
+                self.answers.keep(index, change, result.clone());
+            }
+            return result;
         }
         let result = match self.new_record(revision, change) {
             Ok(record) => {
