--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -3,6 +3,7 @@
 use crate::{
     context::{ControlContext, Refusal, ReplicaState},
     customers,
+    operator_zones::{command_zone, list_zones, zone_in_path},
     reports::{STALE_AFTER_MS, merge_reports, nodes_with_instance, profiles_in_use},
 };
 use admin::{AdminResponse, error_response, json_response, metrics_response, read_body};
@@ -100,6 +101,12 @@
             }
             (Method::Get, "/v1/status") => self.status(),
             (Method::Get, "/v1/customers") => self.customers(),
+            (Method::Get, "/v1/zones") => list_zones(&self.control, &self.reports()),
+            (_, path) if zone_in_path(path).is_some() => command_zone(
+                &self.control,
+                request,
+                zone_in_path(path).unwrap_or_default(),
+            ),
             (Method::Get, "/metrics") => return self.render_metrics(),
             _ => Err((ErrorKind::NotFound, path)),
         };
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod customers;
 mod decision;
 mod driver;
+mod evacuation;
 mod key_claims;
 mod quota;
 mod reply;
@@ -15,6 +16,7 @@
 use decision::customer_note;
 use driver::CallDriver;
 use errors::ErrorKind;
+use evacuation::watch_evacuations;
 use http::{
     CallerConnection, Request, RequestLimits, Response, Server, ServerConfig, error_response, serve,
 };
@@ -88,6 +90,7 @@
             _ => (),
         }
     });
+    watch_evacuations(&entry);
     let config = ServerConfig {
         max_connections: kernel.node_settings().max_connections,
         max_body_bytes: kernel.node_settings().max_body_bytes,
