Refuse keys at nodes that can't confirm their revocation

Cause: a node that is cut off, frozen or connected to a deposed leader accepted a key for as long as it didn't know of its revocation.

Control replicas answer all nodes that ask with one quorum read at a time. A call is checked again before each attempt. A node is ready after its first proof. Without a proof: revocation-unconfirmed, 503.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -532,6 +532,7 @@
     group: &[SocketAddr],
 ) -> Result<NodeSettings, DeploymentError> {
     Ok(NodeSettings {
+        revocation_ms: None,
         require_configuration: false,
         stop_notice_ms: 0,
         shared_retries: None,
--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -1,6 +1,6 @@
 //! State that the plug-ins of one control replica share in addition to the kernel.
 
-use crate::{pulls::HeldPulls, reports::NodeReports};
+use crate::{confirm::Confirmations, pulls::HeldPulls, reports::NodeReports};
 use consensus::{Input, ReplicaId, ReplicaNumber, Reply, Role};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use errors::ErrorKind;
@@ -63,6 +63,7 @@
     pub(crate) kernel: Arc<Kernel>,
     pub(crate) pulls: HeldPulls,
     pub(crate) reports: NodeReports,
+    pub(crate) confirmations: Confirmations,
     introductions: Mutex<Introductions>,
     inputs: Sender<Input>,
     input_receiver: Receiver<Input>,
@@ -80,6 +81,7 @@
                 kernel: Arc::clone(kernel),
                 pulls: HeldPulls::default(),
                 reports: NodeReports::default(),
+                confirmations: Confirmations::default(),
                 introductions: Mutex::default(),
                 inputs,
                 input_receiver,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! Plug-ins of the control replica: `replica` takes part in consensus, `keeper` stores claims of
 //! idempotency keys, `operator` serves operators over HTTP.
 
+mod confirm;
 mod context;
 mod keeper;
 mod operator;
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -2,6 +2,7 @@
 //! requests of nodes and of other replicas.
 
 use crate::{
+    confirm::{Asker, run_rounds},
     context::{ControlContext, number_of_address},
     pulls::Pull,
     replica_threads::ReplicaThreads,
@@ -89,6 +90,10 @@
             }
         }
     });
+    let rounds_thread = thread::spawn({
+        let control = Arc::clone(&control);
+        move || run_rounds(&control)
+    });
     let stopping = Arc::clone(&control);
     let handover_timeout = match settings.open {
         Some(_) => VOTE_HANDOVER_TIMEOUT,
@@ -98,6 +103,7 @@
         move |until| wait_for_handover(&stopping, until.min(Instant::now() + handover_timeout)),
         move || {
             let _ = pull_check_thread.join();
+            let _ = rounds_thread.join();
             threads.join();
         },
     ))
@@ -216,6 +222,14 @@
             let control = Arc::clone(control);
             thread::spawn(move || reply(inbound, &ControlReply::Configuration(control.read())));
         }
+        ControlRequest::Confirm { .. } => {
+            let now_us = control.kernel.clock.now_us();
+            control.confirmations.add(now_us, Asker::Node(inbound));
+        }
+        ControlRequest::ReadRevision => {
+            let now_us = control.kernel.clock.now_us();
+            control.confirmations.add(now_us, Asker::Replica(inbound));
+        }
     }
 }
 
--- a/components/control/src/submit.rs
+++ b/components/control/src/submit.rs
@@ -92,7 +92,7 @@
     }
 
     /// Address of the leader if it is another replica.
-    fn remote_leader(&self) -> Option<SocketAddr> {
+    pub(crate) fn remote_leader(&self) -> Option<SocketAddr> {
         let state = self.replica_state();
         if state.is_leader() {
             return None;
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -133,6 +133,8 @@
     UnknownKey,
     /// The request has several header fields for a customer's key.
     AmbiguousKey,
+    /// The node can't show that its configuration is recent enough to accept keys.
+    RevocationUnconfirmed,
 }
 
 impl ErrorKind {
@@ -185,6 +187,7 @@
         ErrorKind::CrashHold,
         ErrorKind::UnknownKey,
         ErrorKind::AmbiguousKey,
+        ErrorKind::RevocationUnconfirmed,
     ];
 
     /// How this kind is reported.
@@ -519,6 +522,13 @@
                 "The request has several header fields for the key.",
                 "Send one Authorization field.",
             ),
+            ErrorKind::RevocationUnconfirmed => (
+                "revocation-unconfirmed",
+                503,
+                Outcome::NotRun,
+                "The node can't confirm that no key was revoked.",
+                "Send the request to another node, or again after Retry-After.",
+            ),
         };
         ErrorInfo {
             code,
--- a/components/kernel/src/clock.rs
+++ b/components/kernel/src/clock.rs
@@ -1,6 +1,7 @@
 //! The only clock of a process. Code that makes decisions gets its readings as arguments, so that
 //! tests can supply others.
 
+use rustix::time::{ClockId, clock_gettime};
 use std::time::{Duration, Instant, SystemTime};
 
 /// Monotonic time since the process started, and wall-clock time.
@@ -27,6 +28,13 @@
         self.start + Duration::from_micros(at_us)
     }
 
+    /// Microseconds since the host started, with the time for which it was suspended, which the other
+    /// clocks of a process leave out.
+    pub fn boot_us() -> u64 {
+        let time = clock_gettime(ClockId::Boottime);
+        time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
+    }
+
     /// Microseconds since the Unix epoch, from the system's wall clock.
     pub fn unix_us() -> u64 {
         SystemTime::now()
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -75,6 +75,8 @@
     pub revision: Gauge,
     /// Milliseconds since this node last confirmed its configuration.
     pub config_age_ms: Gauge,
+    /// Milliseconds since the question of the proof by which keys are accepted; -1 without one.
+    pub revocation_proof_age_ms: Gauge,
     /// Whether a control replica has applied all that it can know to be committed: 1 or 0.
     pub replica_current: Gauge,
     /// Last log index that a control replica has applied.
@@ -116,6 +118,7 @@
             started: Counter::default(),
             revision: Gauge::default(),
             config_age_ms: Gauge::default(),
+            revocation_proof_age_ms: Gauge::default(),
             replica_current: Gauge::default(),
             replica_applied_index: Gauge::default(),
             replica_voters: Gauge::default(),
@@ -186,6 +189,11 @@
             "Time since the configuration was confirmed",
             self.config_age_ms.clone(),
         );
+        registry.register(
+            "revocation_proof_age_ms",
+            "Age of the proof by which keys are accepted, -1 without one",
+            self.revocation_proof_age_ms.clone(),
+        );
         registry.register(
             "replica_current",
             "Whether the replica has applied all that it knows to be committed",
--- a/components/limits/src/retry_after.rs
+++ b/components/limits/src/retry_after.rs
@@ -19,6 +19,9 @@
 /// Longest hold before the first trial of a crash suspect, in milliseconds.
 const HOLD_MS: f64 = 3_000.0;
 
+/// Interval at which a node asks the control group to confirm its configuration, in milliseconds.
+const UNCONFIRMED_MS: f64 = 500.0;
+
 /// Why a call was refused, as far as it matters for the time of a retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -34,6 +37,8 @@
     Held,
     /// A cause that may disappear at once.
     Other,
+    /// The node waits for the control group to confirm its configuration.
+    Unconfirmed,
 }
 
 /// Time after which the caller should retry, in milliseconds. `random`, a number from 0 to 1,
@@ -47,6 +52,7 @@
         RefusalCause::Starting => random_share(&STARTING_SHARE, target_ms),
         RefusalCause::Held => HOLD_MS + random_share(&SHORT_SHARE, target_ms),
         RefusalCause::Other => random_share(&SHORT_SHARE, target_ms),
+        RefusalCause::Unconfirmed => UNCONFIRMED_MS,
         RefusalCause::NoCapacity { expected_ms } => {
             let late_ms = (expected_ms as f64 - target_ms).max(0.0);
             let wait_ms =
--- a/components/members/src/control_replicas.rs
+++ b/components/members/src/control_replicas.rs
@@ -107,6 +107,11 @@
         due
     }
 
+    /// All known replicas.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.known.iter().map(|replica| replica.address).collect()
+    }
+
     /// The replicas that are not known to be silent.
     pub fn not_silent(&self, now_us: u64) -> Vec<SocketAddr> {
         let known = self.known.iter();
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     announce::Announcement, generations::ConnectionGenerations, local::LocalInstance,
-    probes::ProbeTable, revision_offers::RevisionOffers,
+    probes::ProbeTable, revision_offers::RevisionOffers, revocation::RevocationState,
 };
 use kernel::{Event, Kernel, KindLabels};
 use mesh::Channel;
@@ -28,6 +28,7 @@
     pub(crate) probes: ProbeTable,
     pub(crate) generations: ConnectionGenerations,
     pub(crate) revision_offers: RevisionOffers,
+    pub(crate) revocation: RevocationState,
     /// Whether this node knows the crash suspects of its peers; it runs no calls before.
     pub(crate) knows_suspects: AtomicBool,
     /// Mesh addresses of the other live nodes.
@@ -52,6 +53,7 @@
             probes: ProbeTable::new(kernel),
             generations: ConnectionGenerations::default(),
             revision_offers: RevisionOffers::new(),
+            revocation: RevocationState::new(kernel.node_settings().revocation_ms),
             knows_suspects: AtomicBool::new(false),
             peers: RwLock::new(Arc::from([])),
             stop_requested_us: OnceLock::new(),
@@ -178,6 +180,10 @@
         metrics
             .config_age_ms
             .set(self.kernel.profiles.age_ms(self.kernel.clock.now_us()) as i64);
+        let proof_age_ms = self.revocation.age_ms();
+        metrics
+            .revocation_proof_age_ms
+            .set(proof_age_ms.map_or(-1, |age_ms| age_ms as i64));
         let stats = self.kernel.mesh.stats();
         for channel in Channel::ALL {
             let labels = KindLabels {
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -126,13 +126,15 @@
     fn resolve_target(&self, request: &mut Request) -> Result<CallTarget, Refusal> {
         let kernel = &self.context.kernel;
         let path = request.target.split('?').next().unwrap_or("/").to_owned();
+        // Before the table: one that was read earlier may be older than the proof.
+        let may_accept_keys = self.context.revocation.may_accept_keys();
         if let Some(table) = kernel.profiles.routes() {
             let host = request.headers.get("host").unwrap_or_default();
             let matched = table
                 .find(host.trim(), &path)
                 .ok_or((None, ErrorKind::NoRoute))?;
             let credential = self
-                .authenticate(&table, &matched.route, request)
+                .authenticate(&table, &matched.route, may_accept_keys, request)
                 .map_err(|kind| (None, kind))?;
             let service = matched
                 .next_service()
--- a/components/node/src/entry/customers.rs
+++ b/components/node/src/entry/customers.rs
@@ -18,11 +18,14 @@
 impl Entry {
     /// Checks the key of a request and removes it, together with what the caller sent as the
     /// customer's name. The result is `None` on public routes and if the configuration has no
-    /// customers, in which case the request is unchanged.
+    /// customers, in which case the request is unchanged. `may_accept_keys` tells whether this node
+    /// held a proof of strict revocation before it read the table; without one, an unknown key may
+    /// be new just as a known one may be revoked.
     pub(super) fn authenticate(
         &self,
         table: &RouteTable,
         route: &Route,
+        may_accept_keys: bool,
         request: &mut Request,
     ) -> Result<Option<Credential>, ErrorKind> {
         let Some(customers) = table.customers() else {
@@ -40,6 +43,9 @@
             return Ok(None);
         }
         let key_hash = key_hash.ok_or(ErrorKind::UnknownKey)?;
+        if !may_accept_keys {
+            return Err(ErrorKind::RevocationUnconfirmed);
+        }
         let customer = customers.find(&key_hash).ok_or(ErrorKind::UnknownKey)?;
         Ok(Some(Credential {
             customer: Arc::clone(customer),
@@ -54,12 +60,16 @@
         let Some(key_hash) = &call.key_hash else {
             return Ok(());
         };
+        let may_accept_keys = self.context.revocation.may_accept_keys();
         let Some(table) = self.context.kernel.profiles.routes() else {
             return Ok(());
         };
         let Some(customers) = table.customers() else {
             return Ok(());
         };
+        if !may_accept_keys {
+            return Err(ErrorKind::RevocationUnconfirmed);
+        }
         match customers.find(key_hash) {
             Some(customer) if call.customer.as_ref() == Some(&customer.name) => Ok(()),
             _ => Err(ErrorKind::UnknownKey),
@@ -67,6 +77,21 @@
     }
 }
 
+impl Entry {
+    /// The figures behind a refusal for its key, for the log.
+    pub(super) fn key_detail(&self, kind: ErrorKind) -> String {
+        if kind != ErrorKind::RevocationUnconfirmed {
+            return String::new();
+        }
+        let revocation = &self.context.revocation;
+        let bound_ms = revocation.bound_us() / 1_000;
+        match revocation.age_ms() {
+            Some(age_ms) => format!(", proof {age_ms} ms old, bound {bound_ms} ms"),
+            None => format!(", no proof yet, bound {bound_ms} ms"),
+        }
+    }
+}
+
 /// Hash of the key in the header field; `None` without the field or with another scheme.
 fn key_hash(request: &Request, name: &str) -> Result<Option<[u8; 32]>, ErrorKind> {
     let mut values = request.headers.get_all(name);
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -184,8 +184,9 @@
             Ok(prepared) => prepared,
             Err((service, kind)) => {
                 let version = self.configuration_version();
+                let detail = self.key_detail(kind);
                 log::info!(
-                    "entry: request {request_id} refused, {kind}; configuration version {version}."
+                    "entry: request {request_id} refused, {kind}{detail}; configuration version {version}."
                 );
                 return self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
             }
@@ -260,6 +261,7 @@
                 expected_ms: self.shortest_expected_ms(service),
             },
             ErrorKind::CrashHold => RefusalCause::Held,
+            ErrorKind::RevocationUnconfirmed => RefusalCause::Unconfirmed,
             _ => RefusalCause::Other,
         };
         let seconds = retry_after_ms(reason, target_ms, rand::random()) / 1_000.0;
--- a/components/node/src/instance_api.rs
+++ b/components/node/src/instance_api.rs
@@ -2,6 +2,7 @@
 //! plug-in `platform` does.
 
 use crate::{announce::Announcement, context::NodeContext};
+use config::RouteTable;
 use kernel::Kernel;
 use model::UpstreamName;
 use std::sync::Arc;
@@ -35,9 +36,15 @@
         routes.is_none_or(|table| table.has_service(service))
     }
 
-    /// Whether this node accepts calls: it has a configuration and is not stopping.
+    /// Whether this node accepts calls: it has a configuration, it had a proof if it needs one to
+    /// accept keys, and it is not stopping.
     pub fn is_ready(&self) -> bool {
         let kernel = &self.context.kernel;
-        !kernel.stop.is_raised() && kernel.profiles.routes().is_some()
+        let revocation = &self.context.revocation;
+        let accepts_keys = |table: &RouteTable| {
+            table.customers().is_none() || !revocation.is_strict() || revocation.age_ms().is_some()
+        };
+        let routes = kernel.profiles.routes();
+        !kernel.stop.is_raised() && routes.is_some_and(|table| accepts_keys(&table))
     }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod probes;
 mod revision_offers;
+mod revocation;
 mod suspects;
 mod sync;
 
--- a/components/node/src/platform.rs
+++ b/components/node/src/platform.rs
@@ -120,6 +120,7 @@
         "availability_zone": kernel.node_settings().availability_zone,
         "revision": kernel.profiles.revision(),
         "config_age_ms": kernel.profiles.age_ms(kernel.clock.now_us()),
+        "revocation_proof_age_ms": context.revocation.age_ms(),
         "stopping": kernel.stop.is_raised(),
         "instance": context.local.upstream(),
         "upstreams": kernel.directory.all(),
--- a/components/node/src/sync/mod.rs
+++ b/components/node/src/sync/mod.rs
@@ -3,13 +3,15 @@
 
 mod control;
 mod discovery;
+mod proof;
 
 use crate::context::NodeContext;
-use crossbeam::channel::{RecvTimeoutError, bounded};
+use crossbeam::channel::{RecvTimeoutError, bounded, unbounded};
 use kernel::{Event, Kernel, PluginEntry, Role, RunningPlugin, StartError};
 use members::ControlReplicas;
 use mesh::{Channel, Inbound};
 use model::Revision;
+use proof::ProofEvent;
 use registry::{Comparison, Delta};
 use std::{
     net::SocketAddr,
@@ -63,6 +65,7 @@
                 let _ = first_sender.try_send(());
             });
         })?);
+        threads.extend(start_proof(&sync)?);
         threads.push(spawn("sync-discovery", move || sync.discover())?);
     }
     // A node without profiles could only refuse calls, so the start waits for them. It goes on
@@ -83,6 +86,25 @@
     }))
 }
 
+/// Starts the thread that keeps the proof of strict revocation, if revocation is strict.
+fn start_proof(sync: &Arc<ConfigSync>) -> Result<Option<thread::JoinHandle<()>>, StartError> {
+    if !sync.context.revocation.is_strict() {
+        return Ok(None);
+    }
+    let (sender, events) = unbounded();
+    sync.context.kernel.events.subscribe({
+        let sender = sender.clone();
+        move |event| {
+            if matches!(event, Event::ProfilesChanged(_)) {
+                // The receiver was dropped if the process is stopping.
+                let _ = sender.send(ProofEvent::ConfigurationChanged);
+            }
+        }
+    });
+    let sync = Arc::clone(sync);
+    spawn("sync-proof", move || sync.keep_proof(&events, &sender)).map(Some)
+}
+
 fn spawn(
     name: &'static str,
     work: impl FnOnce() + Send + 'static,
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -115,6 +115,9 @@
     pub health_checks_per_s: u32,
     /// Zone preference of the calls that a route of the configuration matches.
     pub route_zone_preference: ZonePreference,
+    /// Time after its revocation from which on no key is accepted, in milliseconds; `None` if the
+    /// newest known configuration decides.
+    pub revocation_ms: Option<u64>,
     /// Names of the header fields of calls.
     pub headers: CallHeaders,
     /// Service of the instance beside this node, until an instance announces itself.
@@ -235,6 +238,7 @@
                     "none, prefer or local",
                 )?
                 .unwrap_or_default(),
+            revocation_ms: read_revocation_ms(flags, source)?,
             headers: CallHeaders::default(),
             service: source.optional("service", flags.service.as_deref(), NAME_FORMAT)?,
             stop_timeout_ms: number(
@@ -267,6 +271,18 @@
     }
 }
 
+fn read_revocation_ms<E: Fn(&str) -> Option<String>>(
+    flags: &NodeFlags,
+    source: &SettingSource<E>,
+) -> Result<Option<u64>, SettingError> {
+    let value = flags.revocation_ms.as_deref();
+    if source.text("revocation-ms", value).is_none() {
+        return Ok(None);
+    }
+    let bound_ms = source.number("revocation-ms", value, 0, 100, 600_000)?;
+    Ok(Some(bound_ms))
+}
+
 fn read_shared_retries<E: Fn(&str) -> Option<String>>(
     flags: &NodeFlags,
     source: &SettingSource<E>,
--- a/components/settings/src/node_flags.rs
+++ b/components/settings/src/node_flags.rs
@@ -194,6 +194,13 @@
         help = "time for which a stopping node still takes calls (default: 0)"
     )]
     pub stop_notice_ms: Option<String>,
+    /// Time after its revocation within which a key is still accepted.
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "strict revocation: accept no key this long after its revocation (default: not strict)"
+    )]
+    pub revocation_ms: Option<String>,
     /// Data directory of a control replica inside this node.
     #[options(
         no_short,
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -34,6 +34,14 @@
     Propose(Box<Change>),
     /// Asks the leader for the newest configuration.
     Read,
+    /// Asks for the group's revision, read by a quorum round that begins after this request has
+    /// arrived. Any replica answers it with `Confirmed`, or with `NoLeader` after a while.
+    Confirm {
+        /// Revision of the configuration in effect at the sender.
+        have: Revision,
+    },
+    /// Asks the leader for the group's revision, read by such a round; answered with `Revision`.
+    ReadRevision,
 }
 
 /// Reply to a [`ControlRequest`].
@@ -60,4 +68,11 @@
     /// As `NoLeader`; the replica has a configuration that the requester lacks, which may not be
     /// the newest.
     Unconfirmed(Box<Delta>),
+    /// The group's revision at some moment after the request had arrived.
+    Confirmed {
+        /// Newest accepted revision.
+        revision: Revision,
+    },
+    /// The same from the leader; `None` if it could not be read.
+    Revision(Option<Revision>),
 }
