Let the proof thread wait, and collect questions at the leader

Cause: with strict revocation and no customers in the configuration the thread that keeps the proof ran without a pause. Each question at the leader began a quorum round of its own, a message to every replica.

Change: the thread sleeps while there are no customers. The leader collects questions for 20 ms before a round.

--- a/components/control/src/confirm.rs
+++ b/components/control/src/confirm.rs
@@ -17,6 +17,9 @@
 const HOLD_US: u64 = 1_000_000;
 /// Longest wait for one round; a leader that is cut off must not delay the questions for longer.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which the leader collects questions before a round, since each round is a message to every
+/// replica; short against the 150 ms after which nodes ask others.
+const COLLECT_TIME: Duration = Duration::from_millis(20);
 /// Pause after a round without a revision.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for a question, and with it the longest delay of a stop.
@@ -86,12 +89,16 @@
 pub(crate) fn run_rounds(control: &Arc<ControlContext>) {
     let confirmations = &control.confirmations;
     while !control.kernel.shutdown.is_raised() {
-        if !confirmations.lock().begin_round() {
+        if !confirmations.lock().has_waiting() {
             match confirmations.wake.1.recv_timeout(MAX_WAIT) {
                 Ok(()) | Err(RecvTimeoutError::Timeout) => continue,
                 Err(RecvTimeoutError::Disconnected) => return,
             }
         }
+        if control.remote_leader().is_none() && control.kernel.shutdown.wait(COLLECT_TIME) {
+            return;
+        }
+        confirmations.lock().begin_round();
         let revision = read_revision(control);
         let now_us = control.kernel.clock.now_us();
         let answered = confirmations.lock().end_round(now_us, revision);
--- a/components/node/src/sync/proof.rs
+++ b/components/node/src/sync/proof.rs
@@ -38,6 +38,7 @@
         let mut schedule = AskSchedule::new(state.bound_us());
         let mut was_fresh = false;
         while !self.context.kernel.shutdown.is_raised() {
+            let mut pause = MAX_SLEEP;
             if self.has_customers() {
                 let replicas = self.replicas().addresses();
                 let due = schedule.take_due(Clock::boot_us(), &replicas, rand::random());
@@ -45,9 +46,9 @@
                     self.ask_revision(replica, sender);
                 }
                 self.log_freshness(&mut was_fresh);
+                let wake_us = schedule.next_wake_us().saturating_sub(Clock::boot_us());
+                pause = pause.min(Duration::from_micros(wake_us));
             }
-            let wake_us = schedule.next_wake_us().saturating_sub(Clock::boot_us());
-            let pause = Duration::from_micros(wake_us).min(MAX_SLEEP);
             if let Ok(event) = events.recv_timeout(pause) {
                 self.handle_proof_event(&event, &mut schedule);
             }
