--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -1,6 +1,6 @@
 //! State that the plug-ins of one control replica share in addition to the kernel.
 
-use crate::{pulls::HeldPulls, quotas::Quotas, reports::NodeReports};
+use crate::{confirm::Confirmations, pulls::HeldPulls, quotas::Quotas, reports::NodeReports};
 use consensus::{Input, ReplicaId, ReplicaNumber, Reply, Role};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use errors::ErrorKind;
@@ -76,6 +76,7 @@
     pub(crate) pulls: HeldPulls,
     pub(crate) reports: NodeReports,
     pub(crate) quotas: Quotas,
+    pub(crate) confirmations: Confirmations,
     introductions: Mutex<Introductions>,
     inputs: Sender<Input>,
     input_receiver: Receiver<Input>,
@@ -94,6 +95,7 @@
                 pulls: HeldPulls::default(),
                 reports: NodeReports::default(),
                 quotas: Quotas::default(),
+                confirmations: Confirmations::default(),
                 introductions: Mutex::default(),
                 inputs,
                 input_receiver,
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -137,6 +137,8 @@
     QuotaExceeded,
     /// The node has no share of the customer's rate and can't get one.
     QuotaUnconfirmed,
+    /// The node can't show that its configuration is recent enough to accept keys.
+    RevocationUnconfirmed,
 }
 
 impl ErrorKind {
@@ -191,6 +193,7 @@
         ErrorKind::AmbiguousKey,
         ErrorKind::QuotaExceeded,
         ErrorKind::QuotaUnconfirmed,
+        ErrorKind::RevocationUnconfirmed,
     ];
 
     /// How this kind is reported.
@@ -539,6 +542,13 @@
                 "The node has no share of the customer's rate left and can't get one at present.",
                 "Retry after the time in retry-after; check the control group if it persists.",
             ),
+            ErrorKind::RevocationUnconfirmed => (
+                "revocation-unconfirmed",
+                503,
+                Outcome::NotRun,
+                "The node can't confirm that no key was revoked.",
+                "Send the request to another node, or again after Retry-After.",
+            ),
         };
         ErrorInfo {
             code,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod probes;
 mod quotas;
 mod revision_offers;
+mod revocation;
 mod suspects;
 mod sync;
 
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -37,6 +37,14 @@
     Read,
     /// Reports a node's demand for quotas of customers to the leader.
     Quota(QuotaReport),
+    /// Asks for the group's revision, read by a quorum round that begins after this request has
+    /// arrived. Any replica answers it with `Confirmed`, or with `NoLeader` after a while.
+    Confirm {
+        /// Revision of the configuration in effect at the sender.
+        have: Revision,
+    },
+    /// Asks the leader for the group's revision, read by such a round; answered with `Revision`.
+    ReadRevision,
 }
 
 /// Reply to a [`ControlRequest`].
@@ -65,4 +73,11 @@
     Unconfirmed(Box<Delta>),
     /// Answer to a report about quotas.
     Quota(QuotaAnswer),
+    /// The group's revision at some moment after the request had arrived.
+    Confirmed {
+        /// Newest accepted revision.
+        revision: Revision,
+    },
+    /// The same from the leader; `None` if it could not be read.
+    Revision(Option<Revision>),
 }
