--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -245,7 +245,7 @@
         let customers = set.configuration().and_then(|c| c.customers.as_deref());
         let customers = customers.unwrap_or_default();
         let names = customers.iter().map(|customer| Arc::clone(&customer.name));
-        state.quota.set_customers(names);
+        state.quota.set_customers(Clock::boot_us(), names);
         let limited = customers.iter().filter(|customer| {
             let rate = customer.rate_per_s;
             rate.is_some_and(|rate| rate.as_f64() > 0.0)
--- a/components/quota/src/customer.rs
+++ b/components/quota/src/customer.rs
@@ -22,7 +22,7 @@
 const SCARCE_PERCENT: (f64, f64) = (60.0, 95.0);
 /// Age up to which the fair share is used again.
 const FAIR_SHARE_AGE_US: u64 = 100_000;
-/// Part of the bucket that holds no tokens while nodes may hold as many as they can, in percent.
+/// Part of the bucket that gives way to the tokens that nodes may hold, in percent.
 const HELD_PERCENT: f64 = 20.0;
 /// Shortest and longest pause after a lack of tokens.
 const PAUSE_MS: (f64, f64) = (50.0, 250.0);
--- a/components/quota/src/node.rs
+++ b/components/quota/src/node.rs
@@ -99,8 +99,13 @@
     }
 
     /// Sets the customers of the configuration in effect.
-    pub fn set_customers(&mut self, names: impl IntoIterator<Item = Arc<str>>) {
+    pub fn set_customers(&mut self, now_us: u64, names: impl IntoIterator<Item = Arc<str>>) {
         let list = CustomerList::new(names);
+        if list.digest() != self.list.digest() && self.outstanding.take().is_some() {
+            // The answer will number the customers as in the former list.
+            self.needs_full_report = true;
+            self.next_report_us = now_us;
+        }
         self.customers
             .retain(|name, quota| list.number(name).is_some() || quota.has_waiting());
         self.list = list;
--- a/components/quota/tests/common/mod.rs
+++ b/components/quota/tests/common/mod.rs
@@ -140,7 +140,10 @@
 
     fn start_node(&self, incarnation: u64) -> Node {
         let mut quota = NodeQuota::new(self.now_us);
-        quota.set_customers(self.loads.iter().map(|load| Arc::clone(&load.name)));
+        quota.set_customers(
+            self.now_us,
+            self.loads.iter().map(|load| Arc::clone(&load.name)),
+        );
         Node {
             quota,
             incarnation,
--- a/components/quota/tests/limit_changes.rs
+++ b/components/quota/tests/limit_changes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Load, World, caller_node, some_nodes};
-use quota::CustomerLimit;
+use quota::{Admission, CustomerLimit, NodeQuota, QuotaAnswer, QuotaGrant, QuotaGrants, Verdict};
 use std::sync::Arc;
 
 const SECOND_US: u64 = 1_000_000;
@@ -80,3 +80,34 @@
     let late = late.filter(|at| **at > removed_us).count();
     assert_eq!(late, 0, "calls refused after the limit was removed");
 }
+
+/// Guards against a grant that is taken for another customer's, because the list that numbers the
+/// customers changed while the report was under way.
+#[test]
+fn changed_list_voids_the_answer_under_way() {
+    let (first, second) = (Arc::from("a"), Arc::from("b"));
+    let mut node = NodeQuota::new(0);
+    node.set_customers(0, [Arc::clone(&second)]);
+    assert_eq!(node.admit(0, &second, 1), Admission::Waiting);
+    let report = node.poll(0).expect("a report");
+    node.set_customers(1_000, [Arc::clone(&first), Arc::clone(&second)]);
+    assert_eq!(node.admit(1_000, &first, 2), Admission::Waiting);
+    let grant = |customer| {
+        QuotaAnswer::Granted(QuotaGrants {
+            epoch: 1,
+            is_settling: false,
+            grants: vec![QuotaGrant {
+                customer,
+                share: 0,
+                tokens: 1,
+                pause_ms: 0,
+            }],
+        })
+    };
+    assert!(node.on_answer(2_000, report.sequence, &grant(0)).is_empty());
+    let next = node.poll(2_000).expect("a report with the new list");
+    assert!(next.is_full && next.list != report.list);
+    let decided = node.on_answer(3_000, next.sequence, &grant(1));
+    assert!(decided.contains(&(1, Verdict::Admitted)), "{decided:?}");
+    assert!(!decided.contains(&(2, Verdict::Admitted)), "{decided:?}");
+}
