--- a/components/routing/src/tracked_upstream.rs
+++ b/components/routing/src/tracked_upstream.rs
@@ -11,8 +11,9 @@
 const CHANCE_SERVICE_RATIO: f64 = 2.0;
 /// Age at which the pace of a host has lost 63 % of its weight, in microseconds.
 const PACE_DECAY_US: f64 = 100_000.0;
-/// Age at which fewer slots than announced have lost 63 % of their weight, in microseconds.
-const SLOTS_DECAY_US: f64 = 1_000_000.0;
+/// Age at which fewer slots than announced have lost 63 % of their weight, in microseconds. With 1 s,
+/// entries avoided upstreams for a second after their cold period.
+const SLOTS_DECAY_US: f64 = 250_000.0;
 /// Age at which the error of predictions has lost 63 % of its weight, in microseconds.
 const RESULT_DECAY_US: f64 = 300_000.0;
 /// Weight of one result in the averages of predicted and observed latency.
