Show customers and the age of each node's proof to operators

Cause: an operator could not see which customers are in effect, nor which node is about to refuse keys.

Change: gyard customers and GET /v1/customers on the operator port list name, number of keys, rank, rate and burst of each customer, and for each live node the age of its last proof, collected from all replicas (ControlRequest::ProofAges).

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -1,5 +1,9 @@
 //! JSON bodies of the operator port, shared by the control replica and the operators' client.
 
+mod customers;
+
+pub use customers::{CustomerEntry, CustomerList, NodeProof};
+
 use model::{
     AvailabilityZone, HostName, Profile, ProfileName, Revision, ServiceName, UpstreamName,
     UpstreamState,
--- a/components/client/src/options.rs
+++ b/components/client/src/options.rs
@@ -41,6 +41,8 @@
     Profile(ProfileFlags),
     #[options(help = "show replicas, nodes and the revision in effect on each")]
     Status(StatusFlags),
+    #[options(help = "show customers, and how old the proof is by which each node accepts keys")]
+    Customers(StatusFlags),
     #[options(help = "drain an instance: it finishes its calls and takes no new ones")]
     Drain(DrainFlags),
     #[options(help = "tell from log files what became of a request")]
--- a/components/client/src/output.rs
+++ b/components/client/src/output.rs
@@ -1,6 +1,6 @@
 //! Text output of results: tables and lists.
 
-use api::{ChangeResponse, NodeStatus, ProfileEntry, ProfileList, Status};
+use api::{ChangeResponse, CustomerList, NodeStatus, ProfileEntry, ProfileList, Status};
 use std::io::{self, Write};
 
 /// Writes rows under a header, each column as wide as its longest cell.
@@ -126,6 +126,44 @@
     ]
 }
 
+pub(crate) fn write_customers(out: &mut dyn Write, list: &CustomerList) -> io::Result<()> {
+    writeln!(out, "configuration {}", list.version)?;
+    let Some(customers) = &list.customers else {
+        return writeln!(out, "no customers; callers need no key");
+    };
+    let number = |value: Option<f64>| value.map_or("-".to_owned(), |value| value.to_string());
+    let rows: Vec<Vec<String>> = customers
+        .iter()
+        .map(|customer| {
+            vec![
+                customer.name.clone(),
+                customer.keys.to_string(),
+                customer
+                    .rank
+                    .map_or("-".to_owned(), |rank| rank.to_string()),
+                number(customer.rate_per_s),
+                number(customer.burst),
+            ]
+        })
+        .collect();
+    writeln!(out)?;
+    write_table(out, &["CUSTOMER", "KEYS", "RANK", "RATE/S", "BURST"], &rows)?;
+    writeln!(out)?;
+    let rows: Vec<Vec<String>> = list
+        .nodes
+        .iter()
+        .map(|node| {
+            let age = node.proof_age_ms;
+            vec![
+                node.node.to_string(),
+                node.host.to_string(),
+                age.map_or("-".to_owned(), |age_ms| age_ms.to_string()),
+            ]
+        })
+        .collect();
+    write_table(out, &["NODE", "HOST", "PROOF AGE MS"], &rows)
+}
+
 pub(crate) fn write_status(out: &mut dyn Write, status: &Status) -> io::Result<()> {
     let leader = status.leader.map_or_else(
         || "no leader; changes wait for a majority of replicas".to_owned(),
--- a/components/client/src/run.rs
+++ b/components/client/src/run.rs
@@ -12,7 +12,7 @@
     request_trace::RequestTrace,
     wait,
 };
-use api::{ChangeResponse, DrainRequest, ProfileEntry, ProfileList, Status};
+use api::{ChangeResponse, CustomerList, DrainRequest, ProfileEntry, ProfileList, Status};
 use gumdrop::{Options, ParsingStyle};
 use model::{ServiceName, UpstreamName};
 use serde::Serialize;
@@ -113,7 +113,7 @@
     let is_json = flags.is_json()?;
     let Some(command) = &flags.command else {
         return Err(Failure::usage(
-            "give a command: profile, status, drain or explain",
+            "give a command: profile, status, customers, drain or explain",
         ));
     };
     let client = || -> Result<OperatorClient, Failure> {
@@ -137,6 +137,12 @@
                 .map_err(RequestError::into_failure)?;
             console.write_result(&status, output::write_status)
         }
+        Command::Customers(_) => {
+            let list: CustomerList = client()?
+                .get("/v1/customers")
+                .map_err(RequestError::into_failure)?;
+            console.write_result(&list, output::write_customers)
+        }
         Command::Drain(drain) => run_drain(&client()?, drain, &mut console),
         Command::Explain(flags) => explain(flags, &mut console),
     }
--- a/components/control/src/confirm.rs
+++ b/components/control/src/confirm.rs
@@ -7,6 +7,8 @@
 use model::Revision;
 use revocation::RevisionReads;
 use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -25,10 +27,13 @@
 /// Longest wait for a question, and with it the longest delay of a stop.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
+/// Age at which the proof of a silent node is forgotten.
+const FORGET_AFTER_US: u64 = 60_000_000;
+
 /// Who asked.
 pub(crate) enum Asker {
-    /// A node, with `Confirm`.
-    Node(Inbound),
+    /// A node, with `Confirm`, at this time.
+    Node(Inbound, u64),
     /// A follower, with `ReadRevision`.
     Replica(Inbound),
 }
@@ -37,6 +42,8 @@
 pub(crate) struct Confirmations {
     reads: Mutex<RevisionReads<Asker>>,
     wake: (Sender<()>, Receiver<()>),
+    /// Times of the last questions of nodes that were answered.
+    proofs: Mutex<BTreeMap<SocketAddr, u64>>,
 }
 
 impl Default for Confirmations {
@@ -44,6 +51,7 @@
         Confirmations {
             reads: Mutex::default(),
             wake: bounded(1),
+            proofs: Mutex::default(),
         }
     }
 }
@@ -52,7 +60,7 @@
     /// Adds a question that arrived at `now_us`.
     pub(crate) fn add(&self, now_us: u64, asker: Asker) {
         let until_us = match &asker {
-            Asker::Node(_) => now_us + HOLD_US,
+            Asker::Node(..) => now_us + HOLD_US,
             // The follower holds the questions of its nodes itself.
             Asker::Replica(_) => now_us,
         };
@@ -63,6 +71,27 @@
         let _ = self.wake.0.try_send(());
     }
 
+    /// Ages of the proofs that this replica gave, in milliseconds.
+    pub(crate) fn proof_ages(&self, now_us: u64) -> Vec<(SocketAddr, u64)> {
+        let mut proofs = self.lock_proofs();
+        proofs.retain(|_, asked_us| now_us < *asked_us + FORGET_AFTER_US);
+        let age_ms = |asked_us: &u64| now_us.saturating_sub(*asked_us) / 1_000;
+        proofs
+            .iter()
+            .map(|(node, asked_us)| (*node, age_ms(asked_us)))
+            .collect()
+    }
+
+    fn note_proof(&self, asker: &Asker) {
+        if let Asker::Node(inbound, asked_us) = asker {
+            self.lock_proofs().insert(inbound.from.mesh, *asked_us);
+        }
+    }
+
+    fn lock_proofs(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, u64>> {
+        self.proofs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, RevisionReads<Asker>> {
         self.reads.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -71,7 +100,7 @@
 impl Asker {
     fn answer(self, revision: Option<Revision>) {
         let (inbound, reply) = match self {
-            Asker::Node(inbound) => (
+            Asker::Node(inbound, _) => (
                 inbound,
                 revision.map_or(ControlReply::NoLeader, |revision| ControlReply::Confirmed {
                     revision,
@@ -103,6 +132,9 @@
         let now_us = control.kernel.clock.now_us();
         let answered = confirmations.lock().end_round(now_us, revision);
         for asker in answered {
+            if revision.is_some() {
+                confirmations.note_proof(&asker);
+            }
             asker.answer(revision);
         }
         if revision.is_none() && control.kernel.shutdown.wait(RETRY_PAUSE) {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod confirm;
 mod context;
+mod customers;
 mod keeper;
 mod operator;
 mod operator_api;
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -24,7 +24,7 @@
 /// Threads that serve operators; several, because a change blocks one until a quorum confirms it.
 const SERVER_THREADS: usize = 4;
 /// Timeout of a request to another process.
-const PEER_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
 inventory::submit! {
     PluginEntry { name: "operator", role: Role::Control, order: 7, start }
@@ -98,6 +98,7 @@
                 parse_body(request).and_then(|body| self.drain_instance(&body))
             }
             (Method::Get, "/v1/status") => self.status(),
+            (Method::Get, "/v1/customers") => self.customers(),
             (Method::Get, "/metrics") => return self.render_metrics(),
             _ => Err((ErrorKind::NotFound, path)),
         };
@@ -235,6 +236,11 @@
         }))
     }
 
+    fn customers(&self) -> Result<Value, Refusal> {
+        let list = self.control.customer_list(&self.reports(), self.peers())?;
+        Ok(json!(list))
+    }
+
     fn replicas(&self) -> Vec<ReplicaStatus> {
         let state = self.control.replica_state();
         let leader = state
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -224,12 +224,19 @@
         }
         ControlRequest::Confirm { .. } => {
             let now_us = control.kernel.clock.now_us();
-            control.confirmations.add(now_us, Asker::Node(inbound));
+            control
+                .confirmations
+                .add(now_us, Asker::Node(inbound, now_us));
         }
         ControlRequest::ReadRevision => {
             let now_us = control.kernel.clock.now_us();
             control.confirmations.add(now_us, Asker::Replica(inbound));
         }
+        ControlRequest::ProofAges => {
+            let now_us = control.kernel.clock.now_us();
+            let ages = control.confirmations.proof_ages(now_us);
+            reply(inbound, &ControlReply::ProofAges(ages));
+        }
     }
 }
 
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -42,6 +42,8 @@
     },
     /// Asks the leader for the group's revision, read by such a round; answered with `Revision`.
     ReadRevision,
+    /// Asks for the ages of the nodes' proofs that the replica gave.
+    ProofAges,
 }
 
 /// Reply to a [`ControlRequest`].
@@ -75,4 +77,6 @@
     },
     /// The same from the leader; `None` if it could not be read.
     Revision(Option<Revision>),
+    /// Mesh addresses of nodes and the ages of their proofs in milliseconds.
+    ProofAges(Vec<(SocketAddr, u64)>),
 }
