--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -189,6 +189,20 @@
     pub customers: Vec<CustomerStatus>,
     /// Nodes whose figures are missing, because they did not answer in time.
     pub silent_nodes: Vec<SocketAddr>,
+    /// Live nodes, and when each was last confirmed for strict revocation.
+    pub nodes: Vec<NodeProof>,
+}
+
+/// When a node was last confirmed for strict revocation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeProof {
+    /// Its mesh address.
+    pub node: SocketAddr,
+    /// Name of the host that it runs on.
+    pub host: HostName,
+    /// Age of its last proof, as the replicas that answer know it; `None` if none of them gave it one
+    /// in the last minute.
+    pub proof_age_ms: Option<u64>,
 }
 
 /// Limit of a customer and its use, summed over all nodes that answered. Nodes count since their
@@ -197,6 +211,10 @@
 pub struct CustomerStatus {
     /// Name of the customer.
     pub name: String,
+    /// Number of its keys. The keys themselves are never sent.
+    pub keys: usize,
+    /// Rank of its calls, if it has one.
+    pub rank: Option<u32>,
     /// Calls per second over all nodes; no limit if absent.
     pub rate_per_s: Option<f64>,
     /// Calls beyond the rate that may come at once.
--- a/components/client/src/output.rs
+++ b/components/client/src/output.rs
@@ -1,8 +1,8 @@
 //! Text output of results: tables and lists.
 
 use api::{
-    ChangeResponse, CustomerList, CustomerStatus, NodeStatus, ProfileEntry, ProfileList, Status,
-    ZoneCommandResponse, ZoneEntry, ZoneList,
+    ChangeResponse, CustomerList, CustomerStatus, NodeProof, NodeStatus, ProfileEntry, ProfileList,
+    Status, ZoneCommandResponse, ZoneEntry, ZoneList,
 };
 use std::io::{self, Write};
 
@@ -46,6 +46,8 @@
     }
     let header = [
         "CUSTOMER",
+        "KEYS",
+        "RANK",
         "RATE/S",
         "BURST",
         "ADMITTED",
@@ -54,7 +56,19 @@
         "SHARES",
     ];
     let rows: Vec<Vec<String>> = list.customers.iter().map(customer_row).collect();
-    write_table(out, &header, &rows)
+    write_table(out, &header, &rows)?;
+    writeln!(out)?;
+    let rows: Vec<Vec<String>> = list.nodes.iter().map(proof_row).collect();
+    write_table(out, &["NODE", "HOST", "PROOF AGE MS"], &rows)
+}
+
+fn proof_row(node: &NodeProof) -> Vec<String> {
+    let age = node.proof_age_ms;
+    vec![
+        node.node.to_string(),
+        node.host.to_string(),
+        age.map_or_else(|| "-".to_owned(), |age_ms| age_ms.to_string()),
+    ]
 }
 
 fn customer_row(customer: &CustomerStatus) -> Vec<String> {
@@ -65,6 +79,10 @@
     let rate = customer.rate_per_s;
     vec![
         customer.name.clone(),
+        customer.keys.to_string(),
+        customer
+            .rank
+            .map_or_else(|| "-".to_owned(), |rank| rank.to_string()),
         rate.map_or_else(|| "no limit".to_owned(), |rate| rate.to_string()),
         customer.burst.to_string(),
         customer.admitted.to_string(),
--- a/components/control/src/customers.rs
+++ b/components/control/src/customers.rs
@@ -20,6 +20,7 @@
     control: &ControlContext,
     newest: &Delta,
     reports: &[NodeReport],
+    peers: impl IntoIterator<Item = SocketAddr>,
 ) -> CustomerList {
     let configured = newest.settings.configuration.as_ref();
     let configured = configured.and_then(|configuration| configuration.customers.as_deref());
@@ -48,6 +49,7 @@
         revision: newest.to,
         customers,
         silent_nodes: silent.into_iter().collect(),
+        nodes: control.node_proofs(reports, peers),
     }
 }
 
@@ -75,6 +77,8 @@
     let rate_per_s = customer.rate_per_s.map(Quantity::as_f64);
     CustomerStatus {
         name: customer.name.to_string(),
+        keys: customer.keys.len(),
+        rank: customer.rank,
         rate_per_s: rate_per_s.filter(|rate| *rate > 0.0),
         burst: customer.burst.map_or(0.0, Quantity::as_f64),
         admitted: 0,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,6 +5,7 @@
 mod context;
 mod customers;
 mod keeper;
+mod node_proofs;
 mod operator;
 mod operator_api;
 mod operator_zones;
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -26,7 +26,7 @@
 /// Threads that serve operators; several, because a change blocks one until a quorum confirms it.
 const SERVER_THREADS: usize = 4;
 /// Timeout of a request to another process.
-const PEER_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
 inventory::submit! {
     PluginEntry { name: "operator", role: Role::Control, order: 7, start }
@@ -247,7 +247,8 @@
     fn customers(&self) -> Result<Value, Refusal> {
         let newest = self.control.newest_configuration()?;
         let reports = self.reports();
-        Ok(json!(customers::list(&self.control, &newest, &reports)))
+        let list = customers::list(&self.control, &newest, &reports, self.peers());
+        Ok(json!(list))
     }
 
     fn replicas(&self) -> Vec<ReplicaStatus> {
--- a/components/routing/tests/cold_zone.rs
+++ b/components/routing/tests/cold_zone.rs
@@ -92,14 +92,11 @@
         });
         let owners = (0..UPSTREAMS).map(|_| {
             let mut limiter = ColdLimiter::new(0);
-            limiter.set_rate(
-                0,
-                is_limited.then_some(ColdRate {
-                    calls_per_s: 18.0,
-                    overage_percent: 25,
-                    slack: 4,
-                }),
-            );
+            limiter.set_rate(is_limited.then_some(ColdRate {
+                calls_per_s: 18.0,
+                overage_percent: 25,
+                slack: 4,
+            }));
             Owner {
                 limiter,
                 in_flight: 0,
