--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -7,7 +7,10 @@
 use log::LevelFilter;
 use model::{AvailabilityZone, HostName, Profile, Region, Revision};
 use serde_json::{Value, json};
-use settings::{CallHeaders, ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings};
+use settings::{
+    CallHeaders, ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings,
+    QuotaToleranceSettings,
+};
 use snafu::Snafu;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
@@ -551,6 +554,7 @@
         availability_zone: zone_name(&format!("zone-{number}")),
         operator_token: None,
         mesh_key: MeshKey([7; 32]),
+        quota_tolerance: QuotaToleranceSettings::default(),
         logs: warnings_only(),
     })
 }
--- a/components/control/src/quotas.rs
+++ b/components/control/src/quotas.rs
@@ -4,7 +4,8 @@
 use config::{Configuration, Customer, Quantity};
 use kernel::Clock;
 use model::NodeId;
-use quota::{CustomerLimit, QuotaAnswer, QuotaCoordinator, QuotaReport};
+use quota::{CustomerLimit, QuotaAnswer, QuotaCoordinator, QuotaReport, QuotaTolerance};
+use settings::QuotaToleranceSettings;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// The coordinator of one term.
@@ -91,15 +92,29 @@
         }
         self.configuration = newest.cloned();
         let customers = newest.and_then(|newest| newest.customers.as_deref());
-        let limits = customers.unwrap_or_default().iter().map(limit_of);
+        let tolerance = tolerance_of(control);
+        let limits = customers
+            .unwrap_or_default()
+            .iter()
+            .map(|customer| limit_of(customer, &tolerance));
         self.coordinator.set_customers(now_us, limits);
     }
 }
 
-fn limit_of(customer: &Customer) -> (Arc<str>, CustomerLimit) {
+fn tolerance_of(control: &ControlContext) -> QuotaTolerance {
+    let settings = control.kernel.control_settings();
+    let settings = settings.map_or_else(QuotaToleranceSettings::default, |all| all.quota_tolerance);
+    QuotaTolerance {
+        window_s: settings.window_ms as f64 / 1_000.0,
+        overage_percent: f64::from(settings.overage_percent),
+        slack: f64::from(settings.slack),
+    }
+}
+
+fn limit_of(customer: &Customer, tolerance: &QuotaTolerance) -> (Arc<str>, CustomerLimit) {
     let limit = CustomerLimit {
         rate_per_s: customer.rate_per_s.map(Quantity::as_f64),
         burst: customer.burst.map_or(0.0, Quantity::as_f64),
     };
-    (Arc::clone(&customer.name), limit)
+    (Arc::clone(&customer.name), tolerance.apply(limit))
 }
--- a/components/quota/src/customer.rs
+++ b/components/quota/src/customer.rs
@@ -15,9 +15,9 @@
 const SHARED_PERCENT: f64 = 80.0;
 /// Tokens beyond the burst that nodes may hold, so that small bursts don't keep nodes from having a
 /// token ready. Part of the overage that is allowed in any window.
-const EXTRA_TOKENS: f64 = 7.0;
+pub(crate) const EXTRA_TOKENS: f64 = 7.0;
 /// As [`EXTRA_TOKENS`], as a time at the rate.
-const EXTRA_S: f64 = 0.1;
+pub(crate) const EXTRA_S: f64 = 0.1;
 /// Level of the bucket below which tokens are scarce, and from which they no longer are, in percent.
 const SCARCE_PERCENT: (f64, f64) = (60.0, 95.0);
 /// Age up to which the fair share is used again.
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -13,12 +13,14 @@
 mod message;
 mod node;
 mod share;
+mod tolerance;
 
 pub use coordinator::QuotaCoordinator;
 pub use customer::{CustomerLimit, CustomerUse};
 pub use list::{CustomerList, ListDigest};
 pub use message::{QuotaAnswer, QuotaDemand, QuotaGrant, QuotaGrants, QuotaReport};
 pub use node::{Admission, NodeQuota, Ticket, Verdict};
+pub use tolerance::QuotaTolerance;
 
 /// Time for which a node may use its shares after it sent the report that renewed them. It is the
 /// time within which a lowered limit has to be in effect at nodes without contact.
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -9,6 +9,8 @@
 use model::AvailabilityZone;
 use std::{net::SocketAddr, path::PathBuf};
 
+/// Window of the tolerance for quotas, in milliseconds.
+const DEFAULT_QUOTA_WINDOW_MS: u64 = 5_000;
 /// Maximum of voters of an open group; more voters only slow down each change.
 const MAX_VOTERS: u64 = 9;
 
@@ -86,6 +88,27 @@
         help = "file with the mesh key of the deployment"
     )]
     pub mesh_key_file: Option<String>,
+    /// Window in which customers may exceed their limits.
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "window in which customers may exceed their limits; 5000 by default"
+    )]
+    pub quota_window_ms: Option<String>,
+    /// Share of its limit by which a customer may exceed it.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "percent of its limit by which a customer may exceed it in the window; 0 by default"
+    )]
+    pub quota_overage_percent: Option<String>,
+    /// Calls by which a customer may exceed its limit in addition.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "calls by which a customer may exceed its limit in the window; 0 by default"
+    )]
+    pub quota_slack: Option<String>,
     /// Lowest level that is logged.
     #[options(
         no_short,
@@ -110,6 +133,27 @@
     pub may_form: bool,
 }
 
+/// By how much customers may exceed their limits in any window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaToleranceSettings {
+    /// Length of the window in milliseconds.
+    pub window_ms: u64,
+    /// Share of the calls that the limit allows in the window, in percent.
+    pub overage_percent: u32,
+    /// Additional calls.
+    pub slack: u32,
+}
+
+impl Default for QuotaToleranceSettings {
+    fn default() -> Self {
+        QuotaToleranceSettings {
+            window_ms: DEFAULT_QUOTA_WINDOW_MS,
+            overage_percent: 0,
+            slack: 0,
+        }
+    }
+}
+
 /// Validated settings of a control replica.
 #[derive(Clone, PartialEq, Eq)]
 pub struct ControlSettings {
@@ -131,6 +175,8 @@
     pub operator_token: Option<String>,
     /// Key derived from the configured text; all zeros if none is given, on loopback only.
     pub mesh_key: MeshKey,
+    /// Tolerance for the quotas of customers.
+    pub quota_tolerance: QuotaToleranceSettings,
     /// Log level and format.
     pub logs: LogSettings,
 }
@@ -173,6 +219,7 @@
             )?,
             operator_token: source.text("operator-token", flags.operator_token.as_deref()),
             mesh_key: source.mesh_key(flags.mesh_key_file.as_deref(), listen)?,
+            quota_tolerance: read_quota_tolerance(flags, source)?,
             logs: LogSettings::read(
                 source,
                 flags.log_level.as_deref(),
@@ -182,6 +229,26 @@
     }
 }
 
+fn read_quota_tolerance<E: Fn(&str) -> Option<String>>(
+    flags: &ControlFlags,
+    source: &SettingSource<E>,
+) -> Result<QuotaToleranceSettings, SettingError> {
+    let window = flags.quota_window_ms.as_deref();
+    let overage = flags.quota_overage_percent.as_deref();
+    let slack = flags.quota_slack.as_deref();
+    Ok(QuotaToleranceSettings {
+        window_ms: source.number(
+            "quota-window-ms",
+            window,
+            DEFAULT_QUOTA_WINDOW_MS,
+            100,
+            600_000,
+        )?,
+        overage_percent: source.number("quota-overage-percent", overage, 0, 0, 1_000)? as u32,
+        slack: source.number("quota-slack", slack, 0, 0, 1_000_000)? as u32,
+    })
+}
+
 fn read_open_group<E: Fn(&str) -> Option<String>>(
     flags: &ControlFlags,
     source: &SettingSource<E>,
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -8,7 +8,7 @@
 mod node_flags;
 mod source;
 
-pub use control::{ControlFlags, ControlSettings, OpenGroupSettings};
+pub use control::{ControlFlags, ControlSettings, OpenGroupSettings, QuotaToleranceSettings};
 pub use headers::CallHeaders;
 pub use logs::{LogFormat, LogSettings, flush_logs, init_logs};
 pub use node::{EmbeddedControl, NodeSettings};
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     control::ControlSettings,
+    control::QuotaToleranceSettings,
     headers::CallHeaders,
     logs::LogSettings,
     node_flags::NodeFlags,
@@ -289,6 +290,7 @@
             availability_zone: self.availability_zone.clone(),
             operator_token: embedded.operator_token.clone(),
             mesh_key: self.mesh_key.clone(),
+            quota_tolerance: QuotaToleranceSettings::default(),
             logs: self.logs,
         })
     }
