Refuse overlong keys whatever the limit of the head

Cause: where the configuration allows long heads, a key of 64 KiB was looked up and refused as unknown instead of as too large.

Result: keys_of_callers sends such a key with heads of up to 256 KiB allowed; it gets 431 on both routes, and 401 with the limit out of reach.

--- a/components/node/src/entry/customers.rs
+++ b/components/node/src/entry/customers.rs
@@ -9,6 +9,10 @@
 /// Scheme of the header field with the key.
 const KEY_SCHEME: &str = "Bearer";
 
+/// Longest header field with a key in bytes, whatever the limit of the whole head is. Keys have at
+/// most 1,024 bytes.
+const MAX_KEY_FIELD_BYTES: usize = 16 << 10;
+
 /// The customer that a call is sent for, and the key that shows it.
 pub(crate) struct Credential {
     pub(crate) customer: Arc<KnownCustomer>,
@@ -92,13 +96,17 @@
     }
 }
 
-/// Hash of the key in the header field; `None` without the field or with another scheme.
+/// Hash of the key in the header field; `None` without the field or with another scheme. Several
+/// fields and one that is too long are refused.
 fn key_hash(request: &Request, name: &str) -> Result<Option<[u8; 32]>, ErrorKind> {
     let mut values = request.headers.get_all(name);
     let value = values.next();
     if values.next().is_some() {
         return Err(ErrorKind::AmbiguousKey);
     }
+    if value.is_some_and(|value| value.len() > MAX_KEY_FIELD_BYTES) {
+        return Err(ErrorKind::HeadTooLarge);
+    }
     let Some((scheme, key)) = value.and_then(|value| value.trim().split_once(' ')) else {
         return Ok(None);
     };
