Count work that an upstream may still run, and give up silent calls

Cause: an owner freed the slot of a call as soon as its connection was cut, cancelled or timed out, and forgot all calls at a restart. An upstream that is full never answers a request that it can't queue, so the next call hung, and part of the calls hung until their deadlines although other upstreams were free.

Both are off by default.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -541,6 +541,8 @@
         health_checks_per_s: 0,
         headers: CallHeaders::default(),
         service: None,
+        count_lost_work: false,
+        give_up_percent: 0,
         call_listen: ANY_PORT,
         mesh_listen: mesh,
         platform_listen: ANY_PORT,
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -129,6 +129,8 @@
     StopTimeout,
     /// The same request was in flight when several upstreams crashed; it is held until a trial.
     CrashHold,
+    /// The upstream left the call unanswered although it worked as usual otherwise.
+    UpstreamSilent,
 }
 
 impl ErrorKind {
@@ -179,6 +181,7 @@
         ErrorKind::Internal,
         ErrorKind::StopTimeout,
         ErrorKind::CrashHold,
+        ErrorKind::UpstreamSilent,
     ];
 
     /// How this kind is reported.
@@ -499,6 +502,13 @@
                 "The node stopped while it waited for the answer.",
                 "Resend only if the call is idempotent or carries an idempotency-key.",
             ),
+            ErrorKind::UpstreamSilent => (
+                "upstream-silent",
+                504,
+                Outcome::Unknown,
+                "The upstream left the call unanswered although it worked as usual otherwise.",
+                "Resend only if the call is idempotent or carries an idempotency-key.",
+            ),
         };
         ErrorInfo {
             code,
--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -28,6 +28,8 @@
     CrashSuspectsChanged,
     /// The process is stopping and accepts no new work.
     Stopping,
+    /// The local instance has started anew under its name; nothing of its earlier start runs on.
+    LocalUpstreamRestarted,
 }
 
 type Subscriber = Arc<dyn Fn(&Event) + Send + Sync>;
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -87,6 +87,10 @@
     pub mesh_messages: Family<KindLabels, Gauge>,
     /// Bytes to and from other processes, by channel and direction.
     pub mesh_bytes: Family<KindLabels, Gauge>,
+    /// Calls that the local upstream left unanswered and that were given up early.
+    pub given_up: Counter,
+    /// Calls that count as running at the local upstream although no answer will come.
+    pub lost_work: Gauge,
 }
 
 /// Upper bound of the first bucket of `call_seconds`, in seconds.
@@ -122,6 +126,8 @@
             members: Gauge::default(),
             mesh_messages: Family::default(),
             mesh_bytes: Family::default(),
+            given_up: Counter::default(),
+            lost_work: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -208,6 +214,16 @@
             self.mesh_messages.clone(),
         );
         registry.register("mesh_bytes", "Bytes on the mesh", self.mesh_bytes.clone());
+        registry.register(
+            "given_up",
+            "Calls without an answer that were given up early",
+            self.given_up.clone(),
+        );
+        registry.register(
+            "lost_work",
+            "Calls that take a slot although no answer will come",
+            self.lost_work.clone(),
+        );
     }
 
     /// All metrics as Prometheus text.
--- a/components/limits/src/admission/mod.rs
+++ b/components/limits/src/admission/mod.rs
@@ -2,6 +2,7 @@
 //! can't finish in time.
 
 mod hold;
+mod lost;
 mod request;
 mod wait;
 
@@ -9,6 +10,7 @@
     AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
 };
 
+use crate::LostWork;
 use errors::ErrorKind;
 use model::{AttemptId, LoadSignal, Priority, UpstreamState};
 use std::collections::VecDeque;
@@ -38,6 +40,8 @@
     config: AdmissionConfig,
     state: UpstreamState,
     running: Vec<Running>,
+    /// Work at the upstream whose answers won't come.
+    lost: LostWork,
     waiting: [VecDeque<AdmissionRequest>; PRIORITIES],
     /// End of the time for which no call starts because the host is slow.
     held_until_us: u64,
@@ -56,6 +60,7 @@
             config,
             state: UpstreamState::Serving,
             running: Vec::with_capacity(config.slots as usize),
+            lost: LostWork::default(),
             waiting: Default::default(),
             held_until_us: 0,
             service_us: 0,
@@ -72,6 +77,7 @@
         if now_us >= request.deadline_us {
             return AdmissionResult::Refused(ErrorKind::DeadlineExpired);
         }
+        self.lost.expire(now_us);
         let is_held = now_us < self.held_until_us;
         if !is_held
             && self.has_slot_for(request.priority)
@@ -142,6 +148,7 @@
     /// Refuses each waiting attempt whose deadline or latest start has passed, and starts others if
     /// there are free slots.
     pub fn expire(&mut self, now_us: u64) -> Vec<QueueDecision> {
+        self.lost.expire(now_us);
         let mut decisions = Vec::new();
         for queue in &mut self.waiting {
             queue.retain(|request| match expiry_reason(now_us, request) {
@@ -200,6 +207,7 @@
                 0 => at_us,
                 held_until_us => at_us.min(held_until_us),
             })
+            .map(|at_us| self.lost.next_end_us().map_or(at_us, |us| us.min(at_us)))
     }
 
     /// Calls that the upstream can run at once.
@@ -207,9 +215,10 @@
         self.config.slots
     }
 
-    /// Calls running at the upstream.
+    /// Calls running at the upstream, those included whose answers won't come.
     pub fn in_flight(&self) -> u32 {
-        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        running.saturating_add(self.lost.count())
     }
 
     /// Calls waiting.
@@ -255,6 +264,7 @@
             return decisions;
         }
         self.held_until_us = 0;
+        self.lost.expire(now_us);
         while let Some(request) = self.next_request(now_us) {
             let refusal = expiry_reason(now_us, &request)
                 .or_else(|| (!self.can_finish(now_us, &request)).then_some(ErrorKind::Overloaded));
--- a/components/limits/src/admission/wait.rs
+++ b/components/limits/src/admission/wait.rs
@@ -56,16 +56,13 @@
     }
 
     /// Mean time that the running calls still need. A call that has exceeded its expected time is
-    /// expected to need as much again.
+    /// expected to need as much again, and one whose answer won't come until its deadline.
     fn mean_remaining_us(&self, now_us: u64) -> u64 {
-        let remaining_us: u64 = self
-            .running
-            .iter()
-            .map(|running| {
-                let age_us = now_us.saturating_sub(running.started_us);
-                running.expected_us.checked_sub(age_us).unwrap_or(age_us)
-            })
-            .sum();
-        remaining_us / self.running.len().max(1) as u64
+        let (calls, total_us) = self
+            .remaining_us(now_us)
+            .fold((0, 0_u64), |(calls, total_us), us| {
+                (calls + 1, total_us + us)
+            });
+        total_us / u64::max(calls, 1)
     }
 }
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -2,8 +2,10 @@
 //! `retry-after` time of refused calls.
 
 mod admission;
+mod answer_times;
 mod byte_budget;
 mod capacity_search;
+mod lost_work;
 mod pace;
 mod retry_after;
 mod retry_budget;
@@ -14,8 +16,10 @@
 pub use admission::{
     Admission, AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
 };
+pub use answer_times::{AnswerTimes, SilenceLimit, UnansweredCall, UpstreamSigns};
 pub use byte_budget::ByteBudget;
 pub use capacity_search::CapacitySearch;
+pub use lost_work::LostWork;
 pub use pace::{HostPace, PaceStatus, USUAL_PACE_PERCENT};
 pub use retry_after::{RefusalCause, retry_after_ms};
 pub use retry_budget::RetryBudget;
--- a/components/limits/src/pace.rs
+++ b/components/limits/src/pace.rs
@@ -87,6 +87,12 @@
         self.queried_us = None;
     }
 
+    /// Ends a query that was due and could not be sent; returns the status by the last pace.
+    pub fn cancel_query(&mut self) -> PaceStatus {
+        self.queried_us = None;
+        self.last_status()
+    }
+
     /// Checks the pace before a call starts. After `PaceStatus::QueryDue` the caller must send a
     /// query, which is counted against the budget.
     pub fn check(&mut self, now_us: u64) -> PaceStatus {
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -16,6 +16,8 @@
     announced_slots: u32,
     /// Service of the last announced instance, kept after that instance was removed.
     service: Option<ServiceName>,
+    /// Name and start of the instance of the last report.
+    last_start: Option<(UpstreamName, u64)>,
     /// Detects late reports.
     report_order: ReportOrder,
 }
@@ -40,6 +42,7 @@
                 version: 0,
                 announced_slots: 0,
                 service: None,
+                last_start: None,
                 // An instance that is silent for a whole lease counts as gone, so no report is
                 // expected to be on its way for longer.
                 report_order: ReportOrder::new(moment(kernel), lease_us(kernel)),
@@ -105,9 +108,21 @@
             return false;
         }
         self.announce(announcement);
+        self.record_start(name, position.started_ms);
         true
     }
 
+    /// Tells the other plug-ins if the instance has started anew under its name.
+    fn record_start(&self, name: &UpstreamName, started_ms: u64) {
+        let last_start = {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.last_start.replace((name.clone(), started_ms))
+        };
+        if last_start.is_some_and(|(last, ms)| last == *name && ms < started_ms) {
+            self.kernel.events.publish(&Event::LocalUpstreamRestarted);
+        }
+    }
+
     /// Takes a report whose sender may have ended for current if the instance passes a health check.
     fn confirm_report(
         &self,
--- a/components/node/src/owner/arrivals.rs
+++ b/components/node/src/owner/arrivals.rs
@@ -37,7 +37,12 @@
             self.refuse_without_instance(now_us, call.attempt, reply_to);
             return;
         };
-        let pace_status = instance.pace.check(now_us);
+        let pace_status = match instance.pace.check(now_us) {
+            PaceStatus::QueryDue if !self.try_begin_health_check(instance) => {
+                instance.pace.cancel_query()
+            }
+            status => status,
+        };
         match pace_status {
             PaceStatus::QueryDue | PaceStatus::QueryPending => {
                 instance.pending_arrivals.push(PendingArrival {
@@ -152,6 +157,7 @@
             cancel: CancelToken::new(),
             pool: Arc::clone(&instance.pool),
             reply: reply_to,
+            may_run_until_us: None,
         };
         match result {
             AdmissionResult::Start => {
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -1,11 +1,11 @@
 //! The local instance: its connection pool, admission control, and the calls that wait or run.
 
-use super::running::RunningCalls;
+use super::{lost_work::ReportWait, running::RunningCalls};
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseBudget};
-use limits::{Admission, AdmissionConfig, HostPace, QueueDecision, ServiceTimes};
+use limits::{Admission, AdmissionConfig, AnswerTimes, HostPace, QueueDecision, ServiceTimes};
 use mesh::ReplyTo;
-use model::{AttemptId, LoadSignal, Upstream, UpstreamState};
+use model::{AttemptId, LoadSignal, ProfileName, Upstream, UpstreamState};
 use std::{collections::HashMap, sync::Arc};
 use wire::RunCall;
 
@@ -26,6 +26,8 @@
     pub(crate) cancel: CancelToken,
     pub(crate) pool: Arc<AsyncPool>,
     pub(crate) reply: ReplyTo,
+    /// Time until which the instance may run the call although its answer won't come.
+    pub(crate) may_run_until_us: Option<u64>,
 }
 
 /// What the instances that follow one another at an owner have in common.
@@ -54,6 +56,9 @@
     pub(super) waiting: HashMap<AttemptId, Job>,
     running: Arc<RunningCalls>,
     pub(super) service_times: ServiceTimes,
+    pub(super) answer_times: AnswerTimes,
+    /// Set until the instance has reported the calls of earlier owners.
+    pub(super) report_wait: Option<ReportWait>,
     pub(super) pace: HostPace,
     /// Calls that wait for a health check to read the host's pace.
     pub(super) pending_arrivals: Vec<PendingArrival>,
@@ -107,6 +112,8 @@
             waiting: HashMap::new(),
             running: Arc::clone(&shared.running),
             service_times: ServiceTimes::default(),
+            answer_times: AnswerTimes::default(),
+            report_wait: None,
             pace: HostPace::new(health_checks_per_s),
             pending_arrivals: Vec::new(),
         })
@@ -147,6 +154,12 @@
         }
     }
 
+    /// Records the time of a call that ended with an answer.
+    pub(super) fn record_answer(&mut self, profile: &ProfileName, time_us: u64) {
+        self.service_times.record(profile, time_us);
+        self.answer_times.record(profile, time_us);
+    }
+
     pub(super) fn mark_running(&self, job: &Job) {
         self.running.insert(job.call.attempt, job.cancel.clone());
     }
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -4,10 +4,12 @@
 mod crash_incidents;
 mod health;
 mod instance;
+mod lost_work;
 mod run;
 mod running;
 mod state;
 mod suspects;
+mod unanswered;
 
 use crate::context::NodeContext;
 use crossbeam::channel::{Receiver, RecvTimeoutError, unbounded};
@@ -59,6 +61,7 @@
         let owner = Arc::clone(&owner);
         move |event| match event {
             Event::LocalUpstreamChanged(upstream) => owner.update_instance(upstream.as_ref()),
+            Event::LocalUpstreamRestarted => owner.clear_lost_work(),
             Event::Stopping => owner.refuse_new_calls(),
             _ => (),
         }
@@ -98,15 +101,13 @@
 
 fn spawn_timer(owner: &Arc<Owner>, wake: Receiver<()>) -> std::io::Result<JoinHandle<()>> {
     let owner = Arc::clone(owner);
+    let max_sleep = owner.max_timer_sleep();
     Builder::new()
         .name("owner-timer".into())
         .stack_size(TIMER_STACK_BYTES)
         .spawn(move || {
             loop {
-                let pause = owner
-                    .expire_waiting()
-                    .unwrap_or(MAX_TIMER_SLEEP)
-                    .min(MAX_TIMER_SLEEP);
+                let pause = owner.expire_waiting().unwrap_or(max_sleep).min(max_sleep);
                 match wake.recv_timeout(pause) {
                     Ok(()) | Err(RecvTimeoutError::Timeout) => (),
                     Err(RecvTimeoutError::Disconnected) => return,
@@ -115,6 +116,8 @@
                     return;
                 }
                 owner.check_survival();
+                owner.give_up_unanswered();
+                owner.query_inherited_work();
             }
         })
 }
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -33,6 +33,7 @@
         owner.finish(job, RunResult::Refused(ErrorKind::Cancelled), None);
         return;
     }
+    owner.watch_answer(&job, started_us);
     let names = owner.context.kernel.node_settings().headers;
     let request = upstream_request(&names, &job, started_us);
     let deadline = owner.context.kernel.clock.instant(job.deadline_us);
@@ -56,7 +57,7 @@
         started_us - job.arrived_us
     );
     if let Ok(response) = &outcome {
-        owner.read_load_header(response);
+        owner.read_load_header(response, started_us);
     }
     match outcome {
         Ok(response) if is_refusal(owner, &response) => finish_refusal(owner, job, &response),
@@ -127,7 +128,8 @@
     owner.finish(job, result, Some(counted_us));
 }
 
-fn finish_error(owner: &Arc<Owner>, job: Job, started_us: u64, error: CallError) {
+fn finish_error(owner: &Arc<Owner>, mut job: Job, started_us: u64, error: CallError) {
+    let was_given_up = owner.unanswered.end(job.call.attempt);
     let was_cut_off = matches!(error, CallError::ConnectionLost | CallError::Truncated);
     if was_cut_off {
         owner.suspect_crash(&job, started_us);
@@ -137,9 +139,13 @@
         job.pool.close_idle();
     }
     let result = match error {
-        CallError::NotSent if job.cancel.is_cancelled() => RunResult::Refused(ErrorKind::Cancelled),
+        CallError::NotSent if job.cancel.is_cancelled() && !was_given_up => {
+            RunResult::Refused(ErrorKind::Cancelled)
+        }
         CallError::NotSent => RunResult::Refused(ErrorKind::UpstreamRefused),
-        CallError::TimedOut | CallError::Cancelled => RunResult::Failed(ErrorKind::DeadlinePassed),
+        CallError::TimedOut => RunResult::Failed(ErrorKind::DeadlinePassed),
+        CallError::Cancelled if was_given_up => RunResult::Failed(ErrorKind::UpstreamSilent),
+        CallError::Cancelled => RunResult::Failed(ErrorKind::DeadlinePassed),
         CallError::ConnectionLost | CallError::Malformed | CallError::Mismatched => {
             RunResult::Failed(ErrorKind::UpstreamLost)
         }
@@ -151,6 +157,7 @@
         job.call.attempt,
         job.call.upstream
     );
+    owner.mark_lost(&mut job, error);
     let counted_us =
         (error != CallError::Cancelled).then(|| job.deadline_us.saturating_sub(job.arrived_us));
     owner.finish(job, result, counted_us);
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -4,6 +4,7 @@
     instance::{Instance, Job, SharedByInstances, take_refused},
     run::{FIRST_FAILURE_STATUS, run_job},
     suspects::Suspicions,
+    unanswered::UnansweredCalls,
 };
 use crate::context::NodeContext;
 use calls::{AttemptStatus, BeginResult, CallRecords, IncomingAttempt, RecordsConfig};
@@ -29,7 +30,8 @@
 pub(crate) struct Owner {
     pub(crate) context: Arc<NodeContext>,
     instance: Mutex<Option<Instance>>,
-    shared: SharedByInstances,
+    pub(super) shared: SharedByInstances,
+    pub(super) unanswered: UnansweredCalls,
     records: Mutex<CallRecords>,
     pub(super) suspicions: Suspicions,
     /// Admitted calls that are still to be sent to the instance.
@@ -58,6 +60,7 @@
             start_queue: Mutex::default(),
             start_lock: Mutex::default(),
             wake,
+            unanswered: UnansweredCalls::new(context.kernel.node_settings().give_up_percent),
             shared: SharedByInstances::new(context.kernel.node_settings().max_response_bytes),
             is_refusing: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -104,8 +107,14 @@
                         &self.shared,
                     )
                 });
+                if let Some(instance) = guard.as_mut()
+                    && self.counts_inherited_work()
+                {
+                    instance.expect_inherited_work(now_us, announced_slots);
+                }
                 drop(guard);
                 self.reply_refused(refused);
+                self.query_inherited_work();
                 return;
             }
         };
@@ -184,6 +193,7 @@
         self.record_result(now_us, attempt, &result);
         self.end_trial(attempt);
         self.shared.running.remove(attempt);
+        self.unanswered.end(attempt);
         let (signal, decisions, mut guard) = {
             let mut guard = self.lock_instance();
             let Some(instance) = guard.as_mut() else {
@@ -194,9 +204,13 @@
             if let (RunResult::Answer { status, .. }, Some(time_us)) = (&result, counted_us)
                 && *status < FIRST_FAILURE_STATUS
             {
-                instance.service_times.record(&job.call.profile, time_us);
+                instance.record_answer(&job.call.profile, time_us);
+                self.unanswered.record_answer(now_us);
             }
             let decisions = match counted_us {
+                _ if let Some(until_us) = job.may_run_until_us => instance
+                    .admission
+                    .lose(now_us, attempt, until_us, counted_us),
                 Some(time_us) => instance.admission.finish(now_us, attempt, time_us),
                 None => instance.admission.release_slot(now_us, attempt),
             };
@@ -421,6 +435,9 @@
             .in_flight
             .set(i64::from(instance.admission.in_flight()));
         metrics.queued.set(i64::from(instance.admission.queued()));
+        metrics
+            .lost_work
+            .set(i64::from(instance.admission.lost_work()));
     }
 
     fn max_response_bytes(&self) -> usize {
--- a/components/node/src/owner/suspects.rs
+++ b/components/node/src/owner/suspects.rs
@@ -128,7 +128,10 @@
         let owner = Arc::clone(self);
         self.context.kernel.metrics.health_checks.inc();
         let deadline = cut_off + CHECK_TIMEOUT;
+        self.begin_crash_check(pool);
+        let checked = Arc::clone(pool);
         pool.call(&request, deadline, &CancelToken::new(), move |outcome| {
+            owner.end_counted_check(&checked);
             // An answer is no evidence: the listener of a process that is ending may answer.
             if matches!(outcome, Err(CallError::NotSent)) {
                 owner.confirm_crash(id);
@@ -164,13 +167,18 @@
             self.context.kernel.metrics.health_checks.inc();
             let pool = Arc::clone(&incident.pool);
             let (cut_off, deadline) = (incident.cut_off, now + CHECK_TIMEOUT);
-            pool.call_over_older(&request, cut_off, deadline, move |outcome| match outcome {
-                Ok(_) => owner.record_survival(incident.id),
-                Err(CallError::NotSent) => owner.check_survival_later(incident),
-                Err(error) => log::info!(
-                    "owner: crash incident {} stays, a check failed: {error}.",
-                    incident.id.number
-                ),
+            self.begin_crash_check(&pool);
+            let checked = Arc::clone(&pool);
+            pool.call_over_older(&request, cut_off, deadline, move |outcome| {
+                owner.end_counted_check(&checked);
+                match outcome {
+                    Ok(_) => owner.record_survival(incident.id),
+                    Err(CallError::NotSent) => owner.check_survival_later(incident),
+                    Err(error) => log::info!(
+                        "owner: crash incident {} stays, a check failed: {error}.",
+                        incident.id.number
+                    ),
+                }
             });
         }
     }
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -119,6 +119,12 @@
     pub headers: CallHeaders,
     /// Service of the instance beside this node, until an instance announces itself.
     pub service: Option<ServiceName>,
+    /// Whether work that may still run at the local instance takes slots although its answer won't
+    /// come.
+    pub count_lost_work: bool,
+    /// Share of the answered calls that may be given up when the local instance is silent, in
+    /// percent; 0 to give up none.
+    pub give_up_percent: u8,
 }
 
 impl NodeSettings {
@@ -237,6 +243,14 @@
                 .unwrap_or_default(),
             headers: CallHeaders::default(),
             service: source.optional("service", flags.service.as_deref(), NAME_FORMAT)?,
+            count_lost_work: source
+                .optional(
+                    "count-lost-work",
+                    flags.count_lost_work.as_deref(),
+                    "true or false",
+                )?
+                .unwrap_or(false),
+            give_up_percent: number("give-up-percent", &flags.give_up_percent, 0, 0, 100)? as u8,
             stop_timeout_ms: number(
                 "stop-timeout-ms",
                 &flags.stop_timeout_ms,
--- a/components/settings/src/node_flags.rs
+++ b/components/settings/src/node_flags.rs
@@ -211,4 +211,18 @@
     /// Number of the control replica inside this node.
     #[options(no_short, meta = "N", help = "number of the embedded replica")]
     pub control_replica: Option<String>,
+    /// Whether lost work takes slots of the local instance.
+    #[options(
+        no_short,
+        meta = "BOOL",
+        help = "count work whose answer won't come as running at the instance (default: false)"
+    )]
+    pub count_lost_work: Option<String>,
+    /// Share of the answered calls that may be given up early.
+    #[options(
+        no_short,
+        meta = "PERCENT",
+        help = "share of calls given up early if the instance leaves them unanswered (default: 0)"
+    )]
+    pub give_up_percent: Option<String>,
 }
