Ask for load reports where none would come, and test hanging upstreams

Cause: after a restart of the node the calls of its earlier process were counted for 10 s, because no call started and so no answer brought a newer load figure. A silent call at an upstream without other traffic was never given up, for the same reason. The test upstream could not hang when full.

Change: health checks ask for load reports while inherited work is counted, and, within their budget, once a call exceeds its limit of silence.

A write still gets deadline-passed, unknown, at its deadline.

--- a/components/bench/src/upstream/control.rs
+++ b/components/bench/src/upstream/control.rs
@@ -44,6 +44,12 @@
     pub drop_percent: u8,
     /// Sends no announcements.
     pub mute: bool,
+    /// Never answers a call that finds no free slot, instead of letting it wait.
+    pub hang_full: bool,
+    /// Share of the calls that are never answered although slots are free, in percent.
+    pub hang_percent: u8,
+    /// Runs a call to its end although its caller has disconnected.
+    pub run_on: bool,
 }
 
 impl Default for Switches {
@@ -58,6 +64,9 @@
             silent: false,
             drop_percent: 0,
             mute: false,
+            hang_full: false,
+            hang_percent: 0,
+            run_on: false,
         }
     }
 }
--- a/components/limits/src/admission/lost.rs
+++ b/components/limits/src/admission/lost.rs
@@ -74,6 +74,11 @@
         self.lost.count()
     }
 
+    /// Calls of earlier owners that count as running.
+    pub fn inherited_work(&self) -> u32 {
+        self.lost.inherited()
+    }
+
     /// Times that the running and the lost calls still need.
     pub(super) fn remaining_us(&self, now_us: u64) -> impl Iterator<Item = u64> {
         let running = self.running.iter().map(move |running| {
--- a/components/limits/src/answer_times.rs
+++ b/components/limits/src/answer_times.rs
@@ -130,6 +130,17 @@
     pub is_slow: bool,
 }
 
+/// What to do about a call that has no answer yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilenceVerdict {
+    /// Wait for the answer.
+    Wait,
+    /// Ask the upstream for a load report; the call has exceeded its limit since the last one.
+    ReportNeeded,
+    /// Give the call up.
+    GiveUp(SilenceLimit),
+}
+
 /// Why a call is given up: its silence and the sign that the upstream works as usual.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SilenceLimit {
@@ -142,22 +153,25 @@
 }
 
 impl UnansweredCall {
-    /// Whether the call is given up: its silence is over the limit, the upstream has shown since
-    /// then that it works as usual, and there is time for an answer of another upstream.
-    pub fn exceeded_limit(&self, now_us: u64, signs: &UpstreamSigns) -> Option<SilenceLimit> {
+    /// Decides on the call. It is given up if its silence is over the limit, the upstream has shown
+    /// since then that it works as usual, and there is time for an answer of another upstream.
+    pub fn assess(&self, now_us: u64, signs: &UpstreamSigns) -> SilenceVerdict {
         let silent_us = now_us.saturating_sub(self.started_us);
         let limit_at_us = self.started_us.saturating_add(self.silence_us);
         let has_time = now_us + self.silence_us / QUANTILE_FACTOR <= self.deadline_us;
         if now_us < limit_at_us || !has_time || signs.is_slow {
-            return None;
+            return SilenceVerdict::Wait;
         }
         let report_age_us = match signs.reported_us {
-            Some(at_us) if at_us < limit_at_us || signs.waiting > 0 => return None,
+            Some(at_us) if at_us < limit_at_us => return SilenceVerdict::ReportNeeded,
+            Some(_) if signs.waiting > 0 => return SilenceVerdict::Wait,
             Some(at_us) => Some(now_us.saturating_sub(at_us)),
-            None if signs.answers < self.answers_before + MIN_ANSWERS => return None,
+            None if signs.answers < self.answers_before + MIN_ANSWERS => {
+                return SilenceVerdict::Wait;
+            }
             None => None,
         };
-        Some(SilenceLimit {
+        SilenceVerdict::GiveUp(SilenceLimit {
             silent_us,
             limit_us: self.silence_us,
             report_age_us,
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -16,7 +16,7 @@
 pub use admission::{
     Admission, AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
 };
-pub use answer_times::{AnswerTimes, SilenceLimit, UnansweredCall, UpstreamSigns};
+pub use answer_times::{AnswerTimes, SilenceLimit, SilenceVerdict, UnansweredCall, UpstreamSigns};
 pub use byte_budget::ByteBudget;
 pub use capacity_search::CapacitySearch;
 pub use lost_work::LostWork;
--- a/components/limits/src/lost_work.rs
+++ b/components/limits/src/lost_work.rs
@@ -80,6 +80,11 @@
             .saturating_add(self.health_checks)
     }
 
+    /// Calls of earlier owners that are counted.
+    pub fn inherited(&self) -> u32 {
+        self.inherited
+    }
+
     /// Ends of the calls that were cut and of the inherited ones.
     pub fn ends_us(&self) -> impl Iterator<Item = u64> {
         let inherited = (0..self.inherited).map(|_| self.inherited_until_us);
--- a/components/node/src/owner/lost_work.rs
+++ b/components/node/src/owner/lost_work.rs
@@ -18,12 +18,15 @@
 /// Load reports end the count earlier; without them no deadline is known.
 const INHERITED_WORK_US: u64 = 10_000_000;
 
-/// Time between the health checks that ask a new instance for its load, in microseconds.
+/// Time between the health checks that ask for the load while calls of an earlier process of this
+/// node are counted, in microseconds. They may be the only messages to the instance.
 const START_QUERY_INTERVAL_US: u64 = 250_000;
 
-/// Wait for the first load report of an instance.
+/// Load reports that are needed because of an earlier process of this node.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ReportWait {
+    /// Whether the instance has not reported yet.
+    is_first: bool,
     next_query_us: u64,
     until_us: u64,
 }
@@ -53,6 +56,7 @@
         let slots = announced_slots.max(self.upstream.slots);
         let until_us = now_us + START_REPORT_US;
         self.report_wait = Some(ReportWait {
+            is_first: true,
             next_query_us: now_us,
             until_us,
         });
@@ -71,7 +75,7 @@
         self.counts_lost_work() && has_load_header
     }
 
-    /// Asks a new instance what runs there, until it has reported or the wait has ended.
+    /// Asks the instance what runs there, until nothing of an earlier process is left.
     pub(super) fn query_inherited_work(self: &Arc<Self>) {
         let now_us = self.now_us();
         let mut guard = self.lock_instance();
@@ -103,13 +107,18 @@
             return;
         };
         let calls = reported.running.saturating_add(reported.waiting);
-        if instance.report_wait.take().is_some() {
-            let until_us = now_us + INHERITED_WORK_US;
-            instance.admission.inherit_work(calls, until_us);
+        if let Some(wait) = &mut instance.report_wait
+            && std::mem::take(&mut wait.is_first)
+        {
+            wait.until_us = now_us + INHERITED_WORK_US;
+            instance.admission.inherit_work(calls, wait.until_us);
         }
         let decisions = instance
             .admission
             .limit_inherited_work(now_us, sent_us, calls);
+        if instance.admission.inherited_work() == 0 {
+            instance.report_wait = None;
+        }
         self.execute(guard, &decisions);
     }
 
--- a/components/node/src/owner/unanswered.rs
+++ b/components/node/src/owner/unanswered.rs
@@ -3,7 +3,7 @@
 //! settings ask for it.
 
 use super::{MAX_TIMER_SLEEP, instance::Job, state::Owner};
-use limits::{RetryBudget, UnansweredCall, UpstreamSigns};
+use limits::{RetryBudget, SilenceVerdict, UnansweredCall, UpstreamSigns};
 use model::{AttemptId, ProfileName};
 use std::{
     collections::{HashMap, HashSet},
@@ -134,15 +134,20 @@
             .as_ref()
             .is_none_or(|instance| instance.pace.is_slow());
         let now_us = self.now_us();
-        for attempt in self.unanswered_calls(now_us, is_slow) {
+        let (given_up, needs_report) = self.unanswered_calls(now_us, is_slow);
+        if needs_report && let Some(instance) = self.lock_instance().as_mut() {
+            self.refresh_pace(now_us, instance);
+        }
+        for attempt in given_up {
             self.context.kernel.metrics.given_up.inc();
             // Outside the locks: the cancellation may end the call in this thread.
             self.shared.running.cancel(attempt);
         }
     }
 
-    /// Takes the calls that are to be given up now, within the budget.
-    fn unanswered_calls(&self, now_us: u64, is_slow: bool) -> Vec<AttemptId> {
+    /// Takes the calls that are to be given up now, within the budget. Also tells whether a load
+    /// report of the instance is needed to decide.
+    fn unanswered_calls(&self, now_us: u64, is_slow: bool) -> (Vec<AttemptId>, bool) {
         let mut guard = self.unanswered.lock();
         let state = &mut *guard;
         let signs = UpstreamSigns {
@@ -150,8 +155,11 @@
             ..state.signs
         };
         let mut given_up = Vec::new();
+        let mut needs_report = false;
         for (attempt, tracked) in &state.calls {
-            let Some(limit) = tracked.call.exceeded_limit(now_us, &signs) else {
+            let verdict = tracked.call.assess(now_us, &signs);
+            needs_report |= verdict == SilenceVerdict::ReportNeeded;
+            let SilenceVerdict::GiveUp(limit) = verdict else {
                 continue;
             };
             if !self.has_other_attempts(&tracked.profile) || !state.budget.try_retry(now_us) {
@@ -172,7 +180,7 @@
             state.calls.remove(attempt);
             state.given_up.insert(*attempt);
         }
-        given_up
+        (given_up, needs_report)
     }
 
     /// Whether the entry may send a call of the profile more than once.
