Let customers take turns in the owner's queue

Cause: inside a priority the queue of an owner had one order for all callers, so that the calls of a customer far above its usual load delayed or displaced those of all others.

Change: waiting calls of customers start by deficit round robin; the expected wait and the call that a full queue drops follow it. The customer comes in the new variant CallRequest::RunFor; the entry sends none until it knows customers. The replies of the owner have a module of their own.

--- a/components/bench/src/policy/owner.rs
+++ b/components/bench/src/policy/owner.rs
@@ -30,6 +30,7 @@
             target_us: u64::MAX,
             start_now: false,
             queue_limit: self.settings.queue_limit,
+            customer: None,
         };
         let instance = &mut self.instances[attempt.instance];
         instance.in_transit -= 1;
--- a/components/limits/src/admission/mod.rs
+++ b/components/limits/src/admission/mod.rs
@@ -1,17 +1,20 @@
 //! Admission of calls at the owner: slots, queues by priority, and early refusal of calls that
 //! can't finish in time.
 
+mod fairness;
 mod hold;
 mod lost;
 mod request;
 mod wait;
 
+pub use fairness::CustomerKey;
 pub use request::{
     AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
 };
 
 use crate::LostWork;
 use errors::ErrorKind;
+use fairness::{Candidate, CustomerTurns, has_customers, newest_of_largest};
 use model::{AttemptId, LoadSignal, Priority, UpstreamState};
 use std::collections::VecDeque;
 
@@ -43,6 +46,8 @@
     /// Work at the upstream whose answers won't come.
     lost: LostWork,
     waiting: [VecDeque<AdmissionRequest>; PRIORITIES],
+    /// Turns of the customers in each queue.
+    turns: [CustomerTurns; PRIORITIES],
     /// End of the time for which no call starts because the host is slow.
     held_until_us: u64,
     /// Estimate of the service time; 0 before the first finished call.
@@ -62,6 +67,7 @@
             running: Vec::with_capacity(config.slots as usize),
             lost: LostWork::default(),
             waiting: Default::default(),
+            turns: Default::default(),
             held_until_us: 0,
             service_us: 0,
             estimated_us: 0,
@@ -99,7 +105,10 @@
         if request.queue_limit == 0 {
             return AdmissionResult::Refused(ErrorKind::QueueFull);
         }
-        let Some(shed) = self.shed_below(request.priority) else {
+        let shed = self
+            .shed_below(request.priority)
+            .or_else(|| self.shed_for_customer(&request));
+        let Some(shed) = shed else {
             return AdmissionResult::Refused(ErrorKind::QueueFull);
         };
         self.waiting[queue_index(request.priority)].push_back(request);
@@ -290,16 +299,46 @@
             .count();
         for queue in 0..open_queues {
             let waiting = &self.waiting[queue];
-            let most_urgent = (0..waiting.len())
+            let mut on_time: Vec<usize> = (0..waiting.len())
                 .filter(|index| self.can_meet_target(now_us, &waiting[*index]))
-                .min_by_key(|index| waiting[*index].target_us);
-            if let Some(index) = most_urgent {
+                .collect();
+            on_time.sort_by_key(|index| waiting[*index].target_us);
+            if let Some(index) = self.next_in_turn(queue, &on_time) {
                 return self.waiting[queue].remove(index);
             }
         }
-        self.waiting[..open_queues]
-            .iter_mut()
-            .find_map(VecDeque::pop_front)
+        (0..open_queues).find_map(|queue| {
+            let all: Vec<usize> = (0..self.waiting[queue].len()).collect();
+            let index = self.next_in_turn(queue, &all)?;
+            self.waiting[queue].remove(index)
+        })
+    }
+
+    /// The first of these positions in a queue; if the queue has calls of customers, the first one
+    /// of the customer whose turn it is.
+    fn next_in_turn(&mut self, queue: usize, positions: &[usize]) -> Option<usize> {
+        let waiting = &self.waiting[queue];
+        if positions.is_empty() || !has_customers(waiting) {
+            return positions.first().copied();
+        }
+        let candidates: Vec<Candidate> = positions
+            .iter()
+            .map(|index| Candidate {
+                index: *index,
+                customer: waiting[*index].customer,
+                service_us: self.service_us_of(&waiting[*index]),
+            })
+            .collect();
+        self.turns[queue].choose(waiting, &candidates)
+    }
+
+    /// Removes the newest waiting attempt of a customer that has more calls in the queue of the
+    /// request than the customer of the request.
+    fn shed_for_customer(&mut self, request: &AdmissionRequest) -> Option<AttemptId> {
+        request.customer?;
+        let waiting = &mut self.waiting[queue_index(request.priority)];
+        let index = newest_of_largest(waiting, request.customer)?;
+        waiting.remove(index).map(|shed| shed.attempt)
     }
 
     /// Removes the newest waiting attempt of the lowest priority below this one.
--- a/components/limits/src/admission/request.rs
+++ b/components/limits/src/admission/request.rs
@@ -1,5 +1,6 @@
 //! Requests of attempts for a slot, and the decisions on them.
 
+use super::CustomerKey;
 use errors::ErrorKind;
 use model::{AttemptId, Priority};
 
@@ -36,6 +37,8 @@
     pub start_now: bool,
     /// Longest queue that the attempt may join, in calls; with 0 it starts at once or is refused.
     pub queue_limit: u32,
+    /// Customer that the call belongs to, if the configuration has customers.
+    pub customer: Option<CustomerKey>,
 }
 
 /// Result of an [`AdmissionRequest`].
@@ -45,8 +48,8 @@
     Start,
     /// The attempt waits; a later [`QueueDecision`] starts or refuses it.
     Queued,
-    /// The attempt waits in place of the given one of lower priority, which is refused as
-    /// `QueueFull`.
+    /// The attempt waits in place of the given one, which is refused as `QueueFull`. That one is of
+    /// lower priority or of a customer with more waiting calls.
     QueuedInstead(AttemptId),
     /// The attempt has not run and won't run.
     Refused(ErrorKind),
--- a/components/limits/src/admission/wait.rs
+++ b/components/limits/src/admission/wait.rs
@@ -1,7 +1,11 @@
 //! Expected wait of a call. It matters when short and long calls share the slots of one upstream: a
 //! short call starts before long ones, so their number says little about its wait.
 
-use super::{Admission, AdmissionRequest, queue_index};
+use super::{
+    Admission, AdmissionRequest,
+    fairness::{has_customers, work_ahead_us},
+    queue_index,
+};
 
 impl Admission {
     /// Expected service time of a request.
@@ -25,13 +29,20 @@
     /// for the calls that start before it. Each counts with its own service time, so that a short
     /// call is not refused because the instance also runs long calls that start after it.
     pub(super) fn expected_wait_us(&self, now_us: u64, request: &AdmissionRequest) -> u64 {
-        let ahead_us: u64 = self
+        let queue = &self.waiting[queue_index(request.priority)];
+        let takes_turns = request.customer.is_some() || has_customers(queue);
+        let (in_turn, ahead): (Vec<_>, Vec<_>) = self
             .waiting
             .iter()
             .flatten()
             .filter(|other| self.starts_before(now_us, other, request))
-            .map(|other| self.service_us_of(other))
-            .sum();
+            .partition(|other| takes_turns && other.priority == request.priority);
+        let work_us: u64 = ahead.iter().map(|other| self.service_us_of(other)).sum();
+        let in_turn = in_turn
+            .iter()
+            .map(|other| (other.customer, self.service_us_of(other)));
+        let own_us = self.service_us_of(request);
+        let ahead_us = work_us + work_ahead_us(in_turn, request.customer, own_us);
         let slots = u64::from(self.slots_for(request.priority).max(1));
         (self.mean_remaining_us(now_us) + ahead_us) / slots
     }
--- a/components/limits/tests/admission_bounds.rs
+++ b/components/limits/tests/admission_bounds.rs
@@ -113,6 +113,7 @@
                         target_us: u64::MAX,
                         start_now: false,
                         queue_limit,
+                        customer: None,
                     };
                     history.deadlines_us.insert(request.attempt, request.deadline_us);
                     match admission.admit(now_us, request) {
--- a/components/limits/tests/lost_work.rs
+++ b/components/limits/tests/lost_work.rs
@@ -32,6 +32,7 @@
         target_us: u64::MAX,
         start_now: false,
         queue_limit: 64,
+        customer: None,
     }
 }
 
--- a/components/limits/tests/mixed_lengths.rs
+++ b/components/limits/tests/mixed_lengths.rs
@@ -197,6 +197,7 @@
             target_us,
             start_now: false,
             queue_limit: 1_000,
+            customer: None,
         };
         match self.admission.admit(now_us, request) {
             AdmissionResult::Start => self.start(now_us, attempt),
--- a/components/limits/tests/overload_order.rs
+++ b/components/limits/tests/overload_order.rs
@@ -28,6 +28,7 @@
         target_us: target_ms * MS,
         start_now: false,
         queue_limit: 64,
+        customer: None,
     }
 }
 
--- a/components/limits/tests/queue_order.rs
+++ b/components/limits/tests/queue_order.rs
@@ -21,6 +21,7 @@
         target_us: u64::MAX,
         start_now: false,
         queue_limit: 2,
+        customer: None,
     }
 }
 
--- a/components/node/src/entry/driver/send.rs
+++ b/components/node/src/entry/driver/send.rs
@@ -1,7 +1,7 @@
 //! Claims idempotency keys for attempts and sends attempts to owners.
 
 use super::{CallDriver, DriverState, REPLY_GRACE_US};
-use crate::entry::{key_claims, reply::PendingAttempt};
+use crate::entry::{call::PreparedCall, key_claims, reply::PendingAttempt};
 use calls::Event;
 use errors::ErrorKind;
 use kernel::KindLabels;
@@ -121,7 +121,7 @@
         if max_queue_wait_us.is_some() {
             state.reserved_retries.insert(attempt);
         }
-        encode(&CallRequest::Run(RunCall {
+        let call = RunCall {
             attempt,
             owner: upstream.node,
             generation: self.entry.context.generations.current(upstream.node),
@@ -140,6 +140,15 @@
             target_us: self.call.target_us.saturating_sub(now_us),
             fingerprint: self.call.identity,
             request: self.call.request.clone(),
-        }))
+        };
+        encode(&match customer_of(&self.call) {
+            Some(customer) => CallRequest::RunFor { call, customer },
+            None => CallRequest::Run(call),
+        })
     }
 }
+
+/// Name of the customer that the call belongs to. None until calls are checked for customers' keys.
+fn customer_of(_call: &PreparedCall) -> Option<Arc<str>> {
+    None
+}
--- a/components/node/src/owner/arrivals.rs
+++ b/components/node/src/owner/arrivals.rs
@@ -4,16 +4,16 @@
 //! the host is slow, calls wait instead of starting.
 
 use super::{
-    instance::{Instance, Job, PendingArrival},
-    state::{Owner, reply},
+    instance::{Arrival, Instance, Job},
+    replies::reply,
+    state::Owner,
 };
 use errors::ErrorKind;
 use http::CancelToken;
 use limits::{AdmissionRequest, AdmissionResult, PaceStatus, QueueDecision};
-use mesh::ReplyTo;
-use model::{AttemptId, LoadSignal};
+use model::LoadSignal;
 use std::sync::{Arc, MutexGuard};
-use wire::{RunCall, RunResult};
+use wire::RunResult;
 
 /// Longest time for which calls wait for a slow host to recover, in microseconds. After that they
 /// start anyway, since a host that stays slow still completes some work.
@@ -24,17 +24,11 @@
 
 impl Owner {
     /// Passes a call to admission control, after a health check if the host's pace is not known.
-    pub(super) fn check_pace_and_admit(
-        self: &Arc<Self>,
-        now_us: u64,
-        deadline_us: u64,
-        call: RunCall,
-        reply_to: ReplyTo,
-    ) {
+    pub(super) fn check_pace_and_admit(self: &Arc<Self>, now_us: u64, arrival: Arrival) {
         let mut guard = self.lock_instance();
         let Some(instance) = guard.as_mut() else {
             drop(guard);
-            self.refuse_without_instance(now_us, call.attempt, reply_to);
+            self.refuse_without_instance(now_us, arrival);
             return;
         };
         let pace_status = match instance.pace.check(now_us) {
@@ -45,11 +39,7 @@
         };
         match pace_status {
             PaceStatus::QueryDue | PaceStatus::QueryPending => {
-                instance.pending_arrivals.push(PendingArrival {
-                    call,
-                    deadline_us,
-                    reply: reply_to,
-                });
+                instance.pending_arrivals.push(arrival);
                 let pool = Arc::clone(&instance.pool);
                 let service = instance.upstream.service.clone();
                 drop(guard);
@@ -57,10 +47,10 @@
                     self.check_health(&service, &pool);
                 }
             }
-            PaceStatus::Usual => self.admit_call(guard, now_us, deadline_us, call, reply_to),
+            PaceStatus::Usual => self.admit_call(guard, now_us, arrival),
             PaceStatus::Slow => {
                 instance.admission.hold(now_us, SLOW_HOLD_US);
-                self.admit_call(guard, now_us, deadline_us, call, reply_to);
+                self.admit_call(guard, now_us, arrival);
             }
         }
     }
@@ -76,16 +66,10 @@
             let guard = self.lock_instance();
             if guard.is_none() {
                 drop(guard);
-                self.refuse_without_instance(now_us, arrival.call.attempt, arrival.reply);
+                self.refuse_without_instance(now_us, arrival);
                 continue;
             }
-            self.admit_call(
-                guard,
-                now_us,
-                arrival.deadline_us,
-                arrival.call,
-                arrival.reply,
-            );
+            self.admit_call(guard, now_us, arrival);
         }
     }
 
@@ -105,10 +89,10 @@
         }
     }
 
-    fn refuse_without_instance(&self, now_us: u64, attempt: AttemptId, reply_to: ReplyTo) {
-        self.lock_records().refuse(now_us, attempt);
+    fn refuse_without_instance(&self, now_us: u64, arrival: Arrival) {
+        self.lock_records().refuse(now_us, arrival.call.attempt);
         reply(
-            reply_to,
+            arrival.reply,
             LoadSignal::default(),
             RunResult::Refused(ErrorKind::NoUpstream),
         );
@@ -118,10 +102,14 @@
         self: &Arc<Self>,
         mut guard: MutexGuard<'_, Option<Instance>>,
         now_us: u64,
-        deadline_us: u64,
-        call: RunCall,
-        reply_to: ReplyTo,
+        arrival: Arrival,
     ) {
+        let Arrival {
+            call,
+            customer,
+            deadline_us,
+            reply: reply_to,
+        } = arrival;
         let attempt = call.attempt;
         let Some(instance) = guard.as_mut() else {
             return;
@@ -140,6 +128,7 @@
             target_us,
             start_now: call.start_now,
             queue_limit: call.queue_limit,
+            customer,
         };
         let result = instance.admission.admit(now_us, request);
         log::info!(
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -3,7 +3,9 @@
 use super::{lost_work::ReportWait, running::RunningCalls};
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseBudget};
-use limits::{Admission, AdmissionConfig, AnswerTimes, HostPace, QueueDecision, ServiceTimes};
+use limits::{
+    Admission, AdmissionConfig, AnswerTimes, CustomerKey, HostPace, QueueDecision, ServiceTimes,
+};
 use mesh::ReplyTo;
 use model::{AttemptId, LoadSignal, ProfileName, Upstream, UpstreamState};
 use std::{collections::HashMap, sync::Arc};
@@ -61,12 +63,14 @@
     pub(super) report_wait: Option<ReportWait>,
     pub(super) pace: HostPace,
     /// Calls that wait for a health check to read the host's pace.
-    pub(super) pending_arrivals: Vec<PendingArrival>,
+    pub(super) pending_arrivals: Vec<Arrival>,
 }
 
 /// A call that has not been passed to admission control yet.
-pub(super) struct PendingArrival {
+pub(super) struct Arrival {
     pub(super) call: RunCall,
+    /// Customer that the call belongs to, for fairness in the queue.
+    pub(super) customer: Option<CustomerKey>,
     pub(super) deadline_us: u64,
     pub(super) reply: ReplyTo,
 }
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -5,6 +5,7 @@
 mod health;
 mod instance;
 mod lost_work;
+mod replies;
 mod run;
 mod running;
 mod state;
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -1,7 +1,8 @@
 //! The owner: handles messages of entries, the queue of the local instance and the call records.
 
 use super::{
-    instance::{Instance, Job, SharedByInstances, take_refused},
+    instance::{Arrival, Instance, Job, SharedByInstances, take_refused},
+    replies::{refused_or_duplicate, reply, reply_status},
     run::{FIRST_FAILURE_STATUS, run_job},
     suspects::Suspicions,
     unanswered::UnansweredCalls,
@@ -10,7 +11,7 @@
 use calls::{AttemptStatus, BeginResult, CallRecords, IncomingAttempt, RecordsConfig};
 use crossbeam::channel::Sender;
 use errors::ErrorKind;
-use limits::{CancelResult, QueueDecision};
+use limits::{CancelResult, CustomerKey, QueueDecision};
 use mesh::{Inbound, ReplyTo};
 use model::{AttemptId, LoadSignal, Upstream};
 use std::{
@@ -21,7 +22,7 @@
     },
     time::Duration,
 };
-use wire::{AttemptStatusRequest, CallReply, CallRequest, RunCall, RunResult, decode, encode};
+use wire::{AttemptStatusRequest, CallRequest, RunCall, RunResult, decode};
 
 /// Interval of pace checks while calls wait for a slow host, in microseconds.
 const PACE_CHECK_INTERVAL_US: u64 = 25_000;
@@ -70,7 +71,10 @@
     /// Handles a message of an entry. Runs in a reader thread of the mesh and does not block.
     pub(crate) fn handle_message(self: &Arc<Self>, inbound: Inbound) {
         match decode(&inbound.payload) {
-            Ok(CallRequest::Run(call)) => self.handle_run(call, inbound.reply),
+            Ok(CallRequest::Run(call)) => self.handle_run(call, None, inbound.reply),
+            Ok(CallRequest::RunFor { call, customer }) => {
+                self.handle_run(call, Some(CustomerKey::of(&customer)), inbound.reply);
+            }
             Ok(CallRequest::Cancel(request)) => self.cancel(&request, inbound.reply),
             Ok(CallRequest::QueryStatus(request)) => self.query_status(&request, inbound.reply),
             Err(error) => {
@@ -237,7 +241,12 @@
     }
 
     /// Checks a call to run against the state of this owner and its record, then admits it.
-    fn handle_run(self: &Arc<Self>, call: RunCall, reply_to: ReplyTo) {
+    fn handle_run(
+        self: &Arc<Self>,
+        call: RunCall,
+        customer: Option<CustomerKey>,
+        reply_to: ReplyTo,
+    ) {
         let now_us = self.now_us();
         let deadline_us = now_us + call.remaining_us;
         if call.owner != self.context.kernel.mesh.local_id() {
@@ -290,7 +299,15 @@
                 return;
             }
         }
-        self.check_pace_and_admit(now_us, deadline_us, call, reply_to);
+        self.check_pace_and_admit(
+            now_us,
+            Arrival {
+                call,
+                customer,
+                deadline_us,
+                reply: reply_to,
+            },
+        );
     }
 
     /// Reason to refuse a call regardless of its record, if there is one.
@@ -473,26 +490,3 @@
         keep_answer: !call.idempotent,
     }
 }
-
-/// Result for a refused call; the status wins if the attempt may have started before.
-fn refused_or_duplicate(kind: ErrorKind, status: Option<AttemptStatus>) -> RunResult {
-    match status {
-        None | Some(AttemptStatus::NotStarted) => RunResult::Refused(kind),
-        Some(status) => RunResult::Duplicate(status),
-    }
-}
-
-pub(super) fn reply(reply_to: ReplyTo, signal: LoadSignal, result: RunResult) {
-    send(reply_to, &CallReply::Ran { signal, result });
-}
-
-fn reply_status(reply_to: ReplyTo, status: AttemptStatus) {
-    send(reply_to, &CallReply::Status(status));
-}
-
-fn send(reply_to: ReplyTo, message: &CallReply) {
-    // An entry that lost its connection queries the attempt's status, so a lost reply is recovered.
-    if let Err(error) = reply_to.send(encode(message)) {
-        log::debug!("owner: a reply could not be sent: {error}.");
-    }
-}
--- a/components/wire/src/call.rs
+++ b/components/wire/src/call.rs
@@ -62,6 +62,14 @@
     Cancel(AttemptStatusRequest),
     /// Return the status of an attempt, and never start it if it has not started yet.
     QueryStatus(AttemptStatusRequest),
+    /// Run an attempt of a call that belongs to a customer; sent only where the configuration has
+    /// customers.
+    RunFor {
+        /// The attempt.
+        call: RunCall,
+        /// Name of the customer, for fairness in the owner's queue.
+        customer: Arc<str>,
+    },
 }
 
 /// Identifies the attempt that an entry cancels or queries.
