Order waiting calls by cost where the settings ask for it

Cause: when capacity is short, the order by latency target starts calls that need much work for little value, and calls that can't be served in time wait until their latest start before they are refused.

Work already done for a call counts; the node passes 0 for it until requests carry it.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -543,6 +543,7 @@
         service: None,
         count_lost_work: false,
         give_up_percent: 0,
+        admission: limits::AdmissionOrder::default(),
         call_listen: ANY_PORT,
         mesh_listen: mesh,
         platform_listen: ANY_PORT,
--- a/components/bench/src/policy/owner.rs
+++ b/components/bench/src/policy/owner.rs
@@ -31,6 +31,7 @@
             start_now: false,
             queue_limit: self.settings.queue_limit,
             customer: None,
+            done_us: 0,
         };
         let instance = &mut self.instances[attempt.instance];
         instance.in_transit -= 1;
--- a/components/limits/src/admission/mod.rs
+++ b/components/limits/src/admission/mod.rs
@@ -1,12 +1,14 @@
 //! Admission of calls at the owner: slots, queues by priority, and early refusal of calls that
 //! can't finish in time.
 
+mod cost;
 mod fairness;
 mod hold;
 mod lost;
 mod request;
 mod wait;
 
+pub use cost::AdmissionOrder;
 pub use fairness::CustomerKey;
 pub use request::{
     AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
@@ -41,6 +43,7 @@
 #[derive(Clone, Debug)]
 pub struct Admission {
     config: AdmissionConfig,
+    order: AdmissionOrder,
     state: UpstreamState,
     running: Vec<Running>,
     /// Work at the upstream whose answers won't come.
@@ -48,6 +51,8 @@
     waiting: [VecDeque<AdmissionRequest>; PRIORITIES],
     /// Turns of the customers in each queue.
     turns: [CustomerTurns; PRIORITIES],
+    /// Calls that started since the last one of each priority.
+    starts_since: [u32; PRIORITIES],
     /// End of the time for which no call starts because the host is slow.
     held_until_us: u64,
     /// Estimate of the service time; 0 before the first finished call.
@@ -63,6 +68,8 @@
     pub fn new(config: AdmissionConfig) -> Self {
         Admission {
             config,
+            order: AdmissionOrder::default(),
+            starts_since: [0; PRIORITIES],
             state: UpstreamState::Serving,
             running: Vec::with_capacity(config.slots as usize),
             lost: LostWork::default(),
@@ -95,7 +102,7 @@
         if request.start_now {
             return AdmissionResult::Refused(ErrorKind::Overloaded);
         }
-        if !self.can_finish(now_us + self.expected_wait_us(now_us, &request), &request) {
+        if !self.is_worth_waiting(now_us, &request) {
             return AdmissionResult::Refused(ErrorKind::Overloaded);
         }
         if self.queued() < request.queue_limit.min(self.config.queue_limit) {
@@ -115,6 +122,16 @@
         AdmissionResult::QueuedInstead(shed)
     }
 
+    /// Whether a call that has no slot can be served in time.
+    fn is_worth_waiting(&mut self, now_us: u64, request: &AdmissionRequest) -> bool {
+        match self.order {
+            AdmissionOrder::Deadline => {
+                self.can_finish(now_us + self.expected_wait_us(now_us, request), request)
+            }
+            AdmissionOrder::Cost => self.fits_by_cost(now_us, request),
+        }
+    }
+
     /// Frees the attempt's slot and gives it to waiting calls.
     ///
     /// For a failed call, its whole deadline is passed as service time. The load signal then keeps
@@ -169,6 +186,9 @@
             });
         }
         decisions.extend(self.start_waiting(now_us));
+        if self.order == AdmissionOrder::Cost {
+            decisions.extend(self.refuse_by_cost(now_us));
+        }
         decisions
     }
 
@@ -258,6 +278,10 @@
     }
 
     fn occupy_slot(&mut self, now_us: u64, request: &AdmissionRequest) {
+        for starts in &mut self.starts_since {
+            *starts = starts.saturating_add(1);
+        }
+        self.starts_since[queue_index(request.priority)] = 0;
         self.running.push(Running {
             attempt: request.attempt,
             started_us: now_us,
@@ -297,6 +321,9 @@
             .into_iter()
             .filter(|priority| self.has_slot_for(*priority))
             .count();
+        if self.order == AdmissionOrder::Cost {
+            return self.next_by_cost(now_us, open_queues);
+        }
         for queue in 0..open_queues {
             let waiting = &self.waiting[queue];
             let mut on_time: Vec<usize> = (0..waiting.len())
--- a/components/limits/src/admission/request.rs
+++ b/components/limits/src/admission/request.rs
@@ -39,6 +39,9 @@
     pub queue_limit: u32,
     /// Customer that the call belongs to, if the configuration has customers.
     pub customer: Option<CustomerKey>,
+    /// Work that was already done for the call and would be wasted by its refusal, in microseconds;
+    /// used by `AdmissionOrder::Cost` only.
+    pub done_us: u64,
 }
 
 /// Result of an [`AdmissionRequest`].
--- a/components/limits/src/admission/wait.rs
+++ b/components/limits/src/admission/wait.rs
@@ -68,7 +68,7 @@
 
     /// Mean time that the running calls still need. A call that has exceeded its expected time is
     /// expected to need as much again, and one whose answer won't come until its deadline.
-    fn mean_remaining_us(&self, now_us: u64) -> u64 {
+    pub(super) fn mean_remaining_us(&self, now_us: u64) -> u64 {
         let (calls, total_us) = self
             .remaining_us(now_us)
             .fold((0, 0_u64), |(calls, total_us), us| {
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -14,8 +14,8 @@
 mod token_bucket;
 
 pub use admission::{
-    Admission, AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, CustomerKey,
-    QueueDecision,
+    Admission, AdmissionConfig, AdmissionOrder, AdmissionRequest, AdmissionResult, CancelResult,
+    CustomerKey, QueueDecision,
 };
 pub use answer_times::{AnswerTimes, SilenceLimit, SilenceVerdict, UnansweredCall, UpstreamSigns};
 pub use byte_budget::ByteBudget;
--- a/components/limits/tests/admission_bounds.rs
+++ b/components/limits/tests/admission_bounds.rs
@@ -2,7 +2,8 @@
 //! refused or cancelled, or twice, or after its deadline.
 
 use limits::{
-    Admission, AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
+    Admission, AdmissionConfig, AdmissionOrder, AdmissionRequest, AdmissionResult, CancelResult,
+    QueueDecision,
 };
 use model::{AttemptId, CallId, Priority, UpstreamState};
 use proptest::{collection::vec, prelude::Strategy, prop_assert, prop_oneof, proptest};
@@ -94,8 +95,14 @@
 
 proptest! {
     #[test]
-    fn random_sessions(actions in vec((0u64..5_000, action()), 1..200)) {
-        let mut admission = Admission::new(AdmissionConfig { slots: 2, urgent_slots: 0, queue_limit: 5 });
+    fn random_sessions(
+        actions in vec((0u64..5_000, action()), 1..200),
+        by_cost in proptest::bool::ANY,
+    ) {
+        let order = if by_cost { AdmissionOrder::Cost } else { AdmissionOrder::Deadline };
+        let mut admission =
+            Admission::new(AdmissionConfig { slots: 2, urgent_slots: 0, queue_limit: 5 })
+                .with_order(order);
         let mut history = AttemptHistory::default();
         let mut now_us = 0;
         for (sequence, (gap_us, action)) in (0u64..).zip(actions) {
@@ -114,6 +121,7 @@
                         start_now: false,
                         queue_limit,
                         customer: None,
+                        done_us: 0,
                     };
                     history.deadlines_us.insert(request.attempt, request.deadline_us);
                     match admission.admit(now_us, request) {
--- a/components/limits/tests/customer_turns.rs
+++ b/components/limits/tests/customer_turns.rs
@@ -145,6 +145,7 @@
             customer: self
                 .has_customers
                 .then(|| CustomerKey::of(&format!("customer-{customer}"))),
+            done_us: 0,
         };
         if self.admission.admit(now_us, request) == AdmissionResult::Start {
             self.start(now_us, id);
@@ -226,6 +227,7 @@
             start_now: false,
             queue_limit: u32::from(*queue_limit),
             customer,
+            done_us: 0,
         };
         let result = admission.admit(now_us, request);
         if result == AdmissionResult::Start {
--- a/components/limits/tests/lost_work.rs
+++ b/components/limits/tests/lost_work.rs
@@ -33,6 +33,7 @@
         start_now: false,
         queue_limit: 64,
         customer: None,
+        done_us: 0,
     }
 }
 
--- a/components/limits/tests/mixed_lengths.rs
+++ b/components/limits/tests/mixed_lengths.rs
@@ -198,6 +198,7 @@
             start_now: false,
             queue_limit: 1_000,
             customer: None,
+            done_us: 0,
         };
         match self.admission.admit(now_us, request) {
             AdmissionResult::Start => self.start(now_us, attempt),
--- a/components/limits/tests/overload_order.rs
+++ b/components/limits/tests/overload_order.rs
@@ -29,6 +29,7 @@
         start_now: false,
         queue_limit: 64,
         customer: None,
+        done_us: 0,
     }
 }
 
--- a/components/limits/tests/queue_order.rs
+++ b/components/limits/tests/queue_order.rs
@@ -22,6 +22,7 @@
         start_now: false,
         queue_limit: 2,
         customer: None,
+        done_us: 0,
     }
 }
 
--- a/components/node/src/owner/arrivals.rs
+++ b/components/node/src/owner/arrivals.rs
@@ -129,6 +129,7 @@
             start_now: call.start_now,
             queue_limit: call.queue_limit,
             customer,
+            done_us: 0,
         };
         let result = instance.admission.admit(now_us, request);
         log::info!(
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -4,7 +4,8 @@
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseBudget};
 use limits::{
-    Admission, AdmissionConfig, AnswerTimes, CustomerKey, HostPace, QueueDecision, ServiceTimes,
+    Admission, AdmissionConfig, AdmissionOrder, AnswerTimes, CustomerKey, HostPace, QueueDecision,
+    ServiceTimes,
 };
 use mesh::ReplyTo;
 use model::{AttemptId, LoadSignal, ProfileName, Upstream, UpstreamState};
@@ -84,6 +85,7 @@
         announced_slots: u32,
         echoed_header: Option<&'static str>,
         shared: &SharedByInstances,
+        order: AdmissionOrder,
     ) -> Option<Self> {
         let max_connections = upstream
             .connections
@@ -100,7 +102,8 @@
             slots: upstream.slots,
             urgent_slots: announced_slots.saturating_sub(upstream.slots),
             queue_limit: MAX_QUEUE,
-        });
+        })
+        .with_order(order);
         admission.set_state(upstream.state);
         let pool = match AsyncPool::with_budget(config, &shared.response_budget) {
             Ok(pool) => Arc::new(pool),
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -109,6 +109,7 @@
                         announced_slots,
                         self.context.kernel.node_settings().headers.request_id,
                         &self.shared,
+                        self.context.kernel.node_settings().admission,
                     )
                 });
                 if let Some(instance) = guard.as_mut()
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -7,7 +7,7 @@
     node_flags::NodeFlags,
     source::{MeshKey, SettingError, SettingSource, invalid_setting},
 };
-use limits::SharedRetryLimits;
+use limits::{AdmissionOrder, SharedRetryLimits};
 use model::{AvailabilityZone, HostName, Region, ServiceName, ZonePreference};
 use std::{fmt, net::SocketAddr, path::PathBuf};
 
@@ -125,6 +125,8 @@
     /// Share of the answered calls that may be given up when the local instance is silent, in
     /// percent; 0 to give up none.
     pub give_up_percent: u8,
+    /// Order of the calls that wait for the local instance.
+    pub admission: AdmissionOrder,
 }
 
 impl NodeSettings {
@@ -250,6 +252,9 @@
                     "true or false",
                 )?
                 .unwrap_or(false),
+            admission: source
+                .optional("admission", flags.admission.as_deref(), "deadline or cost")?
+                .unwrap_or_default(),
             give_up_percent: number("give-up-percent", &flags.give_up_percent, 0, 0, 100)? as u8,
             stop_timeout_ms: number(
                 "stop-timeout-ms",
--- a/components/settings/src/node_flags.rs
+++ b/components/settings/src/node_flags.rs
@@ -225,4 +225,11 @@
         help = "share of calls given up early if the instance leaves them unanswered (default: 0)"
     )]
     pub give_up_percent: Option<String>,
+    /// Order of the calls that wait for the local instance.
+    #[options(
+        no_short,
+        meta = "ORDER",
+        help = "order of waiting calls, deadline or cost (default: deadline)"
+    )]
+    pub admission: Option<String>,
 }
--- a/components/settings/tests/node_settings.rs
+++ b/components/settings/tests/node_settings.rs
@@ -29,6 +29,8 @@
         error_after(|f| f.zone = Some("Zone A".into())),
         error_after(|f| f.control = Some("127.0.0.1:1,nonsense".into())),
         error_after(|f| f.max_body_bytes = Some("0".into())),
+        error_after(|f| f.admission = Some("value".into())),
+        error_after(|f| f.give_up_percent = Some("101".into())),
         error_after(|f| f.log_format = Some("xml".into())),
         error_after(|f| f.mesh_listen = Some("10.0.0.1:8081".into())),
     ];
