Measure lost value of mixed calls in gyard-bench policy

Cause: the policy comparison had calls of one kind, so it could not show what an order of the waiting calls costs callers over a whole service.

--- a/components/bench/src/policy/instance.rs
+++ b/components/bench/src/policy/instance.rs
@@ -1,7 +1,7 @@
 //! A simulated instance and its owner's admission queue.
 
 use super::scenario::{Disturbance, MEAN_SERVICE_US, NOISY_FACTOR};
-use limits::{Admission, AdmissionConfig, QueueDecision};
+use limits::{Admission, AdmissionConfig, AdmissionOrder, QueueDecision};
 use model::{AttemptId, LoadSignal, UpstreamState};
 
 /// Factor by which a cold instance is slower.
@@ -52,13 +52,14 @@
 }
 
 impl Instance {
-    pub(crate) fn new(slots: u32, queue_limit: u32) -> Self {
+    pub(crate) fn new(slots: u32, queue_limit: u32, order: AdmissionOrder) -> Self {
         Instance {
             admission: Admission::new(AdmissionConfig {
                 slots,
                 urgent_slots: 0,
                 queue_limit,
-            }),
+            })
+            .with_order(order),
             state: UpstreamState::Serving,
             restarts: 0,
             in_transit: 0,
--- a/components/bench/src/policy/mod.rs
+++ b/components/bench/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod chooser;
 mod event;
 mod instance;
+mod mix;
 mod owner;
 mod plot;
 mod report;
@@ -131,7 +132,7 @@
             return Err(InvalidOption {
                 option: "scenarios",
                 value: args.scenarios.clone(),
-                allowed: "catalogue, lending, ordering, kitchen and many-entries",
+                allowed: "catalogue, lending, ordering, kitchen, many-entries and waves",
             });
         }
         if !policy_names
@@ -151,6 +152,13 @@
                 allowed: "text or json",
             });
         }
+        if args.admission.parse::<limits::AdmissionOrder>().is_err() {
+            return Err(InvalidOption {
+                option: "admission",
+                value: args.admission.clone(),
+                allowed: "deadline or cost",
+            });
+        }
         if args.seconds == 0 {
             return Err(InvalidOption {
                 option: "seconds",
@@ -161,7 +169,10 @@
         Ok(Plan {
             scenarios: scenarios
                 .into_iter()
-                .filter(|s| scenario_names.is_empty() || scenario_names.contains(&s.name))
+                .filter(|s| {
+                    let is_default = scenario_names.is_empty() && !s.is_mixed;
+                    is_default || scenario_names.contains(&s.name)
+                })
                 .collect(),
             loads: parse_list("loads", &args.loads, "percentages such as 50,75,90")?
                 .into_iter()
--- a/components/bench/src/policy/owner.rs
+++ b/components/bench/src/policy/owner.rs
@@ -21,13 +21,19 @@
         };
         let arrival = self.arrival(index);
         let deadline_us = arrival.at_us + self.settings.deadline_us;
+        let (priority, expected_us, target_us) = match arrival.kind {
+            Some(kind) => (kind.priority, kind.mean_us, arrival.at_us + kind.target_us),
+            None => (Priority::Normal, 0, u64::MAX),
+        };
         let request = AdmissionRequest {
             attempt: id,
-            priority: Priority::Normal,
+            priority,
             deadline_us,
-            start_by_us: max_queue_wait_us.map_or(deadline_us, |wait_us| self.now_us + wait_us),
-            expected_us: 0,
-            target_us: u64::MAX,
+            start_by_us: max_queue_wait_us
+                .map_or(deadline_us, |wait_us| self.now_us + wait_us)
+                .min(target_us.saturating_sub(expected_us)),
+            expected_us,
+            target_us,
             start_now: false,
             queue_limit: self.settings.queue_limit,
             customer: None,
--- a/components/bench/src/policy/report.rs
+++ b/components/bench/src/policy/report.rs
@@ -13,6 +13,10 @@
 const P99_OF_ORACLE: f64 = 1.25;
 /// Load in percent at which the router is compared with the oracle.
 const ORACLE_LOAD: u32 = 75;
+/// Highest lost value of mixed calls as a multiple of the oracle's.
+const LOST_OF_ORACLE: f64 = 1.25;
+/// Highest lost share of the calls of the highest priority, in percent.
+const HIGH_LOST_PERCENT: f64 = 3.0;
 /// Highest number of probe messages per call in the economical and the fast probe mode.
 const MAX_MESSAGES_PER_CALL: [(Policy, f64); 2] = [
     (Policy::Router(ProbeMode::Economical), 0.1),
@@ -38,6 +42,10 @@
     pub messages_per_call: f64,
     /// Highest number of probe messages of one entry in any one second.
     pub peak_messages: f64,
+    /// Value of the calls without an answer within their targets, in percent; 0 without mixed calls.
+    pub lost_value_percent: f64,
+    /// Calls of the highest priority without such an answer, in percent.
+    pub high_lost_percent: f64,
 }
 
 /// Results of one policy in one scenario at one load.
@@ -49,6 +57,9 @@
     pub load: u32,
     /// Name of the policy.
     pub policy: &'static str,
+    /// Whether the calls of the scenario have values.
+    #[serde(skip)]
+    pub is_mixed: bool,
     /// Median over the seeds, of each value on its own.
     pub median: Stats,
     /// Worst over the seeds, of each value on its own.
@@ -122,6 +133,8 @@
             hedge_percent: self.hedges as f64 * 100.0 / calls,
             messages_per_call: self.messages as f64 / calls,
             peak_messages: self.peak_messages as f64,
+            lost_value_percent: self.value.lost_percent(),
+            high_lost_percent: self.value.high_lost_percent(),
         };
         self.latencies_us = Vec::new();
         self
@@ -148,6 +161,7 @@
                     scenario: scenario.name,
                     load,
                     policy: policy.name(),
+                    is_mixed: scenario.is_mixed,
                     median: aggregate(&stats, median),
                     worst: aggregate(&stats, worst),
                 });
@@ -155,6 +169,7 @@
             let group = ResultGroup {
                 scenario: scenario.name,
                 load,
+                is_mixed: scenario.is_mixed,
                 plan,
                 seeds,
             };
@@ -174,6 +189,7 @@
 struct ResultGroup<'a> {
     scenario: &'static str,
     load: u32,
+    is_mixed: bool,
     plan: &'a Plan,
     seeds: Vec<&'a Vec<SimulationResult>>,
 }
@@ -181,6 +197,9 @@
 impl ResultGroup<'_> {
     fn targets(&self, settings: &Settings) -> Vec<Target> {
         let mut targets = Vec::new();
+        if self.is_mixed {
+            return self.value_targets();
+        }
         for &policy in self.plan.policies.iter().filter(|p| p.is_router()) {
             for baseline in [Policy::Random, Policy::TwoReported] {
                 let what = format!("p99 / {}", baseline.name());
@@ -214,6 +233,21 @@
         targets
     }
 
+    /// Targets on the lost value, which apply to scenarios with mixed calls.
+    fn value_targets(&self) -> Vec<Target> {
+        let mut targets = Vec::new();
+        for &policy in self.plan.policies.iter().filter(|p| p.is_router()) {
+            let what = "lost value / oracle".to_owned();
+            let oracle = [Policy::Oracle];
+            targets.extend(self.ratio(policy, what, LOST_OF_ORACLE, &oracle, |f| {
+                f.lost_value_percent
+            }));
+            let values = self.values(policy, |f| f.high_lost_percent);
+            targets.push(self.target(policy, "high priority lost %", HIGH_LOST_PERCENT, &values));
+        }
+        targets
+    }
+
     /// A value of one policy for each seed; empty if the policy was not run.
     fn values(&self, policy: Policy, value: impl Fn(&Stats) -> f64) -> Vec<f64> {
         let position = self.plan.policies.iter().position(|p| *p == policy);
@@ -252,7 +286,8 @@
             .values(policy, &value)
             .iter()
             .zip(&lowest)
-            .map(|(a, b)| a / b)
+            // Two runs that lost nothing are equal.
+            .map(|(a, b)| if a == b { 1.0 } else { a / b })
             .collect();
         Some(self.target(policy, what, limit, &ratios))
     }
@@ -288,6 +323,8 @@
         hedge_percent: of(|f| f.hedge_percent),
         messages_per_call: of(|f| f.messages_per_call),
         peak_messages: of(|f| f.peak_messages),
+        lost_value_percent: of(|f| f.lost_value_percent),
+        high_lost_percent: of(|f| f.high_lost_percent),
     }
 }
 
@@ -378,6 +415,20 @@
                 Target::verdict(t.worst, t.limit)
             )?;
         }
+        for row in self.rows.iter().filter(|row| row.is_mixed) {
+            writeln!(
+                f,
+                "{:<13}{:>3} % {:<18} lost value {:>6.2} % (worst {:>6.2}), high priority {:>6.2} % \
+                 (worst {:>6.2})",
+                row.scenario,
+                row.load,
+                row.policy,
+                row.median.lost_value_percent,
+                row.worst.lost_value_percent,
+                row.median.high_lost_percent,
+                row.worst.high_lost_percent
+            )?;
+        }
         self.write_summary(f)
     }
 }
--- a/components/bench/src/policy/scenario.rs
+++ b/components/bench/src/policy/scenario.rs
@@ -1,5 +1,6 @@
 //! Deployments, arrivals and disturbances of the policy comparison.
 
+use super::mix::{self, CallKind};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -35,6 +36,9 @@
     pub(crate) entries: usize,
     /// Whether entry `i` runs beside instance `i`.
     pub(crate) sidecar: bool,
+    /// Whether calls are of several kinds and their demand varies in waves. Such a scenario runs only
+    /// if it is chosen by name.
+    pub(crate) is_mixed: bool,
 }
 
 /// The existing deployments, and one with many entries.
@@ -47,6 +51,7 @@
         cross_zone_us,
         entries: instances,
         sidecar: true,
+        is_mixed: false,
     };
     vec![
         existing("catalogue", 7, 6, 3, 1_000.0),
@@ -58,6 +63,10 @@
             sidecar: false,
             ..existing("many-entries", 17, 9, 4, 1_500.0)
         },
+        Scenario {
+            is_mixed: true,
+            ..existing("waves", 8, 6, 3, 1_000.0)
+        },
     ]
 }
 
@@ -69,6 +78,8 @@
     /// Service time on an undisturbed instance, in microseconds.
     pub(crate) work_us: f64,
     pub(crate) idempotent: bool,
+    /// Kind of the call in a scenario with mixed calls.
+    pub(crate) kind: Option<CallKind>,
 }
 
 /// A change of an instance's condition.
@@ -125,12 +136,19 @@
     pub(crate) fn new(scenario: &Scenario, load: f64, seconds: u32, seed: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let end_us = f64::from(seconds) * 1e6;
-        let arrivals = draw_arrivals(scenario, load, end_us, &mut rng);
+        let draw = if scenario.is_mixed {
+            mix::draw_arrivals
+        } else {
+            draw_arrivals
+        };
+        let arrivals = draw(scenario, load, end_us, &mut rng);
         let mut disturbances = Vec::new();
         for instance in 0..scenario.instances {
-            add_noisy_periods(&mut disturbances, instance, end_us, &mut rng);
+            add_noisy_periods(&mut disturbances, scenario, instance, end_us, &mut rng);
+        }
+        if !scenario.is_mixed {
+            add_incidents(&mut disturbances, scenario.instances, end_us, &mut rng);
         }
-        add_incidents(&mut disturbances, scenario.instances, end_us, &mut rng);
         disturbances.sort_by_key(|&(at_us, instance, _)| (at_us, instance));
         Workload {
             seed,
@@ -151,6 +169,7 @@
             entry: rng.random_range(0..scenario.entries),
             work_us: log_normal(rng, MEAN_SERVICE_US, SERVICE_SIGMA),
             idempotent: rng.random_bool(IDEMPOTENT_SHARE),
+            kind: None,
         });
         at_us += exponential(rng, gap_us);
     }
@@ -159,17 +178,27 @@
 
 fn add_noisy_periods(
     out: &mut Vec<(u64, usize, Disturbance)>,
+    scenario: &Scenario,
     instance: usize,
     end_us: f64,
     rng: &mut Pcg64Mcg,
 ) {
-    let mut at_us = exponential(rng, NOISY_GAP_US);
+    let gap_us = if scenario.is_mixed {
+        mix::SLOW_GAP_US
+    } else {
+        NOISY_GAP_US
+    };
+    let mut at_us = exponential(rng, gap_us);
     while at_us < end_us {
-        let length_us = log_uniform(rng, NOISY_US);
+        let length_us = if scenario.is_mixed {
+            mix::SLOW_US
+        } else {
+            log_uniform(rng, NOISY_US)
+        };
         out.push((at_us as u64, instance, Disturbance::Noisy(true)));
         at_us += length_us;
         out.push((at_us as u64, instance, Disturbance::Noisy(false)));
-        at_us += exponential(rng, NOISY_GAP_US);
+        at_us += exponential(rng, gap_us);
     }
 }
 
--- a/components/bench/src/policy/settings.rs
+++ b/components/bench/src/policy/settings.rs
@@ -1,6 +1,7 @@
 //! Options of `gyard-bench policy`, and the settings of a simulation that follow from them.
 
 use gumdrop::Options;
+use limits::AdmissionOrder;
 
 /// Options of `gyard-bench policy`.
 #[derive(Clone, Debug, Options)]
@@ -66,6 +67,14 @@
     /// File for the plot of p99 per policy.
     #[options(meta = "FILE", help = "write a plot of p99 per policy as SVG")]
     pub plot: Option<String>,
+    /// Order of the calls that wait at an owner, `deadline` or `cost`.
+    #[options(
+        no_short,
+        meta = "ORDER",
+        default = "deadline",
+        help = "order of waiting calls, deadline or cost"
+    )]
+    pub admission: String,
     /// Output format, `text` or `json`.
     #[options(meta = "FORMAT", default = "text", help = "text or json")]
     pub output: String,
@@ -82,6 +91,7 @@
     pub(crate) limit_queue_wait: bool,
     pub(crate) queue_limit: u32,
     pub(crate) deadline_us: u64,
+    pub(crate) order: AdmissionOrder,
 }
 
 impl Settings {
@@ -95,6 +105,7 @@
             limit_queue_wait: !args.no_patience,
             queue_limit: 64,
             deadline_us: 1_000_000,
+            order: args.admission.parse().unwrap_or_default(),
         }
     }
 }
--- a/components/bench/src/policy/sim.rs
+++ b/components/bench/src/policy/sim.rs
@@ -4,6 +4,7 @@
     chooser::{AttemptKind, ChoiceContext, ChosenInstance, Entry, Policy},
     event::{Event, ScheduledEvent},
     instance::Instance,
+    mix::ValueCount,
     report::Stats,
     scenario::{Arrival, Scenario, Workload, exponential},
     settings::Settings,
@@ -33,6 +34,8 @@
     /// Latency of each call in microseconds; the deadline for a call that failed.
     pub(crate) latencies_us: Vec<u32>,
     pub(crate) errors: u64,
+    /// Value of mixed calls.
+    pub(crate) value: ValueCount,
     pub(crate) retries: u64,
     pub(crate) hedges: u64,
     /// Number of probe messages; a probe and its reply count as two.
@@ -104,7 +107,10 @@
         now_us: 0,
         events: BinaryHeap::new(),
         sequence: 0,
-        instances: vec![Instance::new(scenario.slots, settings.queue_limit); scenario.instances],
+        instances: vec![
+            Instance::new(scenario.slots, settings.queue_limit, settings.order);
+            scenario.instances
+        ],
         entries,
         calls: vec![Call::default(); workload.arrivals.len()],
         network_us: mean_delays_us(scenario),
@@ -483,6 +489,9 @@
     fn complete(&mut self, index: usize, latency_us: u64) {
         self.calls[index].done = true;
         let deadline_us = self.settings.deadline_us;
+        if let Some(kind) = &self.arrival(index).kind {
+            self.result.value.record(kind, latency_us);
+        }
         self.result
             .latencies_us
             .push(latency_us.min(deadline_us) as u32);
