Keep connections free for calls whose connection was cut

The pool's settings are passed as the node's settings.

No test counts the connections of a cut call.

--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -4,11 +4,11 @@
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseBudget};
 use limits::{
-    Admission, AdmissionConfig, AdmissionOrder, AnswerTimes, CustomerKey, HostPace, QueueDecision,
-    ServiceTimes,
+    Admission, AdmissionConfig, AnswerTimes, CustomerKey, HostPace, QueueDecision, ServiceTimes,
 };
 use mesh::ReplyTo;
 use model::{AttemptId, LoadSignal, ProfileName, Upstream, UpstreamState};
+use settings::NodeSettings;
 use std::{collections::HashMap, sync::Arc};
 use wire::RunCall;
 
@@ -80,22 +80,16 @@
     /// State for a newly announced instance; `None` if its connection pool can't be started.
     pub(super) fn new(
         upstream: &Upstream,
-        max_response_bytes: usize,
-        health_checks_per_s: u32,
+        settings: &NodeSettings,
         announced_slots: u32,
-        echoed_header: Option<&'static str>,
         shared: &SharedByInstances,
-        order: AdmissionOrder,
     ) -> Option<Self> {
-        let max_connections = upstream
-            .connections
-            .saturating_sub(SPARE_CONNECTIONS)
-            .max(1);
+        let max_connections = max_connections(upstream, settings, announced_slots);
         let config = PoolConfig {
             max_connections: max_connections as usize,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
-            max_body_bytes: max_response_bytes,
-            echoed_header,
+            max_body_bytes: settings.max_response_bytes,
+            echoed_header: settings.headers.request_id,
             ..PoolConfig::new(upstream.address)
         };
         let mut admission = Admission::new(AdmissionConfig {
@@ -103,7 +97,7 @@
             urgent_slots: announced_slots.saturating_sub(upstream.slots),
             queue_limit: MAX_QUEUE,
         })
-        .with_order(order);
+        .with_order(settings.admission);
         admission.set_state(upstream.state);
         let pool = match AsyncPool::with_budget(config, &shared.response_budget) {
             Ok(pool) => Arc::new(pool),
@@ -121,7 +115,7 @@
             service_times: ServiceTimes::default(),
             answer_times: AnswerTimes::default(),
             report_wait: None,
-            pace: HostPace::new(health_checks_per_s),
+            pace: HostPace::new(settings.health_checks_per_s),
             pending_arrivals: Vec::new(),
         })
     }
@@ -186,6 +180,21 @@
     }
 }
 
+/// Most connections that are open at once. If lost work is counted, the instance may keep one more
+/// for each call whose connection was cut, of which there are at most as many as slots.
+fn max_connections(upstream: &Upstream, settings: &NodeSettings, announced_slots: u32) -> u32 {
+    let all = upstream
+        .connections
+        .saturating_sub(SPARE_CONNECTIONS)
+        .max(1);
+    if settings.count_lost_work {
+        all.saturating_sub(announced_slots)
+            .max(announced_slots.min(all))
+    } else {
+        all
+    }
+}
+
 /// Removes the waiting calls that admission refused.
 pub(super) fn take_refused(
     instance: Option<&mut Instance>,
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -104,12 +104,9 @@
                 *guard = next.and_then(|next| {
                     Instance::new(
                         next,
-                        self.max_response_bytes(),
-                        self.health_checks_per_s(),
+                        self.context.kernel.node_settings(),
                         announced_slots,
-                        self.context.kernel.node_settings().headers.request_id,
                         &self.shared,
-                        self.context.kernel.node_settings().admission,
                     )
                 });
                 if let Some(instance) = guard.as_mut()
@@ -458,14 +455,6 @@
             .set(i64::from(instance.admission.lost_work()));
     }
 
-    fn max_response_bytes(&self) -> usize {
-        self.context.kernel.node_settings().max_response_bytes
-    }
-
-    fn health_checks_per_s(&self) -> u32 {
-        self.context.kernel.node_settings().health_checks_per_s
-    }
-
     pub(super) fn lock_instance(&self) -> MutexGuard<'_, Option<Instance>> {
         self.instance.lock().unwrap_or_else(PoisonError::into_inner)
     }
