Let calls of instances inherit from the call that they are made for

Cause: with the order by cost, the work already done for a call counted as 0 for all calls, and a call that an instance makes could have a lower priority and a later deadline than the call that waits for it.

It inherits deadline, priority and customer, and the time of its parent reaches the owner in the new variant CallRequest::RunNested.

--- a/components/calls/src/lib.rs
+++ b/components/calls/src/lib.rs
@@ -53,6 +53,7 @@
 mod entry;
 mod entry_states;
 mod hedge_budget;
+mod parent_calls;
 mod records;
 mod status;
 
@@ -63,5 +64,6 @@
 };
 pub use entry::{Action, CallSpec, DEADLINE_GRACE_US, EntryCall, Event};
 pub use hedge_budget::HedgeBudget;
+pub use parent_calls::{ParentCall, ParentCalls};
 pub use records::{BeginResult, CallRecords, IncomingAttempt, RecordsConfig, StatusQuery};
 pub use status::{AttemptStatus, KeyHash};
--- a/components/calls/tests/suite/main.rs
+++ b/components/calls/tests/suite/main.rs
@@ -9,5 +9,6 @@
 mod keeper_restarts;
 mod key_retry;
 mod lost_connection;
+mod parent_calls;
 mod refused_calls;
 mod simulation;
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     announce::Announcement, generations::ConnectionGenerations, local::LocalInstance,
-    probes::ProbeTable, revision_offers::RevisionOffers,
+    parents::Parents, probes::ProbeTable, revision_offers::RevisionOffers,
 };
 use kernel::{Event, Kernel, KindLabels};
 use mesh::Channel;
@@ -38,6 +38,8 @@
     pub(crate) max_seen_nodes: AtomicU32,
     /// Reads the load of the local instance from the `owner` plug-in, which sets this at its start.
     pub(crate) local_load: OnceLock<LocalLoadReader>,
+    /// Calls that run at the local instance and may make others.
+    pub(crate) parents: Parents,
 }
 
 /// Returns the load of the local instance, if one is announced.
@@ -57,6 +59,7 @@
             stop_requested_us: OnceLock::new(),
             max_seen_nodes: AtomicU32::new(0),
             local_load: OnceLock::new(),
+            parents: Parents::default(),
         })
     }
 
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -1,7 +1,8 @@
 //! Validates a caller's request and resolves its service, profile, deadline and idempotency key.
 
 use super::Entry;
-use calls::{KeyHash, MAX_KEYED_CALL_MS};
+use crate::parents::higher_priority;
+use calls::{KeyHash, MAX_KEYED_CALL_MS, ParentCall};
 use errors::ErrorKind;
 use http::{Request, strip_hop_by_hop};
 use model::{CallId, Fingerprint, Profile, ServiceName};
@@ -38,6 +39,8 @@
     /// How the request is treated as a crash suspect; suspects and trials run once at most.
     pub(crate) verdict: Verdict,
     pub(crate) request: HttpMessage,
+    /// Running call of the local instance that this one is made for.
+    pub(crate) parent: Option<ParentCall>,
 }
 
 /// Service, profile and latency target that apply to a request.
@@ -87,11 +90,16 @@
                 _ => ErrorKind::CrashSuspect,
             }));
         }
+        let parent = self.parent_of(&request);
+        let inherited_us = parent.as_ref().map_or(u64::MAX, |p| p.deadline_us);
+        let priority = parent.as_ref().map_or(profile.priority, |p| {
+            higher_priority(p.priority, profile.priority)
+        });
         Ok(PreparedCall {
             call: self.next_call_id(),
             request_id: self.request_id(&request),
             configuration: version,
-            deadline_us: now_us + deadline_ms * 1000,
+            deadline_us: (now_us + deadline_ms * 1000).min(inherited_us),
             target_us: latency_target_ms.map_or(u64::MAX, |target_ms| {
                 now_us + target_ms.saturating_mul(1_000)
             }),
@@ -101,12 +109,22 @@
             verdict,
             request: self.http_message(request),
             service,
-            profile,
+            profile: Profile {
+                priority,
+                ..profile
+            },
+            parent,
         })
     }
 }
 
 impl Entry {
+    /// The running call of the local instance that a request is made for.
+    fn parent_of(&self, request: &Request) -> Option<ParentCall> {
+        let name = self.context.kernel.node_settings().headers.request_id?;
+        self.context.parent_of(request.headers.get(name)?)
+    }
+
     /// Resolves the target by the configuration's routes, or without a configuration by the
     /// request's service name and that service's announced rules.
     fn resolve_target(&self, request: &Request) -> Result<CallTarget, Refusal> {
--- a/components/node/src/entry/driver/send.rs
+++ b/components/node/src/entry/driver/send.rs
@@ -141,14 +141,25 @@
             fingerprint: self.call.identity,
             request: self.call.request.clone(),
         };
-        encode(&match customer_of(&self.call) {
-            Some(customer) => CallRequest::RunFor { call, customer },
-            None => CallRequest::Run(call),
+        let done_us = self
+            .call
+            .parent
+            .as_ref()
+            .map(|p| now_us.saturating_sub(p.started_us));
+        encode(&match (customer_of(&self.call), done_us) {
+            (customer, Some(done_us)) => CallRequest::RunNested {
+                call,
+                customer,
+                done_us,
+            },
+            (Some(customer), None) => CallRequest::RunFor { call, customer },
+            (None, None) => CallRequest::Run(call),
         })
     }
 }
 
-/// Name of the customer that the call belongs to. None until calls are checked for customers' keys.
-fn customer_of(_call: &PreparedCall) -> Option<Arc<str>> {
-    None
+/// Name of the customer that the call belongs to; for a call of an instance, that of the call that it
+/// is made for. No call has a customer of its own until calls are checked for customers' keys.
+fn customer_of(call: &PreparedCall) -> Option<Arc<str>> {
+    call.parent.as_ref()?.customer.clone()
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod instance_api;
 mod local;
 mod owner;
+mod parents;
 mod platform;
 mod probes;
 mod revision_offers;
--- a/components/node/src/owner/arrivals.rs
+++ b/components/node/src/owner/arrivals.rs
@@ -10,7 +10,7 @@
 };
 use errors::ErrorKind;
 use http::CancelToken;
-use limits::{AdmissionRequest, AdmissionResult, PaceStatus, QueueDecision};
+use limits::{AdmissionRequest, AdmissionResult, CustomerKey, PaceStatus, QueueDecision};
 use model::LoadSignal;
 use std::sync::{Arc, MutexGuard};
 use wire::RunResult;
@@ -107,6 +107,7 @@
         let Arrival {
             call,
             customer,
+            done_us,
             deadline_us,
             reply: reply_to,
         } = arrival;
@@ -128,8 +129,8 @@
             target_us,
             start_now: call.start_now,
             queue_limit: call.queue_limit,
-            customer,
-            done_us: 0,
+            customer: customer.as_deref().map(CustomerKey::of),
+            done_us,
         };
         let result = instance.admission.admit(now_us, request);
         log::info!(
@@ -148,6 +149,7 @@
             pool: Arc::clone(&instance.pool),
             reply: reply_to,
             may_run_until_us: None,
+            customer,
         };
         match result {
             AdmissionResult::Start => {
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -1,11 +1,10 @@
 //! The local instance: its connection pool, admission control, and the calls that wait or run.
 
 use super::{lost_work::ReportWait, running::RunningCalls};
+use calls::ParentCall;
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseBudget};
-use limits::{
-    Admission, AdmissionConfig, AnswerTimes, CustomerKey, HostPace, QueueDecision, ServiceTimes,
-};
+use limits::{Admission, AdmissionConfig, AnswerTimes, HostPace, QueueDecision, ServiceTimes};
 use mesh::ReplyTo;
 use model::{AttemptId, LoadSignal, ProfileName, Upstream, UpstreamState};
 use settings::NodeSettings;
@@ -31,6 +30,21 @@
     pub(crate) reply: ReplyTo,
     /// Time until which the instance may run the call although its answer won't come.
     pub(crate) may_run_until_us: Option<u64>,
+    /// Customer that the call belongs to.
+    pub(crate) customer: Option<Arc<str>>,
+}
+
+impl Job {
+    /// The call as one that the instance may make others for.
+    pub(super) fn as_parent(&self, started_us: u64) -> ParentCall {
+        ParentCall {
+            attempt: self.call.attempt,
+            started_us,
+            deadline_us: self.deadline_us,
+            priority: self.call.priority,
+            customer: self.customer.clone(),
+        }
+    }
 }
 
 /// What the instances that follow one another at an owner have in common.
@@ -71,7 +85,9 @@
 pub(super) struct Arrival {
     pub(super) call: RunCall,
     /// Customer that the call belongs to, for fairness in the queue.
-    pub(super) customer: Option<CustomerKey>,
+    pub(super) customer: Option<Arc<str>>,
+    /// Work that was already done for the call that this one is made for.
+    pub(super) done_us: u64,
     pub(super) deadline_us: u64,
     pub(super) reply: ReplyTo,
 }
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -34,6 +34,9 @@
         return;
     }
     owner.watch_answer(&job, started_us);
+    owner
+        .context
+        .start_parent(&job.call, job.as_parent(started_us));
     let names = owner.context.kernel.node_settings().headers;
     let request = upstream_request(&names, &job, started_us);
     let deadline = owner.context.kernel.clock.instant(job.deadline_us);
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -11,7 +11,7 @@
 use calls::{AttemptStatus, BeginResult, CallRecords, IncomingAttempt, RecordsConfig};
 use crossbeam::channel::Sender;
 use errors::ErrorKind;
-use limits::{CancelResult, CustomerKey, QueueDecision};
+use limits::{CancelResult, QueueDecision};
 use mesh::{Inbound, ReplyTo};
 use model::{AttemptId, LoadSignal, Upstream};
 use std::{
@@ -71,10 +71,15 @@
     /// Handles a message of an entry. Runs in a reader thread of the mesh and does not block.
     pub(crate) fn handle_message(self: &Arc<Self>, inbound: Inbound) {
         match decode(&inbound.payload) {
-            Ok(CallRequest::Run(call)) => self.handle_run(call, None, inbound.reply),
+            Ok(CallRequest::Run(call)) => self.handle_run(call, None, 0, inbound.reply),
             Ok(CallRequest::RunFor { call, customer }) => {
-                self.handle_run(call, Some(CustomerKey::of(&customer)), inbound.reply);
+                self.handle_run(call, Some(customer), 0, inbound.reply);
             }
+            Ok(CallRequest::RunNested {
+                call,
+                customer,
+                done_us,
+            }) => self.handle_run(call, customer, done_us, inbound.reply),
             Ok(CallRequest::Cancel(request)) => self.cancel(&request, inbound.reply),
             Ok(CallRequest::QueryStatus(request)) => self.query_status(&request, inbound.reply),
             Err(error) => {
@@ -196,6 +201,7 @@
         self.end_trial(attempt);
         self.shared.running.remove(attempt);
         self.unanswered.end(attempt);
+        self.context.end_parent(&job.call);
         let (signal, decisions, mut guard) = {
             let mut guard = self.lock_instance();
             let Some(instance) = guard.as_mut() else {
@@ -242,7 +248,8 @@
     fn handle_run(
         self: &Arc<Self>,
         call: RunCall,
-        customer: Option<CustomerKey>,
+        customer: Option<Arc<str>>,
+        done_us: u64,
         reply_to: ReplyTo,
     ) {
         let now_us = self.now_us();
@@ -302,6 +309,7 @@
             Arrival {
                 call,
                 customer,
+                done_us,
                 deadline_us,
                 reply: reply_to,
             },
--- a/components/wire/src/call.rs
+++ b/components/wire/src/call.rs
@@ -70,6 +70,16 @@
         /// Name of the customer, for fairness in the owner's queue.
         customer: Arc<str>,
     },
+    /// Run an attempt of a call that an instance makes for another call; sent only if owners order
+    /// waiting calls by cost.
+    RunNested {
+        /// The attempt.
+        call: RunCall,
+        /// Name of the customer, if the call has one.
+        customer: Option<Arc<str>>,
+        /// Time for which the other call has run, in microseconds.
+        done_us: u64,
+    },
 }
 
 /// Identifies the attempt that an entry cancels or queries.
--- a/components/wire/tests/call_requests.rs
+++ b/components/wire/tests/call_requests.rs
@@ -65,6 +65,12 @@
     assert_eq!(encode(&CallRequest::Cancel(status))[0], 1);
     assert_eq!(encode(&CallRequest::QueryStatus(status))[0], 2);
     assert_eq!(run_for[0], 3);
+    let nested = encode(&CallRequest::RunNested {
+        call: run_call(),
+        customer: None,
+        done_us: 7,
+    });
+    assert_eq!(nested[0], 4);
     assert_eq!(run_for[1..run.len()], run[1..], "the call itself is equal");
     let CallRequest::RunFor { call, customer } = decode(&run_for).unwrap() else {
         panic!("another variant");
