--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -139,6 +139,8 @@
     QuotaUnconfirmed,
     /// The node can't show that its configuration is recent enough to accept keys.
     RevocationUnconfirmed,
+    /// The upstream left the call unanswered although it worked as usual otherwise.
+    UpstreamSilent,
 }
 
 impl ErrorKind {
@@ -194,6 +196,7 @@
         ErrorKind::QuotaExceeded,
         ErrorKind::QuotaUnconfirmed,
         ErrorKind::RevocationUnconfirmed,
+        ErrorKind::UpstreamSilent,
     ];
 
     /// How this kind is reported.
@@ -549,6 +552,13 @@
                 "The node can't confirm that no key was revoked.",
                 "Send the request to another node, or again after Retry-After.",
             ),
+            ErrorKind::UpstreamSilent => (
+                "upstream-silent",
+                504,
+                Outcome::Unknown,
+                "The upstream left the call unanswered although it worked as usual otherwise.",
+                "Resend only if the call is idempotent or carries an idempotency-key.",
+            ),
         };
         ErrorInfo {
             code,
--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -35,6 +35,8 @@
         /// Whether this is the first report of a process that has started after this node.
         has_started: bool,
     },
+    /// The local instance has started anew under its name; nothing of its earlier start runs on.
+    LocalUpstreamRestarted,
 }
 
 type Subscriber = Arc<dyn Fn(&Event) + Send + Sync>;
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -101,6 +101,10 @@
     pub evacuated_zones: Gauge,
     /// Calls that an owner refused because its availability zone is evacuated.
     pub evacuation_refused: Counter,
+    /// Calls that the local upstream left unanswered and that were given up early.
+    pub given_up: Counter,
+    /// Calls that count as running at the local upstream although no answer will come.
+    pub lost_work: Gauge,
 }
 
 /// Upper bound of the first bucket of `call_seconds`, in seconds.
@@ -143,6 +147,8 @@
             cold_refused: Counter::default(),
             evacuated_zones: Gauge::default(),
             evacuation_refused: Counter::default(),
+            given_up: Counter::default(),
+            lost_work: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -264,6 +270,16 @@
             "Calls refused because the availability zone is evacuated",
             self.evacuation_refused.clone(),
         );
+        registry.register(
+            "given_up",
+            "Calls without an answer that were given up early",
+            self.given_up.clone(),
+        );
+        registry.register(
+            "lost_work",
+            "Calls that take a slot although no answer will come",
+            self.lost_work.clone(),
+        );
     }
 
     /// All metrics as Prometheus text.
--- a/components/limits/src/admission/mod.rs
+++ b/components/limits/src/admission/mod.rs
@@ -1,15 +1,22 @@
 //! Admission of calls at the owner: slots, queues by priority, and early refusal of calls that
 //! can't finish in time.
 
+mod cost;
+mod fairness;
 mod hold;
+mod lost;
 mod request;
 mod wait;
 
+pub use cost::AdmissionOrder;
+pub use fairness::CustomerKey;
 pub use request::{
     AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
 };
 
+use crate::LostWork;
 use errors::ErrorKind;
+use fairness::{Candidate, CustomerTurns, has_customers, newest_of_largest};
 use model::{AttemptId, LoadSignal, Priority, UpstreamState};
 use std::collections::VecDeque;
 
@@ -36,9 +43,16 @@
 #[derive(Clone, Debug)]
 pub struct Admission {
     config: AdmissionConfig,
+    order: AdmissionOrder,
     state: UpstreamState,
     running: Vec<Running>,
+    /// Work at the upstream whose answers won't come.
+    lost: LostWork,
     waiting: [VecDeque<AdmissionRequest>; PRIORITIES],
+    /// Turns of the customers in each queue.
+    turns: [CustomerTurns; PRIORITIES],
+    /// Calls that started since the last one of each priority.
+    starts_since: [u32; PRIORITIES],
     /// End of the time for which no call starts because the host is slow.
     held_until_us: u64,
     /// Estimate of the service time; 0 before the first finished call.
@@ -54,9 +68,13 @@
     pub fn new(config: AdmissionConfig) -> Self {
         Admission {
             config,
+            order: AdmissionOrder::default(),
+            starts_since: [0; PRIORITIES],
             state: UpstreamState::Serving,
             running: Vec::with_capacity(config.slots as usize),
+            lost: LostWork::default(),
             waiting: Default::default(),
+            turns: Default::default(),
             held_until_us: 0,
             service_us: 0,
             estimated_us: 0,
@@ -72,6 +90,7 @@
         if now_us >= request.deadline_us {
             return AdmissionResult::Refused(ErrorKind::DeadlineExpired);
         }
+        self.lost.expire(now_us);
         let is_held = now_us < self.held_until_us;
         if !is_held
             && self.has_slot_for(request.priority)
@@ -83,7 +102,7 @@
         if request.start_now {
             return AdmissionResult::Refused(ErrorKind::Overloaded);
         }
-        if !self.can_finish(now_us + self.expected_wait_us(now_us, &request), &request) {
+        if !self.is_worth_waiting(now_us, &request) {
             return AdmissionResult::Refused(ErrorKind::Overloaded);
         }
         if self.queued() < request.queue_limit.min(self.config.queue_limit) {
@@ -93,13 +112,26 @@
         if request.queue_limit == 0 {
             return AdmissionResult::Refused(ErrorKind::QueueFull);
         }
-        let Some(shed) = self.shed_below(request.priority) else {
+        let shed = self
+            .shed_below(request.priority)
+            .or_else(|| self.shed_for_customer(&request));
+        let Some(shed) = shed else {
             return AdmissionResult::Refused(ErrorKind::QueueFull);
         };
         self.waiting[queue_index(request.priority)].push_back(request);
         AdmissionResult::QueuedInstead(shed)
     }
 
+    /// Whether a call that has no slot can be served in time.
+    fn is_worth_waiting(&mut self, now_us: u64, request: &AdmissionRequest) -> bool {
+        match self.order {
+            AdmissionOrder::Deadline => {
+                self.can_finish(now_us + self.expected_wait_us(now_us, request), request)
+            }
+            AdmissionOrder::Cost => self.fits_by_cost(now_us, request),
+        }
+    }
+
     /// Frees the attempt's slot and gives it to waiting calls.
     ///
     /// For a failed call, its whole deadline is passed as service time. The load signal then keeps
@@ -142,6 +174,7 @@
     /// Refuses each waiting attempt whose deadline or latest start has passed, and starts others if
     /// there are free slots.
     pub fn expire(&mut self, now_us: u64) -> Vec<QueueDecision> {
+        self.lost.expire(now_us);
         let mut decisions = Vec::new();
         for queue in &mut self.waiting {
             queue.retain(|request| match expiry_reason(now_us, request) {
@@ -153,6 +186,9 @@
             });
         }
         decisions.extend(self.start_waiting(now_us));
+        if self.order == AdmissionOrder::Cost {
+            decisions.extend(self.refuse_by_cost(now_us));
+        }
         decisions
     }
 
@@ -200,6 +236,7 @@
                 0 => at_us,
                 held_until_us => at_us.min(held_until_us),
             })
+            .map(|at_us| self.lost.next_end_us().map_or(at_us, |us| us.min(at_us)))
     }
 
     /// Calls that the upstream can run at once.
@@ -207,9 +244,10 @@
         self.config.slots
     }
 
-    /// Calls running at the upstream.
+    /// Calls running at the upstream, those included whose answers won't come.
     pub fn in_flight(&self) -> u32 {
-        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        running.saturating_add(self.lost.count())
     }
 
     /// Calls waiting.
@@ -240,6 +278,10 @@
     }
 
     fn occupy_slot(&mut self, now_us: u64, request: &AdmissionRequest) {
+        for starts in &mut self.starts_since {
+            *starts = starts.saturating_add(1);
+        }
+        self.starts_since[queue_index(request.priority)] = 0;
         self.running.push(Running {
             attempt: request.attempt,
             started_us: now_us,
@@ -255,6 +297,7 @@
             return decisions;
         }
         self.held_until_us = 0;
+        self.lost.expire(now_us);
         while let Some(request) = self.next_request(now_us) {
             let refusal = expiry_reason(now_us, &request)
                 .or_else(|| (!self.can_finish(now_us, &request)).then_some(ErrorKind::Overloaded));
@@ -278,18 +321,51 @@
             .into_iter()
             .filter(|priority| self.has_slot_for(*priority))
             .count();
+        if self.order == AdmissionOrder::Cost {
+            return self.next_by_cost(now_us, open_queues);
+        }
         for queue in 0..open_queues {
             let waiting = &self.waiting[queue];
-            let most_urgent = (0..waiting.len())
+            let mut on_time: Vec<usize> = (0..waiting.len())
                 .filter(|index| self.can_meet_target(now_us, &waiting[*index]))
-                .min_by_key(|index| waiting[*index].target_us);
-            if let Some(index) = most_urgent {
+                .collect();
+            on_time.sort_by_key(|index| waiting[*index].target_us);
+            if let Some(index) = self.next_in_turn(queue, &on_time) {
                 return self.waiting[queue].remove(index);
             }
         }
-        self.waiting[..open_queues]
-            .iter_mut()
-            .find_map(VecDeque::pop_front)
+        (0..open_queues).find_map(|queue| {
+            let all: Vec<usize> = (0..self.waiting[queue].len()).collect();
+            let index = self.next_in_turn(queue, &all)?;
+            self.waiting[queue].remove(index)
+        })
+    }
+
+    /// The first of these positions in a queue; if the queue has calls of customers, the first one
+    /// of the customer whose turn it is.
+    fn next_in_turn(&mut self, queue: usize, positions: &[usize]) -> Option<usize> {
+        let waiting = &self.waiting[queue];
+        if positions.is_empty() || !has_customers(waiting) {
+            return positions.first().copied();
+        }
+        let candidates: Vec<Candidate> = positions
+            .iter()
+            .map(|index| Candidate {
+                index: *index,
+                customer: waiting[*index].customer,
+                service_us: self.service_us_of(&waiting[*index]),
+            })
+            .collect();
+        self.turns[queue].choose(waiting, &candidates)
+    }
+
+    /// Removes the newest waiting attempt of a customer that has more calls in the queue of the
+    /// request than the customer of the request.
+    fn shed_for_customer(&mut self, request: &AdmissionRequest) -> Option<AttemptId> {
+        request.customer?;
+        let waiting = &mut self.waiting[queue_index(request.priority)];
+        let index = newest_of_largest(waiting, request.customer)?;
+        waiting.remove(index).map(|shed| shed.attempt)
     }
 
     /// Removes the newest waiting attempt of the lowest priority below this one.
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -2,9 +2,11 @@
 //! `retry-after` time of refused calls.
 
 mod admission;
+mod answer_times;
 mod byte_budget;
 mod capacity_search;
 mod cold;
+mod lost_work;
 mod pace;
 mod retry_after;
 mod retry_budget;
@@ -13,11 +15,14 @@
 mod token_bucket;
 
 pub use admission::{
-    Admission, AdmissionConfig, AdmissionRequest, AdmissionResult, CancelResult, QueueDecision,
+    Admission, AdmissionConfig, AdmissionOrder, AdmissionRequest, AdmissionResult, CancelResult,
+    CustomerKey, QueueDecision,
 };
+pub use answer_times::{AnswerTimes, SilenceLimit, SilenceVerdict, UnansweredCall, UpstreamSigns};
 pub use byte_budget::ByteBudget;
 pub use capacity_search::CapacitySearch;
 pub use cold::{ColdLimiter, ColdRate};
+pub use lost_work::LostWork;
 pub use pace::{HostPace, PaceStatus, USUAL_PACE_PERCENT};
 pub use retry_after::{RefusalCause, retry_after_ms};
 pub use retry_budget::RetryBudget;
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod instance_starts;
 mod local;
 mod owner;
+mod parents;
 mod platform;
 mod probes;
 mod quotas;
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -1,11 +1,13 @@
 //! The local instance: its connection pool, admission control, and the calls that wait or run.
 
-use super::{cold::ColdInstance, running::RunningCalls};
+use super::{cold::ColdInstance, lost_work::ReportWait, running::RunningCalls};
+use calls::ParentCall;
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseBudget};
-use limits::{Admission, AdmissionConfig, HostPace, QueueDecision, ServiceTimes};
+use limits::{Admission, AdmissionConfig, AnswerTimes, HostPace, QueueDecision, ServiceTimes};
 use mesh::ReplyTo;
-use model::{AttemptId, LoadSignal, Upstream, UpstreamState};
+use model::{AttemptId, LoadSignal, ProfileName, Upstream, UpstreamState};
+use settings::NodeSettings;
 use std::{collections::HashMap, sync::Arc};
 use wire::RunCall;
 
@@ -26,6 +28,23 @@
     pub(crate) cancel: CancelToken,
     pub(crate) pool: Arc<AsyncPool>,
     pub(crate) reply: ReplyTo,
+    /// Time until which the instance may run the call although its answer won't come.
+    pub(crate) may_run_until_us: Option<u64>,
+    /// Customer that the call belongs to.
+    pub(crate) customer: Option<Arc<str>>,
+}
+
+impl Job {
+    /// The call as one that the instance may make others for.
+    pub(super) fn as_parent(&self, started_us: u64) -> ParentCall {
+        ParentCall {
+            attempt: self.call.attempt,
+            started_us,
+            deadline_us: self.deadline_us,
+            priority: self.call.priority,
+            customer: self.customer.clone(),
+        }
+    }
 }
 
 /// What the instances that follow one another at an owner have in common.
@@ -58,14 +77,21 @@
     running: Arc<RunningCalls>,
     pub(super) cold: Arc<ColdInstance>,
     pub(super) service_times: ServiceTimes,
+    pub(super) answer_times: AnswerTimes,
+    /// Set until the instance has reported the calls of earlier owners.
+    pub(super) report_wait: Option<ReportWait>,
     pub(super) pace: HostPace,
     /// Calls that wait for a health check to read the host's pace.
-    pub(super) pending_arrivals: Vec<PendingArrival>,
+    pub(super) pending_arrivals: Vec<Arrival>,
 }
 
 /// A call that has not been passed to admission control yet.
-pub(super) struct PendingArrival {
+pub(super) struct Arrival {
     pub(super) call: RunCall,
+    /// Customer that the call belongs to, for fairness in the queue.
+    pub(super) customer: Option<Arc<str>>,
+    /// Work that was already done for the call that this one is made for.
+    pub(super) done_us: u64,
     pub(super) deadline_us: u64,
     pub(super) reply: ReplyTo,
 }
@@ -74,28 +100,24 @@
     /// State for a newly announced instance; `None` if its connection pool can't be started.
     pub(super) fn new(
         upstream: &Upstream,
-        max_response_bytes: usize,
-        health_checks_per_s: u32,
+        settings: &NodeSettings,
         announced_slots: u32,
-        echoed_header: Option<&'static str>,
         shared: &SharedByInstances,
     ) -> Option<Self> {
-        let max_connections = upstream
-            .connections
-            .saturating_sub(SPARE_CONNECTIONS)
-            .max(1);
+        let max_connections = max_connections(upstream, settings, announced_slots);
         let config = PoolConfig {
             max_connections: max_connections as usize,
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
-            max_body_bytes: max_response_bytes,
-            echoed_header,
+            max_body_bytes: settings.max_response_bytes,
+            echoed_header: settings.headers.request_id,
             ..PoolConfig::new(upstream.address)
         };
         let mut admission = Admission::new(AdmissionConfig {
             slots: upstream.slots,
             urgent_slots: announced_slots.saturating_sub(upstream.slots),
             queue_limit: MAX_QUEUE,
-        });
+        })
+        .with_order(settings.admission);
         admission.set_state(upstream.state);
         let pool = match AsyncPool::with_budget(config, &shared.response_budget) {
             Ok(pool) => Arc::new(pool),
@@ -112,7 +134,9 @@
             running: Arc::clone(&shared.running),
             cold: Arc::clone(&shared.cold),
             service_times: ServiceTimes::default(),
-            pace: HostPace::new(health_checks_per_s),
+            answer_times: AnswerTimes::default(),
+            report_wait: None,
+            pace: HostPace::new(settings.health_checks_per_s),
             pending_arrivals: Vec::new(),
         })
     }
@@ -153,6 +177,12 @@
         self.with_cold_limit(now_us, signal)
     }
 
+    /// Records the time of a call that ended with an answer.
+    pub(super) fn record_answer(&mut self, profile: &ProfileName, time_us: u64) {
+        self.service_times.record(profile, time_us);
+        self.answer_times.record(profile, time_us);
+    }
+
     pub(super) fn mark_running(&self, job: &Job) {
         self.running.insert(job.call.attempt, job.cancel.clone());
     }
@@ -172,6 +202,21 @@
     }
 }
 
+/// Most connections that are open at once. If lost work is counted, the instance may keep one more
+/// for each call whose connection was cut, of which there are at most as many as slots.
+fn max_connections(upstream: &Upstream, settings: &NodeSettings, announced_slots: u32) -> u32 {
+    let all = upstream
+        .connections
+        .saturating_sub(SPARE_CONNECTIONS)
+        .max(1);
+    if settings.count_lost_work {
+        all.saturating_sub(announced_slots)
+            .max(announced_slots.min(all))
+    } else {
+        all
+    }
+}
+
 /// Removes the waiting calls that admission refused.
 pub(super) fn take_refused(
     instance: Option<&mut Instance>,
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -2,9 +2,11 @@
 
 use super::{
     evacuation::Evacuation,
-    instance::{Instance, Job, SharedByInstances, take_refused},
+    instance::{Arrival, Instance, Job, SharedByInstances, take_refused},
+    replies::{refused_or_duplicate, reply, reply_status},
     run::{FIRST_FAILURE_STATUS, run_job},
     suspects::Suspicions,
+    unanswered::UnansweredCalls,
 };
 use crate::context::NodeContext;
 use calls::{AttemptStatus, BeginResult, CallRecords, IncomingAttempt, RecordsConfig};
@@ -21,7 +23,7 @@
     },
     time::Duration,
 };
-use wire::{AttemptStatusRequest, CallReply, CallRequest, RunCall, RunResult, decode, encode};
+use wire::{AttemptStatusRequest, CallRequest, RunCall, RunResult, decode};
 
 /// Interval of pace checks while calls wait for a slow host, in microseconds.
 const PACE_CHECK_INTERVAL_US: u64 = 25_000;
@@ -31,6 +33,7 @@
     pub(crate) context: Arc<NodeContext>,
     instance: Mutex<Option<Instance>>,
     pub(super) shared: SharedByInstances,
+    pub(super) unanswered: UnansweredCalls,
     records: Mutex<CallRecords>,
     pub(super) suspicions: Suspicions,
     pub(super) evacuation: Evacuation,
@@ -61,6 +64,7 @@
             start_queue: Mutex::default(),
             start_lock: Mutex::default(),
             wake,
+            unanswered: UnansweredCalls::new(context.kernel.node_settings().give_up_percent),
             shared: SharedByInstances::new(
                 context.kernel.clock.now_us(),
                 context.kernel.node_settings().max_response_bytes,
@@ -73,7 +77,15 @@
     /// Handles a message of an entry. Runs in a reader thread of the mesh and does not block.
     pub(crate) fn handle_message(self: &Arc<Self>, inbound: Inbound) {
         match decode(&inbound.payload) {
-            Ok(CallRequest::Run(call)) => self.handle_run(call, inbound.reply),
+            Ok(CallRequest::Run(call)) => self.handle_run(call, None, 0, inbound.reply),
+            Ok(CallRequest::RunFor { call, customer }) => {
+                self.handle_run(call, Some(customer), 0, inbound.reply);
+            }
+            Ok(CallRequest::RunNested {
+                call,
+                customer,
+                done_us,
+            }) => self.handle_run(call, customer, done_us, inbound.reply),
             Ok(CallRequest::Cancel(request)) => self.cancel(&request, inbound.reply),
             Ok(CallRequest::QueryStatus(request)) => self.query_status(&request, inbound.reply),
             Err(error) => {
@@ -103,15 +115,19 @@
                 *guard = next.and_then(|next| {
                     Instance::new(
                         next,
-                        self.max_response_bytes(),
-                        self.health_checks_per_s(),
+                        self.context.kernel.node_settings(),
                         announced_slots,
-                        self.context.kernel.node_settings().headers.request_id,
                         &self.shared,
                     )
                 });
+                if let Some(instance) = guard.as_mut()
+                    && self.counts_inherited_work()
+                {
+                    instance.expect_inherited_work(now_us, announced_slots);
+                }
                 drop(guard);
                 self.reply_refused(refused);
+                self.query_inherited_work();
                 return;
             }
         };
@@ -190,6 +206,8 @@
         self.record_result(now_us, attempt, &result);
         self.end_trial(attempt);
         self.shared.running.remove(attempt);
+        self.unanswered.end(attempt);
+        self.context.end_parent(&job.call);
         let (signal, decisions, mut guard) = {
             let mut guard = self.lock_instance();
             let Some(instance) = guard.as_mut() else {
@@ -200,9 +218,13 @@
             if let (RunResult::Answer { status, .. }, Some(time_us)) = (&result, counted_us)
                 && *status < FIRST_FAILURE_STATUS
             {
-                instance.service_times.record(&job.call.profile, time_us);
+                instance.record_answer(&job.call.profile, time_us);
+                self.unanswered.record_answer(now_us);
             }
             let decisions = match counted_us {
+                _ if let Some(until_us) = job.may_run_until_us => instance
+                    .admission
+                    .lose(now_us, attempt, until_us, counted_us),
                 Some(time_us) => instance.admission.finish(now_us, attempt, time_us),
                 None => instance.admission.release_slot(now_us, attempt),
             };
@@ -229,7 +251,13 @@
     }
 
     /// Checks a call to run against the state of this owner and its record, then admits it.
-    fn handle_run(self: &Arc<Self>, call: RunCall, reply_to: ReplyTo) {
+    fn handle_run(
+        self: &Arc<Self>,
+        call: RunCall,
+        customer: Option<Arc<str>>,
+        done_us: u64,
+        reply_to: ReplyTo,
+    ) {
         let now_us = self.now_us();
         let deadline_us = now_us + call.remaining_us;
         if call.owner != self.context.kernel.mesh.local_id() {
@@ -282,7 +310,16 @@
                 return;
             }
         }
-        self.check_pace_and_admit(now_us, deadline_us, call, reply_to);
+        self.check_pace_and_admit(
+            now_us,
+            Arrival {
+                call,
+                customer,
+                done_us,
+                deadline_us,
+                reply: reply_to,
+            },
+        );
     }
 
     /// Reason to refuse a call regardless of its record, if there is one.
@@ -428,14 +465,9 @@
             .in_flight
             .set(i64::from(instance.admission.in_flight()));
         metrics.queued.set(i64::from(instance.admission.queued()));
-    }
-
-    fn max_response_bytes(&self) -> usize {
-        self.context.kernel.node_settings().max_response_bytes
-    }
-
-    fn health_checks_per_s(&self) -> u32 {
-        self.context.kernel.node_settings().health_checks_per_s
+        metrics
+            .lost_work
+            .set(i64::from(instance.admission.lost_work()));
     }
 
     pub(super) fn lock_instance(&self) -> MutexGuard<'_, Option<Instance>> {
@@ -463,26 +495,3 @@
         keep_answer: !call.idempotent,
     }
 }
-
-/// Result for a refused call; the status wins if the attempt may have started before.
-fn refused_or_duplicate(kind: ErrorKind, status: Option<AttemptStatus>) -> RunResult {
-    match status {
-        None | Some(AttemptStatus::NotStarted) => RunResult::Refused(kind),
-        Some(status) => RunResult::Duplicate(status),
-    }
-}
-
-pub(super) fn reply(reply_to: ReplyTo, signal: LoadSignal, result: RunResult) {
-    send(reply_to, &CallReply::Ran { signal, result });
-}
-
-fn reply_status(reply_to: ReplyTo, status: AttemptStatus) {
-    send(reply_to, &CallReply::Status(status));
-}
-
-fn send(reply_to: ReplyTo, message: &CallReply) {
-    // An entry that lost its connection queries the attempt's status, so a lost reply is recovered.
-    if let Err(error) = reply_to.send(encode(message)) {
-        log::debug!("owner: a reply could not be sent: {error}.");
-    }
-}
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -8,7 +8,7 @@
     node_flags::NodeFlags,
     source::{MeshKey, SettingError, SettingSource, invalid_setting},
 };
-use limits::SharedRetryLimits;
+use limits::{AdmissionOrder, SharedRetryLimits};
 use model::{AvailabilityZone, HostName, Region, ServiceName, ZonePreference};
 use std::{fmt, net::SocketAddr, path::PathBuf};
 
@@ -132,6 +132,14 @@
     pub cold_overage_percent: u32,
     /// Additional calls that a cold instance may get in any second.
     pub cold_slack: u32,
+    /// Whether work that may still run at the local instance takes slots although its answer won't
+    /// come.
+    pub count_lost_work: bool,
+    /// Share of the answered calls that may be given up when the local instance is silent, in
+    /// percent; 0 to give up none.
+    pub give_up_percent: u8,
+    /// Order of the calls that wait for the local instance.
+    pub admission: AdmissionOrder,
 }
 
 impl NodeSettings {
@@ -251,6 +259,17 @@
             revocation_ms: read_revocation_ms(flags, source)?,
             headers: CallHeaders::default(),
             service: source.optional("service", flags.service.as_deref(), NAME_FORMAT)?,
+            count_lost_work: source
+                .optional(
+                    "count-lost-work",
+                    flags.count_lost_work.as_deref(),
+                    "true or false",
+                )?
+                .unwrap_or(false),
+            admission: source
+                .optional("admission", flags.admission.as_deref(), "deadline or cost")?
+                .unwrap_or_default(),
+            give_up_percent: number("give-up-percent", &flags.give_up_percent, 0, 0, 100)? as u8,
             stop_timeout_ms: number(
                 "stop-timeout-ms",
                 &flags.stop_timeout_ms,
--- a/components/settings/src/node_flags.rs
+++ b/components/settings/src/node_flags.rs
@@ -232,4 +232,25 @@
         help = "additional calls to a cold instance in each second (default: 4)"
     )]
     pub cold_slack: Option<String>,
+    /// Whether lost work takes slots of the local instance.
+    #[options(
+        no_short,
+        meta = "BOOL",
+        help = "count work whose answer won't come as running at the instance (default: false)"
+    )]
+    pub count_lost_work: Option<String>,
+    /// Share of the answered calls that may be given up early.
+    #[options(
+        no_short,
+        meta = "PERCENT",
+        help = "share of calls given up early if the instance leaves them unanswered (default: 0)"
+    )]
+    pub give_up_percent: Option<String>,
+    /// Order of the calls that wait for the local instance.
+    #[options(
+        no_short,
+        meta = "ORDER",
+        help = "order of waiting calls, deadline or cost (default: deadline)"
+    )]
+    pub admission: Option<String>,
 }
