--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -5,7 +5,9 @@
 use log::LevelFilter;
 use model::{AvailabilityZone, HostName, Profile, Region};
 use serde_json::{Value, json};
-use settings::{CallHeaders, ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings};
+use settings::{
+    CallHeaders, CallerLimits, ControlSettings, LogFormat, LogSettings, MeshKey, NodeSettings,
+};
 use snafu::Snafu;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
@@ -521,6 +523,7 @@
         operator_token: None,
         mesh_key: MeshKey([7; 32]),
         logs: warnings_only(),
+        caller_limits: CallerLimits::default(),
     })
 }
 
@@ -551,6 +554,7 @@
         peers: vec![first_peer],
         mesh_key: MeshKey([7; 32]),
         logs: warnings_only(),
+        caller_limits: CallerLimits::default(),
         decision_log_percent: 100,
         max_body_bytes: 4 << 20,
         max_response_bytes: 8 << 20,
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -4,25 +4,23 @@
     context::{ControlContext, Refusal, ReplicaState},
     reports::{STALE_AFTER_MS, merge_reports, nodes_with_instance, profiles_in_use},
 };
-use admin::{AdminResponse, error_response, json_response, metrics_response, read_body};
+use admin::{AdminResponse, error_response, json_response, metrics_response};
 use api::{
     ChangeOp, ChangeRequest, ChangeResponse, DrainRequest, InstanceStatus, NodeStatus,
     ProfileEntry, ProfileList, ReplicaStatus, Status,
 };
 use errors::ErrorKind;
+use http::Request;
 use kernel::{Kernel, PluginEntry, Role, RunningPlugin, StartError};
 use mesh::Channel;
 use model::{FieldError, Profile, Revision, ServiceName};
 use registry::{Change, ChangeId, Op, Record};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 use subtle::ConstantTimeEq;
-use tiny_http::{Method, Request, Server};
 use wire::{ControlReply, ControlRequest, NodeReport, SyncReply, SyncRequest};
 
-/// Threads that serve operators; several, because a change blocks one until a quorum confirms it.
-const SERVER_THREADS: usize = 4;
 /// Timeout of a request to another process.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -40,66 +38,40 @@
         .control_settings()
         .ok_or_else(|| StartError::new("operator", "this process has no control settings"))?;
     let address = settings.operator_listen;
-    let server = Server::http(address).map_err(|error| {
-        StartError::new(
-            "operator",
-            format!("--operator-listen {address} can't be opened: {error}; choose a free port"),
-        )
-    })?;
-    if let Some(bound) = server.server_addr().to_ip() {
-        kernel.set_listen_address("operator", bound);
-    }
-    let server = Arc::new(server);
-    let operator = Arc::new(Operator {
+    let operator = Operator {
         control: ControlContext::for_kernel(kernel),
         token: settings.operator_token,
-    });
-    let threads: Vec<_> = (0..SERVER_THREADS)
-        .map(|_| {
-            let (server, operator) = (Arc::clone(&server), Arc::clone(&operator));
-            thread::spawn(move || operator.serve(&server))
-        })
-        .collect();
-    Ok(RunningPlugin::with_stop(move || {
-        for _ in &threads {
-            server.unblock();
-        }
-        for thread in threads {
-            let _ = thread.join();
-        }
-    }))
+    };
+    admin::serve(
+        kernel,
+        "operator",
+        "--operator-listen",
+        address,
+        move |request| operator.handle_request(request),
+    )
 }
 
 impl Operator {
-    fn serve(&self, server: &Server) {
-        while let Ok(mut request) = server.recv() {
-            let response = self.handle_request(&mut request);
-            if let Err(error) = request.respond(response) {
-                log::debug!("operator: the response could not be sent: {error}.");
-            }
-        }
-    }
-
-    fn handle_request(&self, request: &mut Request) -> AdminResponse {
+    fn handle_request(&self, request: &Request) -> AdminResponse {
         if !self.is_allowed(request) {
             log::warn!("operator: a request without a valid token was refused.");
             return error_response(ErrorKind::Unauthorized, "");
         }
-        let path = request.url().split('?').next().unwrap_or("").to_owned();
-        let result = match (request.method(), path.as_str()) {
-            (Method::Get, "/v1/profiles") => self.list_profiles(),
-            (Method::Get, path) if path.starts_with("/v1/profiles/") => {
+        let path = request.target.split('?').next().unwrap_or_default();
+        let result = match (request.method.as_str(), path) {
+            ("GET", "/v1/profiles") => self.list_profiles(),
+            ("GET", path) if path.starts_with("/v1/profiles/") => {
                 self.show_profile(&path["/v1/profiles/".len()..])
             }
-            (Method::Post, "/v1/changes") => {
+            ("POST", "/v1/changes") => {
                 parse_body(request).and_then(|body| self.submit_change(body))
             }
-            (Method::Post, "/v1/drain") => {
+            ("POST", "/v1/drain") => {
                 parse_body(request).and_then(|body| self.drain_instance(&body))
             }
-            (Method::Get, "/v1/status") => self.status(),
-            (Method::Get, "/metrics") => return self.render_metrics(),
-            _ => Err((ErrorKind::NotFound, path)),
+            ("GET", "/v1/status") => self.status(),
+            ("GET", "/metrics") => return self.render_metrics(),
+            _ => Err((ErrorKind::NotFound, path.to_owned())),
         };
         match result {
             Ok(value) => json_response(200, &value),
@@ -111,20 +83,18 @@
     /// from loopback are allowed.
     fn is_allowed(&self, request: &Request) -> bool {
         let Some(token) = &self.token else {
-            return request
-                .remote_addr()
-                .is_some_and(|peer| peer.ip().is_loopback());
+            return request.peer.ip().is_loopback();
         };
         let sent = request
-            .headers()
-            .iter()
-            .find(|header| header.field.equiv("authorization"))
-            .and_then(|header| header.value.as_str().strip_prefix("Bearer "));
+            .headers
+            .get("authorization")
+            .and_then(|value| value.strip_prefix("Bearer "));
         sent.is_some_and(|sent| sent.as_bytes().ct_eq(token.as_bytes()).into())
     }
 
     fn render_metrics(&self) -> AdminResponse {
         let kernel = &self.control.kernel;
+        admin::refresh_memory_metrics(kernel);
         kernel
             .metrics
             .revision
@@ -296,9 +266,8 @@
     }
 }
 
-fn parse_body<T: DeserializeOwned>(request: &mut Request) -> Result<T, Refusal> {
-    let bytes = read_body(request)?;
-    serde_json::from_slice(&bytes)
+fn parse_body<T: DeserializeOwned>(request: &Request) -> Result<T, Refusal> {
+    serde_json::from_slice(&request.body)
         .map_err(|error| (ErrorKind::MalformedRequest, format!("body: {error}")))
 }
 
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -129,6 +129,8 @@
     StopTimeout,
     /// The same request was in flight when several upstreams crashed; it is held until a trial.
     CrashHold,
+    /// The memory for requests is in use.
+    MemoryFull,
 }
 
 impl ErrorKind {
@@ -179,6 +181,7 @@
         ErrorKind::Internal,
         ErrorKind::StopTimeout,
         ErrorKind::CrashHold,
+        ErrorKind::MemoryFull,
     ];
 
     /// How this kind is reported.
@@ -492,6 +495,13 @@
                 "An unexpected condition inside geraniumyard.",
                 "Report it with the log lines around it.",
             ),
+            ErrorKind::MemoryFull => (
+                "memory-full",
+                503,
+                Outcome::NotRun,
+                "The memory of the process for requests is in use.",
+                "Retry after the time in retry-after; raise --memory-budget-bytes if this lasts.",
+            ),
             ErrorKind::StopTimeout => (
                 "stop-timeout",
                 502,
--- a/components/http/src/async_pool/mod.rs
+++ b/components/http/src/async_pool/mod.rs
@@ -377,7 +377,7 @@
         buffer: &mut ReadBuffer,
         expected: &ExpectedResponse,
     ) -> Result<Received, CallError> {
-        let limits = (&self.config, &*self.budget);
+        let limits = (&self.config, &self.budget);
         for skipped in 0..=MAX_SKIPPED_COPIES {
             let mut received =
                 receive_response(limits, &connection.stream, buffer, expected.is_head, None)?;
@@ -425,8 +425,12 @@
             Ok(received) if received.ended_by_close && is_cut_off => Err(CallError::Truncated),
             result => result,
         };
+        let mut buffered = None;
         let (result, reusable) = match result {
-            Ok(received) => (Ok(received.response), received.reusable && is_intact),
+            Ok(received) => {
+                buffered = Some(received.buffered);
+                (Ok(received.response), received.reusable && is_intact)
+            }
             Err(_) if has_timed_out => (Err(CallError::TimedOut), false),
             Err(_) if !is_intact => (Err(CallError::Cancelled), false),
             Err(error) => (Err(error), false),
@@ -438,6 +442,7 @@
             connection.shut_down();
         }
         call.complete(result);
+        drop(buffered);
         reusable
     }
 
--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::{
     BodyDecoder, CallerConnection, Framing, ParseError, Request, RequestHead, RequestLimits,
     error_response,
+    memory_budget::Reservation,
     message::encode_response,
     parse_request_head,
     read_buffer::{ReadBuffer, is_timeout},
@@ -24,13 +25,26 @@
 const HANDLER_SLOT_CHECK: Duration = Duration::from_millis(10);
 /// Most bytes read ahead while as many handlers run as allowed.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// How often a request that waits for memory checks whether its connection was closed.
+const MEMORY_CHECK: Duration = Duration::from_millis(50);
+/// Longest wait of a request for memory.
+const MEMORY_WAIT: Duration = Duration::from_secs(2);
+/// Times that a request is held at once: by the call, in the message to its owner, at the owner, and
+/// encoded for the instance.
+const REQUEST_COPIES: usize = 4;
+/// `retry-after` of refused connections and of requests that got no memory, in seconds.
+const RETRY_AFTER_S: &str = "1";
 /// Longest wait for a caller to read the last response and close.
 const LINGER: Duration = Duration::from_secs(1);
 
 /// Sends an error response and closes the connection. Closing with unread bytes would reset the
 /// connection before the caller has read the response, so the rest of the request is read first.
 pub(crate) fn send_error_and_close(stream: &TcpStream, out: &mut Vec<u8>, kind: ErrorKind) {
-    encode_response(out, &error_response(kind), false, true);
+    let mut response = error_response(kind);
+    if response.status == 503 {
+        response = response.with_header("retry-after", RETRY_AFTER_S);
+    }
+    encode_response(out, &response, false, true);
     if stream.set_write_timeout(Some(LINGER)).is_err() || (&mut &*stream).write_all(out).is_err() {
         return;
     }
@@ -117,7 +131,7 @@
 fn start_handler(
     shared: &Arc<Shared>,
     replies: &Arc<ReplyQueue>,
-    request: Request,
+    (request, reservation): (Request, Reservation),
     keep_alive: bool,
 ) {
     let Some(early) = replies.push_request(&request, keep_alive) else {
@@ -128,15 +142,17 @@
         move || {
             let caller = CallerConnection::new(early.clone());
             let handled = catch_unwind(AssertUnwindSafe(|| (shared.handler)(request, &caller)));
+            // The caller may take long to read the reply.
+            drop(reservation);
             match handled {
-                Ok(response) => replies.finish(&early, &response),
+                Ok(response) => replies.finish(&early, response),
                 Err(_) => replies.abort(&early),
             }
         }
     };
     if let Err(error) = shared.workers.run(run) {
         log::warn!("http: the thread of a handler can't be started: {error}");
-        replies.finish(&early, &error_response(ErrorKind::Overloaded));
+        replies.finish(&early, error_response(ErrorKind::Overloaded));
     }
 }
 
@@ -148,9 +164,24 @@
     peer: SocketAddr,
     buffer: &mut ReadBuffer,
     replies: &ReplyQueue,
-) -> Result<(Request, bool), ReadEnd> {
+) -> Result<((Request, Reservation), bool), ReadEnd> {
     let limits = shared.limits();
     let head = read_head(&limits, stream, buffer, replies)?;
+    replies.set_reading_body();
+    let memory = &shared.config.memory.requests;
+    let mut reservation = memory.reservation(peer.ip());
+    let mut reserve = |body_bytes: usize| {
+        let bytes = REQUEST_COPIES * (head.head_bytes + body_bytes);
+        wait_for_memory(&mut reservation, bytes, replies).inspect_err(|end| {
+            if matches!(end, ReadEnd::Refused(_)) {
+                log_refusal(memory.count_refusal(), peer, bytes);
+            }
+        })
+    };
+    reserve(match head.framing {
+        Framing::Length(length) => length,
+        _ => 0,
+    })?;
     if head.framing != Framing::Empty && buffer.unread().is_empty() {
         send_continue_if_expected(stream, &head)?;
     }
@@ -159,6 +190,9 @@
     loop {
         let consumed = decoder.decode(buffer.unread())?;
         buffer.consume(consumed);
+        if head.framing == Framing::Chunked {
+            reserve(decoder.memory_bytes())?;
+        }
         if decoder.is_complete() {
             break;
         }
@@ -180,19 +214,50 @@
     // While as many handlers run as `max_pipelined` allows, no further request is parsed. Bytes are
     // still read ahead, so that a closed connection is noticed.
     wait_for_handler_slot(shared, stream, buffer, replies)?;
-    Ok((request, head.keep_alive))
+    Ok(((request, reservation), head.keep_alive))
+}
+
+/// Reserves memory for a request, up to `bytes` in total.
+fn wait_for_memory(
+    reservation: &mut Reservation,
+    bytes: usize,
+    replies: &ReplyQueue,
+) -> Result<(), ReadEnd> {
+    let until = Instant::now() + MEMORY_WAIT;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if reservation.grow_to(bytes, left.min(MEMORY_CHECK)) {
+            return Ok(());
+        }
+        if replies.is_closing() {
+            return Err(ReadEnd::Closed);
+        }
+        if left.is_zero() {
+            return Err(ReadEnd::Refused(ErrorKind::MemoryFull));
+        }
+    }
+}
+
+/// Logs refusals whose number is a power of two, since a crowd of callers can cause many.
+fn log_refusal(refused: u64, peer: SocketAddr, bytes: usize) {
+    if refused.is_power_of_two() {
+        log::warn!(
+            "http: memory-full: a request from {peer} that needs {bytes} bytes was refused; {refused} so far"
+        );
+    }
 }
 
-/// Waits until fewer handlers run than `max_pipelined`.
+/// Waits until fewer handlers run than `max_pipelined` and the caller has read earlier replies.
 fn wait_for_handler_slot(
     shared: &Shared,
     stream: &TcpStream,
     buffer: &mut ReadBuffer,
     replies: &ReplyQueue,
 ) -> Result<(), ReadEnd> {
-    while replies.running_handlers() >= shared.config.max_pipelined {
+    let limit = shared.config.max_pipelined;
+    while replies.must_wait(limit) {
         if buffer.unread().len() >= MAX_READ_AHEAD_BYTES {
-            replies.wait_until_running_below(shared.config.max_pipelined);
+            replies.wait_while_full(limit, IDLE_CHECK);
             continue;
         }
         match buffer.fill(stream, HANDLER_SLOT_CHECK) {
--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -3,11 +3,12 @@
 use crate::{
     BodyDecoder, CallError, Framing, PoolConfig, Response, ResponseHead, parse_response_head,
     read_buffer::{ReadBuffer, is_timeout},
-    response_budget::ResponseBudget,
+    response_budget::{BufferedResponse, ResponseBudget},
 };
 use std::{
     io::{self, Write},
     net::TcpStream,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -35,6 +36,8 @@
 /// A response as it was read from a connection.
 pub(crate) struct Received {
     pub(crate) response: Response,
+    /// Memory of the response; kept until it has been passed on.
+    pub(crate) buffered: BufferedResponse,
     /// Whether the connection can carry another request.
     pub(crate) reusable: bool,
     /// Whether the end of the connection ended the body. If this process closed the connection, the
@@ -44,7 +47,7 @@
 
 /// Reads one response. Without a deadline, waits until the connection ends.
 pub(crate) fn receive_response(
-    (config, budget): (&PoolConfig, &ResponseBudget),
+    (config, budget): (&PoolConfig, &Arc<ResponseBudget>),
     stream: &TcpStream,
     buffer: &mut ReadBuffer,
     is_head: bool,
@@ -52,7 +55,10 @@
 ) -> Result<Received, CallError> {
     let head = read_final_head(config, stream, buffer, is_head, deadline)?;
     let mut decoder = BodyDecoder::new(head.framing, config.max_body_bytes);
-    let mut buffered = budget.start_response();
+    let mut buffered = budget.start_response(match head.framing {
+        Framing::Length(length) => Some(length),
+        _ => None,
+    });
     loop {
         let consumed = decoder.decode(buffer.unread())?;
         buffer.consume(consumed);
@@ -74,8 +80,10 @@
         headers: head.headers,
         body: decoder.into_body(),
     };
+    buffered.finish();
     Ok(Received {
         response,
+        buffered,
         reusable,
         ended_by_close: head.framing == Framing::UntilClose,
     })
--- a/components/http/src/pool.rs
+++ b/components/http/src/pool.rs
@@ -121,7 +121,7 @@
 #[derive(Debug)]
 pub struct Pool {
     config: PoolConfig,
-    budget: ResponseBudget,
+    budget: Arc<ResponseBudget>,
     state: Mutex<State>,
     released: Condvar,
 }
@@ -130,7 +130,7 @@
     /// Creates an empty pool; connections are opened on demand.
     pub fn new(config: PoolConfig) -> Self {
         Pool {
-            budget: ResponseBudget::new(config.max_buffered_bytes),
+            budget: Arc::new(ResponseBudget::new(config.max_buffered_bytes)),
             config,
             state: Mutex::new(State::default()),
             released: Condvar::new(),
@@ -324,7 +324,7 @@
 
 /// Writes the request and reads its response.
 fn exchange(
-    limits: (&PoolConfig, &ResponseBudget),
+    limits: (&PoolConfig, &Arc<ResponseBudget>),
     connection: &mut PooledConnection,
     request_bytes: &[u8],
     is_head: bool,
--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -2,11 +2,11 @@
 
 use crate::{
     Request, Response,
-    message::{encode_response, insert_close},
+    reply_memory::{ReplyMemory, Unread},
+    reply_state::{EncodedReply, Phase, Slot, State},
     socket::send_now,
 };
 use std::{
-    collections::VecDeque,
     io::Write,
     net::{Shutdown, TcpStream},
     sync::{
@@ -16,91 +16,26 @@
     time::{Duration, Instant},
 };
 
-type CloseHook = Box<dyn FnOnce() + Send>;
-
-/// The reply to one request.
-enum Slot {
-    /// The handler has not answered yet.
-    Waiting {
-        /// Whether the request's method is `HEAD`, whose replies have no body.
-        is_head: bool,
-    },
-    /// Encoded and waiting for its turn.
-    Ready(EncodedReply),
-}
-
-/// A reply as it is written to the connection.
-struct EncodedReply {
-    bytes: Vec<u8>,
-    /// Length of the head in bytes, with the empty line that ends it.
-    head_bytes: usize,
-    /// Whether the connection ends after this reply, whatever was read behind its request.
-    must_close: bool,
-}
-
-impl EncodedReply {
-    fn new(response: &Response, is_head: bool) -> Self {
-        let mut bytes = Vec::new();
-        let head_bytes = encode_response(&mut bytes, response, is_head, false);
-        EncodedReply {
-            bytes,
-            head_bytes,
-            must_close: response.headers.has_token("connection", "close"),
-        }
-    }
-}
-
-struct State {
-    /// Number of the request that the first slot belongs to.
-    first_number: u64,
-    slots: VecDeque<Slot>,
-    /// Bytes of replies whose turn has come and that are not written to the socket yet.
-    output: Vec<u8>,
-    is_writing: bool,
-    /// A reply closed the connection; no further reply is sent.
-    is_closing: bool,
-    /// The caller has announced that the request just read is its last one.
-    has_last_request: bool,
-    is_caller_closed: bool,
-    /// This process shut down reading, so the end of the stream does not mean that the caller
-    /// closed.
-    is_read_shut_down: bool,
-    /// A request is being read.
-    is_reading: bool,
-    /// Number of handlers that have not returned.
-    running_handlers: usize,
-    /// Hooks to run when the caller closes the connection, with the number of their request.
-    close_hooks: Vec<(u64, CloseHook)>,
-    idle_since: Instant,
-}
-
 /// Orders and writes the replies to requests whose handlers may run concurrently.
 pub(crate) struct ReplyQueue {
     stream: Arc<TcpStream>,
     is_draining: Arc<AtomicBool>,
+    memory: Arc<ReplyMemory>,
     state: Mutex<State>,
     changed: Condvar,
 }
 
 impl ReplyQueue {
-    pub(crate) fn new(stream: &Arc<TcpStream>, is_draining: &Arc<AtomicBool>) -> Arc<Self> {
+    pub(crate) fn new(
+        stream: &Arc<TcpStream>,
+        is_draining: &Arc<AtomicBool>,
+        memory: &Arc<ReplyMemory>,
+    ) -> Arc<Self> {
         Arc::new(ReplyQueue {
             stream: Arc::clone(stream),
             is_draining: Arc::clone(is_draining),
-            state: Mutex::new(State {
-                first_number: 0,
-                slots: VecDeque::new(),
-                output: Vec::new(),
-                is_writing: false,
-                is_closing: false,
-                has_last_request: false,
-                is_caller_closed: false,
-                is_read_shut_down: false,
-                is_reading: false,
-                running_handlers: 0,
-                close_hooks: Vec::new(),
-                idle_since: Instant::now(),
-            }),
+            memory: Arc::clone(memory),
+            state: Mutex::new(State::new()),
             changed: Condvar::new(),
         })
     }
@@ -123,6 +58,7 @@
         let number = state.first_number + state.slots.len() as u64;
         let is_head = request.method == "HEAD";
         state.slots.push_back(Slot::Waiting { is_head });
+        state.idle_since = Instant::now();
         state.running_handlers += 1;
         state.has_last_request = !keep_alive;
         Some(EarlyReply {
@@ -134,8 +70,10 @@
 
     /// Ends a handler: stores its response unless an early one was sent, and writes what is
     /// pending.
-    pub(crate) fn finish(&self, early: &EarlyReply, response: &Response) {
-        self.store(early, response);
+    pub(crate) fn finish(&self, early: &EarlyReply, response: Response) {
+        self.store(early, &response);
+        // The caller may take long to read the encoded reply.
+        drop(response);
         self.flush(true);
         self.end_handler(early.number);
     }
@@ -147,9 +85,9 @@
             let mut state = self.lock();
             state.has_last_request = true;
             let mut answered = 0;
-            for slot in &mut state.slots {
-                if let Slot::Waiting { is_head } = *slot {
-                    *slot = Slot::Ready(EncodedReply::new(response, is_head));
+            for index in 0..state.slots.len() {
+                if let Slot::Waiting { is_head } = state.slots[index] {
+                    state.set_ready(index, EncodedReply::new(response, is_head), &self.memory);
                     answered += 1;
                 }
             }
@@ -185,6 +123,52 @@
         self.changed.notify_all();
     }
 
+    /// Whether a further request must wait: `limit` handlers run, or the caller has not read the
+    /// replies to earlier ones.
+    pub(crate) fn must_wait(&self, limit: usize) -> bool {
+        self.lock().must_wait(limit)
+    }
+
+    /// Blocks until a further request needn't wait, at most for `wait`.
+    pub(crate) fn wait_while_full(&self, limit: usize, wait: Duration) {
+        let state = self.lock();
+        if state.must_wait(limit) {
+            drop(self.changed.wait_timeout(state, wait));
+        }
+    }
+
+    /// The replies that the caller has not read; `None` if there are none.
+    pub(crate) fn unread(&self) -> Option<Unread> {
+        let state = self.lock();
+        let ready = state
+            .slots
+            .iter()
+            .filter(|slot| matches!(slot, Slot::Ready(_)));
+        // The bytes before the ready replies belong to one or more others.
+        let ready_bytes = state.ready_bytes();
+        (state.unread_bytes > 0).then(|| Unread {
+            bytes: state.unread_bytes,
+            replies: ready.count() + usize::from(state.unread_bytes > ready_bytes),
+            since: state.unread_since,
+        })
+    }
+
+    /// Closes the connection and drops the replies that the caller has not read.
+    pub(crate) fn close_unread(&self) {
+        let mut state = self.lock();
+        self.close(&mut state);
+    }
+
+    fn close(&self, state: &mut State) {
+        state.is_closing = true;
+        state.slots.clear();
+        state.output = Vec::new();
+        let unread_bytes = state.unread_bytes;
+        state.release_unread(unread_bytes, &self.memory);
+        let _ = self.stream.shutdown(Shutdown::Both);
+        self.changed.notify_all();
+    }
+
     /// Blocks until fewer than `limit` handlers run.
     pub(crate) fn wait_until_running_below(&self, limit: usize) {
         let mut state = self.lock();
@@ -232,7 +216,36 @@
     }
 
     pub(crate) fn set_reading(&self, is_reading: bool) {
-        self.lock().is_reading = is_reading;
+        let mut state = self.lock();
+        if is_reading && !state.is_reading {
+            state.reading_since = Instant::now();
+            state.is_reading_body = false;
+        }
+        state.is_reading = is_reading;
+    }
+
+    /// Called when the head of the request that is being read has arrived.
+    pub(crate) fn set_reading_body(&self) {
+        let mut state = self.lock();
+        state.reading_since = Instant::now();
+        state.is_reading_body = true;
+    }
+
+    /// How readily this connection is closed to make room for another one, and since when; `None` if
+    /// it must not be closed.
+    pub(crate) fn phase(&self) -> Option<(Phase, Instant)> {
+        self.lock().phase()
+    }
+
+    /// Closes the connection if it is still in the phase in which it was chosen, so that no request
+    /// of it is run any more. Requests that it is sending are not run.
+    pub(crate) fn close_in_phase(&self, phase: Phase) -> bool {
+        let mut state = self.lock();
+        let is_same = state.phase().is_some_and(|(now, _)| now == phase);
+        if is_same {
+            self.close(&mut state);
+        }
+        is_same
     }
 
     /// Shuts down reading unless a request is being read or handled. This wakes the thread that
@@ -257,18 +270,22 @@
 
     /// Stores a response until its turn comes; false if the request was answered already.
     fn store(&self, early: &EarlyReply, response: &Response) -> bool {
+        // An answered request is the usual case here: its early reply is not encoded again.
+        if !self.lock().is_waiting(early.number) {
+            return false;
+        }
         self.store_reply(early.number, EncodedReply::new(response, early.is_head))
     }
 
     fn store_reply(&self, number: u64, reply: EncodedReply) -> bool {
         let mut state = self.lock();
-        let Some(index) = number.checked_sub(state.first_number) else {
+        if !state.is_waiting(number) {
             return false;
-        };
-        let Some(slot @ Slot::Waiting { .. }) = state.slots.get_mut(index as usize) else {
-            return false;
-        };
-        *slot = Slot::Ready(reply);
+        }
+        let index = (number - state.first_number) as usize;
+        state.set_ready(index, reply, &self.memory);
+        drop(state);
+        self.memory.make_room();
         true
     }
 
@@ -277,7 +294,7 @@
     fn flush(&self, may_block: bool) {
         let mut state = self.lock();
         loop {
-            state.move_ready_to_output(self.is_draining.load(Ordering::Acquire));
+            state.move_ready_to_output(self.is_draining.load(Ordering::Acquire), &self.memory);
             if state.is_writing {
                 return;
             }
@@ -288,20 +305,28 @@
                 // A failed write is found again when the rest is written.
                 let sent = send_now(&self.stream, &state.output).unwrap_or(0);
                 state.output.drain(..sent);
-                break;
+                state.release_unread(sent, &self.memory);
+                if !state.output.is_empty() {
+                    break;
+                }
+                // An idle connection must not keep the memory of its last response.
+                state.output = Vec::new();
+                continue;
             }
             let output = std::mem::take(&mut state.output);
             state.is_writing = true;
             drop(state);
             let written = (&mut &*self.stream).write_all(&output);
+            let output_bytes = output.len();
+            drop(output);
             state = self.lock();
             state.is_writing = false;
             if written.is_err() {
-                state.is_closing = true;
-                state.slots.clear();
-                let _ = self.stream.shutdown(Shutdown::Both);
+                self.close(&mut state);
                 return;
             }
+            state.release_unread(output_bytes, &self.memory);
+            self.changed.notify_all();
         }
         if state.is_closing && state.output.is_empty() {
             // Closing with unread bytes would reset the connection and could discard the reply, so
@@ -315,36 +340,6 @@
     }
 }
 
-impl State {
-    fn takes_no_request(&self) -> bool {
-        self.is_closing || self.has_last_request
-    }
-
-    /// Moves the replies whose turn has come to the output. Whether a reply is the last one is
-    /// decided only now: while it waited for its turn, further requests may have been read.
-    fn move_ready_to_output(&mut self, is_draining: bool) {
-        while !self.is_closing && matches!(self.slots.front(), Some(Slot::Ready(_))) {
-            let Some(Slot::Ready(mut reply)) = self.slots.pop_front() else {
-                return;
-            };
-            self.first_number += 1;
-            let is_last = self.slots.is_empty() && !self.is_reading;
-            let ends_connection = self.has_last_request || is_draining;
-            if reply.must_close || (is_last && ends_connection) {
-                insert_close(&mut reply.bytes, reply.head_bytes);
-                self.is_closing = true;
-                // Requests after a reply that closes the connection count as not read.
-                self.slots.clear();
-            }
-            if self.output.is_empty() {
-                self.output = reply.bytes;
-            } else {
-                self.output.extend_from_slice(&reply.bytes);
-            }
-        }
-    }
-}
-
 /// Sends the response to one request from any thread, without blocking it. This saves the wake-up
 /// of the handler's thread, which is a large part of the latency of a short call.
 #[derive(Clone)]
@@ -354,6 +349,13 @@
     is_head: bool,
 }
 
+impl Drop for ReplyQueue {
+    fn drop(&mut self) {
+        let state = self.state.get_mut().unwrap_or_else(PoisonError::into_inner);
+        self.memory.release(std::mem::take(&mut state.unread_bytes));
+    }
+}
+
 impl EarlyReply {
     /// Sends the response when its turn has come. The handler's thread writes what the socket does
     /// not accept immediately. False if the request was answered already; the response is then
--- a/components/http/src/response_budget.rs
+++ b/components/http/src/response_budget.rs
@@ -1,14 +1,33 @@
-//! Limit of the memory that responses use while they are received.
+//! Limit of the memory that responses use while they are received and passed on.
 
 use crate::CallError;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::{
+    sync::{
+        Arc, Condvar, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+/// Times that a response of known length is held while it is received and passed on: in pieces, as a
+/// whole, and in the messages that are made of it.
+const RESPONSE_COPIES: usize = 4;
+/// Responses of a known length up to this size don't wait for memory, in bytes.
+const SMALL_RESPONSE_BYTES: usize = 16 * 1024;
+/// Longest wait of a response of known length for memory. Its call ends at its own deadline.
+const RESPONSE_WAIT: Duration = Duration::from_secs(10);
 
 /// Memory of all response bodies that are being received by the pools that share it.
 #[derive(Debug)]
 pub struct ResponseBudget {
+    /// Bytes of bodies above which the largest responses fail.
     max_bytes: usize,
+    /// Bytes above which further responses of known length wait, counted with their copies.
+    max_reserved_bytes: usize,
     bytes: AtomicUsize,
     responses: AtomicUsize,
+    reserved_bytes: Mutex<usize>,
+    released: Condvar,
 }
 
 impl ResponseBudget {
@@ -16,27 +35,65 @@
     pub fn new(max_bytes: usize) -> Self {
         ResponseBudget {
             max_bytes,
+            max_reserved_bytes: usize::MAX,
             bytes: AtomicUsize::new(0),
             responses: AtomicUsize::new(0),
+            reserved_bytes: Mutex::new(0),
+            released: Condvar::new(),
         }
     }
 
-    pub(crate) fn start_response(&self) -> BufferedResponse<'_> {
+    /// Lets responses of known length wait while others take this much memory with their copies.
+    #[must_use]
+    pub fn with_reserved_bytes(mut self, max_reserved_bytes: usize) -> Self {
+        self.max_reserved_bytes = max_reserved_bytes;
+        self
+    }
+
+    /// Starts a response; one of known length waits until its memory is available.
+    pub(crate) fn start_response(self: &Arc<Self>, length: Option<usize>) -> BufferedResponse {
+        let length = length.filter(|length| *length > SMALL_RESPONSE_BYTES);
+        let reserved_bytes = length.map_or(0, |length| self.reserve(RESPONSE_COPIES * length));
         self.responses.fetch_add(1, Ordering::Relaxed);
         BufferedResponse {
-            budget: self,
+            budget: Arc::clone(self),
             bytes: 0,
+            reserved_bytes,
+            is_received: false,
+        }
+    }
+
+    /// Waits for memory, but goes on without it at the end of the wait: the instance has run the
+    /// call, and its response must not be lost. A response of any size is received if it is the only
+    /// one.
+    fn reserve(&self, bytes: usize) -> usize {
+        let until = Instant::now() + RESPONSE_WAIT;
+        let mut reserved = self
+            .reserved_bytes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        while *reserved > 0 && reserved.saturating_add(bytes) > self.max_reserved_bytes {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let waited = self.released.wait_timeout(reserved, left);
+            reserved = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
+        *reserved += bytes;
+        bytes
     }
 }
 
 /// Share of one response in the budget; returned when it is dropped.
-pub(crate) struct BufferedResponse<'a> {
-    budget: &'a ResponseBudget,
+pub(crate) struct BufferedResponse {
+    budget: Arc<ResponseBudget>,
     bytes: usize,
+    reserved_bytes: usize,
+    is_received: bool,
 }
 
-impl BufferedResponse<'_> {
+impl BufferedResponse {
     /// Records the memory that the body takes now. Fails if the budget is exceeded and this response
     /// takes more than an equal share of it, so that small responses are received beside large
     /// ones.
@@ -51,11 +108,29 @@
         }
         Ok(())
     }
+
+    /// Called when the body has arrived: it no longer counts as being received, but keeps its
+    /// reservation.
+    pub(crate) fn finish(&mut self) {
+        if !std::mem::replace(&mut self.is_received, true) {
+            self.budget.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+            self.budget.responses.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
 }
 
-impl Drop for BufferedResponse<'_> {
+impl Drop for BufferedResponse {
     fn drop(&mut self) {
-        self.budget.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-        self.budget.responses.fetch_sub(1, Ordering::Relaxed);
+        self.finish();
+        if self.reserved_bytes > 0 {
+            let budget = &self.budget;
+            let mut reserved = budget
+                .reserved_bytes
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            *reserved -= self.reserved_bytes;
+            drop(reserved);
+            budget.released.notify_all();
+        }
     }
 }
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -1,15 +1,15 @@
 //! HTTP server with one thread per connection.
 
 use crate::{
-    CallerConnection, Request, Response,
+    CallerConnection, Request, Response, ServerMemory,
     connection::{send_error_and_close, serve_connection},
+    open_connections::{Connection, OpenConnections},
     reply_queue::ReplyQueue,
     workers::Workers,
 };
 use errors::ErrorKind;
 use snafu::{ResultExt, Snafu};
 use std::{
-    collections::HashMap,
     io,
     net::{IpAddr, Ipv4Addr, Ipv6Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -32,6 +32,9 @@
 /// Pause of the accept loop after an error, such as running out of descriptors or threads.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest wait for a connection that was closed to make room to end.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(100);
+
 /// Why the server could not be started.
 #[derive(Debug, Snafu)]
 pub enum ServeError {
@@ -65,8 +68,14 @@
 /// Limits and timeouts of a server.
 #[derive(Clone, Debug)]
 pub struct ServerConfig {
-    /// Most connections served at once; more are answered with `TooManyConnections`.
+    /// Most connections served at once. A further one takes the place of the least recently used
+    /// idle one, or of one whose request arrives slowly; if there is none, it is answered with
+    /// `TooManyConnections`.
     pub max_connections: usize,
+    /// Like `max_connections`, for the connections of one address.
+    pub max_connections_per_address: usize,
+    /// Memory for requests and unread responses, shared by the servers of a process.
+    pub memory: ServerMemory,
     /// Most bytes of a request head.
     pub max_head_bytes: usize,
     /// Most bytes of a request body.
@@ -88,6 +97,8 @@
     fn default() -> Self {
         ServerConfig {
             max_connections: 1_024,
+            max_connections_per_address: 1_024,
+            memory: ServerMemory::default(),
             max_head_bytes: 16 * 1024,
             max_body_bytes: 1024 * 1024,
             idle_timeout_ms: 60_000,
@@ -101,12 +112,6 @@
 
 pub(crate) type Handler = dyn Fn(Request, &CallerConnection) -> Response + Send + Sync;
 
-/// An open connection in the server's table.
-struct Connection {
-    stream: Arc<TcpStream>,
-    replies: Arc<ReplyQueue>,
-}
-
 /// State that the server shares with its threads.
 pub(crate) struct Shared {
     pub(crate) config: ServerConfig,
@@ -117,12 +122,12 @@
     pub(crate) workers: Arc<Workers>,
     limits: Mutex<RequestLimits>,
     refusals: AtomicUsize,
-    connections: Mutex<HashMap<u64, Connection>>,
+    connections: Mutex<OpenConnections>,
     changed: Condvar,
 }
 
 impl Shared {
-    fn connections(&self) -> MutexGuard<'_, HashMap<u64, Connection>> {
+    fn connections(&self) -> MutexGuard<'_, OpenConnections> {
         self.connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -166,7 +171,7 @@
         stopping: Arc::new(AtomicBool::new(false)),
         draining: Arc::new(AtomicBool::new(false)),
         refusals: AtomicUsize::new(0),
-        connections: Mutex::new(HashMap::new()),
+        connections: Mutex::default(),
         changed: Condvar::new(),
     });
     let accept_thread = Builder::new()
@@ -334,20 +339,59 @@
     )
 }
 
+/// Whether a connection of this peer has a place, if need be that of another one, which is closed.
+fn make_room(shared: &Shared, peer: IpAddr) -> bool {
+    let (max, max_per_peer) = (
+        shared.config.max_connections,
+        shared.config.max_connections_per_address,
+    );
+    let mut connections = shared.connections();
+    let until = Instant::now() + MAX_ROOM_WAIT;
+    let mut has_closed = false;
+    while let Some(full) = connections.full_for(peer, max, max_per_peer) {
+        if !has_closed {
+            if !connections.close_least_used(full) {
+                return false;
+            }
+            has_closed = true;
+            let closed = shared.config.memory.places.count_closed();
+            // Powers of two, since a crowd of callers can cause many such lines.
+            if closed.is_power_of_two() {
+                let name = &shared.config.thread_name;
+                log::warn!("http: {name}: a connection was closed to make room; {closed} so far");
+            }
+        }
+        // The thread of the closed connection holds its descriptor until it ends.
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return false;
+        }
+        let waited = shared.changed.wait_timeout(connections, left);
+        connections = waited.unwrap_or_else(PoisonError::into_inner).0;
+    }
+    true
+}
+
 /// Starts the thread of an accepted connection, or refuses it if there are too many.
 fn start_connection(shared: &Arc<Shared>, stream: TcpStream, peer: SocketAddr, id: u64) {
     if stream.set_nonblocking(false).is_err() || stream.set_nodelay(true).is_err() {
         return;
     }
-    if shared.connections().len() >= shared.config.max_connections {
+    if !make_room(shared, peer.ip()) {
+        let refused = shared.config.memory.places.count_refused();
+        if refused.is_power_of_two() {
+            let name = &shared.config.thread_name;
+            log::warn!("http: {name}: too-many-connections: {refused} refused so far");
+        }
         refuse_connection(shared, stream);
         return;
     }
     let stream = Arc::new(stream);
-    let replies = ReplyQueue::new(&stream, &shared.draining);
+    let replies = ReplyQueue::new(&stream, &shared.draining, &shared.config.memory.replies);
     let connection = Connection {
         stream: Arc::clone(&stream),
         replies: Arc::clone(&replies),
+        peer: peer.ip(),
     };
     shared.connections().insert(id, connection);
     let spawned = Builder::new()
@@ -360,12 +404,14 @@
                     shared: &shared,
                     id,
                 };
+                let memory = &shared.config.memory.replies;
+                let _registration = memory.register(peer.ip(), &replies);
                 serve_connection(&shared, &stream, peer, &replies);
             }
         });
     if let Err(error) = spawned {
         log::warn!("http: a connection thread can't be started: {error}");
-        shared.connections().remove(&id);
+        shared.connections().remove(id);
     }
 }
 
@@ -377,7 +423,7 @@
 
 impl Drop for ConnectionEntry<'_> {
     fn drop(&mut self) {
-        self.shared.connections().remove(&self.id);
+        self.shared.connections().remove(self.id);
         self.shared.changed.notify_all();
     }
 }
--- /dev/null
+++ b/components/http/tests/memory_limits.rs
@@ -0,0 +1,116 @@
+//! Guards against requests and responses that take more memory than the budget of the process.
+
+use errors::ErrorKind;
+use http::{Response, ServerConfig, ServerMemory, error_response};
+use std::io::{Read, Write};
+
+mod common;
+use common::{connect, echo, read_until, send_and_read_all, start, wait_until};
+
+const BUDGET_BYTES: usize = 2 << 20;
+const LONG_BYTES: usize = 256 << 10;
+
+fn config() -> ServerConfig {
+    ServerConfig {
+        memory: ServerMemory::new(BUDGET_BYTES),
+        max_pipelined: 4,
+        ..ServerConfig::default()
+    }
+}
+
+/// A body that does not fit is refused as not run, before it is read; an ordinary request is served
+/// beside the body that holds the memory.
+#[test]
+fn body_without_memory() {
+    let config = config();
+    let memory = config.memory.clone();
+    let server = start(config, echo);
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 250000\r\n\r\n";
+    let mut holder = connect(server.address());
+    holder.write_all(head.as_bytes()).unwrap();
+    wait_until("its memory is reserved", || {
+        memory.requests.held_bytes() > 4 * 250_000
+    });
+    let refused = send_and_read_all(server.address(), head.as_bytes());
+    let expected = error_response(ErrorKind::MemoryFull);
+    assert!(refused.starts_with("HTTP/1.1 503 "), "{refused}");
+    assert!(refused.contains("\r\nretry-after: 1\r\n"), "{refused}");
+    assert!(refused.as_bytes().ends_with(&expected.body), "{refused}");
+    assert_eq!(memory.requests.refused(), 1);
+    let small = format!(
+        "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 4096\r\n\r\n{}",
+        "x".repeat(4096)
+    );
+    let answer = send_and_read_all(server.address(), small.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    drop(holder);
+    wait_until("the memory is returned", || {
+        memory.requests.held_bytes() == 0
+    });
+    server.stop();
+}
+
+/// The largest request is served where the budget is smaller than its copies.
+#[test]
+fn body_above_the_budget() {
+    let server = start(config(), |request, _| {
+        Response::new(200, request.body.len().to_string())
+    });
+    let mut request =
+        b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 1000000\r\n\r\n"
+            .to_vec();
+    request.extend(vec![b'x'; 1_000_000]);
+    let answer = send_and_read_all(server.address(), &request);
+    assert!(answer.ends_with("1000000"), "{answer}");
+    server.stop();
+}
+
+/// Pipelined requests whose replies are not read are not run any more, and all replies arrive once
+/// the caller reads.
+#[test]
+fn unread_replies() {
+    let config = ServerConfig {
+        memory: ServerMemory::new(2 * BUDGET_BYTES),
+        ..config()
+    };
+    let memory = config.memory.clone();
+    let server = start(config, |_, _| Response::new(200, vec![b'x'; LONG_BYTES]));
+    let mut stream = connect(server.address());
+    let requests = "GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(40);
+    stream.write_all(requests.as_bytes()).unwrap();
+    wait_until("replies are unread", || {
+        memory.replies.held_bytes() > LONG_BYTES
+    });
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    assert!(memory.replies.held_bytes() <= 6 * (LONG_BYTES + 1_024));
+    for _ in 0..40 {
+        read_until(&mut stream, "\r\n\r\n");
+        stream.read_exact(&mut vec![0; LONG_BYTES]).unwrap();
+    }
+    wait_until("the memory is returned", || {
+        memory.replies.held_bytes() == 0
+    });
+    server.stop();
+}
+
+/// Connections whose callers don't read are closed when all replies together are over the budget.
+#[test]
+fn callers_that_do_not_read() {
+    let config = config();
+    let memory = config.memory.clone();
+    let server = start(config, |_, _| Response::new(200, vec![b'x'; 4 << 20]));
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    let silent: Vec<_> = (0..8)
+        .map(|_| {
+            let mut stream = connect(server.address());
+            stream.write_all(request).unwrap();
+            stream
+        })
+        .collect();
+    wait_until("connections are closed", || memory.replies.closed() >= 7);
+    drop(silent);
+    wait_until("the memory is returned", || {
+        memory.replies.held_bytes() == 0
+    });
+    server.stop();
+}
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -87,6 +87,10 @@
     pub mesh_messages: Family<KindLabels, Gauge>,
     /// Bytes to and from other processes, by channel and direction.
     pub mesh_bytes: Family<KindLabels, Gauge>,
+    /// Memory in use at the HTTP ports, by kind: requests, replies.
+    pub server_memory_bytes: Family<KindLabels, Gauge>,
+    /// Refusals at the HTTP ports since the start, by kind.
+    pub server_refusals: Family<KindLabels, Gauge>,
 }
 
 /// Upper bound of the first bucket of `call_seconds`, in seconds.
@@ -122,6 +126,8 @@
             members: Gauge::default(),
             mesh_messages: Family::default(),
             mesh_bytes: Family::default(),
+            server_memory_bytes: Family::default(),
+            server_refusals: Family::default(),
         };
         metrics.register();
         metrics
@@ -208,6 +214,16 @@
             self.mesh_messages.clone(),
         );
         registry.register("mesh_bytes", "Bytes on the mesh", self.mesh_bytes.clone());
+        registry.register(
+            "server_memory_bytes",
+            "Memory in use at the HTTP ports",
+            self.server_memory_bytes.clone(),
+        );
+        registry.register(
+            "server_refusals",
+            "Refusals at the HTTP ports since the start",
+            self.server_refusals.clone(),
+        );
     }
 
     /// All metrics as Prometheus text.
--- a/components/kernel/src/plugin.rs
+++ b/components/kernel/src/plugin.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// The same plug-in, with a further step at the end of its stop.
+    #[must_use]
+    pub fn and_stop(self, then: impl FnOnce() + Send + 'static) -> Self {
+        let stop = self.stop;
+        RunningPlugin::new(self.drain, move || {
+            stop();
+            then();
+        })
+    }
+
     /// A plug-in that has no work in flight to drain.
     pub fn with_stop(stop: impl FnOnce() + Send + 'static) -> Self {
         RunningPlugin::new(|_| (), stop)
--- a/components/kernel/src/run.rs
+++ b/components/kernel/src/run.rs
@@ -16,7 +16,7 @@
 };
 use mesh::{Channel, Mesh};
 use serde::{Serialize, de::DeserializeOwned};
-use settings::{ControlSettings, NodeSettings};
+use settings::{CallerLimits, ControlSettings, NodeSettings};
 use std::{
     any::{Any, TypeId},
     collections::HashMap,
@@ -269,6 +269,14 @@
         lock(&self.shared).clear();
     }
 
+    /// Limits on what callers can make this process hold.
+    pub fn caller_limits(&self) -> CallerLimits {
+        match &self.settings {
+            Settings::Node(node) => node.caller_limits,
+            Settings::Control(control) => control.caller_limits,
+        }
+    }
+
     fn roles(&self) -> Vec<Role> {
         match &self.settings {
             Settings::Control(_) => vec![Role::Control],
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod byte_budget;
 mod capacity_search;
+mod memory_shares;
 mod pace;
 mod retry_after;
 mod retry_budget;
@@ -16,6 +17,7 @@
 };
 pub use byte_budget::ByteBudget;
 pub use capacity_search::CapacitySearch;
+pub use memory_shares::{MemoryShares, SMALL_BYTES};
 pub use pace::{HostPace, PaceStatus, USUAL_PACE_PERCENT};
 pub use retry_after::{RefusalCause, retry_after_ms};
 pub use retry_budget::RetryBudget;
--- a/components/mesh/src/connection.rs
+++ b/components/mesh/src/connection.rs
@@ -157,6 +157,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Bytes that wait to be written.
+    pub(crate) fn queued_bytes(&self) -> usize {
+        self.state().send_queue.queued_bytes()
+    }
+
     /// Queues a message and writes it, unless another thread is writing the queue. Never blocks.
     pub(crate) fn submit(
         self: &Arc<Self>,
--- a/components/mesh/src/inbound.rs
+++ b/components/mesh/src/inbound.rs
@@ -35,6 +35,12 @@
         self.connection.is_some()
     }
 
+    /// Bytes that wait to be written on the connection of the request.
+    pub fn queued_bytes(&self) -> usize {
+        let connection = self.connection.as_ref();
+        connection.map_or(0, |(_, connection)| connection.queued_bytes())
+    }
+
     /// Sends the reply; does nothing if none is expected.
     pub fn send(mut self, payload: impl Into<Bytes>) -> Result<(), SendError> {
         let payload = payload.into();
--- a/components/mesh/src/send_queue.rs
+++ b/components/mesh/src/send_queue.rs
@@ -80,6 +80,10 @@
         }
     }
 
+    pub(crate) fn queued_bytes(&self) -> usize {
+        self.queued_bytes
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.queued_bytes == 0 && self.heartbeats.is_empty()
     }
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -172,6 +172,7 @@
 
     /// Updates the metrics whose values are kept elsewhere.
     pub(crate) fn refresh_metrics(&self) {
+        admin::refresh_memory_metrics(&self.kernel);
         let metrics = &self.kernel.metrics;
         let revision = self.kernel.profiles.revision();
         metrics.revision.set(revision.number as i64);
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod status_queries;
 
 use crate::context::NodeContext;
+use admin::server_memory;
 use driver::CallDriver;
 use errors::ErrorKind;
 use http::{
@@ -85,6 +86,8 @@
     });
     let config = ServerConfig {
         max_connections: kernel.node_settings().max_connections,
+        max_connections_per_address: kernel.caller_limits().max_connections_per_address,
+        memory: server_memory(kernel),
         max_body_bytes: kernel.node_settings().max_body_bytes,
         max_pipelined: MAX_PIPELINED,
         stop_grace_ms: ARRIVAL_GRACE.as_millis() as u64,
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -15,6 +15,9 @@
 const CONNECT_TIMEOUT_MS: u64 = 250;
 /// Memory for the responses that are being received at once, if one response alone may not be larger.
 const RESPONSE_BUFFER_BYTES: usize = 32 << 20;
+/// Divisor of the process's memory budget that gives the memory for responses of the instance on
+/// their way to the mesh.
+const RESPONSE_BUDGET_DIVISOR: usize = 4;
 /// Connections kept free for the instance's other clients.
 const SPARE_CONNECTIONS: u32 = 4;
 
@@ -37,8 +40,9 @@
 }
 
 impl SharedByInstances {
-    pub(super) fn new(max_response_bytes: usize) -> Self {
-        let budget = ResponseBudget::new(max_response_bytes.max(RESPONSE_BUFFER_BYTES));
+    pub(super) fn new(max_response_bytes: usize, memory_budget_bytes: usize) -> Self {
+        let budget = ResponseBudget::new(max_response_bytes.max(RESPONSE_BUFFER_BYTES))
+            .with_reserved_bytes(memory_budget_bytes / RESPONSE_BUDGET_DIVISOR);
         SharedByInstances {
             running: Arc::default(),
             response_budget: Arc::new(budget),
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -5,7 +5,11 @@
 use errors::ErrorKind;
 use http::{CallError, Headers, Request, Response};
 use settings::CallHeaders;
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 use wire::{HttpMessage, RunCall, RunResult, encode};
 
 /// Lowest HTTP status that counts as a failure of the upstream.
@@ -43,6 +47,28 @@
     });
 }
 
+/// Responses with a longer body wait until the connection to their entry has written most of the
+/// earlier ones, in bytes.
+const LONG_BODY_BYTES: usize = 64 * 1024;
+/// Bytes that may wait on the connection to an entry when a long response is added.
+const MAX_QUEUED_BYTES: usize = 1 << 20;
+/// How often the wait of a long response checks the connection.
+const QUEUE_CHECK: Duration = Duration::from_millis(2);
+/// Longest wait of a long response. The mesh closes a connection that makes no progress earlier.
+const QUEUE_WAIT: Duration = Duration::from_secs(10);
+
+/// Waits until a long response can be sent to its entry without adding to a long queue. Its memory
+/// stays reserved meanwhile, so that other responses are not read from the instance.
+fn wait_for_queue(job: &Job, response: &Response) {
+    if response.body.len() <= LONG_BODY_BYTES {
+        return;
+    }
+    let until = Instant::now() + QUEUE_WAIT;
+    while job.reply.queued_bytes() > MAX_QUEUED_BYTES && Instant::now() < until {
+        thread::sleep(QUEUE_CHECK);
+    }
+}
+
 fn handle_response(
     owner: &Arc<Owner>,
     job: Job,
@@ -63,7 +89,10 @@
         Ok(response) if is_encoded(owner, &response) => {
             finish_error(owner, job, started_us, CallError::Malformed);
         }
-        Ok(response) => finish_answer(owner, job, response, service_us),
+        Ok(response) => {
+            wait_for_queue(&job, &response);
+            finish_answer(owner, job, response, service_us);
+        }
         Err(error) => finish_error(owner, job, started_us, error),
     }
 }
@@ -120,9 +149,12 @@
         headers: response.headers.iter().map(to_owned_header).collect(),
         body: response.body,
     };
+    let encoded = encode(&message);
+    // A long body should not be held while its encoded form is passed on.
+    drop(message);
     let result = RunResult::Answer {
         status: response.status,
-        message: encode(&message).into(),
+        message: encoded.into(),
     };
     owner.finish(job, result, Some(counted_us));
 }
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -58,7 +58,10 @@
             start_queue: Mutex::default(),
             start_lock: Mutex::default(),
             wake,
-            shared: SharedByInstances::new(context.kernel.node_settings().max_response_bytes),
+            shared: SharedByInstances::new(
+                context.kernel.node_settings().max_response_bytes,
+                context.kernel.caller_limits().memory_budget_bytes,
+            ),
             is_refusing: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         }
--- a/components/settings/src/control.rs
+++ b/components/settings/src/control.rs
@@ -1,6 +1,7 @@
 //! Settings of `gyard-control`.
 
 use crate::{
+    caller_limits::CallerLimits,
     logs::LogSettings,
     node::validate_group,
     source::{MeshKey, SettingError, SettingSource, invalid_setting},
@@ -86,6 +87,13 @@
         help = "file with the mesh key of the deployment"
     )]
     pub mesh_key_file: Option<String>,
+    /// Memory for requests and unread responses.
+    #[options(
+        no_short,
+        meta = "BYTES",
+        help = "memory for requests and unread responses (default: a third of the host's)"
+    )]
+    pub memory_budget_bytes: Option<String>,
     /// Lowest level that is logged.
     #[options(
         no_short,
@@ -131,6 +139,8 @@
     pub operator_token: Option<String>,
     /// Key derived from the configured text; all zeros if none is given, on loopback only.
     pub mesh_key: MeshKey,
+    /// Limits on what callers can make this process hold.
+    pub caller_limits: CallerLimits,
     /// Log level and format.
     pub logs: LogSettings,
 }
@@ -173,6 +183,7 @@
             )?,
             operator_token: source.text("operator-token", flags.operator_token.as_deref()),
             mesh_key: source.mesh_key(flags.mesh_key_file.as_deref(), listen)?,
+            caller_limits: CallerLimits::read(flags.memory_budget_bytes.as_deref(), None, source)?,
             logs: LogSettings::read(
                 source,
                 flags.log_level.as_deref(),
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! Settings from flags and `GYARD_*` variables, their validation, and log set-up.
 
+mod caller_limits;
 mod control;
 mod headers;
 mod lines;
@@ -8,6 +9,7 @@
 mod node_flags;
 mod source;
 
+pub use caller_limits::CallerLimits;
 pub use control::{ControlFlags, ControlSettings, OpenGroupSettings};
 pub use headers::CallHeaders;
 pub use logs::{LogFormat, LogSettings, flush_logs, init_logs};
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -1,6 +1,7 @@
 //! Settings of `gyard-node`.
 
 use crate::{
+    caller_limits::CallerLimits,
     control::ControlSettings,
     headers::CallHeaders,
     logs::LogSettings,
@@ -88,6 +89,8 @@
     pub max_response_bytes: usize,
     /// Most connections from callers at once.
     pub max_connections: usize,
+    /// Limits on what callers can make this process hold.
+    pub caller_limits: CallerLimits,
     /// Most probe messages per second.
     pub probe_budget_per_s: u32,
     /// Most probe bytes per second.
@@ -189,6 +192,11 @@
                 1,
                 100_000,
             )? as usize,
+            caller_limits: CallerLimits::read(
+                flags.memory_budget_bytes.as_deref(),
+                flags.max_connections_per_address.as_deref(),
+                source,
+            )?,
             probe_budget_per_s: number(
                 "probe-budget-per-s",
                 &flags.probe_budget_per_s,
@@ -262,6 +270,7 @@
             availability_zone: self.availability_zone.clone(),
             operator_token: embedded.operator_token.clone(),
             mesh_key: self.mesh_key.clone(),
+            caller_limits: self.caller_limits,
             logs: self.logs,
         })
     }
--- a/components/settings/src/node_flags.rs
+++ b/components/settings/src/node_flags.rs
@@ -96,6 +96,20 @@
     /// Most connections from callers at once.
     #[options(no_short, meta = "N", help = "most caller connections")]
     pub max_connections: Option<String>,
+    /// Most connections of one address.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "most caller connections of one address (default: 1000)"
+    )]
+    pub max_connections_per_address: Option<String>,
+    /// Memory for requests and unread responses.
+    #[options(
+        no_short,
+        meta = "BYTES",
+        help = "memory for requests and unread responses (default: a third of the host's)"
+    )]
+    pub memory_budget_bytes: Option<String>,
     /// Most probe messages per second of this node.
     #[options(
         no_short,
