--- a/components/http/src/body_buffer.rs
+++ b/components/http/src/body_buffer.rs
@@ -9,8 +9,8 @@
 
 /// Size of a piece in bytes. Bodies up to this size are kept in one vector.
 const PIECE_BYTES: usize = 64 * 1024;
-/// Most unused pieces that are kept; the rest is returned to the allocator.
-const MAX_FREE_PIECES: usize = 512;
+/// Most unused pieces that are kept; the rest is returned to the allocator. No budget counts them.
+const MAX_FREE_PIECES: usize = 64;
 
 /// Unused pieces of the process, all empty and with a capacity of `PIECE_BYTES`.
 static FREE_PIECES: Mutex<Vec<Vec<u8>>> = Mutex::new(Vec::new());
--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -34,6 +34,9 @@
 const REQUEST_COPIES: usize = 4;
 /// `retry-after` of refused connections and of requests that got no memory, in seconds.
 const RETRY_AFTER_S: &str = "1";
+/// Handlers of a server from which on each connection runs one at a time. Each takes a thread, and a
+/// crowd of callers that pipeline would otherwise start many for each connection.
+const MAX_PARALLEL_HANDLERS: usize = 128;
 /// Longest wait for a caller to read the last response and close.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -247,6 +250,15 @@
     }
 }
 
+/// Handlers of one connection that may run now.
+fn handler_limit(shared: &Shared) -> usize {
+    if shared.workers.busy() < MAX_PARALLEL_HANDLERS {
+        shared.config.max_pipelined
+    } else {
+        1
+    }
+}
+
 /// Waits until fewer handlers run than `max_pipelined` and the caller has read earlier replies.
 fn wait_for_handler_slot(
     shared: &Shared,
@@ -254,8 +266,9 @@
     buffer: &mut ReadBuffer,
     replies: &ReplyQueue,
 ) -> Result<(), ReadEnd> {
-    let limit = shared.config.max_pipelined;
-    while replies.must_wait(limit) {
+    while let limit = handler_limit(shared)
+        && replies.must_wait(limit)
+    {
         if buffer.unread().len() >= MAX_READ_AHEAD_BYTES {
             replies.wait_while_full(limit, IDLE_CHECK);
             continue;
