Limit instances whose reports come late, and full ones no longer

Cause: a call that was not sent because its connection timed out, or its deadline passed meanwhile, made the owner take a full instance for one that restarts and limit it for the configured cold time. The limit for the service of a first announcement was set after the instance was known.

Change: only a refused connection counts as a restart, told by the 100 ms in which a host refuses a connection to itself. The limit is set before the owner hears of an instance.

--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -59,6 +59,9 @@
         let (owner, context) = (Arc::clone(&owner), Arc::clone(&context));
         move |inbound: Inbound| handle_probe(&owner, &context, &inbound)
     });
+    // Before the owner hears of instances, so that the first call to one is limited already.
+    watch_cold_instance(&owner);
+    watch_evacuation(&owner);
     kernel.events.subscribe({
         let owner = Arc::clone(&owner);
         move |event| match event {
@@ -67,8 +70,6 @@
             _ => (),
         }
     });
-    watch_cold_instance(&owner);
-    watch_evacuation(&owner);
     let timer = spawn_timer(&owner, wake).map_err(|error| {
         StartError::new("owner", format!("no thread could be started: {error}"))
     })?;
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -11,6 +11,10 @@
 /// Lowest HTTP status that counts as a failure of the upstream.
 pub(super) const FIRST_FAILURE_STATUS: u16 = 500;
 
+/// Longest time in which a host refuses a connection to itself, in microseconds. A connection that
+/// takes longer to fail is one to a full instance, which runs on.
+const MAX_REFUSAL_US: u64 = 100_000;
+
 /// Sends the call to the instance; the result is passed to `Owner::finish`.
 pub(crate) fn run_job(owner: &Arc<Owner>, job: Job) {
     let started_us = owner.now_us();
@@ -143,7 +147,9 @@
         // If one connection is silent, idle ones of the same age may be silent too.
         job.pool.close_idle();
     }
-    if error == CallError::NotSent && !job.cancel.is_cancelled() {
+    let ended_us = owner.now_us();
+    let was_refused = ended_us < job.deadline_us && ended_us - started_us < MAX_REFUSAL_US;
+    if error == CallError::NotSent && was_refused && !job.cancel.is_cancelled() {
         owner.expect_cold_start();
     }
     let result = match error {
