Let calls wait for the configuration while a node starts

Cause: after a restart a node refused calls for 0.3 to 0.9 s, until it had the configuration and the proof for keys. Callers use up their few retries in that time.

--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -582,6 +582,7 @@
         cold_slack: 4,
         count_lost_work: false,
         give_up_percent: 0,
+        start_wait_ms: 0,
         admission: limits::AdmissionOrder::default(),
         call_listen: ANY_PORT,
         mesh_listen: mesh,
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -3,7 +3,7 @@
 use crate::{
     announce::Announcement, generations::ConnectionGenerations, local::LocalInstance,
     parents::Parents, probes::ProbeTable, revision_offers::RevisionOffers,
-    revocation::RevocationState,
+    revocation::RevocationState, start_wait::StartWait,
 };
 use kernel::{Event, Kernel, KindLabels};
 use mesh::Channel;
@@ -14,6 +14,7 @@
         Arc, OnceLock, PoisonError, RwLock,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
+    time::Duration,
 };
 use suspects::{Evidence, IncidentId, Verdict};
 
@@ -30,6 +31,7 @@
     pub(crate) generations: ConnectionGenerations,
     pub(crate) revision_offers: RevisionOffers,
     pub(crate) revocation: RevocationState,
+    pub(crate) start_wait: StartWait,
     /// Whether this node knows the crash suspects of its peers; it runs no calls before.
     pub(crate) knows_suspects: AtomicBool,
     /// Mesh addresses of the control replicas.
@@ -59,6 +61,7 @@
             generations: ConnectionGenerations::default(),
             revision_offers: RevisionOffers::new(),
             revocation: RevocationState::new(kernel.node_settings().revocation_ms),
+            start_wait: StartWait::new(Duration::from_millis(kernel.node_settings().start_wait_ms)),
             knows_suspects: AtomicBool::new(false),
             control_replicas: RwLock::new(Arc::from(&kernel.node_settings().control[..])),
             peers: RwLock::new(Arc::from([])),
@@ -69,6 +72,12 @@
         })
     }
 
+    /// Whether calls can be routed and, if customers are configured, their keys be accepted.
+    pub(crate) fn can_decide_about_calls(&self) -> bool {
+        let routes = self.kernel.profiles.routes();
+        routes.is_some_and(|table| table.customers().is_none() || self.revocation.may_accept_keys())
+    }
+
     /// Longest time until a call sent by this stopping node must start at its owner, so that the
     /// call ends before this node exits. `None` if the node is not stopping.
     pub(crate) fn max_start_delay_at_stop_us(&self, now_us: u64) -> Option<u64> {
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -83,6 +83,7 @@
         move |event| match event {
             Event::UpstreamChanged(upstream) => entry.routes.refresh(&upstream.service),
             Event::UpstreamRemoved { service, .. } => entry.routes.refresh(service),
+            Event::ProfilesChanged(_) => entry.context.start_wait.notify(),
             Event::Stopping => {
                 let now_us = entry.context.kernel.clock.now_us();
                 // A second stop request does not change the time of the first.
@@ -187,6 +188,7 @@
         let prepared = if self.is_stop_notice_over(arrived_us) {
             Err((None, ErrorKind::Stopping))
         } else {
+            self.wait_for_start();
             self.prepare(request, arrived_us)
         };
         let prepared = match prepared {
@@ -235,6 +237,14 @@
         }
     }
 
+    /// Waits while the node starts until it can decide about calls.
+    fn wait_for_start(&self) {
+        if self.context.kernel.node_settings().require_configuration {
+            let can_decide = || self.context.can_decide_about_calls();
+            self.context.start_wait.hold(can_decide);
+        }
+    }
+
     /// Whether the stop notice and the arrival grace have passed, so that a call that starts now
     /// could be cut off. Only connections that were never idle since the stop request still deliver
     /// calls then.
--- a/components/node/src/sync/proof.rs
+++ b/components/node/src/sync/proof.rs
@@ -131,6 +131,7 @@
         let age = self.context.revocation.age_ms();
         let age = age.map_or_else(|| "none".to_owned(), |age_ms| format!("{age_ms} ms old"));
         if is_fresh {
+            self.context.start_wait.notify();
             log::info!("sync: keys are accepted with revision {revision}, proof {age}.");
         } else {
             log::warn!("sync: keys are refused with revision {revision}, proof {age}.");
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -143,6 +143,9 @@
     pub give_up_percent: u8,
     /// Order of the calls that wait for the local instance.
     pub admission: AdmissionOrder,
+    /// Time after the start in which calls wait for the configuration, in milliseconds; 0 to refuse
+    /// them at once.
+    pub start_wait_ms: u64,
 }
 
 impl NodeSettings {
@@ -277,6 +280,7 @@
             admission: source
                 .optional("admission", flags.admission.as_deref(), "deadline or cost")?
                 .unwrap_or_default(),
+            start_wait_ms: number("start-wait-ms", &flags.start_wait_ms, 0, 0, 60_000)?,
             give_up_percent: number("give-up-percent", &flags.give_up_percent, 0, 0, 100)? as u8,
             stop_timeout_ms: number(
                 "stop-timeout-ms",
--- a/components/settings/src/node_flags.rs
+++ b/components/settings/src/node_flags.rs
@@ -267,4 +267,11 @@
         help = "order of waiting calls, deadline or cost (default: deadline)"
     )]
     pub admission: Option<String>,
+    /// Time after the start in which calls wait for the configuration, in milliseconds.
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "time after the start in which calls wait for the configuration (default: 0)"
+    )]
+    pub start_wait_ms: Option<String>,
 }
--- a/components/settings/tests/node_settings.rs
+++ b/components/settings/tests/node_settings.rs
@@ -31,6 +31,7 @@
         error_after(|f| f.max_body_bytes = Some("0".into())),
         error_after(|f| f.admission = Some("value".into())),
         error_after(|f| f.give_up_percent = Some("101".into())),
+        error_after(|f| f.start_wait_ms = Some("60001".into())),
         error_after(|f| f.log_format = Some("xml".into())),
         error_after(|f| f.mesh_listen = Some("10.0.0.1:8081".into())),
     ];
