Record the holders of quotas in the log of the control group

Cause: a new leader can't tell which nodes hold shares of quotas from its predecessor, so it has to wait until all leases have ended.

Change: Op::RecordQuotaHolders, at the end of the enum, changes a set of node addresses that replicas keep beside the settings. It changes neither the revision nor the kept answers, is in no digest and no delta, and has an effect only in log entries of the term for which it was made. A registry without a record is encoded as before; with one, a new variant at the end of the stored settings is used. Nothing writes the record yet.

Tested: cargo test -p registry -p wire, also with the data of the first format (first_format_unchanged).

--- a/components/consensus/src/state.rs
+++ b/components/consensus/src/state.rs
@@ -111,6 +111,8 @@
 const ENTRY_BASE_BYTES: usize = 96;
 /// Approximate encoded size of one route or service in a configuration.
 const ROUTE_BYTES: usize = 80;
+/// Largest encoded size of the address of a node.
+const NODE_BYTES: usize = 20;
 
 impl Entry {
     /// Approximate encoded size, for the limits on batches and on entries in flight.
@@ -120,20 +122,23 @@
             Payload::Membership(membership) => membership.voters.len() * 16,
             Payload::Change(change) => {
                 let names: usize = change.in_use.iter().map(|n| n.as_str().len() + 1).sum();
-                names + configuration_bytes(&change.op)
+                names + op_bytes(&change.op)
             }
         };
         ENTRY_BASE_BYTES + variable
     }
 }
 
-/// Approximate encoded size of a configuration in bytes; 0 for other operations.
-fn configuration_bytes(op: &Op) -> usize {
-    let Op::Configure(configuration) = op else {
-        return 0;
-    };
-    let routes: usize = configuration.hosts.iter().map(|h| h.routes.len()).sum();
-    ROUTE_BYTES * (routes + configuration.services.len())
+/// Approximate encoded size of a configuration or a list of nodes in bytes; 0 for other operations.
+fn op_bytes(op: &Op) -> usize {
+    match op {
+        Op::Configure(configuration) => {
+            let routes: usize = configuration.hosts.iter().map(|h| h.routes.len()).sum();
+            ROUTE_BYTES * (routes + configuration.services.len())
+        }
+        Op::RecordQuotaHolders(update) => NODE_BYTES * (update.added.len() + update.removed.len()),
+        _ => 0,
+    }
 }
 
 /// State after applying the log up to an index; replaces the entries up to there.
--- a/components/registry/src/change.rs
+++ b/components/registry/src/change.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     digest::{Digest, fnv128},
+    holders::HolderUpdate,
     stored::StoredOp,
 };
 use config::Configuration;
@@ -102,6 +103,9 @@
     Evacuate(AvailabilityZone),
     /// Ends the evacuation of an availability zone, if it is evacuated.
     Readmit(AvailabilityZone),
+    /// Changes the record of the nodes that may hold shares of quotas. The leader submits it itself;
+    /// the revision stays the same.
+    RecordQuotaHolders(HolderUpdate),
 }
 
 impl fmt::Display for Op {
@@ -115,6 +119,7 @@
             }
             Op::Evacuate(zone) => write!(f, "evacuate zone {zone}"),
             Op::Readmit(zone) => write!(f, "readmit zone {zone}"),
+            Op::RecordQuotaHolders(update) => write!(f, "record {update}"),
         }
     }
 }
@@ -149,6 +154,8 @@
             Op::Configure(configuration) => digest.add_number(4).add_number(configuration.version),
             Op::Evacuate(zone) => digest.add_number(5).add_text(zone.as_str()),
             Op::Readmit(zone) => digest.add_number(6).add_text(zone.as_str()),
+            // Each update has a new id and no kept answer.
+            Op::RecordQuotaHolders(update) => digest.add_number(7).add_number(update.term),
         };
         digest.add_number(self.expect.map_or(0, |revision| revision.wrapping_add(1)));
         digest.finish() as u32
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod change;
 mod digest;
+mod holders;
 mod profile_set;
 mod registry;
 mod settings;
@@ -13,6 +14,7 @@
 
 pub use answers::{MAX_ANSWER_AGE_ENTRIES, MAX_KEPT_ACCEPTED, MAX_KEPT_REJECTED};
 pub use change::{Change, ChangeId, ChangeIdError, ChangeResult, Op};
+pub use holders::{HolderUpdate, QuotaHolders};
 pub use profile_set::{Comparison, Delta, ProfileSet, Record, RecordState};
 pub use registry::{MAX_RETIRED, Registry};
 pub use settings::GroupSettings;
--- a/components/registry/src/profile_set.rs
+++ b/components/registry/src/profile_set.rs
@@ -1,6 +1,6 @@
 //! The profiles and the configuration at one revision, and the deltas between revisions.
 
-use crate::{change::ChangeId, digest::Digest, settings::GroupSettings};
+use crate::{change::ChangeId, digest::Digest, holders::QuotaHolders, settings::GroupSettings};
 use config::Configuration;
 use model::{AvailabilityZone, Profile, ProfileName, Revision};
 use serde::{Deserialize, Serialize};
@@ -170,6 +170,16 @@
         &self.settings.evacuated_zones
     }
 
+    /// Nodes that may hold shares of quotas.
+    pub(crate) fn quota_holders(&self) -> &Arc<QuotaHolders> {
+        &self.settings.quota_holders
+    }
+
+    /// As [`ProfileSet::quota_holders`], to be changed; not a part of the revision.
+    pub(crate) fn quota_holders_mut(&mut self) -> &mut QuotaHolders {
+        Arc::make_mut(&mut self.settings.quota_holders)
+    }
+
     /// Digest over the revision, all records, the version of the configuration and the evacuated
     /// zones.
     pub fn digest(&self) -> u64 {
@@ -242,7 +252,7 @@
             digest: self.digest(),
             records,
             delta_floor: self.delta_floor,
-            settings: self.settings.clone(),
+            settings: self.settings.for_delta(),
             configured_at: self.configured_at,
         }
     }
--- a/components/registry/src/registry.rs
+++ b/components/registry/src/registry.rs
@@ -3,12 +3,13 @@
 use crate::{
     answers::Answers,
     change::{Change, ChangeId, ChangeResult, Op},
+    holders::{HolderUpdate, QuotaHolders},
     profile_set::{Delta, ProfileSet, Record, RecordState},
 };
 use errors::ErrorKind;
 use model::{FieldError, Profile, ProfileName, Revision};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 /// Maximum number of retired names. Beyond it the oldest half is dropped at once, except names that
 /// live upstreams need. Drops are made rare because each makes nodes at older revisions fetch a
@@ -44,6 +45,11 @@
         self.profiles.delta_since(revision)
     }
 
+    /// Nodes that may hold shares of quotas.
+    pub fn quota_holders(&self) -> &Arc<QuotaHolders> {
+        self.profiles.quota_holders()
+    }
+
     /// Number of kept answers.
     pub fn kept_answer_count(&self) -> usize {
         self.answers.len()
@@ -71,6 +77,9 @@
         if let Some(answer) = self.kept_answer(change) {
             return answer;
         }
+        if let Op::RecordQuotaHolders(update) = &change.op {
+            return self.record_holders(term, update);
+        }
         let revision = Revision {
             term,
             number: self.profiles.revision().number + 1,
@@ -99,6 +108,19 @@
         result
     }
 
+    /// Changes the record of the nodes that may hold shares. The revision stays, so that nodes have
+    /// nothing to pull and their proofs of the newest revision remain valid.
+    fn record_holders(&mut self, term: u64, update: &HolderUpdate) -> ChangeResult {
+        if update.term != term {
+            let detail = format!("the update is from term {}, not {term}", update.term);
+            return ChangeResult::Rejected(ErrorKind::NotLeader, detail.into());
+        }
+        self.profiles.quota_holders_mut().update(update);
+        ChangeResult::Accepted {
+            revision: self.profiles.revision(),
+        }
+    }
+
     /// Applies a change of the configuration or of a zone; returns whether it had an effect, or
     /// `None` for a change of a profile.
     fn apply_settings(&mut self, revision: Revision, op: &Op) -> Option<bool> {
@@ -106,7 +128,7 @@
             Op::Configure(configuration) => Some(self.profiles.configure(revision, configuration)),
             Op::Evacuate(zone) => Some(self.profiles.set_evacuated(revision, zone, true)),
             Op::Readmit(zone) => Some(self.profiles.set_evacuated(revision, zone, false)),
-            Op::Add(_) | Op::Update(_) | Op::Retire { .. } => None,
+            Op::Add(_) | Op::Update(_) | Op::Retire { .. } | Op::RecordQuotaHolders(_) => None,
         }
     }
 
@@ -138,10 +160,12 @@
                 };
                 Ok(record(old.generation, state))
             }
-            Op::Configure(_) | Op::Evacuate(_) | Op::Readmit(_) => Err((
-                ErrorKind::Internal,
-                "the change has no profile record".to_owned(),
-            )),
+            Op::Configure(_) | Op::Evacuate(_) | Op::Readmit(_) | Op::RecordQuotaHolders(_) => {
+                Err((
+                    ErrorKind::Internal,
+                    "the change has no profile record".to_owned(),
+                ))
+            }
         }
     }
 
--- a/components/registry/src/settings.rs
+++ b/components/registry/src/settings.rs
@@ -1,6 +1,6 @@
 //! What operators set for the whole deployment beside the profiles.
 
-use crate::{digest::Digest, stored::StoredSettings};
+use crate::{digest::Digest, holders::QuotaHolders, stored::StoredSettings};
 use config::Configuration;
 use model::AvailabilityZone;
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,8 @@
     pub configuration: Option<Arc<Configuration>>,
     /// Availability zones whose upstreams get no calls.
     pub evacuated_zones: Arc<BTreeSet<AvailabilityZone>>,
+    /// Nodes that may hold shares of quotas; kept by replicas only, in no digest and no delta.
+    pub quota_holders: Arc<QuotaHolders>,
 }
 
 impl GroupSettings {
@@ -26,6 +28,15 @@
         GroupSettings {
             configuration: self.configuration.as_ref().map(hashed),
             evacuated_zones: Arc::clone(&self.evacuated_zones),
+            quota_holders: Arc::default(),
+        }
+    }
+
+    /// The settings as other processes get them.
+    pub(crate) fn for_delta(&self) -> Self {
+        GroupSettings {
+            quota_holders: Arc::default(),
+            ..self.clone()
         }
     }
 
--- a/components/registry/src/stored.rs
+++ b/components/registry/src/stored.rs
@@ -3,7 +3,11 @@
 //! What needs none of the later additions is encoded as before they existed, so that data of older
 //! builds stays readable.
 
-use crate::{change::Op, settings::GroupSettings};
+use crate::{
+    change::Op,
+    holders::{HolderUpdate, QuotaHolders},
+    settings::GroupSettings,
+};
 use config::{BaseConfiguration, Configuration};
 use model::{AvailabilityZone, Profile, ProfileName};
 use serde::{Deserialize, Serialize};
@@ -22,6 +26,7 @@
     Configure(Arc<Configuration>),
     Evacuate(AvailabilityZone),
     Readmit(AvailabilityZone),
+    RecordQuotaHolders(HolderUpdate),
 }
 
 impl From<Op> for StoredOp {
@@ -36,6 +41,7 @@
             },
             Op::Evacuate(zone) => StoredOp::Evacuate(zone),
             Op::Readmit(zone) => StoredOp::Readmit(zone),
+            Op::RecordQuotaHolders(update) => StoredOp::RecordQuotaHolders(update),
         }
     }
 }
@@ -50,6 +56,7 @@
             StoredOp::Configure(configuration) => Op::Configure(configuration),
             StoredOp::Evacuate(zone) => Op::Evacuate(zone),
             StoredOp::Readmit(zone) => Op::Readmit(zone),
+            StoredOp::RecordQuotaHolders(update) => Op::RecordQuotaHolders(update),
         }
     }
 }
@@ -64,10 +71,22 @@
         configuration: Option<Arc<Configuration>>,
         evacuated_zones: BTreeSet<AvailabilityZone>,
     },
+    WithHolders {
+        configuration: Option<Arc<Configuration>>,
+        evacuated_zones: BTreeSet<AvailabilityZone>,
+        quota_holders: Arc<QuotaHolders>,
+    },
 }
 
 impl From<GroupSettings> for StoredSettings {
     fn from(settings: GroupSettings) -> Self {
+        if *settings.quota_holders != QuotaHolders::default() {
+            return StoredSettings::WithHolders {
+                configuration: settings.configuration,
+                evacuated_zones: BTreeSet::clone(&settings.evacuated_zones),
+                quota_holders: settings.quota_holders,
+            };
+        }
         if settings.evacuated_zones.is_empty() {
             let Some(configuration) = &settings.configuration else {
                 return StoredSettings::None;
@@ -89,7 +108,7 @@
             StoredSettings::None => GroupSettings::default(),
             StoredSettings::Base(base) => GroupSettings {
                 configuration: Some(Arc::new(base.into())),
-                evacuated_zones: Arc::default(),
+                ..GroupSettings::default()
             },
             StoredSettings::Full {
                 configuration,
@@ -97,6 +116,16 @@
             } => GroupSettings {
                 configuration,
                 evacuated_zones: Arc::new(evacuated_zones),
+                quota_holders: Arc::default(),
+            },
+            StoredSettings::WithHolders {
+                configuration,
+                evacuated_zones,
+                quota_holders,
+            } => GroupSettings {
+                configuration,
+                evacuated_zones: Arc::new(evacuated_zones),
+                quota_holders,
             },
         }
     }
--- a/components/wire/tests/stored_settings.rs
+++ b/components/wire/tests/stored_settings.rs
@@ -6,7 +6,7 @@
     Service, VirtualHost, Weight, WeightedService,
 };
 use model::{AvailabilityZone, Revision, ServiceName};
-use registry::{Change, ChangeId, Delta, Op, Registry};
+use registry::{Change, ChangeId, ChangeResult, Delta, HolderUpdate, Op, Registry};
 use std::sync::Arc;
 use wire::{decode, encode};
 
@@ -171,3 +171,49 @@
     assert!(node.evacuated_zones().is_empty());
     assert_eq!(node.digest(), registry.profiles().digest());
 }
+
+/// The record of holders must survive in snapshots, and must neither wake nodes nor reach them.
+#[test]
+fn holders_of_quotas_stay_with_the_replicas() {
+    let update = |term, added: &[&str], removed: &[&str]| {
+        let addresses = |texts: &[&str]| texts.iter().map(|text| text.parse().unwrap()).collect();
+        Op::RecordQuotaHolders(HolderUpdate {
+            term,
+            is_complete: true,
+            added: addresses(added),
+            removed: addresses(removed),
+        })
+    };
+    let mut registry = configured();
+    let before = registry.clone();
+    let nodes = ["10.0.0.1:7000", "10.0.0.2:7000"];
+    let applied = registry.apply(3, 2, &change(11, update(3, &nodes, &[])));
+    let revision = before.revision();
+    assert_eq!(applied, ChangeResult::Accepted { revision });
+    registry.apply(3, 3, &change(12, update(3, &[], &nodes[..1])));
+    // Proposed by the leader of term 2, after it had lost its role.
+    let refused = registry.apply(4, 4, &change(13, update(2, &nodes, &[])));
+    assert!(matches!(refused, ChangeResult::Rejected(..)));
+    assert_eq!(registry.quota_holders().term, 3);
+    let kept: Vec<String> = registry
+        .quota_holders()
+        .nodes
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(kept, nodes[1..]);
+
+    assert_eq!(registry.revision(), revision);
+    assert_eq!(registry.kept_answer_count(), before.kept_answer_count());
+    assert_eq!(registry.profiles().digest(), before.profiles().digest());
+    let full = Revision::default();
+    assert_eq!(registry.delta_since(full), before.delta_since(full));
+    let read: Registry = decode(encode(&registry)).unwrap();
+    assert_eq!(read, registry);
+    registry.apply(
+        4,
+        5,
+        &change(14, Op::Evacuate(AvailabilityZone::parse("a").unwrap())),
+    );
+    assert_eq!(registry.quota_holders().nodes.len(), 1);
+}
