Let the leader keep the record of quota holders

Cause: after a change of the leader, calls within the limits got 503 quota-unconfirmed until the old leases had ended.

Change: the coordinator at the leader takes the record over and writes its changes to the log. It trusts the record if that is from the term of the last log entry before its own, so that a leader that lent without recording is noticed. The report of a node that isn't recorded waits for the commit on the thread that checks held pulls, not on the event loop. A node reports from the time on at which its configuration has a limit. Nothing is written or sent where no customer has a rate.

--- a/components/consensus/src/contact.rs
+++ b/components/consensus/src/contact.rs
@@ -51,6 +51,12 @@
         Some(started_us + self.config.election_min_us)
     }
 
+    /// If this replica leads: the term of the last log entry before its own ones. No replica was the
+    /// only leader in a term between the two, since that takes a committed entry of its own.
+    pub fn term_before_leading(&self) -> Option<u64> {
+        Some(self.leader_state.as_ref()?.term_before)
+    }
+
     /// Time for which voters elect no other replica after a heartbeat.
     pub fn shortest_election_timeout_us(&self) -> u64 {
         self.config.election_min_us
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -31,6 +31,8 @@
     /// Number of the last heartbeat round.
     pub(crate) round: u64,
     pub(crate) round_times: RoundTimes,
+    /// Term of the last log entry before those of this leader.
+    pub(crate) term_before: u64,
     /// Time until which a replica that was asked to take over may do so.
     pub(crate) handed_over_until_us: u64,
     /// Index and token of each uncommitted proposal, in log order.
@@ -54,6 +56,7 @@
             transfer: None,
             round: 0,
             round_times: RoundTimes::default(),
+            term_before: self.log.last_term(),
             handed_over_until_us: 0,
             proposals: VecDeque::new(),
             reads: VecDeque::new(),
--- a/components/consensus/tests/sole_leader.rs
+++ b/components/consensus/tests/sole_leader.rs
@@ -49,3 +49,27 @@
     group.input(old, Input::Stop);
     assert!(!is_sole_leader(&group, old));
 }
+
+/// A new leader must not take a record of an earlier leader for that of its direct predecessor.
+#[test]
+fn term_before_is_that_of_the_predecessor() {
+    let mut group = Cluster::new(5, 44);
+    let mut terms = vec![0];
+    for round in 0..4 {
+        group.run_until("an only leader", 5_000_000, |c| {
+            c.leader().is_some_and(|leader| is_sole_leader(c, leader))
+        });
+        let leader = group.leader().unwrap();
+        let replica = group.replica(leader);
+        assert_eq!(replica.term_before_leading(), terms.last().copied());
+        terms.push(replica.term());
+        // In every other term nothing but the leader's own first entry is committed.
+        if round % 2 == 0 {
+            group.commit(round, &add(round, &format!("browse-{round}")));
+        }
+        group.isolate(leader);
+        group.run(1_500_000);
+        group.heal();
+        assert_eq!(group.replica(leader).term_before_leading(), None);
+    }
+}
--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -7,7 +7,7 @@
 use kernel::Kernel;
 use members::{Introduction, IntroductionReply, Introductions};
 use model::Revision;
-use registry::{Change, ChangeResult, Delta};
+use registry::{Change, ChangeId, ChangeResult, Delta, HolderUpdate, Op, QuotaHolders};
 use std::{
     collections::HashMap,
     net::{Ipv4Addr, SocketAddr},
@@ -43,6 +43,8 @@
     pub(crate) sole_leader_until_boot_us: u64,
     /// The last term in which this replica was the only leader.
     pub(crate) sole_leadership: Option<SoleLeadership>,
+    /// Nodes that may hold shares of quotas, as of the applied index.
+    pub(crate) quota_holders: Arc<QuotaHolders>,
 }
 
 /// A term in which this replica is the only leader.
@@ -51,6 +53,8 @@
     pub(crate) term: u64,
     /// Time on the clock that counts suspension at which this replica knew first that no other leads.
     pub(crate) since_boot_us: u64,
+    /// Term of the last log entry before those of this term.
+    pub(crate) term_before: u64,
 }
 
 impl ReplicaState {
@@ -68,6 +72,8 @@
 enum PendingRequest {
     Change(Sender<Result<Revision, Refusal>>),
     Read(Sender<Result<u64, Refusal>>),
+    /// An update of the quota holders by the leader of this term.
+    HolderUpdate(u64),
 }
 
 /// Shared state of the plug-ins of one control replica, owned by the kernel.
@@ -181,6 +187,18 @@
         receiver
     }
 
+    /// Proposes an update of the record of the quota holders; its end is passed to [`Quotas`].
+    pub(crate) fn propose_holders(&self, update: HolderUpdate) {
+        let token = self.add_pending(PendingRequest::HolderUpdate(update.term));
+        let change = Change {
+            change_id: ChangeId::from_u128(rand::random()),
+            expect: None,
+            op: Op::RecordQuotaHolders(update),
+            in_use: Vec::new(),
+        };
+        self.send_input(Input::Propose { token, change });
+    }
+
     /// Starts a linearizable read. The result arrives once this replica has applied everything that
     /// was accepted before.
     pub(crate) fn start_read(&self) -> Receiver<Result<u64, Refusal>> {
@@ -200,7 +218,13 @@
     }
 
     pub(crate) fn complete_change(&self, token: u64, reply: Reply) {
-        if let Some(PendingRequest::Change(sender)) = self.take_pending(token) {
+        let pending = self.take_pending(token);
+        if let Some(PendingRequest::HolderUpdate(term)) = pending {
+            let is_committed = matches!(reply, Reply::Committed(ChangeResult::Accepted { .. }));
+            self.quotas.end_update(term, is_committed);
+            return;
+        }
+        if let Some(PendingRequest::Change(sender)) = pending {
             let result = match reply {
                 Reply::Committed(ChangeResult::Accepted { revision }) => Ok(revision),
                 Reply::Committed(ChangeResult::Rejected(kind, detail)) => {
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -22,7 +22,7 @@
 use store::{Store, StoreError};
 use wire::{ControlReply, ControlRequest, decode, encode};
 
-/// Interval of the check for expired pulls.
+/// Interval of the check for expired pulls and for reports that wait.
 const PULL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Most addresses in the reply to a node that searches for other nodes.
 const MAX_CONTACTS: usize = 8;
@@ -82,7 +82,8 @@
     let pull_check_thread = thread::spawn({
         let control = Arc::clone(&control);
         move || {
-            while !control.kernel.shutdown.wait(PULL_CHECK_INTERVAL) {
+            while !control.kernel.shutdown.is_raised() {
+                control.quotas.retry_reports(&control, PULL_CHECK_INTERVAL);
                 let now_us = control.kernel.clock.now_us();
                 control
                     .pulls
@@ -219,8 +220,7 @@
             });
         }
         ControlRequest::Quota(report) => {
-            let answer = control.quotas.handle(control, inbound.from, &report);
-            reply(inbound, &ControlReply::Quota(answer));
+            control.quotas.handle(control, inbound, report);
         }
         ControlRequest::Read => {
             let control = Arc::clone(control);
@@ -244,7 +244,7 @@
     }
 }
 
-fn reply(inbound: Inbound, message: &ControlReply) {
+pub(crate) fn reply(inbound: Inbound, message: &ControlReply) {
     if let Err(error) = inbound.reply.send(encode(message)) {
         log::debug!("replica: a reply could not be sent: {error}.");
     }
--- a/components/control/src/replica_threads.rs
+++ b/components/control/src/replica_threads.rs
@@ -160,6 +160,7 @@
         let until_us = until_us.filter(is_confirmed_since).unwrap_or(0);
         let until_boot_us = boot_us + until_us.saturating_sub(now_us);
         let term = self.replica.term();
+        let term_before = self.replica.term_before_leading().unwrap_or(0);
         self.control.update_replica_state(|state| {
             state.sole_leader_until_boot_us = until_boot_us;
             let is_known = state.sole_leadership.is_some_and(|of| of.term == term);
@@ -167,6 +168,7 @@
                 state.sole_leadership = Some(SoleLeadership {
                     term,
                     since_boot_us: boot_us,
+                    term_before,
                 });
             }
         });
@@ -266,8 +268,10 @@
             profiles.apply(registry.profiles().full_delta());
         }
         let index = self.replica.applied_index();
-        self.control
-            .update_replica_state(|state| state.applied_index = index);
+        self.control.update_replica_state(|state| {
+            state.applied_index = index;
+            state.quota_holders = Arc::clone(registry.quota_holders());
+        });
         let revision = profiles.revision();
         if revision > before {
             log::info!("replica: revision {revision} is accepted, applied index {index}.");
--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -251,6 +251,9 @@
             rate.is_some_and(|rate| rate.as_f64() > 0.0)
         });
         state.limited = limited.map(|customer| Arc::clone(&customer.name)).collect();
+        if !state.limited.is_empty() {
+            state.quota.start_reports(Clock::boot_us());
+        }
         let GateState {
             counts, limited, ..
         } = &mut *state;
