--- a/components/quota/tests/leader_change.rs
+++ b/components/quota/tests/leader_change.rs
@@ -23,11 +23,19 @@
 
 #[test]
 fn usual_load_is_served_half_a_second_after_a_change() {
-    for (gap_us, seed) in [(0, 1), (300_000, 2), (SECOND_US, 3)] {
+    for (gap_us, restarts, seed) in [
+        (0, false, 1),
+        (300_000, false, 2),
+        (SECOND_US, false, 3),
+        (SECOND_US, true, 4),
+    ] {
         let mut world = World::new(NODES, zipf_loads(72, NODES, 800.0, 40), seed);
         world.run_for(15 * SECOND_US);
         world.coordinator = None;
         world.run_for(gap_us);
+        if restarts {
+            (0..NODES).for_each(|node| world.restart(node));
+        }
         world.new_leader();
         world.run_for(RECOVERY_US);
         let (from_us, until_us) = (world.now_us, world.now_us + SECOND_US);
@@ -35,10 +43,10 @@
         world.assert_bounds();
         let served = sum(&world, |of| of.admitted_between(from_us, until_us));
         let refused = sum(&world, |of| of.refused_between(from_us, until_us));
-        println!("gap {gap_us} us: {served} served, {refused} refused");
+        println!("gap {gap_us} us, restarts {restarts}: {served} served, {refused} refused");
         assert!(
             served as f64 >= 0.97 * (served + refused) as f64,
-            "gap {gap_us} us: {served} served, {refused} refused"
+            "gap {gap_us} us, restarts {restarts}: {served} served, {refused} refused"
         );
     }
 }
