Preview decisions without changing their state

Change: the choice of the router, the part of a split and the decision of a quota are split from their effects; both the real path and the preview use the same part. Where a rule changes what it reads (random factors, refill, lost work, turns), the preview runs it on a copy, behind `&self`.

--- a/components/config/src/table.rs
+++ b/components/config/src/table.rs
@@ -1,6 +1,7 @@
 //! Lookup of the route of a request.
 
 use crate::{
+    customer::Customer,
     customer_table::CustomerTable,
     document::{ColdLimit, Configuration, Destination, Route},
     weighted_round_robin::WeightedRoundRobin,
@@ -26,16 +27,26 @@
 }
 
 impl MatchedRoute {
-    /// The service for the next call; `None` if the route's weights are all 0.
+    /// Takes the service for the next call; `None` if the route's weights are all 0.
     pub fn next_service(&self) -> Option<ServiceName> {
+        self.service_by(WeightedRoundRobin::next_part)
+    }
+
+    /// The service for the next call, which leaves the split as it is; `None` if the route's weights
+    /// are all 0.
+    pub fn upcoming_service(&self) -> Option<ServiceName> {
+        self.service_by(|split| split.upcoming_part())
+    }
+
+    fn service_by(
+        &self,
+        choose_part: impl FnOnce(&mut WeightedRoundRobin) -> Option<usize>,
+    ) -> Option<ServiceName> {
         match &self.route.destination {
             Destination::Service(service) => Some(service.clone()),
             Destination::Split(parts) => {
-                let split = self.split.as_ref()?;
-                let index = split
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .next_part()?;
+                let split = self.split.as_ref()?.lock();
+                let index = choose_part(&mut split.unwrap_or_else(PoisonError::into_inner))?;
                 Some(parts[index].service.clone())
             }
         }
@@ -86,13 +97,32 @@
 
     /// The route of a virtual host with the longest matching prefix. A port in `host` is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<MatchedRoute>> {
-        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
-        self.hosts
-            .get(&name)?
+        self.routes_of(host)?
             .iter()
             .find(|matched| path.starts_with(matched.route.path_prefix.as_ref()))
     }
 
+    /// Whether the configuration lists the virtual host. A port in `host` is ignored.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.routes_of(host).is_some()
+    }
+
+    fn routes_of(&self, host: &str) -> Option<&Vec<Arc<MatchedRoute>>> {
+        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        self.hosts.get(&name)
+    }
+
+    /// The customer of that name as the configuration has it.
+    pub fn customer(&self, name: &str) -> Option<&Customer> {
+        let mut customers = self.configuration.customers.iter().flatten();
+        customers.find(|c| c.name.as_ref() == name)
+    }
+
+    /// Priority of calls with this rank, beside the ranks of the configuration.
+    pub fn priority_of_rank(&self, rank: u32) -> Priority {
+        priority_of(rank, &ranks(&self.configuration))
+    }
+
     /// Path of the health check of a service's instances.
     pub fn health_path(&self, service: &ServiceName) -> Option<Arc<str>> {
         let services = &self.configuration.services;
--- a/components/config/src/weighted_round_robin.rs
+++ b/components/config/src/weighted_round_robin.rs
@@ -30,19 +30,21 @@
         round_robin
     }
 
-    /// Index of the part that the next call goes to; `None` if all weights are 0.
+    /// Takes the part that the next call goes to and returns its index; `None` if all weights are 0.
     pub fn next_part(&mut self) -> Option<usize> {
-        let total: i128 = self.weights.iter().sum();
-        if total == 0 {
-            return None;
-        }
+        let chosen = self.upcoming_part()?;
         for (credit, weight) in self.credits.iter_mut().zip(&self.weights) {
             *credit += weight;
         }
-        let chosen = (0..self.weights.len())
-            .filter(|index| self.weights[*index] > 0)
-            .max_by_key(|index| (self.credits[*index], std::cmp::Reverse(*index)))?;
-        self.credits[chosen] -= total;
+        self.credits[chosen] -= self.weights.iter().sum::<i128>();
         Some(chosen)
     }
+
+    /// Index of the part that the next call goes to, without a change; `None` if all weights are 0.
+    pub fn upcoming_part(&self) -> Option<usize> {
+        let credit = |index: usize| self.credits[index] + self.weights[index];
+        (0..self.weights.len())
+            .filter(|index| self.weights[*index] > 0)
+            .max_by_key(|index| (credit(*index), std::cmp::Reverse(*index)))
+    }
 }
--- a/components/config/tests/route_match.rs
+++ b/components/config/tests/route_match.rs
@@ -99,6 +99,31 @@
     assert!((19..=21).contains(&lending), "{lending} of 200");
 }
 
+/// Guards against a look at the next part of a split that moves the split on, or that tells another
+/// part than the next call gets.
+#[test]
+fn looks_leave_split_as_it_is() {
+    let mut split = route("swap", "/swap/", 1);
+    split.destination = Destination::Split(
+        [("catalogue", 5), ("lending", 3), ("orders", 0)]
+            .map(|(name, weight)| WeightedService {
+                service: service(name),
+                weight: Weight::whole(weight),
+            })
+            .into(),
+    );
+    let table = RouteTable::new(Arc::new(configuration(vec![split])), 17);
+    let looked_at = RouteTable::new(Arc::clone(table.configuration()), 17);
+    let matched = |table: &RouteTable| Arc::clone(table.find("scores.example", "/swap/1").unwrap());
+    let (plain, looked_at) = (matched(&table), matched(&looked_at));
+    for _ in 0..100 {
+        let looks: Vec<_> = (0..10).map(|_| looked_at.upcoming_service()).collect();
+        let next = looked_at.next_service();
+        assert!(looks.iter().all(|look| *look == next));
+        assert_eq!(next, plain.next_service());
+    }
+}
+
 /// Guards against an overflow in the sum of the weights, which would end the thread that puts a
 /// configuration into effect.
 #[test]
--- a/components/limits/src/admission/mod.rs
+++ b/components/limits/src/admission/mod.rs
@@ -122,6 +122,11 @@
         AdmissionResult::QueuedInstead(shed)
     }
 
+    /// The result that `admit` would give now. Works on a copy.
+    pub fn preview(&self, now_us: u64, request: AdmissionRequest) -> AdmissionResult {
+        self.clone().admit(now_us, request)
+    }
+
     /// Whether a call that has no slot can be served in time.
     fn is_worth_waiting(&mut self, now_us: u64, request: &AdmissionRequest) -> bool {
         match self.order {
@@ -214,14 +219,20 @@
 
     /// The current load with a new sequence number, to be attached to a message.
     pub fn next_load_signal(&mut self, now_us: u64) -> LoadSignal {
-        self.sequence += 1;
+        let signal = self.upcoming_load_signal(now_us);
+        self.sequence = signal.sequence;
+        signal
+    }
+
+    /// The signal that `next_load_signal` would return now.
+    pub fn upcoming_load_signal(&self, now_us: u64) -> LoadSignal {
         LoadSignal {
             in_flight: self.in_flight(),
             queued: self.queued(),
             slots: self.config.slots,
             service_time_us: u32::try_from(self.reported_service_us(now_us)).unwrap_or(u32::MAX),
             pace_percent: 0,
-            sequence: self.sequence,
+            sequence: self.sequence + 1,
         }
     }
 
--- a/components/limits/src/cold.rs
+++ b/components/limits/src/cold.rs
@@ -157,8 +157,14 @@
         self.cold_until_us.is_some_and(|until_us| now_us < until_us)
     }
 
+    /// Time for which the upstream still counts as cold, in microseconds.
+    pub fn cold_left_us(&self, now_us: u64) -> u64 {
+        let cold_until_us = self.cold_until_us.unwrap_or(0);
+        cold_until_us.saturating_sub(now_us)
+    }
+
     /// Calls allowed in the window that ends now; `None` if there is no limit.
-    fn current_max(&self, now_us: u64) -> Option<usize> {
+    pub fn current_max(&self, now_us: u64) -> Option<usize> {
         let max = self.max_per_window?;
         let cold_until_us = self.cold_until_us?;
         let steps = now_us.saturating_sub(cold_until_us) / RAMP_STEP_US;
--- a/components/limits/src/retry_budget.rs
+++ b/components/limits/src/retry_budget.rs
@@ -41,6 +41,11 @@
         self.take_above(UNRESERVED_RETRIES)
     }
 
+    /// Whether `try_reserve` would succeed.
+    pub fn can_reserve(&self) -> bool {
+        self.has_above(UNRESERVED_RETRIES)
+    }
+
     /// Returns a reserved retry that was not used.
     pub fn release(&mut self) {
         self.saved = (self.saved + UNITS_PER_RETRY).min(MAX_SAVED_RETRIES * UNITS_PER_RETRY);
@@ -51,9 +56,13 @@
         self.take_above(0) || self.constant_rate.try_take(now_us, 1)
     }
 
+    fn has_above(&self, kept_retries: u32) -> bool {
+        self.saved >= (kept_retries + 1) * UNITS_PER_RETRY
+    }
+
     /// Takes one saved retry if at least `kept_retries` remain.
     fn take_above(&mut self, kept_retries: u32) -> bool {
-        let has_retry = self.saved >= (kept_retries + 1) * UNITS_PER_RETRY;
+        let has_retry = self.has_above(kept_retries);
         if has_retry {
             self.saved -= UNITS_PER_RETRY;
         }
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -19,7 +19,7 @@
 pub use customer::{CustomerLimit, CustomerUse};
 pub use list::{CustomerList, ListDigest};
 pub use message::{QuotaAnswer, QuotaDemand, QuotaGrant, QuotaGrants, QuotaReport};
-pub use node::{Admission, NodeQuota, Ticket, Verdict};
+pub use node::{Admission, NodeQuota, QuotaPreview, Ticket, Verdict};
 pub use tolerance::QuotaTolerance;
 
 /// Time for which a node may use its shares after it sent the report that renewed them. It is the
--- a/components/quota/src/local.rs
+++ b/components/quota/src/local.rs
@@ -27,7 +27,7 @@
 /// Time whose share is given back at once, in seconds.
 const RETURN_S: f64 = 0.2;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct LocalQuota {
     share: u32,
     held: f64,
@@ -174,6 +174,12 @@
         per_s(self.share)
     }
 
+    /// Whole and partial tokens at this time.
+    pub(crate) fn held(&mut self, now_us: u64) -> f64 {
+        self.accrue(now_us);
+        self.held
+    }
+
     pub(crate) fn drop_share(&mut self) {
         self.share = 0;
         self.held = 0.0;
--- a/components/quota/src/node.rs
+++ b/components/quota/src/node.rs
@@ -48,6 +48,23 @@
     },
 }
 
+/// Result of [`NodeQuota::preview`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaPreview {
+    /// The decision.
+    pub admission: Admission,
+    /// Share of the customer in calls per second.
+    pub share_per_s: f64,
+    /// Tokens that the node holds for the customer.
+    pub tokens: f64,
+    /// Calls of the customer that wait for tokens.
+    pub waiting: usize,
+    /// Time for which the share may still be used.
+    pub lease_left_us: u64,
+    /// Whether the last report got no useful answer.
+    pub is_cut_off: bool,
+}
+
 const UNAVAILABLE: Verdict = Verdict::Unavailable {
     retry_after_ms: UNAVAILABLE_RETRY_MS,
 };
@@ -119,18 +136,34 @@
             .entry(Arc::clone(customer))
             .or_insert_with(|| LocalQuota::new(now_us));
         quota.count_arrival(now_us);
-        if quota.try_take(now_us) {
-            return Admission::Decided(Verdict::Admitted);
+        let may_ask = !self.is_cut_off && self.list.number(customer).is_some();
+        let admission = decide(now_us, quota, self.is_settling, may_ask);
+        if admission == Admission::Waiting {
+            quota.add_waiting(now_us, ticket);
         }
-        if let Some(pause_ms) = quota.pause_ms(now_us) {
-            return Admission::Decided(shortage(now_us, self.is_settling, quota, pause_ms));
+        admission
+    }
+
+    /// What `admit` would decide now about a call of a customer, and the figures behind it. Works on
+    /// a copy of the customer's share.
+    pub fn preview(&self, now_us: u64, customer: &str) -> QuotaPreview {
+        let known = self.customers.get(customer).cloned();
+        let mut quota = known.unwrap_or_else(|| LocalQuota::new(now_us));
+        if self.has_expired(now_us) {
+            quota.drop_share();
         }
+        let share_per_s = quota.share_per_s();
+        let tokens = quota.held(now_us);
+        let waiting = quota.waiting();
         let may_ask = !self.is_cut_off && self.list.number(customer).is_some();
-        if !may_ask && !quota.refills_within(MAX_REFILL_WAIT_US) {
-            return Admission::Decided(UNAVAILABLE);
+        QuotaPreview {
+            admission: decide(now_us, &mut quota, self.is_settling, may_ask),
+            share_per_s,
+            tokens,
+            waiting,
+            lease_left_us: self.lease_left_us(now_us),
+            is_cut_off: self.is_cut_off,
         }
-        quota.add_waiting(now_us, ticket);
-        Admission::Waiting
     }
 
     /// Gives back the token of a call that was admitted and has not run.
@@ -275,8 +308,13 @@
         now_us < self.lease_until_us
     }
 
+    /// Whether shares are left whose lease has ended.
+    fn has_expired(&self, now_us: u64) -> bool {
+        self.lease_until_us > 0 && now_us >= self.lease_until_us
+    }
+
     fn drop_expired(&mut self, now_us: u64) {
-        if now_us < self.lease_until_us || self.lease_until_us == 0 {
+        if !self.has_expired(now_us) {
             return;
         }
         self.lease_until_us = 0;
@@ -355,6 +393,21 @@
     }
 }
 
+/// Decision about a call of a customer. Takes the token of an admitted call; one that waits is yet to
+/// be added. `may_ask` tells whether the coordinator can be asked.
+fn decide(now_us: u64, quota: &mut LocalQuota, is_settling: bool, may_ask: bool) -> Admission {
+    if quota.try_take(now_us) {
+        return Admission::Decided(Verdict::Admitted);
+    }
+    if let Some(pause_ms) = quota.pause_ms(now_us) {
+        return Admission::Decided(shortage(now_us, is_settling, quota, pause_ms));
+    }
+    if !may_ask && !quota.refills_within(MAX_REFILL_WAIT_US) {
+        return Admission::Decided(UNAVAILABLE);
+    }
+    Admission::Waiting
+}
+
 /// Verdict about a call for which the coordinator had no token.
 fn shortage(now_us: u64, is_settling: bool, quota: &mut LocalQuota, pause_ms: u64) -> Verdict {
     match is_settling {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -10,7 +10,8 @@
 mod tracked_upstream;
 
 pub use request::{
-    AttemptResult, Candidate, Choice, ChoiceReason, RouteRequest, RouterConfig, UpstreamKey,
+    AttemptResult, Candidate, CandidateFigures, Choice, ChoicePreview, ChoiceReason, RouteRequest,
+    RouterConfig, UpstreamKey,
 };
 pub use router::Router;
 pub use subset::{subset, zone_first_subset};
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -1,6 +1,7 @@
 //! Inputs and results of the choice of an upstream.
 
-use model::{AvailabilityZone, ProbeMode, ZonePreference};
+use errors::ErrorKind;
+use model::{AvailabilityZone, LoadSignal, ProbeMode, ZonePreference};
 use serde::Serialize;
 use slotmap::new_key_type;
 
@@ -74,6 +75,32 @@
     pub ejected: bool,
 }
 
+/// Result of [`Router::preview`](crate::Router::preview).
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChoicePreview {
+    /// The choice, or why there is none.
+    pub choice: Result<Choice, ErrorKind>,
+    /// The upstreams that were considered.
+    pub candidates: Vec<CandidateFigures>,
+}
+
+/// A considered upstream with the figures that its estimate is based on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CandidateFigures {
+    /// The estimate.
+    pub candidate: Candidate,
+    /// Whether another call seems to find a free slot there.
+    pub has_free_slot: bool,
+    /// Slots that calls can use, by what was announced and by the last load signal.
+    pub usable_slots: f64,
+    /// Attempts of this entry that have no result yet.
+    pub outstanding: usize,
+    /// The last load signal.
+    pub signal: Option<LoadSignal>,
+    /// Age of the last load signal in microseconds.
+    pub signal_age_us: Option<u64>,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -1,7 +1,8 @@
 //! Choice of upstreams for one service at one entry.
 
 use crate::{
-    AttemptResult, Candidate, Choice, ChoiceReason, RouteRequest, RouterConfig, UpstreamKey,
+    AttemptResult, Candidate, CandidateFigures, Choice, ChoicePreview, ChoiceReason, RouteRequest,
+    RouterConfig, UpstreamKey,
     latency::RecentLatency,
     probes::ProbeBudget,
     tracked_upstream::{TrackedUpstream, TypicalValues},
@@ -94,9 +95,38 @@
         if request.exclude.is_empty() {
             self.probes.add_credit(request.measure);
         }
+        let choice = self.decide(now_us, request)?;
+        if choice.reason == ChoiceReason::Trial {
+            self.upstreams[choice.upstream].ejection.start_trial();
+        }
+        Ok(choice)
+    }
+
+    /// The choice that `choose` would make now, with the figures behind it. Works on a copy, so that
+    /// the next choice draws the same random factors as without it.
+    pub fn preview(&self, now_us: u64, request: &RouteRequest) -> ChoicePreview {
+        let mut copy = self.clone();
+        let choice = copy.decide(now_us, request);
+        let estimates = copy.candidates.iter().map(|candidate| CandidateFigures {
+            candidate: *candidate,
+            has_free_slot: copy.has_free_slot(now_us, candidate),
+            usable_slots: copy.upstreams[candidate.upstream].usable_slots(now_us),
+            outstanding: copy.upstreams[candidate.upstream].outstanding(),
+            signal: copy.upstreams[candidate.upstream].signal(),
+            signal_age_us: copy.signal_age_us(candidate.upstream, now_us),
+        });
+        ChoicePreview {
+            choice,
+            candidates: estimates.collect(),
+        }
+    }
+
+    /// Weighs the upstreams and decides which one is chosen. Changes only buffers and the state of
+    /// the random numbers.
+    fn decide(&mut self, now_us: u64, request: &RouteRequest) -> Result<Choice, ErrorKind> {
         let typical = self.typical_values();
         self.estimate_candidates(now_us, request, typical);
-        if let Some(trial) = self.start_trial(now_us, request) {
+        if let Some(trial) = self.due_trial(now_us, request) {
             return Ok(trial);
         }
         let has_healthy = self.candidates.iter().any(|candidate| !candidate.ejected);
@@ -296,7 +326,7 @@
     }
 
     /// Chooses an ejected upstream whose trial is due.
-    fn start_trial(&mut self, now_us: u64, request: &RouteRequest) -> Option<Choice> {
+    fn due_trial(&self, now_us: u64, request: &RouteRequest) -> Option<Choice> {
         if request.hedge {
             return None;
         }
@@ -309,7 +339,6 @@
                     .ejection
                     .is_trial_due(now_us, request.idempotent)
             })?;
-        self.upstreams[key].ejection.start_trial();
         Some(Choice {
             upstream: key,
             reason: ChoiceReason::Trial,
--- a/components/routing/src/tracked_upstream.rs
+++ b/components/routing/src/tracked_upstream.rs
@@ -188,6 +188,16 @@
         self.received.map_or(0, |last| last.received_us)
     }
 
+    /// The last load signal.
+    pub(crate) fn signal(&self) -> Option<LoadSignal> {
+        self.received.map(|last| last.signal)
+    }
+
+    /// Attempts of this entry that have no result yet.
+    pub(crate) fn outstanding(&self) -> usize {
+        self.outstanding.len()
+    }
+
     /// Load of other entries in the last signal.
     pub(crate) fn other_load(&self) -> Option<f64> {
         self.received.map(|last| last.other_load)
--- a/components/suspects/src/table.rs
+++ b/components/suspects/src/table.rs
@@ -303,6 +303,17 @@
         }
     }
 
+    /// Numbers of requests that are held back and that are refused now.
+    pub fn blocked(&self, now_us: u64) -> (usize, usize) {
+        let count = |verdict| {
+            let requests = self.requests.keys();
+            requests
+                .filter(|request| self.verdict(now_us, request) == verdict)
+                .count()
+        };
+        (count(Verdict::Hold), count(Verdict::Refuse))
+    }
+
     /// Merges a peer's report; returns whether it changed the table and so must be passed on.
     pub fn merge(&mut self, now_us: u64, report: &SuspectReport) -> bool {
         self.purge(now_us);
