Answer route queries on the platform port

Cause: operators could not see where a call would go now and why; log lines show only calls that were sent.

Change: `GET /v1/route?host=H&path=P`, with method, customer and rank if wanted, takes the steps of a call at the entry without their effects and answers with the route, the part of the split, the customer's quota, crash suspects, evacuated zones, the candidates with figures and ages, and the verdict of admission. Rules are shared with calls: `identify`, `queue_wait`, `route_profile`, `readiness_refusal` and others were split off for that. A wrong parameter gets 400 with its name.

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -1,4 +1,12 @@
-//! JSON bodies of the operator port, shared by the control replica and the operators' client.
+//! JSON bodies of the operator port and of route queries, shared by the processes that answer and the
+//! operators' client.
+
+mod route;
+
+pub use route::{
+    AdmissionInfo, ColdLimitInfo, ColdState, LeftOut, MatchedRouteInfo, QuotaInfo, RouteAnswer,
+    RouteCandidate, RouteOutcome, RouteQuery, SplitPart, SuspectInfo,
+};
 
 use model::{
     AvailabilityZone, HostName, Profile, ProfileName, Revision, ServiceName, UpstreamName,
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -5,6 +5,7 @@
     parents::Parents, probes::ProbeTable, revision_offers::RevisionOffers,
     revocation::RevocationState, start_wait::StartWait,
 };
+use api::{AdmissionInfo, RouteAnswer, RouteQuery};
 use kernel::{Event, Kernel, KindLabels};
 use mesh::Channel;
 use model::{Fingerprint, LoadSignal, ServiceName, UpstreamName};
@@ -17,6 +18,7 @@
     time::Duration,
 };
 use suspects::{Evidence, IncidentId, Verdict};
+use wire::RunCall;
 
 /// Share of the stop timeout within which calls may still start, in percent.
 const LAST_START_PERCENT: u64 = 70;
@@ -44,6 +46,10 @@
     pub(crate) max_seen_nodes: AtomicU32,
     /// Reads the load of the local instance from the `owner` plug-in, which sets this at its start.
     pub(crate) local_load: OnceLock<LocalLoadReader>,
+    /// Answers what the owner would decide, set by the `owner` plug-in at its start.
+    pub(crate) owner_preview: OnceLock<Arc<dyn OwnerPreview>>,
+    /// Answers route queries, set by the `entry` plug-in at its start.
+    pub(crate) route_preview: OnceLock<RoutePreview>,
     /// Calls that run at the local instance and may make others.
     pub(crate) parents: Parents,
 }
@@ -51,6 +57,18 @@
 /// Returns the load of the local instance, if one is announced.
 pub(crate) type LocalLoadReader = Box<dyn Fn() -> Option<LoadSignal> + Send + Sync>;
 
+/// Tells where a call would go; `None` if the entry has ended.
+pub(crate) type RoutePreview = Box<dyn Fn(&RouteQuery) -> Option<RouteAnswer> + Send + Sync>;
+
+/// What the owner would decide, without an effect on its state.
+pub(crate) trait OwnerPreview: Send + Sync {
+    /// The load signal that the owner would give now, if an instance is announced.
+    fn upcoming_load(&self) -> Option<LoadSignal>;
+
+    /// What the owner would decide now about a call of a customer.
+    fn admission(&self, call: &RunCall, customer: Option<&str>) -> AdmissionInfo;
+}
+
 impl NodeContext {
     /// The context of this kernel's node, created on first use.
     pub(crate) fn for_kernel(kernel: &Arc<Kernel>) -> Arc<NodeContext> {
@@ -68,6 +86,8 @@
             stop_requested_us: OnceLock::new(),
             max_seen_nodes: AtomicU32::new(0),
             local_load: OnceLock::new(),
+            owner_preview: OnceLock::new(),
+            route_preview: OnceLock::new(),
             parents: Parents::default(),
         })
     }
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -3,9 +3,10 @@
 use super::{Entry, customers::Credential};
 use crate::parents::higher_priority;
 use calls::{KeyHash, MAX_KEYED_CALL_MS, ParentCall};
+use config::MatchedRoute;
 use errors::ErrorKind;
 use http::{Request, strip_hop_by_hop};
-use model::{CallId, Fingerprint, Profile, ServiceName};
+use model::{CallId, Fingerprint, Priority, Profile, ServiceName};
 use settings::CallHeaders;
 use std::sync::Arc;
 use suspects::Verdict;
@@ -89,7 +90,12 @@
             .map_err(refuse)?
             .min(longest_ms);
         let fingerprint = fingerprint(&service, &request);
-        let identity = sender_identity(headers, &fingerprint, &request, credential.as_ref());
+        let identity = sender_identity(
+            headers,
+            &fingerprint,
+            &request,
+            credential.as_ref().map(|c| c.customer.name.as_ref()),
+        );
         let verdict = self.context.verdict(now_us, &identity);
         if verdict.is_refusal() {
             let evidence = self.context.count_refused(now_us, &identity);
@@ -159,14 +165,10 @@
                 .ok_or((None, ErrorKind::NoUpstream))?;
             return Ok(CallTarget {
                 service,
-                profile: Profile {
-                    zone_preference: kernel.node_settings().route_zone_preference,
-                    priority: credential
-                        .as_ref()
-                        .and_then(|credential| credential.customer.priority)
-                        .unwrap_or(matched.profile.priority),
-                    ..matched.profile.clone()
-                },
+                profile: self.route_profile(
+                    matched,
+                    credential.as_ref().and_then(|c| c.customer.priority),
+                ),
                 credential,
                 latency_target_ms: Some(matched.route.latency_target_ms),
                 version: table.configuration().version,
@@ -176,15 +178,9 @@
             return Err((None, ErrorKind::NotConfigured));
         }
         let service = requested_service(request).ok_or((None, ErrorKind::UnknownService))?;
-        let refuse = |kind| (Some(service.clone()), kind);
-        let name = kernel
-            .directory
-            .profile_for(&service, &request.method, &path)
-            .ok_or_else(|| refuse(ErrorKind::UnknownService))?;
-        let profile = kernel
-            .profiles
-            .resolve(&name)
-            .ok_or_else(|| refuse(ErrorKind::UnknownProfile))?;
+        let profile = self
+            .announced_profile(&service, &request.method, &path)
+            .map_err(|kind| (Some(service.clone()), kind))?;
         Ok(CallTarget {
             service,
             profile,
@@ -194,6 +190,33 @@
         })
     }
 
+    /// Profile of the calls of a route; the priority of the customer takes precedence.
+    pub(super) fn route_profile(
+        &self,
+        matched: &MatchedRoute,
+        priority: Option<Priority>,
+    ) -> Profile {
+        Profile {
+            zone_preference: self.context.kernel.node_settings().route_zone_preference,
+            priority: priority.unwrap_or(matched.profile.priority),
+            ..matched.profile.clone()
+        }
+    }
+
+    /// Profile of a call by the rules that the service announced, without a configuration.
+    pub(super) fn announced_profile(
+        &self,
+        service: &ServiceName,
+        method: &str,
+        path: &str,
+    ) -> Result<Profile, ErrorKind> {
+        let kernel = &self.context.kernel;
+        let name = kernel.directory.profile_for(service, method, path);
+        let name = name.ok_or(ErrorKind::UnknownService)?;
+        let profile = kernel.profiles.resolve(&name);
+        profile.ok_or(ErrorKind::UnknownProfile)
+    }
+
     /// The caller's request id, cut to the length that is logged.
     pub(super) fn request_id(&self, request: &Request) -> String {
         let names = &self.context.kernel.node_settings().headers;
@@ -234,7 +257,7 @@
 }
 
 /// The service from `x-gyard-service` or from the first label of `Host`.
-fn requested_service(request: &Request) -> Option<ServiceName> {
+pub(super) fn requested_service(request: &Request) -> Option<ServiceName> {
     if let Some(name) = request.headers.get("x-gyard-service") {
         return ServiceName::parse(name.trim()).ok();
     }
@@ -282,7 +305,7 @@
 }
 
 /// Hash that identifies equal requests.
-fn fingerprint(service: &ServiceName, request: &Request) -> Fingerprint {
+pub(super) fn fingerprint(service: &ServiceName, request: &Request) -> Fingerprint {
     Fingerprint(short_hash(&[
         b"request",
         service.as_str().as_bytes(),
@@ -297,14 +320,14 @@
 /// that the runs of one say nothing about those of another. A customer counts as one sender, whatever
 /// key it uses. Ids and times that change with each
 /// request are left out: a request that crashes upstreams must be known when it comes again.
-fn sender_identity(
+pub(super) fn sender_identity(
     headers: &CallHeaders,
     fingerprint: &Fingerprint,
     request: &Request,
-    credential: Option<&Credential>,
+    customer: Option<&str>,
 ) -> Fingerprint {
-    let value = |name: &&str| match credential {
-        Some(credential) if headers.api_key == Some(*name) => credential.customer.name.as_bytes(),
+    let value = |name: &&str| match customer {
+        Some(customer) if headers.api_key == Some(*name) => customer.as_bytes(),
         _ => request.headers.get(name).unwrap_or_default().as_bytes(),
     };
     let mut parts: Vec<&[u8]> = vec![b"sender", &fingerprint.0];
--- a/components/node/src/entry/choose.rs
+++ b/components/node/src/entry/choose.rs
@@ -1,12 +1,13 @@
 //! Chooses an upstream for one attempt, sends due load probes and logs the decision.
 
 use super::{
+    Entry,
     decision::log_decision,
     driver::{CallDriver, DriverState},
 };
 use calls::Event;
 use errors::ErrorKind;
-use model::{LoadSignal, NodeId, UpstreamName};
+use model::{LoadSignal, NodeId, Profile, UpstreamName};
 use routing::{RouteRequest, UpstreamKey};
 use std::sync::Arc;
 use suspects::Verdict;
@@ -14,6 +15,20 @@
 /// Messages of one probe: request and reply.
 const MESSAGES_PER_PROBE: u32 = 2;
 
+impl Entry {
+    /// What the router needs to know for the first attempt of a call.
+    pub(super) fn route_request(&self, profile: &Profile) -> RouteRequest<'_> {
+        RouteRequest {
+            zone: &self.context.kernel.node_settings().availability_zone,
+            exclude: &[],
+            measure: profile.measure,
+            zone_preference: profile.zone_preference,
+            idempotent: profile.idempotent,
+            hedge: false,
+        }
+    }
+}
+
 impl CallDriver {
     /// Chooses an upstream outside `exclude` and sends the load probes that are due.
     pub(super) fn choose_upstream(
@@ -29,12 +44,9 @@
         }
         let kernel = &self.entry.context.kernel;
         let request = RouteRequest {
-            zone: &kernel.node_settings().availability_zone,
             exclude,
-            measure: self.call.profile.measure,
-            zone_preference: self.call.profile.zone_preference,
-            idempotent: self.call.profile.idempotent,
             hedge: state.is_hedge,
+            ..self.entry.route_request(&self.call.profile)
         };
         let now_us = kernel.clock.now_us();
         let local_load = self.local_load();
--- a/components/node/src/entry/customers.rs
+++ b/components/node/src/entry/customers.rs
@@ -43,18 +43,10 @@
         for name in [names.api_key, names.customer].into_iter().flatten() {
             request.headers.remove(name);
         }
-        if route.is_public {
-            return Ok(None);
-        }
-        let key_hash = key_hash.ok_or(ErrorKind::UnknownKey)?;
-        if !may_accept_keys {
-            return Err(ErrorKind::RevocationUnconfirmed);
-        }
-        let customer = customers.find(&key_hash).ok_or(ErrorKind::UnknownKey)?;
-        Ok(Some(Credential {
-            customer: Arc::clone(customer),
-            key_hash,
-        }))
+        identify(route, may_accept_keys, key_hash, |key_hash| {
+            let customer = Arc::clone(customers.find(&key_hash)?);
+            Some(Credential { customer, key_hash })
+        })
     }
 }
 
@@ -96,6 +88,24 @@
     }
 }
 
+/// Finds the customer of a call by what identifies it, where the configuration has customers; `None`
+/// on public routes.
+pub(super) fn identify<K, C>(
+    route: &Route,
+    may_accept_keys: bool,
+    key: Option<K>,
+    find: impl FnOnce(K) -> Option<C>,
+) -> Result<Option<C>, ErrorKind> {
+    if route.is_public {
+        return Ok(None);
+    }
+    let key = key.ok_or(ErrorKind::UnknownKey)?;
+    if !may_accept_keys {
+        return Err(ErrorKind::RevocationUnconfirmed);
+    }
+    find(key).map(Some).ok_or(ErrorKind::UnknownKey)
+}
+
 /// Hash of the key in the header field; `None` without the field or with another scheme. Several
 /// fields and one that is too long are refused.
 fn key_hash(request: &Request, name: &str) -> Result<Option<[u8; 32]>, ErrorKind> {
--- a/components/node/src/entry/driver/mod.rs
+++ b/components/node/src/entry/driver/mod.rs
@@ -4,7 +4,7 @@
 //! delivers an event also executes the resulting actions and sends the response, which saves the
 //! wake-up of another thread.
 
-mod send;
+pub(super) mod send;
 
 use super::{Entry, call::PreparedCall, routes::ServiceRoutes};
 use calls::{Action, CallSpec, ClaimReply, ClaimRound, EntryCall, Event, RoundResult};
--- a/components/node/src/entry/driver/send.rs
+++ b/components/node/src/entry/driver/send.rs
@@ -6,7 +6,7 @@
 use errors::ErrorKind;
 use kernel::KindLabels;
 use mesh::Channel;
-use model::{AttemptId, Upstream};
+use model::{AttemptId, Profile, Upstream};
 use routing::UpstreamKey;
 use std::sync::Arc;
 use wire::{CallRequest, RunCall, encode};
@@ -103,20 +103,19 @@
     ) -> Vec<u8> {
         let profile = &self.call.profile;
         let max_moves = self.entry.context.kernel.node_settings().moves;
-        let may_move = attempt.attempt + 1 < profile.attempts.max(max_moves);
-        let max_queue_wait = state
-            .max_queue_wait
-            .take()
-            .filter(|(chosen, _)| may_move && *chosen == key);
-        // A call with free moves is not queued while another upstream may have a free slot.
-        let start_now = max_queue_wait.is_some() && attempt.attempt < max_moves;
+        let max_queue_wait = state.max_queue_wait.take();
+        let max_queue_wait_us = max_queue_wait
+            .filter(|(chosen, _)| *chosen == key)
+            .map(|(_, max_queue_wait_us)| max_queue_wait_us);
+        let QueueWait {
+            start_now,
+            max_queue_wait_us,
+        } = queue_wait(profile, max_moves, attempt.attempt, max_queue_wait_us);
         if start_now {
             state.capacity_search.record_start_now(attempt);
         }
         let until_stop_us = self.entry.context.max_start_delay_at_stop_us(now_us);
-        let max_queue_wait_us = max_queue_wait
-            .filter(|_| max_moves == 0)
-            .map(|(_, max_queue_wait_us)| max_queue_wait_us)
+        let max_queue_wait_us = max_queue_wait_us
             .filter(|_| self.routes.with_budgets(profile, |b| b.retry.try_reserve()));
         if max_queue_wait_us.is_some() {
             state.reserved_retries.insert(attempt);
@@ -158,6 +157,30 @@
     }
 }
 
+/// How an attempt may wait in the queue of its owner.
+pub(in crate::entry) struct QueueWait {
+    /// Whether it is refused unless it can start at once.
+    pub(in crate::entry) start_now: bool,
+    /// Longest wait, if a retry can be reserved for it.
+    pub(in crate::entry) max_queue_wait_us: Option<u64>,
+}
+
+/// How an attempt may wait, by the number of the attempt and the longest wait of its routing choice.
+pub(in crate::entry) fn queue_wait(
+    profile: &Profile,
+    max_moves: u16,
+    attempt: u16,
+    max_queue_wait_us: Option<u64>,
+) -> QueueWait {
+    let may_move = attempt + 1 < profile.attempts.max(max_moves);
+    let max_queue_wait_us = max_queue_wait_us.filter(|_| may_move);
+    QueueWait {
+        // A call with free moves is not queued while another upstream may have a free slot.
+        start_now: max_queue_wait_us.is_some() && attempt < max_moves,
+        max_queue_wait_us: max_queue_wait_us.filter(|_| max_moves == 0),
+    }
+}
+
 /// Name of the customer that the call belongs to; for a call of an instance, that of the call that it
 /// is made for.
 fn customer_of(call: &PreparedCall) -> Option<Arc<str>> {
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod evacuation;
 mod key_claims;
+mod preview;
 mod quota;
 mod reply;
 mod routes;
@@ -93,6 +94,11 @@
         }
     });
     watch_evacuations(&entry);
+    let weak = Arc::downgrade(&entry);
+    // Set once, since the plug-in starts once.
+    let _ = context
+        .route_preview
+        .set(Box::new(move |query| Some(weak.upgrade()?.preview(query))));
     let config = ServerConfig {
         max_connections: kernel.node_settings().max_connections,
         max_connections_per_address: kernel.caller_limits().max_connections_per_address,
--- a/components/node/src/entry/routes.rs
+++ b/components/node/src/entry/routes.rs
@@ -80,6 +80,13 @@
         action(entry)
     }
 
+    /// Whether a retry of the profile's budget can be reserved now.
+    pub(crate) fn can_reserve_retry(&self, profile: &Profile) -> bool {
+        let budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets.get(&profile.name);
+        budget.is_some_and(|budgets| budgets.retry.can_reserve())
+    }
+
     /// Counts a call in the retry budget of the whole service, if there is one.
     pub(crate) fn count_call(&self, now_us: u64) {
         if let Some(shared) = &self.shared_retries {
@@ -109,7 +116,7 @@
     }
 
     /// Makes the router track exactly the given upstreams.
-    fn track(&self, tracked: &mut HashSet<UpstreamName>, now_us: u64, chosen: &[&Upstream]) {
+    fn track(&self, tracked: &mut HashSet<UpstreamName>, now_us: u64, chosen: &[Upstream]) {
         let next: HashSet<UpstreamName> = chosen.iter().map(|u| u.name.clone()).collect();
         let mut router = self.router();
         for removed in tracked.difference(&next) {
@@ -143,9 +150,7 @@
         if let Some(known) = self.find(service) {
             return known;
         }
-        let config = RouterConfig {
-            probe_budget_per_s: self.context.kernel.node_settings().probe_budget_per_s,
-        };
+        let config = self.router_config();
         // Filled before it is published, or a concurrent first call would find no upstream.
         let fresh = Arc::new(ServiceRoutes::new(
             config,
@@ -158,6 +163,32 @@
         stored
     }
 
+    /// A copy of the router of a service, as the next call finds it. A service that was not called
+    /// here yet has none; its router is made for the copy only.
+    pub(crate) fn router_copy(&self, service: &ServiceName) -> Router {
+        if let Some(known) = self.find(service) {
+            return known.router().clone();
+        }
+        let config = self.router_config();
+        let mut router = Router::new(config, 0);
+        for upstream in self.subset(service) {
+            router.upsert(self.context.kernel.clock.now_us(), &upstream);
+        }
+        router
+    }
+
+    /// Whether a retry of the profile's budget can be reserved now.
+    pub(crate) fn can_reserve_retry(&self, service: &ServiceName, profile: &Profile) -> bool {
+        let routes = self.find(service);
+        routes.is_some_and(|routes| routes.can_reserve_retry(profile))
+    }
+
+    fn router_config(&self) -> RouterConfig {
+        RouterConfig {
+            probe_budget_per_s: self.context.kernel.node_settings().probe_budget_per_s,
+        }
+    }
+
     /// Applies a change of the service's upstreams; does nothing for a service not called here.
     pub(crate) fn refresh(&self, service: &ServiceName) {
         if let Some(routes) = self.find(service) {
@@ -184,6 +215,12 @@
     fn update_tracked(&self, service: &ServiceName, routes: &ServiceRoutes) {
         // Held while reading and tracking, so that an older list can't replace a newer one.
         let mut tracked = routes.tracked();
+        let chosen = self.subset(service);
+        routes.track(&mut tracked, self.context.kernel.clock.now_us(), &chosen);
+    }
+
+    /// The upstreams of a service that this entry uses now.
+    fn subset(&self, service: &ServiceName) -> Vec<Upstream> {
         let upstreams = self.context.kernel.directory.upstreams(service);
         let settings = self.context.kernel.node_settings();
         let evacuated = self.context.kernel.profiles.evacuated_zones();
@@ -204,11 +241,8 @@
             zone_first_subset(service, &entry, &near, &far, SUBSET_SIZE)
                 .into_iter()
                 .collect();
-        let chosen: Vec<&Upstream> = upstreams
-            .iter()
-            .filter(|upstream| names.contains(&upstream.name))
-            .collect();
-        routes.track(&mut tracked, self.context.kernel.clock.now_us(), &chosen);
+        let is_chosen = |upstream: &&Upstream| names.contains(&upstream.name);
+        upstreams.iter().filter(is_chosen).cloned().collect()
     }
 
     fn find(&self, service: &ServiceName) -> Option<Arc<ServiceRoutes>> {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod quotas;
 mod revision_offers;
 mod revocation;
+mod route_query;
 mod start_wait;
 mod suspects;
 mod sync;
--- a/components/node/src/owner/arrivals.rs
+++ b/components/node/src/owner/arrivals.rs
@@ -11,9 +11,9 @@
 use errors::ErrorKind;
 use http::CancelToken;
 use limits::{AdmissionRequest, AdmissionResult, CustomerKey, PaceStatus, QueueDecision};
-use model::LoadSignal;
-use std::sync::{Arc, MutexGuard};
-use wire::RunResult;
+use model::{LoadSignal, UpstreamName};
+use std::sync::{Arc, MutexGuard, atomic::Ordering};
+use wire::{RunCall, RunResult};
 
 /// Longest time for which calls wait for a slow host to recover, in microseconds. After that they
 /// start anyway, since a host that stays slow still completes some work.
@@ -23,6 +23,20 @@
 const MIN_WAIT_DIVISOR: u64 = 4;
 
 impl Owner {
+    /// Reason to refuse all calls to an upstream because it isn't here or this node is not ready for
+    /// them.
+    pub(super) fn readiness_refusal(&self, upstream: &UpstreamName) -> Option<ErrorKind> {
+        if self.is_refusing.load(Ordering::Acquire) {
+            return Some(ErrorKind::Stopping);
+        }
+        let is_here = self
+            .lock_instance()
+            .as_ref()
+            .is_some_and(|i| i.upstream.name == *upstream);
+        let is_ready = is_here && self.context.knows_suspects.load(Ordering::Acquire);
+        (!is_ready).then_some(ErrorKind::NoUpstream)
+    }
+
     /// Passes a call to admission control, after a health check if the host's pace is not known.
     pub(super) fn check_pace_and_admit(self: &Arc<Self>, now_us: u64, arrival: Arrival) {
         let mut guard = self.lock_instance();
@@ -122,22 +136,9 @@
             reply(reply_to, signal, RunResult::Refused(kind));
             return;
         }
-        let expected_us = instance.service_times.expected_us(&call.profile);
-        let target_us = now_us.saturating_add(call.target_us);
-        let max_queue_wait_us = call.max_queue_wait_us.unwrap_or(u64::MAX);
         let request = AdmissionRequest {
-            attempt,
-            priority: call.priority,
-            deadline_us,
-            start_by_us: latest_useful_start_us(now_us, expected_us, target_us)
-                .min(now_us.saturating_add(max_queue_wait_us))
-                .min(deadline_us),
-            expected_us,
-            target_us,
-            start_now: call.start_now,
-            queue_limit: call.queue_limit,
-            customer: customer.as_deref().map(CustomerKey::of),
             done_us,
+            ..instance.admission_request(now_us, deadline_us, &call, customer.as_deref())
         };
         let result = instance.admission.admit(now_us, request);
         log::info!(
@@ -186,6 +187,52 @@
     }
 }
 
+impl Instance {
+    /// What admission control needs to know of a call for which no work was done before.
+    pub(super) fn admission_request(
+        &self,
+        now_us: u64,
+        deadline_us: u64,
+        call: &RunCall,
+        customer: Option<&str>,
+    ) -> AdmissionRequest {
+        let expected_us = self.service_times.expected_us(&call.profile);
+        let target_us = now_us.saturating_add(call.target_us);
+        let max_queue_wait_us = call.max_queue_wait_us.unwrap_or(u64::MAX);
+        AdmissionRequest {
+            attempt: call.attempt,
+            priority: call.priority,
+            deadline_us,
+            start_by_us: latest_useful_start_us(now_us, expected_us, target_us)
+                .min(now_us.saturating_add(max_queue_wait_us))
+                .min(deadline_us),
+            expected_us,
+            target_us,
+            start_now: call.start_now,
+            queue_limit: call.queue_limit,
+            customer: customer.map(CustomerKey::of),
+            done_us: 0,
+        }
+    }
+
+    /// Result that admission control would give now to a call, on a copy of its state.
+    pub(super) fn preview_admission(
+        &self,
+        now_us: u64,
+        call: &RunCall,
+        customer: Option<&str>,
+    ) -> AdmissionResult {
+        let deadline_us = now_us + call.remaining_us;
+        let request = self.admission_request(now_us, deadline_us, call, customer);
+        if !self.pace.is_slow() {
+            return self.admission.preview(now_us, request);
+        }
+        let mut admission = self.admission.clone();
+        admission.hold(now_us, SLOW_HOLD_US);
+        admission.preview(now_us, request)
+    }
+}
+
 /// Latest start with which a call is expected to meet its latency target, or the end of the wait
 /// granted to every call if that is later. A call that is refused then can still be sent to another
 /// owner, and its slot goes to a call that can be on time.
--- a/components/node/src/owner/cold.rs
+++ b/components/node/src/owner/cold.rs
@@ -1,6 +1,7 @@
 //! Limits the calls to the local instance while it is cold.
 
 use super::{instance::Instance, state::Owner};
+use api::ColdState;
 use errors::ErrorKind;
 use http::Response;
 use kernel::Event;
@@ -53,7 +54,7 @@
         self.lock().extend(now_us + remaining_us);
     }
 
-    fn has_room(&self, now_us: u64) -> bool {
+    pub(super) fn has_room(&self, now_us: u64) -> bool {
         !self.has_rate.load(Ordering::Acquire) || self.lock().room_in_us(now_us) == 0
     }
 
@@ -65,6 +66,20 @@
         self.lock().try_send(now_us)
     }
 
+    /// Rest of the cold period, calls allowed in any second and time until the next one is allowed;
+    /// `None` for services without a limit.
+    pub(super) fn state(&self, now_us: u64) -> Option<ColdState> {
+        if !self.has_rate.load(Ordering::Acquire) {
+            return None;
+        }
+        let limiter = self.lock();
+        Some(ColdState {
+            cold_left_ms: limiter.cold_left_us(now_us) / 1_000,
+            max_per_s: limiter.current_max(now_us),
+            room_in_ms: limiter.room_in_us(now_us).div_ceil(1_000),
+        })
+    }
+
     pub(super) fn limit_signal(&self, now_us: u64, signal: LoadSignal) -> LoadSignal {
         if !self.has_rate.load(Ordering::Acquire) {
             return signal;
--- a/components/node/src/owner/evacuation.rs
+++ b/components/node/src/owner/evacuation.rs
@@ -40,13 +40,18 @@
     /// Refusal of a call because the zone is evacuated. Checked when a call arrives and again when it
     /// is about to be sent to the instance, since it may have waited meanwhile.
     pub(super) fn evacuation_refusal(&self) -> Option<ErrorKind> {
-        if !self.evacuation.is_active.load(Ordering::Acquire) {
+        if !self.is_evacuated() {
             return None;
         }
         self.context.kernel.metrics.evacuation_refused.inc();
         Some(ErrorKind::NoUpstream)
     }
 
+    /// Whether the zone of this owner is evacuated.
+    pub(super) fn is_evacuated(&self) -> bool {
+        self.evacuation.is_active.load(Ordering::Acquire)
+    }
+
     /// Refuses the calls that wait in the queue. Running ones go on.
     fn refuse_waiting_calls(self: &Arc<Self>) {
         let mut guard = self.lock_instance();
--- a/components/node/src/owner/instance.rs
+++ b/components/node/src/owner/instance.rs
@@ -178,9 +178,19 @@
 
     /// Current load, as attached to replies and probe replies.
     pub(super) fn load_signal(&mut self, now_us: u64) -> LoadSignal {
+        let signal = self.admission.next_load_signal(now_us);
+        self.completed_signal(now_us, signal)
+    }
+
+    /// The load that `load_signal` would return now.
+    pub(super) fn upcoming_load_signal(&self, now_us: u64) -> LoadSignal {
+        self.completed_signal(now_us, self.admission.upcoming_load_signal(now_us))
+    }
+
+    fn completed_signal(&self, now_us: u64, signal: LoadSignal) -> LoadSignal {
         let signal = LoadSignal {
             pace_percent: self.pace.percent(),
-            ..self.admission.next_load_signal(now_us)
+            ..signal
         };
         self.with_cold_limit(now_us, signal)
     }
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -7,6 +7,7 @@
 mod health;
 mod instance;
 mod lost_work;
+mod preview;
 mod replies;
 mod run;
 mod running;
@@ -14,7 +15,7 @@
 mod suspects;
 mod unanswered;
 
-use crate::context::NodeContext;
+use crate::context::{NodeContext, OwnerPreview};
 use cold::watch_cold_instance;
 use crossbeam::channel::{Receiver, RecvTimeoutError, unbounded};
 use evacuation::watch_evacuation;
@@ -54,6 +55,10 @@
             "the plug-in was started twice in this process",
         ));
     }
+    // Can't be set yet: the check above has failed then.
+    let _ = context
+        .owner_preview
+        .set(Arc::clone(&owner) as Arc<dyn OwnerPreview>);
     kernel.mesh.set_handler(Channel::Call, {
         let owner = Arc::clone(&owner);
         move |inbound: Inbound| owner.handle_message(inbound)
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -44,7 +44,7 @@
     /// Wakes the timer thread.
     pub(super) wake: Sender<()>,
     /// Set when the node stops: every call that has not started is refused.
-    is_refusing: AtomicBool,
+    pub(super) is_refusing: AtomicBool,
     closed: AtomicBool,
 }
 
@@ -325,17 +325,8 @@
 
     /// Reason to refuse a call regardless of its record, if there is one.
     fn refusal_reason(&self, now_us: u64, deadline_us: u64, call: &RunCall) -> Option<ErrorKind> {
-        if self.is_refusing.load(Ordering::Acquire) {
-            return Some(ErrorKind::Stopping);
-        }
-        let is_here = self
-            .lock_instance()
-            .as_ref()
-            .is_some_and(|i| i.upstream.name == call.upstream);
-        if !is_here || !self.context.knows_suspects.load(Ordering::Acquire) {
-            return Some(ErrorKind::NoUpstream);
-        }
-        self.evacuation_refusal()
+        self.readiness_refusal(&call.upstream)
+            .or_else(|| self.evacuation_refusal())
             .or_else(|| self.suspect_refusal(now_us, deadline_us, call))
     }
 
--- a/components/node/src/owner/suspects.rs
+++ b/components/node/src/owner/suspects.rs
@@ -71,6 +71,10 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn is_running(trial: Option<&Trial>, now_us: u64) -> bool {
+    trial.is_some_and(|trial| trial.ends_us > now_us)
+}
+
 impl Owner {
     /// Records a call that was cut off as a suspect of having crashed the instance. It is recorded
     /// before anything is checked, because its caller may send the request again at once.
@@ -266,6 +270,11 @@
         }
     }
 
+    /// Whether a trial runs at the local instance.
+    pub(super) fn has_trial(&self, now_us: u64) -> bool {
+        is_running(lock(&self.suspicions.trial).as_ref(), now_us)
+    }
+
     /// Takes the call for a trial if this is the upstream that all nodes choose for it and no other
     /// trial runs here.
     fn begin_trial(&self, now_us: u64, deadline_us: u64, call: &RunCall) -> bool {
@@ -285,7 +294,7 @@
             return false;
         }
         let mut trial = lock(&self.suspicions.trial);
-        if trial.as_ref().is_some_and(|trial| trial.ends_us > now_us) {
+        if is_running(trial.as_ref(), now_us) {
             return false;
         }
         *trial = Some(Trial {
--- a/components/node/src/platform.rs
+++ b/components/node/src/platform.rs
@@ -1,6 +1,6 @@
 //! Plug-in `platform`: HTTP port for the local instance, for metrics and for the node's state.
 
-use crate::{announce::Announcement, context::NodeContext};
+use crate::{announce::Announcement, context::NodeContext, route_query::answer_route_query};
 use admin::{AdminResponse, error_response, json_response, metrics_response};
 use errors::ErrorKind;
 use http::Request;
@@ -50,6 +50,7 @@
             None => error_response(ErrorKind::NotFound, "no instance is announced"),
         },
         ("GET", "/v1/state") => json_response(200, &node_state(context)),
+        ("GET", "/v1/route") => answer_route_query(request, context),
         ("GET", "/metrics") => {
             context.refresh_metrics();
             metrics_response(context.kernel.metrics.render())
--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -9,7 +9,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use errors::ErrorKind;
 use kernel::{Clock, Event, Kernel, KindLabels, PluginEntry, Role, RunningPlugin, StartError};
-use quota::{ANSWER_TIMEOUT_US, Admission, NodeQuota, QuotaReport, Ticket, Verdict};
+use quota::{ANSWER_TIMEOUT_US, Admission, NodeQuota, QuotaPreview, QuotaReport, Ticket, Verdict};
 use refusal_log::RefusalLog;
 use reporter::Reporter;
 use std::{
@@ -175,6 +175,13 @@
         Err(refusal)
     }
 
+    /// What `admit` would decide now about a call of a customer; `None` if it has no rate.
+    pub(crate) fn preview(&self, customer: &str) -> Option<QuotaPreview> {
+        let state = self.lock();
+        let is_limited = state.limited.contains(customer);
+        is_limited.then(|| state.quota.preview(Clock::boot_us(), customer))
+    }
+
     fn decide_or_wait(&self, customer: &Arc<str>) -> Decision {
         let mut state = self.lock();
         if !state.limited.contains(customer) {
