Add the command `gyard route`

Cause: route queries were to be had as JSON from the platform port only.

The operators' token is not sent to the node, whose port has no authentication. A node that doesn't answer gives exit code 3.

--- a/components/client/src/failure.rs
+++ b/components/client/src/failure.rs
@@ -21,6 +21,13 @@
         indent(attempts)
     ))]
     Unreachable { attempts: Vec<String> },
+    /// The node of a route query did not answer.
+    #[snafu(display(
+        "the node did not answer:\n{}\n\
+         Check that --node is the platform port of a running node.",
+        indent(attempts)
+    ))]
+    NodeUnreachable { attempts: Vec<String> },
     /// A change may or may not have been accepted.
     #[snafu(display(
         "the control group did not confirm the change:\n{}\n\
@@ -72,7 +79,9 @@
         match self {
             Failure::Refused { .. } | Failure::Logs { .. } | Failure::Output { .. } => 1,
             Failure::Usage { .. } => 2,
-            Failure::Unreachable { .. } | Failure::Unconfirmed { .. } => 3,
+            Failure::Unreachable { .. }
+            | Failure::NodeUnreachable { .. }
+            | Failure::Unconfirmed { .. } => 3,
             Failure::NotInEffect { .. } => 4,
         }
     }
@@ -81,7 +90,7 @@
         match self {
             Failure::Refused { body } => json!(body),
             Failure::Usage { reason } => json!({ "error": "usage", "message": reason }),
-            Failure::Unreachable { attempts } => {
+            Failure::Unreachable { attempts } | Failure::NodeUnreachable { attempts } => {
                 json!({ "error": "unreachable", "message": self.to_string(), "attempts": attempts })
             }
             Failure::Unconfirmed { attempts, resend } => json!({
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -10,6 +10,8 @@
 mod options;
 mod output;
 mod request_trace;
+mod route;
+mod route_output;
 mod run;
 mod wait;
 mod zone;
--- a/components/client/src/options.rs
+++ b/components/client/src/options.rs
@@ -49,6 +49,8 @@
     Explain(ExplainFlags),
     #[options(help = "evacuate, readmit or list availability zones")]
     Zone(ZoneFlags),
+    #[options(help = "show where a node would send a call now, and why")]
+    Route(RouteFlags),
 }
 
 #[derive(Debug, Options)]
@@ -83,6 +85,28 @@
     pub(crate) wait_ms: Option<u64>,
 }
 
+#[derive(Debug, Options)]
+pub(crate) struct RouteFlags {
+    #[options(no_short, help = "print this help")]
+    pub(crate) help: bool,
+    #[options(no_short, meta = "IP:PORT", help = "platform port of the node")]
+    pub(crate) node: Option<String>,
+    #[options(no_short, meta = "HOST", help = "host that the call is for")]
+    pub(crate) host: Option<String>,
+    #[options(no_short, meta = "PATH", help = "path of the call")]
+    pub(crate) path: Option<String>,
+    #[options(no_short, meta = "METHOD", help = "method of the call, GET by default")]
+    pub(crate) method: Option<String>,
+    #[options(no_short, meta = "NAME", help = "customer that the call is sent for")]
+    pub(crate) customer: Option<String>,
+    #[options(
+        no_short,
+        meta = "N",
+        help = "rank in place of the customer's and the route's"
+    )]
+    pub(crate) rank: Option<u32>,
+}
+
 #[derive(Debug, Options)]
 pub(crate) struct ExplainFlags {
     #[options(no_short, help = "print this help")]
--- a/components/client/src/output.rs
+++ b/components/client/src/output.rs
@@ -7,7 +7,11 @@
 use std::io::{self, Write};
 
 /// Writes rows under a header, each column as wide as its longest cell.
-fn write_table(out: &mut dyn Write, header: &[&str], rows: &[Vec<String>]) -> io::Result<()> {
+pub(crate) fn write_table(
+    out: &mut dyn Write,
+    header: &[&str],
+    rows: &[Vec<String>],
+) -> io::Result<()> {
     let header: Vec<String> = header.iter().map(ToString::to_string).collect();
     let width = |column: usize| {
         let cells = rows.iter().chain([&header]);
@@ -29,7 +33,7 @@
 }
 
 /// Returns an enum value as it is written in files and flags.
-fn serialized_word(value: &impl serde::Serialize) -> String {
+pub(crate) fn serialized_word(value: &impl serde::Serialize) -> String {
     serde_json::to_value(value)
         .ok()
         .and_then(|value| value.as_str().map(str::to_owned))
--- a/components/client/src/run.rs
+++ b/components/client/src/run.rs
@@ -10,7 +10,7 @@
     },
     output,
     request_trace::RequestTrace,
-    wait, zone,
+    route, route_output, wait, zone,
 };
 use api::{ChangeResponse, CustomerList, DrainRequest, ProfileEntry, ProfileList, Status};
 use gumdrop::{Options, ParsingStyle};
@@ -116,7 +116,7 @@
     let is_json = flags.is_json()?;
     let Some(command) = &flags.command else {
         return Err(Failure::usage(
-            "give a command: profile, status, customers, drain, explain or zone",
+            "give a command: profile, status, customers, drain, explain, zone or route",
         ));
     };
     let client = || -> Result<OperatorClient, Failure> {
@@ -148,6 +148,10 @@
         }
         Command::Drain(drain) => run_drain(&client()?, drain, &mut console),
         Command::Explain(flags) => explain(flags, &mut console),
+        Command::Route(route_flags) => {
+            let answer = route::ask(route_flags, flags.timeout())?;
+            console.write_result(&answer, route_output::write_route)
+        }
         Command::Zone(zone) => match &zone.command {
             Some(command) => run_zone(&client()?, command, &mut console),
             None => Err(Failure::usage(
