Serve all connections of a server on one thread

One readiness loop for each server (crate mio, as in the mesh) now reads heads and bodies, holds their timeouts, memory waits and bounded read-ahead, and writes what callers are slow to read. A thread is used from the whole request until its handler returns. Writes never block a handler; output that is not written counts like a running handler for the pipelining limit, as before. Hooks of closed connections run on a worker, because they may block. Refused connections need no thread either. An interim response is no longer written into the middle of a reply. A connection with bytes that the loop has not read yet is not closed as idle to make room.

--- a/components/http/src/caller.rs
+++ b/components/http/src/caller.rs
@@ -22,8 +22,8 @@
         self.early.is_caller_closed()
     }
 
-    /// Runs `hook` once when the caller closes its connection while the handler runs, on the thread
-    /// that reads the connection. Runs it immediately if the connection is closed already.
+    /// Runs `hook` once when the caller closes its connection while the handler runs, on a thread of
+    /// the server. Runs it immediately if the connection is closed already.
     pub fn on_close(&self, hook: impl FnOnce() + Send + 'static) {
         self.early.on_caller_close(hook);
     }
--- /dev/null
+++ b/components/http/src/connection_loop.rs
@@ -0,0 +1,249 @@
+//! The thread that reads the requests of all connections of a server, and writes the replies that
+//! callers are slow to read.
+//!
+//! A connection takes a thread only while handlers run. With a thread for each connection, a crowd
+//! of idle or slow callers takes the memory of the process and the threads of its host.
+
+use crate::{
+    connection::{Next, ServedConnection},
+    server::Shared,
+};
+use mio::{Events, Interest, Poll, Token, Waker, event::Event, unix::SourceFd};
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, VecDeque},
+    io,
+    os::fd::AsRawFd,
+    panic::{AssertUnwindSafe, catch_unwind},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+/// Token of the waker; a connection's token is its id, and ids start at 1.
+const WAKE: Token = Token(0);
+/// Most events fetched from the operating system at once.
+const MAX_EVENTS: usize = 256;
+/// Most bytes read from a connection at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// What other threads have for the loop.
+#[derive(Default)]
+struct Inbox {
+    added: Vec<ServedConnection>,
+    /// Ids of connections whose replies have changed.
+    changed: Vec<u64>,
+    is_closed: bool,
+}
+
+/// Access of other threads to the loop.
+pub(crate) struct LoopHandle {
+    waker: Waker,
+    inbox: Mutex<Inbox>,
+}
+
+impl LoopHandle {
+    /// Creates the handle and the `Poll` that the loop waits on.
+    pub(crate) fn new() -> io::Result<(Self, Poll)> {
+        let poll = Poll::new()?;
+        let handle = LoopHandle {
+            waker: Waker::new(poll.registry(), WAKE)?,
+            inbox: Mutex::default(),
+        };
+        Ok((handle, poll))
+    }
+
+    /// Passes a connection to the loop; it is closed if the loop has ended.
+    pub(crate) fn add(&self, connection: ServedConnection) {
+        self.send(|inbox| inbox.added.push(connection));
+    }
+
+    /// Tells the loop that the replies of a connection have changed.
+    pub(crate) fn notify(&self, id: u64) {
+        self.send(|inbox| inbox.changed.push(id));
+    }
+
+    /// Tells the loop that no connection is added any more, so that it ends with the last one.
+    pub(crate) fn close(&self) {
+        self.send(|inbox| inbox.is_closed = true);
+    }
+
+    fn send(&self, send: impl FnOnce(&mut Inbox)) {
+        let mut inbox = self.lock();
+        let is_wake_pending = !inbox.added.is_empty() || !inbox.changed.is_empty();
+        send(&mut inbox);
+        drop(inbox);
+        if !is_wake_pending && let Err(error) = self.waker.wake() {
+            log::error!("http: the connection loop can't be woken: {error}");
+        }
+    }
+
+    /// Takes the messages; `is_closed` stays.
+    fn take(&self) -> Inbox {
+        let mut inbox = self.lock();
+        let is_closed = inbox.is_closed;
+        let taken = std::mem::take(&mut *inbox);
+        inbox.is_closed = is_closed;
+        taken
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inbox> {
+        self.inbox.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A connection with the time of its next check.
+struct Entry {
+    connection: ServedConnection,
+    check_at: Option<Instant>,
+}
+
+/// State of the loop's thread.
+struct ConnectionLoop {
+    shared: Arc<Shared>,
+    poll: Poll,
+    entries: HashMap<u64, Entry>,
+    /// Times of checks. An item counts only if it is the `check_at` of its connection.
+    checks: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// Connections that have more to read than is read in one turn.
+    unfinished: VecDeque<u64>,
+    /// Memory that all connections read into.
+    scratch: Vec<u8>,
+}
+
+/// Body of the loop's thread; returns when the server accepts no more connections and all have ended.
+pub(crate) fn run_loop(shared: Arc<Shared>, poll: Poll) {
+    let mut connection_loop = ConnectionLoop {
+        shared,
+        poll,
+        entries: HashMap::new(),
+        checks: BinaryHeap::new(),
+        unfinished: VecDeque::new(),
+        scratch: vec![0; READ_BYTES],
+    };
+    let mut events = Events::with_capacity(MAX_EVENTS);
+    while connection_loop.turn(&mut events) {}
+}
+
+impl ConnectionLoop {
+    /// Handles what has happened since the last turn; false at the end of the loop.
+    fn turn(&mut self, events: &mut Events) -> bool {
+        let timeout = self.timeout();
+        if let Err(error) = self.poll.poll(events, timeout)
+            && error.kind() != io::ErrorKind::Interrupted
+        {
+            log::error!("http: connections can't be served any more: {error}");
+            return false;
+        }
+        for event in events.iter() {
+            self.handle_event(event);
+        }
+        let inbox = self.shared.connection_loop.take();
+        for connection in inbox.added {
+            self.add(connection);
+        }
+        for id in inbox.changed {
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.connection.set_readable(false);
+                self.advance(id);
+            }
+        }
+        for _ in 0..self.unfinished.len() {
+            if let Some(id) = self.unfinished.pop_front() {
+                self.advance(id);
+            }
+        }
+        self.run_checks();
+        !(inbox.is_closed && self.entries.is_empty())
+    }
+
+    /// Time until the next check.
+    fn timeout(&self) -> Option<Duration> {
+        if !self.unfinished.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let Reverse((at, _)) = self.checks.peek()?;
+        Some(at.saturating_duration_since(Instant::now()))
+    }
+
+    fn handle_event(&mut self, event: &Event) {
+        let id = event.token().0 as u64;
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        if event.is_readable() || event.is_read_closed() || event.is_error() {
+            let may_be_closed = event.is_read_closed() || event.is_error();
+            entry.connection.set_readable(may_be_closed);
+        }
+        self.advance(id);
+    }
+
+    fn add(&mut self, connection: ServedConnection) {
+        let id = connection.id();
+        let fd = connection.stream().as_raw_fd();
+        // Events are edge-triggered. Interest in writing raises one only when a full send buffer has
+        // room again.
+        let registered = self.poll.registry().register(
+            &mut SourceFd(&fd),
+            Token(id as usize),
+            Interest::READABLE | Interest::WRITABLE,
+        );
+        if let Err(error) = registered {
+            log::warn!("http: a connection can't be served: {error}");
+            return;
+        }
+        let entry = Entry {
+            connection,
+            check_at: None,
+        };
+        self.entries.insert(id, entry);
+        self.advance(id);
+    }
+
+    /// Advances a connection as far as possible without waiting.
+    fn advance(&mut self, id: u64) {
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        let (shared, scratch) = (&self.shared, &mut self.scratch);
+        // A fault in one connection must not end the others.
+        let next = catch_unwind(AssertUnwindSafe(|| {
+            entry.connection.advance(shared, scratch)
+        }));
+        match next {
+            Ok(Next::Wait(None)) => {}
+            Ok(Next::Wait(Some(at))) => {
+                // A later time is set by the earlier check.
+                if entry.check_at.is_none_or(|earlier| at < earlier) {
+                    entry.check_at = Some(at);
+                    self.checks.push(Reverse((at, id)));
+                }
+            }
+            Ok(Next::Again) => self.unfinished.push_back(id),
+            Ok(Next::End) | Err(_) => self.remove(id),
+        }
+    }
+
+    fn remove(&mut self, id: u64) {
+        if let Some(entry) = self.entries.remove(&id) {
+            let fd = entry.connection.stream().as_raw_fd();
+            // Fails only if the operating system has removed the descriptor already.
+            let _ = self.poll.registry().deregister(&mut SourceFd(&fd));
+        }
+    }
+
+    /// Advances the connections whose check is due.
+    fn run_checks(&mut self) {
+        let now = Instant::now();
+        while let Some(Reverse((at, id))) = self.checks.peek().copied()
+            && at <= now
+        {
+            self.checks.pop();
+            if let Some(entry) = self.entries.get_mut(&id)
+                && entry.check_at == Some(at)
+            {
+                entry.check_at = None;
+                self.advance(id);
+            }
+        }
+    }
+}
--- a/components/http/src/memory_budget.rs
+++ b/components/http/src/memory_budget.rs
@@ -5,17 +5,15 @@
 use std::{
     net::IpAddr,
     sync::{
-        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
 };
 
 /// Memory budget of the requests of all servers that share it.
 #[derive(Debug)]
 pub struct MemoryBudget {
     shares: Mutex<MemoryShares<IpAddr>>,
-    released: Condvar,
     refused: AtomicU64,
 }
 
@@ -24,7 +22,6 @@
     pub fn new(max_bytes: usize) -> Self {
         MemoryBudget {
             shares: Mutex::new(MemoryShares::new(max_bytes)),
-            released: Condvar::new(),
             refused: AtomicU64::new(0),
         }
     }
@@ -67,26 +64,16 @@
 }
 
 impl Reservation {
-    /// Grows to `bytes` in total. If they don't fit, waits at most `wait` for other requests to
-    /// return memory and tries once more; false if they still don't fit.
-    pub(crate) fn grow_to(&mut self, bytes: usize, wait: Duration) -> bool {
+    /// Grows to `bytes` in total; false if they don't fit.
+    pub(crate) fn grow_to(&mut self, bytes: usize) -> bool {
         let Some(added) = bytes.checked_sub(self.bytes).filter(|added| *added > 0) else {
             return true;
         };
-        let budget = &self.budget;
-        let mut shares = budget.lock();
-        if !shares.try_grow(&self.peer, self.bytes, added) {
-            if wait.is_zero() {
-                return false;
-            }
-            let waited = budget.released.wait_timeout(shares, wait);
-            shares = waited.unwrap_or_else(PoisonError::into_inner).0;
-            if !shares.try_grow(&self.peer, self.bytes, added) {
-                return false;
-            }
+        let fits = self.budget.lock().try_grow(&self.peer, self.bytes, added);
+        if fits {
+            self.bytes = bytes;
         }
-        self.bytes = bytes;
-        true
+        fits
     }
 }
 
@@ -96,6 +83,5 @@
             return;
         }
         self.budget.lock().release(&self.peer, self.bytes);
-        self.budget.released.notify_all();
     }
 }
--- a/components/http/src/open_connections.rs
+++ b/components/http/src/open_connections.rs
@@ -1,7 +1,11 @@
 //! Table of a server's open connections, and the choice of the one that is closed when a further
 //! one needs its place.
 
-use crate::{reply_queue::ReplyQueue, reply_state::Phase};
+use crate::{
+    reply_queue::ReplyQueue,
+    reply_state::Phase,
+    socket::{Peeked, peek},
+};
 use std::{
     collections::HashMap,
     net::{IpAddr, TcpStream},
@@ -94,8 +98,20 @@
             })
             .collect();
         candidates.sort_by_key(|(phase, since, _)| (*phase, *since));
-        candidates
+        // A connection on which bytes wait that the loop has not read yet is not idle.
+        let has_bytes = |phase, connection: &Connection| {
+            phase == Phase::Idle && peek(&connection.stream) == Peeked::Unread
+        };
+        let mut later = Vec::new();
+        for (phase, _, connection) in candidates {
+            if has_bytes(phase, connection) {
+                later.push((phase, connection));
+            } else if connection.replies.close_in_phase(phase) {
+                return true;
+            }
+        }
+        later
             .into_iter()
-            .any(|(phase, _, connection)| connection.replies.close_in_phase(phase))
+            .any(|(phase, connection)| connection.replies.close_in_phase(phase))
     }
 }
--- a/components/http/src/read_buffer.rs
+++ b/components/http/src/read_buffer.rs
@@ -32,6 +32,25 @@
         }
     }
 
+    pub(crate) fn append(&mut self, bytes: &[u8]) {
+        if self.start > 0 {
+            self.bytes.drain(..self.start);
+            self.start = 0;
+        }
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.consume(self.unread().len());
+    }
+
+    /// Frees the memory of an empty buffer if it is above `max_bytes`.
+    pub(crate) fn shrink_if_empty(&mut self, max_bytes: usize) {
+        if self.bytes.is_empty() {
+            self.bytes.shrink_to(max_bytes);
+        }
+    }
+
     /// Reads once, waiting at most `timeout`; `Ok(0)` is the end of the stream.
     pub(crate) fn fill(&mut self, stream: &TcpStream, timeout: Duration) -> io::Result<usize> {
         if timeout.is_zero() {
--- a/components/http/src/reply_memory.rs
+++ b/components/http/src/reply_memory.rs
@@ -102,7 +102,7 @@
                 return;
             };
             let (peer, lost, queue) = &unread[victim];
-            queue.close_unread();
+            queue.close_now();
             let closed = self.closed.fetch_add(1, Ordering::Relaxed) + 1;
             // Powers of two, since a crowd of callers that don't read can cause many such lines.
             if closed.is_power_of_two() {
--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -1,19 +1,22 @@
 //! Queue that writes the replies of one connection in the order of its requests.
+//!
+//! No write blocks. Handlers write what the socket accepts; the connection loop writes the rest once
+//! the caller has read.
 
 use crate::{
     Request, Response,
+    connection_loop::LoopHandle,
     reply_memory::{ReplyMemory, Unread},
-    reply_state::{EncodedReply, Phase, Slot, State},
+    reply_state::{CloseHook, EncodedReply, Phase, Slot, State},
     socket::send_now,
 };
 use std::{
-    io::Write,
     net::{Shutdown, TcpStream},
     sync::{
-        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 /// Orders and writes the replies to requests whose handlers may run concurrently.
@@ -21,8 +24,23 @@
     stream: Arc<TcpStream>,
     is_draining: Arc<AtomicBool>,
     memory: Arc<ReplyMemory>,
+    connection_loop: Arc<LoopHandle>,
+    /// Number of the connection, by which the loop knows it.
+    id: u64,
     state: Mutex<State>,
-    changed: Condvar,
+}
+
+/// What the connection loop needs to know of the replies.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplyStatus {
+    /// A reply closed the connection.
+    pub(crate) is_closing: bool,
+    /// Handlers run, or replies are not written.
+    pub(crate) is_busy: bool,
+    /// When the caller last read some of the output that it has not read; `None` if there is none.
+    pub(crate) unwritten_since: Option<Instant>,
+    /// When the last handler ended, or the last reply was written.
+    pub(crate) idle_since: Instant,
 }
 
 impl ReplyQueue {
@@ -30,13 +48,16 @@
         stream: &Arc<TcpStream>,
         is_draining: &Arc<AtomicBool>,
         memory: &Arc<ReplyMemory>,
+        connection_loop: &Arc<LoopHandle>,
+        id: u64,
     ) -> Arc<Self> {
         Arc::new(ReplyQueue {
             stream: Arc::clone(stream),
             is_draining: Arc::clone(is_draining),
             memory: Arc::clone(memory),
+            connection_loop: Arc::clone(connection_loop),
+            id,
             state: Mutex::new(State::new()),
-            changed: Condvar::new(),
         })
     }
 
@@ -74,7 +95,7 @@
         self.store(early, &response);
         // The caller may take long to read the encoded reply.
         drop(response);
-        self.flush(true);
+        self.flush();
         self.end_handler(early.number);
     }
 
@@ -94,7 +115,7 @@
             answered
         };
         if answered > 0 {
-            self.flush(false);
+            self.flush();
         }
         answered
     }
@@ -110,7 +131,7 @@
                 must_close: true,
             },
         );
-        self.flush(true);
+        self.flush();
         self.end_handler(early.number);
     }
 
@@ -119,21 +140,39 @@
         state.running_handlers -= 1;
         state.idle_since = Instant::now();
         state.close_hooks.retain(|(request, _)| *request != number);
-        drop(state);
-        self.changed.notify_all();
+        self.notify_if_awaited(&mut state);
     }
 
     /// Whether a further request must wait: `limit` handlers run, or the caller has not read the
-    /// replies to earlier ones.
+    /// replies to earlier ones. If so, the loop is notified of the next change.
     pub(crate) fn must_wait(&self, limit: usize) -> bool {
-        self.lock().must_wait(limit)
+        let mut state = self.lock();
+        state.is_awaited = state.must_wait(limit);
+        state.is_awaited
     }
 
-    /// Blocks until a further request needn't wait, at most for `wait`.
-    pub(crate) fn wait_while_full(&self, limit: usize, wait: Duration) {
+    pub(crate) fn status(&self) -> ReplyStatus {
         let state = self.lock();
-        if state.must_wait(limit) {
-            drop(self.changed.wait_timeout(state, wait));
+        let is_unwritten = !state.output.is_empty();
+        ReplyStatus {
+            is_closing: state.is_closing,
+            is_busy: state.running_handlers > 0 || is_unwritten,
+            unwritten_since: is_unwritten.then_some(state.written_at),
+            idle_since: state.idle_since,
+        }
+    }
+
+    /// Whether handlers run or replies are not written. If so, the loop is notified of the next
+    /// change.
+    pub(crate) fn must_wait_for_end(&self) -> bool {
+        let mut state = self.lock();
+        state.is_awaited = state.running_handlers > 0 || !state.output.is_empty();
+        state.is_awaited
+    }
+
+    fn notify_if_awaited(&self, state: &mut State) {
+        if std::mem::take(&mut state.is_awaited) {
+            self.connection_loop.notify(self.id);
         }
     }
 
@@ -154,7 +193,7 @@
     }
 
     /// Closes the connection and drops the replies that the caller has not read.
-    pub(crate) fn close_unread(&self) {
+    pub(crate) fn close_now(&self) {
         let mut state = self.lock();
         self.close(&mut state);
     }
@@ -162,49 +201,45 @@
     fn close(&self, state: &mut State) {
         state.is_closing = true;
         state.slots.clear();
-        state.output = Vec::new();
+        state.drop_output();
         let unread_bytes = state.unread_bytes;
         state.release_unread(unread_bytes, &self.memory);
         let _ = self.stream.shutdown(Shutdown::Both);
-        self.changed.notify_all();
+        self.connection_loop.notify(self.id);
     }
 
-    /// Blocks until fewer than `limit` handlers run.
-    pub(crate) fn wait_until_running_below(&self, limit: usize) {
+    /// Sends bytes that are no reply to a request, after the replies whose turn has come. If
+    /// `is_last`, the connection ends behind them.
+    pub(crate) fn send_bytes(&self, bytes: &[u8], is_last: bool) {
         let mut state = self.lock();
-        while state.running_handlers >= limit {
-            state = self
-                .changed
-                .wait(state)
-                .unwrap_or_else(PoisonError::into_inner);
+        if state.is_closing {
+            return;
         }
+        state.is_closing = is_last;
+        state.add_unread(bytes.len(), &self.memory);
+        state.append_output(bytes.to_vec());
+        drop(state);
+        self.flush();
     }
 
     /// Called when no further request is read. Unless this process shut down reading itself, the
-    /// caller counts as disconnected, and the hooks of the running handlers are run.
-    pub(crate) fn notify_caller_closed(&self) {
-        let hooks = {
-            let mut state = self.lock();
-            if state.is_read_shut_down {
-                return;
-            }
-            state.is_caller_closed = true;
-            std::mem::take(&mut state.close_hooks)
-        };
-        for (_, hook) in hooks {
-            hook();
+    /// caller counts as disconnected, and the hooks of the running handlers are returned, which must
+    /// be run.
+    #[must_use]
+    pub(crate) fn set_caller_closed(&self) -> Vec<CloseHook> {
+        let mut state = self.lock();
+        if state.is_read_shut_down {
+            return Vec::new();
         }
+        state.is_caller_closed = true;
+        let hooks = std::mem::take(&mut state.close_hooks);
+        hooks.into_iter().map(|(_, hook)| hook).collect()
     }
 
     pub(crate) fn is_caller_closed(&self) -> bool {
         self.lock().is_caller_closed
     }
 
-    /// Number of handlers that have not returned.
-    pub(crate) fn running_handlers(&self) -> usize {
-        self.lock().running_handlers
-    }
-
     /// Whether a reply closed the connection.
     pub(crate) fn is_closing(&self) -> bool {
         self.lock().is_closing
@@ -248,24 +283,17 @@
         is_same
     }
 
-    /// Shuts down reading unless a request is being read or handled. This wakes the thread that
-    /// waits for a request; bytes that have arrived are still read.
+    /// Shuts down reading unless a request is being read or handled, or a reply is not written.
+    /// Bytes that have arrived are still read.
     pub(crate) fn stop_reading_if_idle(&self) {
         let mut state = self.lock();
-        if state.is_reading || state.running_handlers > 0 {
+        if state.is_reading || state.running_handlers > 0 || !state.output.is_empty() {
             return;
         }
         state.is_read_shut_down = true;
         // Fails only if the connection is closed already.
         let _ = self.stream.shutdown(Shutdown::Read);
-    }
-
-    /// Time since the last handler ended or, before the first one, since the connection was opened;
-    /// `None` while a handler runs.
-    pub(crate) fn idle_time(&self) -> Option<Duration> {
-        let state = self.lock();
-        let is_idle = state.running_handlers == 0;
-        is_idle.then(|| state.idle_since.elapsed())
+        self.connection_loop.notify(self.id);
     }
 
     /// Stores a response until its turn comes; false if the request was answered already.
@@ -289,50 +317,47 @@
         true
     }
 
-    /// Writes the replies whose turn has come; without `may_block`, only as much as the socket
-    /// accepts.
-    fn flush(&self, may_block: bool) {
+    /// Writes as much of the replies whose turn has come as the socket accepts. The loop is notified
+    /// if it has to write the rest or to close the connection.
+    fn flush(&self) {
         let mut state = self.lock();
+        let needs_loop = self.write_output(&mut state);
+        if needs_loop || state.is_awaited {
+            state.is_awaited = false;
+            self.connection_loop.notify(self.id);
+        }
+    }
+
+    /// Like `flush`, for the loop itself.
+    pub(crate) fn flush_in_loop(&self) {
+        let mut state = self.lock();
+        if !state.output.is_empty() {
+            self.write_output(&mut state);
+        }
+    }
+
+    /// Returns whether output is left or the connection ends.
+    fn write_output(&self, state: &mut State) -> bool {
         loop {
             state.move_ready_to_output(self.is_draining.load(Ordering::Acquire), &self.memory);
-            if state.is_writing {
-                return;
-            }
             if state.output.is_empty() {
                 break;
             }
-            if !may_block {
-                // A failed write is found again when the rest is written.
-                let sent = send_now(&self.stream, &state.output).unwrap_or(0);
-                state.output.drain(..sent);
-                state.release_unread(sent, &self.memory);
-                if !state.output.is_empty() {
-                    break;
+            match send_now(&self.stream, state.unwritten()) {
+                Ok(0) => return true,
+                Ok(sent) => state.count_written(sent, &self.memory),
+                Err(_) => {
+                    self.close(state);
+                    return true;
                 }
-                // An idle connection must not keep the memory of its last response.
-                state.output = Vec::new();
-                continue;
-            }
-            let output = std::mem::take(&mut state.output);
-            state.is_writing = true;
-            drop(state);
-            let written = (&mut &*self.stream).write_all(&output);
-            let output_bytes = output.len();
-            drop(output);
-            state = self.lock();
-            state.is_writing = false;
-            if written.is_err() {
-                self.close(&mut state);
-                return;
             }
-            state.release_unread(output_bytes, &self.memory);
-            self.changed.notify_all();
         }
-        if state.is_closing && state.output.is_empty() {
+        if state.is_closing {
             // Closing with unread bytes would reset the connection and could discard the reply, so
             // reading continues until the caller closes.
             let _ = self.stream.shutdown(Shutdown::Write);
         }
+        state.is_closing
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -357,13 +382,13 @@
 }
 
 impl EarlyReply {
-    /// Sends the response when its turn has come. The handler's thread writes what the socket does
+    /// Sends the response when its turn has come. The connection loop writes what the socket does
     /// not accept immediately. False if the request was answered already; the response is then
     /// dropped.
     pub fn send(&self, response: &Response) -> bool {
         let is_accepted = self.replies.store(self, response);
         if is_accepted {
-            self.replies.flush(false);
+            self.replies.flush();
         }
         is_accepted
     }
--- a/components/http/src/reply_state.rs
+++ b/components/http/src/reply_state.rs
@@ -11,6 +11,9 @@
 const MAX_UNREAD_BYTES: usize = 256 * 1024;
 /// Replies that are ready are written together up to this size in bytes.
 const MAX_JOINED_BYTES: usize = 64 * 1024;
+/// Written bytes from which on the memory of a partly written output is returned. Each return moves
+/// the rest.
+const MIN_RETURNED_BYTES: usize = 64 * 1024;
 
 pub(crate) type CloseHook = Box<dyn FnOnce() + Send>;
 
@@ -64,11 +67,16 @@
     pub(crate) slots: VecDeque<Slot>,
     /// Bytes of replies whose turn has come and that are not written to the socket yet.
     pub(crate) output: Vec<u8>,
-    /// Bytes of all replies that are not written to the socket yet, counted in the reply memory.
+    /// Length of the start of `output` that is written already and whose memory is still held.
+    written_bytes: usize,
+    /// When bytes of `output` were last written, or when its first bytes were added.
+    pub(crate) written_at: Instant,
+    /// Bytes of all replies whose memory is held, counted in the reply memory.
     pub(crate) unread_bytes: usize,
     /// When bytes were last written, or when the first reply was ready.
     pub(crate) unread_since: Instant,
-    pub(crate) is_writing: bool,
+    /// The connection loop waits for a change of this state.
+    pub(crate) is_awaited: bool,
     /// A reply closed the connection; no further reply is sent.
     pub(crate) is_closing: bool,
     /// The caller has announced that the request just read is its last one.
@@ -96,9 +104,11 @@
             first_number: 0,
             slots: VecDeque::new(),
             output: Vec::new(),
+            written_bytes: 0,
+            written_at: Instant::now(),
             unread_bytes: 0,
             unread_since: Instant::now(),
-            is_writing: false,
+            is_awaited: false,
             is_closing: false,
             has_last_request: false,
             is_caller_closed: false,
@@ -131,9 +141,51 @@
         })
     }
 
+    /// Output that is not written counts like a running handler, so that a caller that does not read
+    /// a reply has fewer requests run.
     pub(crate) fn must_wait(&self, limit: usize) -> bool {
         let is_unread = self.unread_bytes > MAX_UNREAD_BYTES;
-        !self.is_closing && (self.running_handlers >= limit || is_unread)
+        let running = self.running_handlers + usize::from(!self.output.is_empty());
+        !self.is_closing && (running >= limit || is_unread)
+    }
+
+    /// Output that is not written to the socket yet.
+    pub(crate) fn unwritten(&self) -> &[u8] {
+        &self.output[self.written_bytes..]
+    }
+
+    pub(crate) fn append_output(&mut self, bytes: Vec<u8>) {
+        if self.output.is_empty() {
+            self.written_at = Instant::now();
+            self.output = bytes;
+        } else {
+            self.output.extend_from_slice(&bytes);
+        }
+    }
+
+    /// Counts bytes of the output as written, and returns its memory once all or most is written.
+    pub(crate) fn count_written(&mut self, bytes: usize, memory: &ReplyMemory) {
+        self.written_bytes += bytes;
+        self.written_at = Instant::now();
+        self.unread_since = self.written_at;
+        let written_bytes = self.written_bytes;
+        if written_bytes == self.output.len() {
+            self.drop_output();
+            self.idle_since = self.written_at;
+        } else if written_bytes >= MIN_RETURNED_BYTES && written_bytes >= self.output.len() / 2 {
+            self.output.drain(..written_bytes);
+            self.output.shrink_to_fit();
+            self.written_bytes = 0;
+        } else {
+            return;
+        }
+        self.release_unread(written_bytes, memory);
+    }
+
+    /// Drops the output; an idle connection must not keep the memory of its last response.
+    pub(crate) fn drop_output(&mut self) {
+        self.output = Vec::new();
+        self.written_bytes = 0;
     }
 
     pub(crate) fn is_waiting(&self, number: u64) -> bool {
@@ -205,11 +257,7 @@
                 self.slots.clear();
                 self.release_unread(ready_bytes, memory);
             }
-            if self.output.is_empty() {
-                self.output = reply.bytes;
-            } else {
-                self.output.extend_from_slice(&reply.bytes);
-            }
+            self.append_output(reply.bytes);
         }
     }
 }
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -1,8 +1,9 @@
-//! HTTP server with one thread per connection.
+//! HTTP server whose connections share one thread, beside those of the handlers.
 
 use crate::{
     CallerConnection, Request, Response, ServerMemory,
-    connection::{send_error_and_close, serve_connection},
+    connection::ServedConnection,
+    connection_loop::{LoopHandle, run_loop},
     open_connections::{Connection, OpenConnections},
     reply_queue::ReplyQueue,
     workers::Workers,
@@ -20,7 +21,7 @@
     time::{Duration, Instant},
 };
 
-/// Stack of a connection thread in bytes.
+/// Stack of the threads that accept and serve connections, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 /// Most connections over the limit that are answered with a refusal at the same time; more are
 /// closed without a response.
@@ -44,12 +45,18 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The accept thread could not be started.
-    #[snafu(display("the accept thread can't be started: {source}"))]
+    /// A thread of the server could not be started.
+    #[snafu(display("a thread of the server can't be started: {source}"))]
     Thread {
         /// Error of the operating system.
         source: io::Error,
     },
+    /// The operating system has no resources to wait for connections.
+    #[snafu(display("connections can't be polled: {source}"))]
+    Poll {
+        /// Error of the operating system.
+        source: io::Error,
+    },
 }
 
 /// Size and time limits of requests; may change while the server runs.
@@ -120,6 +127,7 @@
     /// Set by `Server::drain`: the last reply on each connection closes it.
     pub(crate) draining: Arc<AtomicBool>,
     pub(crate) workers: Arc<Workers>,
+    pub(crate) connection_loop: Arc<LoopHandle>,
     limits: Mutex<RequestLimits>,
     refusals: AtomicUsize,
     connections: Mutex<OpenConnections>,
@@ -163,7 +171,9 @@
         head_timeout_ms: config.head_timeout_ms,
         idle_timeout_ms: config.idle_timeout_ms,
     };
+    let (connection_loop, poll) = LoopHandle::new().context(PollSnafu)?;
     let shared = Arc::new(Shared {
+        connection_loop: Arc::new(connection_loop),
         workers: Arc::new(Workers::new(name.clone())),
         limits: Mutex::new(limits),
         config,
@@ -174,13 +184,15 @@
         connections: Mutex::default(),
         changed: Condvar::new(),
     });
-    let accept_thread = Builder::new()
-        .name(name)
-        .stack_size(STACK_BYTES)
-        .spawn({
-            let shared = Arc::clone(&shared);
-            move || accept_connections(&listener, &shared)
-        })
+    let builder = || Builder::new().name(name.clone()).stack_size(STACK_BYTES);
+    let loop_shared = Arc::clone(&shared);
+    builder()
+        .spawn(move || run_loop(loop_shared, poll))
+        .context(ThreadSnafu)?;
+    let accept_shared = Arc::clone(&shared);
+    let accept_thread = builder()
+        .spawn(move || accept_connections(&listener, &accept_shared))
+        .inspect_err(|_| shared.connection_loop.close())
         .context(ThreadSnafu)?;
     Ok(Server {
         shared,
@@ -269,6 +281,7 @@
             unblock_accept(self.address);
             // A panic in the thread has been printed already.
             let _ = thread.join();
+            self.shared.connection_loop.close();
         }
     }
 
@@ -361,7 +374,7 @@
                 log::warn!("http: {name}: a connection was closed to make room; {closed} so far");
             }
         }
-        // The thread of the closed connection holds its descriptor until it ends.
+        // The loop holds the descriptor of the closed connection until it has removed it.
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return false;
@@ -372,77 +385,78 @@
     true
 }
 
-/// Starts the thread of an accepted connection, or refuses it if there are too many.
+/// Passes an accepted connection to the loop, or refuses it if there are too many.
 fn start_connection(shared: &Arc<Shared>, stream: TcpStream, peer: SocketAddr, id: u64) {
-    if stream.set_nonblocking(false).is_err() || stream.set_nodelay(true).is_err() {
+    if stream.set_nonblocking(true).is_err() || stream.set_nodelay(true).is_err() {
         return;
     }
+    let stream = Arc::new(stream);
+    let memory = &shared.config.memory.replies;
+    let (draining, connection_loop) = (&shared.draining, &shared.connection_loop);
+    let replies = ReplyQueue::new(&stream, draining, memory, connection_loop, id);
     if !make_room(shared, peer.ip()) {
         let refused = shared.config.memory.places.count_refused();
         if refused.is_power_of_two() {
             let name = &shared.config.thread_name;
             log::warn!("http: {name}: too-many-connections: {refused} refused so far");
         }
-        refuse_connection(shared, stream);
+        let place = ConnectionPlace::refused(shared, id);
+        if shared.refusals.load(Ordering::Acquire) <= MAX_REFUSALS {
+            let kind = ErrorKind::TooManyConnections;
+            let refused = ServedConnection::refused(&stream, peer, replies, place, kind);
+            shared.connection_loop.add(refused);
+        }
         return;
     }
-    let stream = Arc::new(stream);
-    let replies = ReplyQueue::new(&stream, &shared.draining, &shared.config.memory.replies);
     let connection = Connection {
         stream: Arc::clone(&stream),
         replies: Arc::clone(&replies),
         peer: peer.ip(),
     };
     shared.connections().insert(id, connection);
-    let spawned = Builder::new()
-        .name(shared.config.thread_name.clone())
-        .stack_size(STACK_BYTES)
-        .spawn({
-            let shared = Arc::clone(shared);
-            move || {
-                let _entry = ConnectionEntry {
-                    shared: &shared,
-                    id,
-                };
-                let memory = &shared.config.memory.replies;
-                let _registration = memory.register(peer.ip(), &replies);
-                serve_connection(&shared, &stream, peer, &replies);
-            }
-        });
-    if let Err(error) = spawned {
-        log::warn!("http: a connection thread can't be started: {error}");
-        shared.connections().remove(id);
-    }
+    let place = ConnectionPlace::served(shared, id);
+    let served = ServedConnection::new(shared, &stream, peer, replies, place);
+    shared.connection_loop.add(served);
 }
 
-/// Removes a connection from the table when it ends, also by a panic.
-struct ConnectionEntry<'a> {
-    shared: &'a Shared,
+/// Place of a connection in the server. Dropping it removes the connection from the table.
+pub(crate) struct ConnectionPlace {
+    shared: Arc<Shared>,
     id: u64,
+    /// Whether the connection is answered with a refusal, and is not in the table.
+    is_refused: bool,
 }
 
-impl Drop for ConnectionEntry<'_> {
-    fn drop(&mut self) {
-        self.shared.connections().remove(self.id);
-        self.shared.changed.notify_all();
+impl ConnectionPlace {
+    fn served(shared: &Arc<Shared>, id: u64) -> Self {
+        ConnectionPlace {
+            shared: Arc::clone(shared),
+            id,
+            is_refused: false,
+        }
     }
-}
 
-/// Answers with `TooManyConnections` on a thread of its own and closes the connection.
-fn refuse_connection(shared: &Arc<Shared>, stream: TcpStream) {
-    if shared.refusals.fetch_add(1, Ordering::AcqRel) >= MAX_REFUSALS {
-        shared.refusals.fetch_sub(1, Ordering::AcqRel);
-        return;
+    fn refused(shared: &Arc<Shared>, id: u64) -> Self {
+        shared.refusals.fetch_add(1, Ordering::AcqRel);
+        ConnectionPlace {
+            shared: Arc::clone(shared),
+            id,
+            is_refused: true,
+        }
     }
-    let spawned = Builder::new().stack_size(STACK_BYTES).spawn({
-        let shared = Arc::clone(shared);
-        move || {
-            let mut out = Vec::new();
-            send_error_and_close(&stream, &mut out, ErrorKind::TooManyConnections);
-            shared.refusals.fetch_sub(1, Ordering::AcqRel);
+
+    pub(crate) fn id(&self) -> u64 {
+        self.id
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        if self.is_refused {
+            self.shared.refusals.fetch_sub(1, Ordering::AcqRel);
+            return;
         }
-    });
-    if spawned.is_err() {
-        shared.refusals.fetch_sub(1, Ordering::AcqRel);
+        self.shared.connections().remove(self.id);
+        self.shared.changed.notify_all();
     }
 }
--- a/components/http/tests/server_limits.rs
+++ b/components/http/tests/server_limits.rs
@@ -210,3 +210,26 @@
     }
     server.stop();
 }
+
+/// A caller that stops reading its response must not keep the connection and the memory forever.
+#[test]
+fn silent_reader() {
+    let config = ServerConfig {
+        stop_grace_ms: 0,
+        ..config(200, 60_000)
+    };
+    let memory = config.memory.clone();
+    let server = start(config, |_, _| {
+        http::Response::new(200, vec![b'x'; 16 << 20])
+    });
+    let mut stream = connect(server.address());
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .unwrap();
+    read_until(&mut stream, "\r\n\r\n");
+    wait_until("the connection is closed", || {
+        server.connection_count() == 0
+    });
+    assert_eq!(memory.replies.held_bytes(), 0);
+    server.stop();
+}
