--- a/components/http/tests/waiting_connections.rs
+++ b/components/http/tests/waiting_connections.rs
@@ -11,6 +11,7 @@
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicUsize, Ordering},
+        mpsc::channel,
     },
 };
 
@@ -168,15 +169,17 @@
         max_connections: 1,
         ..config(NAME)
     };
-    let (release, released) = std::sync::mpsc::channel::<()>();
+    let (started, has_started) = channel();
+    let (release, released) = channel::<()>();
     let released = Mutex::new(released);
     let server = start(config, move |request, caller| {
+        started.send(()).unwrap();
         let _ = released.lock().unwrap().recv_timeout(TEST_TIMEOUT);
         echo(request, caller)
     });
     let mut busy = connect(server.address());
     busy.write_all(REQUEST).unwrap();
-    wait_until("the request runs", || count_threads(NAME) >= 2);
+    has_started.recv_timeout(TEST_TIMEOUT).unwrap();
     let threads = || fs::read_dir("/proc/self/task").unwrap().count();
     let before = threads();
     let crowd: Vec<_> = (0..30).map(|_| connect(server.address())).collect();
