Saturate shares of very large limits, and bound rates and bursts

What callers saw: with a burst of about 8.1e8 or a rate of about 1.6e9, a debug build of the leader panicked on the thread that handles reports, and a release build granted no share, so that each call asked the coordinator.

Cause: `share_holding_at_most` added 1 to a conversion that saturates.

Change: the addition saturates, as does the one in `max_held`. A configuration that is submitted is refused if a rate or a burst is above 1e9; stored ones are loaded as before, since they aren't checked.

The saturated share is larger than what any node needs, and the pool and the demand still bound what is granted.

--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -17,6 +17,9 @@
 const MAX_CUSTOMER_NAME_BYTES: usize = 128;
 /// Longest key in bytes.
 const MAX_KEY_BYTES: usize = 1_024;
+/// Largest rate and burst of a customer, 2,000 times the calls of the largest deployment. Quotas can't
+/// divide more than 5e8 calls per second: a share is a number of eighths in 32 bits.
+const MAX_CUSTOMER_AMOUNT: f64 = 1e9;
 /// A latency target that exceeds its route's timeout by this much must be a mistake, in
 /// milliseconds.
 const MAX_TARGET_EXCESS_MS: u64 = 60_000;
@@ -142,12 +145,10 @@
         if amounts
             .into_iter()
             .flatten()
-            .any(|amount| !amount.is_valid_amount())
+            .any(|amount| !amount.is_valid_amount() || amount.as_f64() > MAX_CUSTOMER_AMOUNT)
         {
-            report(
-                &customer.name,
-                "rate and burst must be 0 or more".to_owned(),
-            );
+            let reason = format!("rate and burst must be between 0 and {MAX_CUSTOMER_AMOUNT}");
+            report(&customer.name, reason);
         }
     }
 }
--- a/components/config/tests/customer_keys.rs
+++ b/components/config/tests/customer_keys.rs
@@ -2,8 +2,8 @@
 //! a customer's rank that doesn't take precedence.
 
 use config::{
-    ApiKey, CallerLimits, Configuration, Customer, Destination, Route, RouteTable, VirtualHost,
-    hash_key,
+    ApiKey, CallerLimits, Configuration, Customer, Destination, Quantity, Route, RouteTable,
+    VirtualHost, hash_key,
 };
 use model::{Priority, ServiceName};
 use std::sync::Arc;
@@ -121,3 +121,24 @@
     }
     assert_eq!(name_of(&table, "key-10000-0"), None);
 }
+
+/// Guards against limits whose amounts no calculation was made for, and against a bound that refuses
+/// those which deployments use.
+#[test]
+fn bounded_amounts() {
+    let check = |rate, burst| {
+        let mut limited = customer("choir", &["a"], None);
+        (limited.rate_per_s, limited.burst) = (rate, burst);
+        let mut configuration = table(None).configuration().as_ref().clone();
+        configuration.hosts.clear();
+        configuration.customers = Some(vec![limited]);
+        configuration.check().is_ok()
+    };
+    let largest = Some(Quantity::Whole(1_000_000_000));
+    assert!(check(largest, largest));
+    let above = [Quantity::Whole(1_000_000_001), Quantity::Fraction(1e300)];
+    for amount in above.map(Some) {
+        assert!(!check(amount, None), "rate {amount:?}");
+        assert!(!check(None, amount), "burst {amount:?}");
+    }
+}
--- a/components/quota/src/share.rs
+++ b/components/quota/src/share.rs
@@ -1,4 +1,5 @@
-//! Arithmetic of shares, the same at nodes and at the coordinator.
+//! Arithmetic of shares, the same at nodes and at the coordinator. Conversions saturate, since stored
+//! configurations may have amounts of any size.
 
 /// Shares per call per second.
 pub(crate) const UNITS_PER_CALL: f64 = 8.0;
@@ -40,7 +41,7 @@
 pub(crate) fn max_held(share: u32) -> u32 {
     match share {
         0 => 0,
-        _ => MIN_HELD + (per_s(share) * HOLD_S) as u32,
+        _ => MIN_HELD.saturating_add((per_s(share) * HOLD_S) as u32),
     }
 }
 
@@ -48,7 +49,9 @@
 pub(crate) fn share_holding_at_most(tokens: u64) -> u32 {
     match u32::try_from(tokens).unwrap_or(u32::MAX) {
         tokens if tokens < MIN_HELD => 0,
-        tokens => (f64::from(tokens - MIN_HELD) / HOLD_S * UNITS_PER_CALL) as u32 + 1,
+        tokens => {
+            ((f64::from(tokens - MIN_HELD) / HOLD_S * UNITS_PER_CALL) as u32).saturating_add(1)
+        }
     }
 }
 
