Keep tokens that come back in the window of the tolerance

What callers saw: with a tolerance, a customer could have more calls in a window than rate x window + burst and the tolerance allow, when tokens came back after the slot of their release had left the window.

Cause: `put_back` recorded them as negative in the newest slot. The sum of the window fell below what had been released in it, in the extreme below 0, and the tolerance of windows that began after the release rose by as much.

Change: tokens that come back refill the bucket and stay recorded as released. Recording them in the slot of their release is not possible: reports tell no time, and neither their format nor what older nodes send can change here.

Evidence: before, `late_returns` failed with "170 tokens in 5 s, at most 152 are allowed"; it passes now.

--- a/components/quota/src/customer.rs
+++ b/components/quota/src/customer.rs
@@ -207,11 +207,10 @@
         });
     }
 
-    /// Puts back eighths of tokens that a node did not use.
+    /// Puts back eighths of tokens that a node did not use. They stay recorded as released: when that
+    /// was is not known, and a window that began later must not gain by them.
     pub(crate) fn put_back(&mut self, returned: u32, is_settling: bool) {
-        let tokens = f64::from(returned) / UNITS_PER_CALL;
-        self.level += tokens;
-        self.record(self.updated_us, -tokens);
+        self.level += f64::from(returned) / UNITS_PER_CALL;
         self.clamp_level(is_settling);
     }
 
--- a/components/quota/src/tolerance.rs
+++ b/components/quota/src/tolerance.rs
@@ -86,7 +86,8 @@
         window
     }
 
-    /// Records tokens that were released; negative ones were given back.
+    /// Records tokens that were released. They count until their slot has left the window, also if
+    /// they are given back.
     pub(crate) fn record(&mut self, now_us: u64, tokens: f64) {
         self.advance(now_us);
         if let Some(newest) = self.released.back_mut() {
