Compute Retry-After of 429 from the customer's own refill

What callers saw: a customer with 0.2 calls/s was told to repeat its call after 0.25 s, although its next token came after 5 s. At a node with a small share of a large rate, callers were told to wait for the refill of the share, up to 5 s, although the customer got a token every few milliseconds.

Cause: the node took the refill of its share, and without a share the pause after which it asks the coordinator again, for the customer's refill.

Change: the gate tells the rate of the customer with each call. A refused call gets the time of the customer's next token, after those promised to the calls refused before; the last token that this node got counts too. The value is not shorter than the time in which the node refuses by itself (its pause, or the refill of its share if that is shorter). The cap of 5 s holds for the sum of the promises as before; a rate below 0.2/s may name its refill up to 60 s.

All pass now, with the other tests of the crate.

--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -13,7 +13,7 @@
 use refusal_log::RefusalLog;
 use reporter::Reporter;
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread::Builder,
     time::Duration,
@@ -94,8 +94,8 @@
     quota: NodeQuota,
     waiting: HashMap<Ticket, Sender<Verdict>>,
     next_ticket: Ticket,
-    /// Customers with a rate.
-    limited: HashSet<Arc<str>>,
+    /// Rates of the customers that have one, in calls per second.
+    limited: HashMap<Arc<str>, f64>,
     configuration: Option<Arc<Configuration>>,
     refusal_log: RefusalLog,
     /// Decisions by customer; only customers with a rate have an entry.
@@ -121,7 +121,7 @@
                     quota: NodeQuota::new(Clock::boot_us()),
                     waiting: HashMap::new(),
                     next_ticket: 0,
-                    limited: HashSet::new(),
+                    limited: HashMap::new(),
                     configuration: None,
                     refusal_log: RefusalLog::default(),
                     counts: HashMap::new(),
@@ -177,12 +177,13 @@
 
     fn decide_or_wait(&self, customer: &Arc<str>) -> Decision {
         let mut state = self.lock();
-        if !state.limited.contains(customer) {
+        let Some(rate_per_s) = state.limited.get(customer).copied() else {
             return Decision::Unlimited;
-        }
+        };
         state.next_ticket += 1;
         let ticket = state.next_ticket;
-        match state.quota.admit(Clock::boot_us(), customer, ticket) {
+        let now_us = Clock::boot_us();
+        match state.quota.admit(now_us, customer, rate_per_s, ticket) {
             Admission::Decided(verdict) => Decision::Made(verdict),
             Admission::Waiting => {
                 let (sender, decision) = bounded(1);
@@ -246,15 +247,15 @@
         let customers = customers.unwrap_or_default();
         let names = customers.iter().map(|customer| Arc::clone(&customer.name));
         state.quota.set_customers(Clock::boot_us(), names);
-        let limited = customers.iter().filter(|customer| {
-            let rate = customer.rate_per_s;
-            rate.is_some_and(|rate| rate.as_f64() > 0.0)
+        let limited = customers.iter().filter_map(|customer| {
+            let rate_per_s = customer.rate_per_s?.as_f64();
+            (rate_per_s > 0.0).then(|| (Arc::clone(&customer.name), rate_per_s))
         });
-        state.limited = limited.map(|customer| Arc::clone(&customer.name)).collect();
+        state.limited = limited.collect();
         let GateState {
             counts, limited, ..
         } = &mut *state;
-        counts.retain(|customer, _| limited.contains(customer));
+        counts.retain(|customer, _| limited.contains_key(customer));
         state.configuration = set.configuration().cloned();
     }
 
@@ -310,7 +311,7 @@
 impl GateState {
     /// Counts a decision, if the customer still has a rate.
     fn count(&mut self, customer: &Arc<str>, change: impl FnOnce(&mut Counts)) {
-        if self.limited.contains(customer) {
+        if self.limited.contains_key(customer) {
             change(self.counts.entry(Arc::clone(customer)).or_default());
         }
     }
--- a/components/quota/src/local.rs
+++ b/components/quota/src/local.rs
@@ -20,8 +20,11 @@
 /// Change of the needed share from which it is reported, as factors.
 const LOWER: f64 = 0.7;
 const HIGHER: f64 = 1.25;
-/// Longest time after which a refused call is to be repeated.
-const MAX_RETRY_US: u64 = 5_000_000;
+/// Longest time after which a refused call is to be repeated, unless the customer's next token comes
+/// later. Callers that don't repeat their calls must not delay others for longer.
+const MAX_BACKLOG_US: u64 = 5_000_000;
+/// Longest time after which a refused call is to be repeated, for rates below one call per minute.
+const MAX_RETRY_US: u64 = 60_000_000;
 /// Least part of a token that is given back.
 const MIN_RETURNED: f64 = 1.0 / UNITS_PER_CALL;
 /// Time whose share is given back at once, in seconds.
@@ -44,8 +47,10 @@
     /// The coordinator is not asked again before.
     paused_until_us: u64,
     reported_us: u64,
-    /// Time at which the call that was refused last is to be repeated.
-    retry_us: u64,
+    /// Time in which the customer gets a token over all nodes, at most [`MAX_RETRY_US`].
+    refill_us: u64,
+    /// Time of the last token, taken by a call or expected for one that was refused.
+    last_token_us: Option<u64>,
 }
 
 impl LocalQuota {
@@ -62,11 +67,14 @@
             returned: 0.0,
             paused_until_us: 0,
             reported_us: 0,
-            retry_us: 0,
+            refill_us: 0,
+            last_token_us: None,
         }
     }
 
-    pub(crate) fn count_arrival(&mut self, now_us: u64) {
+    /// Counts a call of a customer with this rate over all nodes.
+    pub(crate) fn count_arrival(&mut self, now_us: u64, rate_per_s: f64) {
+        self.refill_us = (1e6 / rate_per_s).min(MAX_RETRY_US as f64) as u64;
         self.arrivals = self.arrivals.saturating_add(1);
         self.last_call_us = now_us;
     }
@@ -74,14 +82,15 @@
     /// Takes a token, if there is one that no earlier call waits for.
     pub(crate) fn try_take(&mut self, now_us: u64) -> bool {
         self.accrue(now_us);
-        self.waiting.is_empty() && self.take_granted()
+        self.waiting.is_empty() && self.take_granted(now_us)
     }
 
     /// Takes a token that has been granted already.
-    pub(crate) fn take_granted(&mut self) -> bool {
+    pub(crate) fn take_granted(&mut self, now_us: u64) -> bool {
         let has_token = self.held >= 1.0;
         if has_token {
             self.held -= 1.0;
+            self.last_token_us = self.last_token_us.max(Some(now_us));
         }
         has_token
     }
@@ -101,17 +110,23 @@
         (left_us > 0).then_some(left_us.div_ceil(1_000))
     }
 
-    /// Time until a token is refilled for one more refused call, after those that were refused
-    /// before and are still to be repeated.
+    /// Time until the customer gets a token for one more refused call, after those that were refused
+    /// before and are still to be repeated, by its rate over all nodes. The node refuses calls until
+    /// the pause is over or its share has a token, so the time is not shorter than that.
     pub(crate) fn retry_after_ms(&mut self, now_us: u64, pause_ms: u64) -> u64 {
-        let refill_us = match self.share {
-            0 => pause_ms.max(1) * 1_000,
-            share => (1e6 / per_s(share)) as u64,
+        let pause_us = match self.share {
+            0 => pause_ms * 1_000,
+            share => (pause_ms * 1_000).min((1e6 / per_s(share)) as u64),
         };
-        let earliest_us = now_us + pause_ms * 1_000;
-        let latest_us = now_us + MAX_RETRY_US;
-        self.retry_us = (self.retry_us + refill_us).clamp(earliest_us, latest_us);
-        (self.retry_us - now_us).div_ceil(1_000)
+        // If the last token is long ago, other nodes have got those since.
+        let next_us = self.last_token_us.map(|last_us| last_us + self.refill_us);
+        let next_us = next_us
+            .filter(|next_us| *next_us > now_us)
+            .unwrap_or(now_us + self.refill_us);
+        let latest_us = now_us + self.refill_us.max(MAX_BACKLOG_US);
+        let retry_us = next_us.max(now_us + pause_us).min(latest_us);
+        self.last_token_us = Some(retry_us);
+        (retry_us - now_us).div_ceil(1_000)
     }
 
     pub(crate) fn add_waiting(&mut self, now_us: u64, ticket: Ticket) {
@@ -151,6 +166,7 @@
             && let Some((_, ticket)) = self.waiting.pop_front()
         {
             self.held -= 1.0;
+            self.last_token_us = self.last_token_us.max(Some(now_us));
             served.push(ticket);
         }
         served
--- a/components/quota/src/node.rs
+++ b/components/quota/src/node.rs
@@ -111,14 +111,21 @@
         self.list = list;
     }
 
-    /// Decides about a call of a customer, or lets it wait under the ticket.
-    pub fn admit(&mut self, now_us: u64, customer: &Arc<str>, ticket: Ticket) -> Admission {
+    /// Decides about a call of a customer with this rate over all nodes, or lets it wait under the
+    /// ticket.
+    pub fn admit(
+        &mut self,
+        now_us: u64,
+        customer: &Arc<str>,
+        rate_per_s: f64,
+        ticket: Ticket,
+    ) -> Admission {
         self.drop_expired(now_us);
         let quota = self
             .customers
             .entry(Arc::clone(customer))
             .or_insert_with(|| LocalQuota::new(now_us));
-        quota.count_arrival(now_us);
+        quota.count_arrival(now_us, rate_per_s);
         if quota.try_take(now_us) {
             return Admission::Decided(Verdict::Admitted);
         }
@@ -334,7 +341,7 @@
                 continue;
             };
             for ticket in quota.take_waiting(asked) {
-                let verdict = if quota.take_granted() {
+                let verdict = if quota.take_granted(now_us) {
                     Verdict::Admitted
                 } else if has_lease {
                     let pause_ms = quota.pause_ms(now_us).unwrap_or(0);
--- a/components/quota/tests/common/mod.rs
+++ b/components/quota/tests/common/mod.rs
@@ -302,7 +302,11 @@
         }
         self.next_ticket += 1;
         let name = Arc::clone(&self.loads[load].name);
-        match state.quota.admit(self.now_us, &name, self.next_ticket) {
+        let rate = self.loads[load].limit.limited_rate().unwrap_or(f64::MAX);
+        let admission = state
+            .quota
+            .admit(self.now_us, &name, rate, self.next_ticket);
+        match admission {
             Admission::Decided(verdict) => self.record(load, node, verdict, self.now_us),
             Admission::Waiting => {
                 state.waiting.insert(self.next_ticket, (load, self.now_us));
--- a/components/quota/tests/limit_changes.rs
+++ b/components/quota/tests/limit_changes.rs
@@ -88,10 +88,10 @@
     let (first, second) = (Arc::from("a"), Arc::from("b"));
     let mut node = NodeQuota::new(0);
     node.set_customers(0, [Arc::clone(&second)]);
-    assert_eq!(node.admit(0, &second, 1), Admission::Waiting);
+    assert_eq!(node.admit(0, &second, 1.0, 1), Admission::Waiting);
     let report = node.poll(0).expect("a report");
     node.set_customers(1_000, [Arc::clone(&first), Arc::clone(&second)]);
-    assert_eq!(node.admit(1_000, &first, 2), Admission::Waiting);
+    assert_eq!(node.admit(1_000, &first, 1.0, 2), Admission::Waiting);
     let grant = |customer| {
         QuotaAnswer::Granted(QuotaGrants {
             epoch: 1,
