Give tokens back for calls answered with a stored response

What callers saw: a call that was sent again with its idempotency key cost its customer a token, although no upstream ran it. A customer that resends calls got 429 inside its limit.

Cause: the entry gave tokens back for refused calls only. The path of a key claim ends in three more ways without a run of this call: with the answer of the holder, with `key-in-progress` and with `key-outcome-unknown` (a keyed call has one open attempt, which has not been sent while it claims or waits).

Change: the driver notes that the delivered answer is that of another call; the token comes back then and with the two error kinds. The call of the holder was charged for its run.

--- a/components/bench/tests/quotas.rs
+++ b/components/bench/tests/quotas.rs
@@ -4,8 +4,12 @@
 mod system;
 
 use bench::deployment::{Deployment, DeploymentConfig};
-use config::{CallerLimits, Configuration, Customer, Quantity};
+use config::{
+    ApiKey, CallerLimits, ColdLimit, Configuration, Customer, Destination, Quantity, Route,
+    Service, VirtualHost,
+};
 use errors::ErrorKind;
+use model::ServiceName;
 use node::QuotaGate;
 use std::{
     sync::{
@@ -15,9 +19,10 @@
     thread,
     time::{Duration, Instant},
 };
-use system::{test_lock, wait_until};
+use system::{SERVICE, execution_count, request, send, start_upstreams, test_lock, wait_until};
 
 const RATE: i64 = 60;
+const SMALL_RATE: i64 = 2;
 const WINDOW: Duration = Duration::from_secs(5);
 /// The required bound; the pause of a thread between its admission and its record of it counts too.
 const MOST_IN_WINDOW: f64 = (RATE as f64 * 5.0 + RATE as f64) * 1.1 + 20.0;
@@ -51,11 +56,46 @@
     }
 }
 
-fn start() -> Deployment {
+/// A customer with few calls on a route whose calls must not run twice.
+fn keyed_route() -> Configuration {
+    let service = ServiceName::parse(SERVICE).unwrap();
+    let route = Route {
+        name: Arc::from("order"),
+        path_prefix: Arc::from("/"),
+        idempotent: false,
+        timeout_ms: 10_000,
+        latency_target_ms: 1_000,
+        rank: 1,
+        attempts: 2,
+        is_public: false,
+        destination: Destination::Service(service.clone()),
+    };
+    Configuration {
+        services: vec![Service {
+            name: service,
+            health_path: Arc::from("/health"),
+            max_connections: 16,
+            protocol: Arc::from("h1"),
+            tls: false,
+            cold: ColdLimit::default(),
+        }],
+        hosts: vec![VirtualHost {
+            host: Arc::from(SERVICE),
+            routes: vec![route],
+        }],
+        customers: Some(vec![Customer {
+            keys: vec![ApiKey::Plain(Arc::from("a-key"))],
+            ..customer("small", Some(SMALL_RATE))
+        }]),
+        ..configuration(1)
+    }
+}
+
+fn start(configuration: &Configuration) -> Deployment {
     let mut config = DeploymentConfig::new(&["zone-1", "zone-2", "zone-3"]);
     config.decision_log_percent = 0;
     let deployment = Deployment::start(&config).unwrap();
-    deployment.configure(&configuration(1)).unwrap();
+    deployment.configure(configuration).unwrap();
     for index in 0..3 {
         wait_until("the configuration is in effect", || {
             let routes = deployment.node(index).profiles.routes();
@@ -115,7 +155,7 @@
 #[test]
 fn killed_leader() {
     let _lock = test_lock();
-    let mut deployment = start();
+    let mut deployment = start(&configuration(1));
     let stop = Arc::new(AtomicBool::new(false));
     // Three senders of about 250 calls/s each, and three of 10 calls/s each.
     let (busy, mut senders) = send_calls(&deployment, "busy", Duration::from_millis(4), &stop);
@@ -167,3 +207,31 @@
     assert_eq!(refused(&unlimited, settled, ErrorKind::QuotaExceeded), 0);
     assert_eq!(refused(&unlimited, settled, ErrorKind::QuotaUnconfirmed), 0);
 }
+
+/// A call that is sent again with its idempotency key gets the answer to the first. Since no upstream
+/// runs it, it must not use up the customer's limit.
+#[test]
+fn stored_answers() {
+    let _lock = test_lock();
+    let deployment = start(&keyed_route());
+    let upstreams = start_upstreams(&deployment, 1);
+    let headers = [
+        ("authorization", "Bearer a-key"),
+        ("idempotency-key", "key-1"),
+    ];
+    let call = request("order-1", "POST", &headers, "an order");
+    let status = || send(deployment.call_address(1), &call).map_or(0, |answer| answer.status);
+    wait_until("the call is answered", || status() == 200);
+    let start = Instant::now();
+    let answered = (0..200).filter(|_| {
+        // The token comes back just after the answer has been sent.
+        thread::sleep(Duration::from_millis(10));
+        status() == 200
+    });
+    let answered = answered.count() as f64;
+    let tokens = start.elapsed().as_secs_f64() * SMALL_RATE as f64;
+    println!("{answered} answers, refill of {tokens:.1} tokens");
+    // A full bucket has fewer than the 10 tokens.
+    assert!(answered > tokens + 10.0, "{answered} with {tokens} tokens");
+    assert_eq!(execution_count(&upstreams, "order-1"), 1);
+}
--- a/components/node/src/entry/driver/mod.rs
+++ b/components/node/src/entry/driver/mod.rs
@@ -17,7 +17,7 @@
     collections::{HashMap, HashSet, VecDeque},
     sync::{
         Arc, Condvar, Mutex, MutexGuard, PoisonError, TryLockError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Instant,
 };
@@ -60,6 +60,8 @@
     inbox: Mutex<Inbox>,
     wake_up: Condvar,
     wake_us: AtomicU64,
+    /// Whether the answer is that of another call with the same idempotency key.
+    has_stored_answer: AtomicBool,
 }
 
 /// State of one call, locked by the thread that handles its events.
@@ -109,6 +111,7 @@
             entry: Arc::clone(entry),
             early_reply: caller.early_reply(),
             wake_us: AtomicU64::new(call.deadline_us),
+            has_stored_answer: AtomicBool::new(false),
             call,
             routes,
             state: Mutex::new(DriverState {
@@ -145,6 +148,11 @@
         }
     }
 
+    /// Whether the call was answered by the response to another call with its idempotency key.
+    pub(crate) fn has_stored_answer(&self) -> bool {
+        self.has_stored_answer.load(Ordering::Acquire)
+    }
+
     /// Queues an event and handles it in this thread, unless another thread is handling events of
     /// this call, which then handles this one too.
     pub(crate) fn dispatch(self: &Arc<Self>, event: CallEvent) {
@@ -307,7 +315,9 @@
                 return Some(Event::HedgeAllowed(state.is_hedge));
             }
             Action::WakeAt(at_us) => self.set_wake_time(at_us),
-            Action::Deliver(_, answer) => {
+            Action::Deliver(attempt, answer) => {
+                let is_stored = attempt.call != self.call.call;
+                self.has_stored_answer.store(is_stored, Ordering::Release);
                 let now_us = self.now_us();
                 self.routes
                     .with_budgets(&self.call.profile, |b| b.retry.on_success(now_us));
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -218,8 +218,9 @@
         metrics.calls.get_or_create(&labels).inc();
         let (call, service) = (prepared.call, prepared.service.clone());
         let customer = customer_note(prepared.customer.as_deref());
-        let result = CallDriver::new(self, prepared, caller).run(caller);
-        Self::settle_quota(permit, &result);
+        let driver = CallDriver::new(self, prepared, caller);
+        let result = driver.run(caller);
+        Self::settle_quota(permit, &result, driver.has_stored_answer());
         let elapsed_us = self.context.kernel.clock.now_us() - arrived_us;
         metrics
             .call_seconds
--- a/components/node/src/entry/quota.rs
+++ b/components/node/src/entry/quota.rs
@@ -15,11 +15,18 @@
         }
     }
 
-    /// Gives the token of a call back if no upstream has run or will run it.
-    pub(super) fn settle_quota(permit: QuotaPermit, result: &Result<Response, ErrorKind>) {
-        if let Err(kind) = result
-            && has_surely_not_run(*kind)
-        {
+    /// Gives the token of a call back if no upstream has run or will run it. A stored answer is that of
+    /// another call, which was charged for its run.
+    pub(super) fn settle_quota(
+        permit: QuotaPermit,
+        result: &Result<Response, ErrorKind>,
+        has_stored_answer: bool,
+    ) {
+        let has_not_run = match result {
+            Ok(_) => has_stored_answer,
+            Err(kind) => has_surely_not_run(*kind),
+        };
+        if has_not_run {
             permit.give_back();
         }
     }
@@ -38,9 +45,14 @@
 }
 
 /// Whether a call that ended like this has surely not run. One whose caller has left ends as cancelled
-/// before its owner tells whether it was running.
+/// before its owner tells whether it was running. One whose idempotency key another call holds was not
+/// sent; only the outcome of the other is unknown.
 fn has_surely_not_run(kind: ErrorKind) -> bool {
-    kind.is_not_run() && kind != ErrorKind::Cancelled
+    match kind {
+        ErrorKind::Cancelled => false,
+        ErrorKind::KeyInProgress | ErrorKind::KeyOutcomeUnknown => true,
+        _ => kind.is_not_run(),
+    }
 }
 
 #[cfg(test)]
--- a/components/node/tests/inside/quota_tokens.rs
+++ b/components/node/tests/inside/quota_tokens.rs
@@ -23,6 +23,9 @@
         ErrorKind::Overloaded,
         ErrorKind::NoUpstream,
         ErrorKind::DeadlineExpired,
+        ErrorKind::KeyInProgress,
+        ErrorKind::KeyOutcomeUnknown,
+        ErrorKind::KeyUnconfirmed,
     ] {
         assert!(has_surely_not_run(kind), "{kind}");
     }
