Don't hold calls to public routes for the proof at the start

What callers saw: with `--start-wait-ms`, a call to a public route waited at a starting node until the node had its proof of strict revocation, up to the whole time, although such a call needs no key. Without a quorum of the control group each one waited that long.

Cause: the entry held each call until the node could decide about all calls.

Change: a call to a public route, or without a route, goes on as soon as the configuration is there. It doesn't end the wait of calls that need a key.

The tests of `start_wait` are rewritten for the new signature, with strict checks: calls run in threads that the test doesn't join, and must return in 30 s. The earlier ones passed with an empty `notify`, after 600 s.

--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -72,7 +72,7 @@
         })
     }
 
-    /// Whether calls can be routed and, if customers are configured, their keys be accepted.
+    /// Whether all calls can be routed and, if customers are configured, their keys be accepted.
     pub(crate) fn can_decide_about_calls(&self) -> bool {
         let routes = self.kernel.profiles.routes();
         routes.is_some_and(|table| table.customers().is_none() || self.revocation.may_accept_keys())
--- a/components/node/src/entry/customers.rs
+++ b/components/node/src/entry/customers.rs
@@ -59,6 +59,18 @@
 }
 
 impl Entry {
+    /// Whether a request can be answered without a check of its key: the configuration is there, and
+    /// the route is public or there is none.
+    pub(super) fn needs_no_key(&self, request: &Request) -> bool {
+        let Some(table) = self.context.kernel.profiles.routes() else {
+            return false;
+        };
+        let host = request.headers.get("host").unwrap_or_default();
+        let path = request.target.split('?').next().unwrap_or("/");
+        let matched = table.find(host.trim(), path);
+        matched.is_none_or(|matched| matched.route.is_public)
+    }
+
     /// Checks a call again before it is sent: its key may have been taken back since it arrived.
     pub(super) fn check_key(&self, call: &PreparedCall) -> Result<(), ErrorKind> {
         let Some(key_hash) = &call.key_hash else {
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -188,7 +188,7 @@
         let prepared = if self.is_stop_notice_over(arrived_us) {
             Err((None, ErrorKind::Stopping))
         } else {
-            self.wait_for_start();
+            self.wait_for_start(&request);
             self.prepare(request, arrived_us)
         };
         let prepared = match prepared {
@@ -238,11 +238,12 @@
         }
     }
 
-    /// Waits while the node starts until it can decide about calls.
-    fn wait_for_start(&self) {
+    /// Waits while the node starts until it can decide about the call.
+    fn wait_for_start(&self, request: &Request) {
         if self.context.kernel.node_settings().require_configuration {
-            let can_decide = || self.context.can_decide_about_calls();
-            self.context.start_wait.hold(can_decide);
+            let has_started = || self.context.can_decide_about_calls();
+            let can_decide = || self.needs_no_key(request);
+            self.context.start_wait.hold(has_started, can_decide);
         }
     }
 
--- a/components/node/src/start_wait.rs
+++ b/components/node/src/start_wait.rs
@@ -39,19 +39,20 @@
         self.changed.notify_all();
     }
 
-    /// Waits until `can_decide`; returns at once if that was the case for an earlier call.
-    pub(crate) fn hold(&self, can_decide: impl Fn() -> bool) {
+    /// Waits until the node `has_started`, so that it can decide about every call, or `can_decide`
+    /// about this one. Returns at once if it had started when an earlier call came.
+    pub(crate) fn hold(&self, has_started: impl Fn() -> bool, can_decide: impl Fn() -> bool) {
         if self.has_started.load(Ordering::Acquire) {
             return;
         }
         let mut guard = self.lock.lock().unwrap_or_else(PoisonError::into_inner);
         loop {
-            if can_decide() {
+            if has_started() {
                 self.has_started.store(true, Ordering::Release);
                 return;
             }
             let left = self.until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            if left.is_zero() || can_decide() {
                 return;
             }
             let waited = self.changed.wait_timeout(guard, left);
@@ -64,39 +65,86 @@
 mod tests {
     use super::StartWait;
     use std::{
-        sync::atomic::{AtomicBool, Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+            mpsc::{Receiver, channel},
+        },
         thread,
-        time::{Duration, Instant},
+        time::Duration,
     };
 
     /// Longer than any test runs, so that only the notification ends a wait.
     const LONG: Duration = Duration::from_secs(600);
+    /// Time in which a call that is not held returns, on a slow machine too.
+    const RETURN_TIME: Duration = Duration::from_secs(30);
+    /// Time in which a call that is wrongly not held returns on a usual machine.
+    const HELD_TIME: Duration = Duration::from_millis(200);
+
+    /// A call in a thread of its own, which a failed test leaves behind. The channel tells its end.
+    fn start_call(
+        wait: &Arc<StartWait>,
+        has_started: impl Fn() -> bool + Send + 'static,
+        can_decide: bool,
+    ) -> Receiver<()> {
+        let (sender, end) = channel();
+        let wait = Arc::clone(wait);
+        thread::spawn(move || {
+            wait.hold(has_started, || can_decide);
+            // Fails if the test is over.
+            let _ = sender.send(());
+        });
+        end
+    }
+
+    fn assert_returned(end: &Receiver<()>) {
+        assert_eq!(end.recv_timeout(RETURN_TIME), Ok(()), "the call is held");
+    }
 
     /// Guards against calls that stay held although the node can decide about them.
     #[test]
     fn released_on_notification() {
-        let wait = StartWait::new(LONG);
-        let can_decide = AtomicBool::new(false);
-        thread::scope(|scope| {
-            let held: Vec<_> = (0..8)
-                .map(|_| scope.spawn(|| wait.hold(|| can_decide.load(Ordering::Acquire))))
-                .collect();
-            can_decide.store(true, Ordering::Release);
-            wait.notify();
-            held.into_iter().for_each(|call| call.join().unwrap());
-        });
+        let wait = Arc::new(StartWait::new(LONG));
+        let has_started = Arc::new(AtomicBool::new(false));
+        let (checked, checks) = channel();
+        let calls: Vec<_> = (0..8)
+            .map(|_| {
+                let (has_started, checked) = (Arc::clone(&has_started), checked.clone());
+                let check = move || {
+                    let _ = checked.send(());
+                    has_started.load(Ordering::Acquire)
+                };
+                start_call(&wait, check, false)
+            })
+            .collect();
+        // Each call has checked once and waits, or will before the notification gets the lock.
+        calls.iter().for_each(|_| assert_returned(&checks));
+        has_started.store(true, Ordering::Release);
+        wait.notify();
+        calls.iter().for_each(assert_returned);
     }
 
     /// Guards against waits of calls that arrive after the start, such as in an outage of the
     /// control group: they must be refused at once.
     #[test]
     fn no_wait_after_start() {
-        let wait = StartWait::new(LONG);
-        wait.hold(|| true);
-        wait.hold(|| false);
-        let over = StartWait::new(Duration::ZERO);
-        let start = Instant::now();
-        over.hold(|| false);
-        assert!(start.elapsed() < LONG);
+        let wait = Arc::new(StartWait::new(LONG));
+        assert_returned(&start_call(&wait, || true, false));
+        assert_returned(&start_call(&wait, || false, false));
+        let over = Arc::new(StartWait::new(Duration::ZERO));
+        assert_returned(&start_call(&over, || false, false));
+    }
+
+    /// Guards against calls to public routes that wait for the proof for keys, and against other calls
+    /// that are not held after one of them.
+    #[test]
+    fn no_wait_without_key() {
+        let wait = Arc::new(StartWait::new(LONG));
+        assert_returned(&start_call(&wait, || false, true));
+        let held = start_call(&wait, || false, false);
+        assert!(
+            held.recv_timeout(HELD_TIME).is_err(),
+            "the call is not held"
+        );
     }
 }
