Drop old proofs and reports of nodes when new ones come in

What callers saw: the memory of a control replica grew with each node address that ever asked for a proof or pulled from it, as with nodes that come back on new addresses, until an operator asked for the list.

Cause: `Confirmations::proofs` and `NodeReports` dropped old entries only when they were listed.

Lists are as before: values of the last 60 s.

--- a/components/control/src/confirm.rs
+++ b/components/control/src/confirm.rs
@@ -1,13 +1,12 @@
 //! Answers the questions of nodes and followers for the group's revision; all that wait share one
 //! quorum read.
 
-use crate::context::ControlContext;
+use crate::{context::ControlContext, latest_by_node::LatestByNode};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use mesh::Inbound;
 use model::Revision;
 use revocation::RevisionReads;
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -27,9 +26,6 @@
 /// Longest wait for a question, and with it the longest delay of a stop.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
-/// Age at which the proof of a silent node is forgotten.
-const FORGET_AFTER_US: u64 = 60_000_000;
-
 /// Who asked.
 pub(crate) enum Asker {
     /// A node, with `Confirm`, at this time.
@@ -42,8 +38,8 @@
 pub(crate) struct Confirmations {
     reads: Mutex<RevisionReads<Asker>>,
     wake: (Sender<()>, Receiver<()>),
-    /// Times of the last questions of nodes that were answered.
-    proofs: Mutex<BTreeMap<SocketAddr, u64>>,
+    /// The last questions of nodes that were answered, by the times at which they arrived.
+    proofs: Mutex<LatestByNode<()>>,
 }
 
 impl Default for Confirmations {
@@ -74,21 +70,17 @@
     /// Ages of the proofs that this replica gave, in milliseconds.
     pub(crate) fn proof_ages(&self, now_us: u64) -> Vec<(SocketAddr, u64)> {
         let mut proofs = self.lock_proofs();
-        proofs.retain(|_, asked_us| now_us < *asked_us + FORGET_AFTER_US);
-        let age_ms = |asked_us: &u64| now_us.saturating_sub(*asked_us) / 1_000;
-        proofs
-            .iter()
-            .map(|(node, asked_us)| (*node, age_ms(asked_us)))
-            .collect()
+        let ages = proofs.list(now_us);
+        ages.map(|(node, age_ms, ())| (node, age_ms)).collect()
     }
 
     fn note_proof(&self, asker: &Asker) {
         if let Asker::Node(inbound, asked_us) = asker {
-            self.lock_proofs().insert(inbound.from.mesh, *asked_us);
+            self.lock_proofs().record(*asked_us, inbound.from.mesh, ());
         }
     }
 
-    fn lock_proofs(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, u64>> {
+    fn lock_proofs(&self) -> MutexGuard<'_, LatestByNode<()>> {
         self.proofs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,6 +5,7 @@
 mod context;
 mod customers;
 mod keeper;
+mod latest_by_node;
 mod node_proofs;
 mod operator;
 mod operator_api;
--- a/components/control/src/reports.rs
+++ b/components/control/src/reports.rs
@@ -1,5 +1,6 @@
 //! Reports that nodes send with their pulls.
 
+use crate::latest_by_node::LatestByNode;
 use model::{NodeId, ProfileName};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,39 +11,31 @@
 
 /// Age of a report from which its node counts as stale, in milliseconds: three missed pulls.
 pub(crate) const STALE_AFTER_MS: u64 = 3_500;
-/// Age at which the report of a silent node is dropped, in milliseconds.
-const FORGET_AFTER_MS: u64 = 60_000;
 /// Age from which the report of a leaving node is not listed, in milliseconds.
 const FORGET_LEAVING_MS: u64 = 2_000;
 
 /// Latest reports of the nodes that pull from one replica.
 #[derive(Default)]
 pub(crate) struct NodeReports {
-    latest: Mutex<BTreeMap<SocketAddr, (u64, NodeReport)>>,
+    latest: Mutex<LatestByNode<NodeReport>>,
 }
 
 impl NodeReports {
     pub(crate) fn record(&self, now_us: u64, report: NodeReport) {
-        self.lock().insert(report.node.mesh, (now_us, report));
+        self.lock().record(now_us, report.node.mesh, report);
     }
 
     /// Drops old reports and returns the others with their ages.
     pub(crate) fn list(&self, now_us: u64) -> Vec<NodeReport> {
         let mut latest = self.lock();
-        latest.retain(|_, (at_us, _)| {
-            let age_ms = now_us.saturating_sub(*at_us) / 1000;
-            age_ms < FORGET_AFTER_MS
+        let reports = latest.list(now_us).map(|(_, age_ms, report)| NodeReport {
+            age_ms,
+            ..report.clone()
         });
-        latest
-            .values()
-            .map(|(at_us, report)| NodeReport {
-                age_ms: now_us.saturating_sub(*at_us) / 1000,
-                ..report.clone()
-            })
-            .collect()
+        reports.collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, (u64, NodeReport)>> {
+    fn lock(&self) -> MutexGuard<'_, LatestByNode<NodeReport>> {
         self.latest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
