Forget customers that were renamed or removed

What callers saw: nothing; the leader's memory, and its time for each change of the configuration, grew with each customer that was ever renamed or removed in its term.

Cause: the coordinator numbers customers and never used a number again. It also kept what nodes had held of a removed customer, since nodes drop that without a report.

Change: a customer that was removed 10 s and a window of the tolerance ago, that none of the last four lists names and of which no node holds anything is forgotten at the next change, and its number used again. A node whose list lacks a customer holds nothing of it any more. Nodes drop what they kept of a removed customer for its waiting calls.

Evidence: before, `renamed_customers_are_forgotten` failed with "101 customers are kept of 100, one exists"; now at most 30.

--- a/components/quota/src/coordinator.rs
+++ b/components/quota/src/coordinator.rs
@@ -17,6 +17,9 @@
 
 /// Former lists of customers that are still understood, for nodes with an older configuration.
 const KEPT_LISTS: usize = 4;
+/// Time after its removal, with the window of the tolerance, for which a customer is kept: a lease and
+/// a window, so that one that is added again has no second burst in a window.
+const FORGET_AFTER_US: u64 = 10_000_000;
 /// Interval of the check for expired leases.
 const EXPIRY_INTERVAL_US: u64 = 50_000;
 
@@ -45,6 +48,8 @@
     customers: Vec<CustomerQuota>,
     names: Vec<Arc<str>>,
     by_name: HashMap<Arc<str>, usize>,
+    /// Numbers of forgotten customers, to be used again.
+    free: Vec<usize>,
     lists: VecDeque<CustomerList>,
     nodes: BTreeMap<SocketAddr, NodeState>,
     next_expiry_us: u64,
@@ -63,6 +68,7 @@
             customers: Vec::new(),
             names: Vec::new(),
             by_name: HashMap::new(),
+            free: Vec::new(),
             lists: VecDeque::new(),
             nodes: BTreeMap::new(),
             next_expiry_us: started_us,
@@ -86,7 +92,11 @@
         let limits: BTreeMap<Arc<str>, CustomerLimit> = customers.into_iter().collect();
         for (name, limit) in &limits {
             match self.by_name.get(name) {
-                Some(index) => self.change_limit(now_us, *index, *limit),
+                Some(index) => {
+                    let index = *index;
+                    self.change_limit(now_us, index, *limit);
+                    self.customers[index].set_present();
+                }
                 None => {
                     let mut quota = match (is_first, self.is_settling) {
                         (true, true) => CustomerQuota::new(self.started_us, *limit, false),
@@ -94,15 +104,14 @@
                         (false, _) => CustomerQuota::new(now_us, *limit, true),
                     };
                     quota.tolerate(now_us, self.tolerance, !is_first);
-                    self.by_name.insert(Arc::clone(name), self.customers.len());
-                    self.names.push(Arc::clone(name));
-                    self.customers.push(quota);
+                    self.insert(Arc::clone(name), quota);
                 }
             }
         }
         for index in 0..self.customers.len() {
             if !limits.contains_key(&self.names[index]) {
                 self.change_limit(now_us, index, CustomerLimit::default());
+                self.customers[index].set_removed(now_us);
             }
         }
         let list = CustomerList::new(limits.into_keys());
@@ -110,6 +119,38 @@
             self.lists.push_front(list);
             self.lists.truncate(KEPT_LISTS);
         }
+        self.forget_removed(now_us);
+    }
+
+    fn insert(&mut self, name: Arc<str>, quota: CustomerQuota) {
+        let index = self.free.pop().unwrap_or(self.customers.len());
+        if index == self.customers.len() {
+            self.names.push(Arc::clone(&name));
+            self.customers.push(quota);
+        } else {
+            self.names[index] = Arc::clone(&name);
+            self.customers[index] = quota;
+        }
+        self.by_name.insert(name, index);
+    }
+
+    /// Forgets customers that were removed long ago, that no node holds anything of and that no report
+    /// can name.
+    fn forget_removed(&mut self, now_us: u64) {
+        let keep_us = FORGET_AFTER_US + (self.tolerance.window_s * 1e6) as u64;
+        for (index, quota) in self.customers.iter_mut().enumerate() {
+            let name = &self.names[index];
+            if !quota.is_unused_since(now_us.saturating_sub(keep_us))
+                || self.by_name.get(name) != Some(&index)
+                || self.lists.iter().any(|list| list.number(name).is_some())
+            {
+                continue;
+            }
+            self.by_name.remove(name);
+            self.names[index] = Arc::from("");
+            *quota = CustomerQuota::default();
+            self.free.push(index);
+        }
     }
 
     /// Handles the report of a node.
@@ -151,6 +192,11 @@
         })
     }
 
+    /// Number of customers that are kept, with former ones.
+    pub fn kept_customers(&self) -> usize {
+        self.customers.len()
+    }
+
     /// Use of all customers with a rate, by name.
     pub fn usage(&mut self, now_us: u64) -> Vec<(Arc<str>, CustomerUse)> {
         self.advance(now_us);
@@ -313,12 +359,19 @@
         let list = self.lists.iter().find(|known| known.digest() == list);
         let mut grants = Vec::new();
         for index in std::mem::take(&mut state.oversized) {
-            let number = list.and_then(|list| list.number(&self.names[index]));
-            let (Some(customer), true) = (number, state.customers.contains(&index)) else {
+            if !state.customers.contains(&index) {
                 continue;
-            };
+            }
             let quota = &mut self.customers[index];
             quota.refill(now_us, self.is_settling);
+            let number = list.and_then(|list| list.number(&self.names[index]));
+            let Some(customer) = number else {
+                // The node's configuration doesn't have the customer, so it has dropped its share.
+                quota.remove(node);
+                state.customers.remove(&index);
+                state.unconfirmed.remove(&index);
+                continue;
+            };
             let before = quota.share(node);
             // The other nodes with a large share have been marked when the fair share changed.
             quota.share_out(now_us, node, quota.demand(node), self.is_settling);
--- a/components/quota/src/customer.rs
+++ b/components/quota/src/customer.rs
@@ -82,6 +82,8 @@
     is_scarce: bool,
     /// Use of the tolerance, if the deployment has one.
     window: Option<Box<ToleranceWindow>>,
+    /// Time at which the configuration no longer had the customer.
+    removed_us: Option<u64>,
     granted: u64,
     denied: u64,
 }
@@ -122,6 +124,21 @@
         self.clamp_level(is_settling);
     }
 
+    /// The configuration has the customer.
+    pub(crate) fn set_present(&mut self) {
+        self.removed_us = None;
+    }
+
+    /// The configuration doesn't have the customer.
+    pub(crate) fn set_removed(&mut self, now_us: u64) {
+        self.removed_us.get_or_insert(now_us);
+    }
+
+    /// Whether the customer was removed by this time and no node holds anything of it.
+    pub(crate) fn is_unused_since(&self, until_us: u64) -> bool {
+        self.removed_us.is_some_and(|at_us| at_us <= until_us) && self.holdings.is_empty()
+    }
+
     pub(crate) fn limited_rate(&self) -> Option<f64> {
         self.limit.limited_rate()
     }
--- a/components/quota/src/node.rs
+++ b/components/quota/src/node.rs
@@ -171,7 +171,12 @@
             for quota in self.customers.values_mut() {
                 quota.measure(now_us);
             }
-            self.customers.retain(|_, quota| !quota.is_idle(now_us));
+            // Removed customers were kept for their waiting calls.
+            let list = &self.list;
+            self.customers.retain(|name, quota| {
+                let is_listed = list.number(name).is_some() || quota.has_waiting();
+                is_listed && !quota.is_idle(now_us)
+            });
         }
         let (demands, asked) = self.demands(now_us, is_regular);
         if demands.is_empty() && !self.customers.values().any(LocalQuota::has_share) {
--- a/components/quota/tests/common/mod.rs
+++ b/components/quota/tests/common/mod.rs
@@ -175,6 +175,17 @@
         }
     }
 
+    /// A configuration with these customers reaches the coordinator and all nodes.
+    pub fn configure(&mut self, customers: &[(Arc<str>, CustomerLimit)]) {
+        if let Some(coordinator) = &mut self.coordinator {
+            coordinator.set_customers(self.now_us, customers.iter().cloned());
+        }
+        for node in &mut self.nodes {
+            let names = customers.iter().map(|(name, _)| Arc::clone(name));
+            node.quota.set_customers(self.now_us, names);
+        }
+    }
+
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].is_dead = true;
         self.nodes[node].waiting.clear();
--- a/components/quota/tests/limit_changes.rs
+++ b/components/quota/tests/limit_changes.rs
@@ -111,3 +111,52 @@
     assert!(decided.contains(&(1, Verdict::Admitted)), "{decided:?}");
     assert!(!decided.contains(&(2, Verdict::Admitted)), "{decided:?}");
 }
+
+/// Guards against a coordinator that keeps everything about each customer that was ever renamed or
+/// removed, as long as it leads.
+#[test]
+fn renamed_customers_are_forgotten() {
+    let mut world = World::new(67, vec![overloaded(20.0)], 5);
+    for number in 0..100 {
+        let name: Arc<str> = Arc::from(format!("customer-{number}"));
+        world.loads[0].name = Arc::clone(&name);
+        world.configure(&[(name, limit(20.0))]);
+        world.run_for(SECOND_US);
+    }
+    let kept = world.coordinator.as_ref().unwrap().kept_customers();
+    assert!(kept <= 30, "{kept} customers are kept of 100, one exists");
+    let name = Arc::clone(&world.loads[0].name);
+    let usage = world.coordinator.as_mut().unwrap().usage(world.now_us);
+    assert_eq!(usage.len(), 1);
+    assert_eq!(usage[0].0, name);
+    assert!(usage[0].1.granted > 0, "the last one gets tokens");
+}
+
+/// Guards against a full bucket for a customer that is removed and added again at once.
+#[test]
+fn customer_added_again() {
+    let mut load = overloaded(50.0);
+    load.limit.burst = 1_000.0;
+    load.demand = Box::new(|now_us| {
+        if now_us < 40 * SECOND_US {
+            0.0
+        } else {
+            2_000.0
+        }
+    });
+    let limited = (Arc::clone(&load.name), load.limit);
+    let mut world = World::new(67, vec![load], 6);
+    world.run_for(40 * SECOND_US);
+    let used = world.decisions[0].admitted_between(0, world.now_us);
+    assert!(used >= 900, "{used} calls of the burst");
+    for number in 0..27 {
+        world.configure(&[(Arc::from(format!("other-{number}")), limit(1.0))]);
+        world.run_for(SECOND_US / 10);
+    }
+    world.configure(&[limited]);
+    let added_us = world.now_us;
+    world.run_for(10 * SECOND_US);
+    world.assert_bounds();
+    let served = world.decisions[0].admitted_between(added_us + SECOND_US, world.now_us);
+    assert!(served >= 425, "{served} calls in 9 s");
+}
