--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -40,7 +40,8 @@
     /// Asks for the group's revision, read by a quorum round that begins after this request has
     /// arrived. Any replica answers it with `Confirmed`, or with `NoLeader` after a while.
     Confirm {
-        /// Revision of the configuration in effect at the sender.
+        /// Revision of the configuration in effect at the sender. Replicas don't use it: the sender
+        /// compares. It stays for the sake of processes with other versions.
         have: Revision,
     },
     /// Asks the leader for the group's revision, read by such a round; answered with `Revision`.
