Sample the log lines about calls refused for their keys

What callers could do: any of them could fill the log of a node, with one line for each call without a key, with an unknown one, with two or with one that is too long; without a proof, calls with valid keys did so.

Cause: the entry logged each request that it refused before it became a call.

Change: these lines come at most once per second and reason, and tell how many more were refused since the last, as those about quotas do; `RefusalLog` moved for that. `gyard_errors_total` counts all, as before. Other reasons are logged as before.

--- a/components/node/src/entry/customers.rs
+++ b/components/node/src/entry/customers.rs
@@ -94,8 +94,31 @@
 }
 
 impl Entry {
+    /// Logs that a request is refused before it becomes a call. Refusals for a key are sampled, since
+    /// any caller can cause them.
+    pub(super) fn log_refusal(&self, request_id: &str, kind: ErrorKind) {
+        let more = match kind {
+            ErrorKind::UnknownKey
+            | ErrorKind::AmbiguousKey
+            | ErrorKind::HeadTooLarge
+            | ErrorKind::RevocationUnconfirmed => {
+                let now_us = self.context.kernel.clock.now_us();
+                let Some(suppressed) = self.key_refusals.take_turn(now_us, kind) else {
+                    return;
+                };
+                format!("; {suppressed} more refusals since the last line")
+            }
+            _ => String::new(),
+        };
+        let version = self.configuration_version();
+        let detail = self.key_detail(kind);
+        log::info!(
+            "entry: request {request_id} refused, {kind}{detail}; configuration version {version}{more}."
+        );
+    }
+
     /// The figures behind a refusal for its key, for the log.
-    pub(super) fn key_detail(&self, kind: ErrorKind) -> String {
+    fn key_detail(&self, kind: ErrorKind) -> String {
         if kind != ErrorKind::RevocationUnconfirmed {
             return String::new();
         }
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -12,7 +12,7 @@
 mod routes;
 mod status_queries;
 
-use crate::{context::NodeContext, quotas::QuotaGate};
+use crate::{context::NodeContext, quotas::QuotaGate, refusal_log::RefusalLogs};
 use admin::server_memory;
 use decision::customer_note;
 use driver::CallDriver;
@@ -57,6 +57,8 @@
     context: Arc<NodeContext>,
     routes: Routes,
     quotas: Arc<QuotaGate>,
+    /// Lines about calls that are refused for their keys.
+    key_refusals: RefusalLogs,
     /// Random number of this entry, which is part of the ids of its calls.
     origin: u64,
     next_sequence: AtomicU64,
@@ -74,6 +76,7 @@
     let entry = Arc::new(Entry {
         routes: Routes::new(&context),
         quotas: QuotaGate::for_kernel(kernel),
+        key_refusals: RefusalLogs::default(),
         origin: rand::random(),
         next_sequence: AtomicU64::new(1),
         context: Arc::clone(&context),
@@ -194,11 +197,7 @@
         let prepared = match prepared {
             Ok(prepared) => prepared,
             Err((service, kind)) => {
-                let version = self.configuration_version();
-                let detail = self.key_detail(kind);
-                log::info!(
-                    "entry: request {request_id} refused, {kind}{detail}; configuration version {version}."
-                );
+                self.log_refusal(&request_id, kind);
                 return self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
             }
         };
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod platform;
 mod probes;
 mod quotas;
+mod refusal_log;
 mod revision_offers;
 mod revocation;
 mod start_wait;
--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -1,16 +1,14 @@
 //! Plug-in `quotas`: admits calls of customers within their limits, by the shares that the
 //! coordinator in the control group grants to this node.
 
-mod refusal_log;
 mod reporter;
 
-use crate::context::NodeContext;
+use crate::{context::NodeContext, refusal_log::RefusalLog};
 use config::Configuration;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use errors::ErrorKind;
 use kernel::{Clock, Event, Kernel, KindLabels, PluginEntry, Role, RunningPlugin, StartError};
 use quota::{ANSWER_TIMEOUT_US, Admission, NodeQuota, QuotaReport, Ticket, Verdict};
-use refusal_log::RefusalLog;
 use reporter::Reporter;
 use std::{
     collections::HashMap,
