--- a/components/node/src/entry/customers.rs
+++ b/components/node/src/entry/customers.rs
@@ -51,6 +51,18 @@
 }
 
 impl Entry {
+    /// Whether a request can be answered without a check of its key: the configuration is there, and
+    /// the route is public or there is none.
+    pub(super) fn needs_no_key(&self, request: &Request) -> bool {
+        let Some(table) = self.context.kernel.profiles.routes() else {
+            return false;
+        };
+        let host = request.headers.get("host").unwrap_or_default();
+        let path = request.target.split('?').next().unwrap_or("/");
+        let matched = table.find(host.trim(), path);
+        matched.is_none_or(|matched| matched.route.is_public)
+    }
+
     /// Checks a call again before it is sent: its key may have been taken back since it arrived.
     pub(super) fn check_key(&self, call: &PreparedCall) -> Result<(), ErrorKind> {
         let Some(key_hash) = &call.key_hash else {
@@ -74,6 +86,29 @@
 }
 
 impl Entry {
+    /// Logs that a request is refused before it becomes a call. Refusals for a key are sampled, since
+    /// any caller can cause them.
+    pub(super) fn log_refusal(&self, request_id: &str, kind: ErrorKind) {
+        let more = match kind {
+            ErrorKind::UnknownKey
+            | ErrorKind::AmbiguousKey
+            | ErrorKind::HeadTooLarge
+            | ErrorKind::RevocationUnconfirmed => {
+                let now_us = self.context.kernel.clock.now_us();
+                let Some(suppressed) = self.key_refusals.take_turn(now_us, kind) else {
+                    return;
+                };
+                format!("; {suppressed} more refusals since the last line")
+            }
+            _ => String::new(),
+        };
+        let version = self.configuration_version();
+        let detail = self.key_detail(kind);
+        log::info!(
+            "entry: request {request_id} refused, {kind}{detail}; configuration version {version}{more}."
+        );
+    }
+
     /// The figures behind a refusal for its key, for the log.
     pub(super) fn key_detail(&self, kind: ErrorKind) -> String {
         if kind != ErrorKind::RevocationUnconfirmed {
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -13,7 +13,7 @@
 mod routes;
 mod status_queries;
 
-use crate::{context::NodeContext, quotas::QuotaGate};
+use crate::{context::NodeContext, quotas::QuotaGate, refusal_log::RefusalLogs};
 use admin::server_memory;
 use decision::customer_note;
 use driver::CallDriver;
@@ -58,6 +58,8 @@
     context: Arc<NodeContext>,
     routes: Routes,
     quotas: Arc<QuotaGate>,
+    /// Lines about calls that are refused for their keys.
+    key_refusals: RefusalLogs,
     /// Random number of this entry, which is part of the ids of its calls.
     origin: u64,
     next_sequence: AtomicU64,
@@ -75,6 +77,7 @@
     let entry = Arc::new(Entry {
         routes: Routes::new(&context),
         quotas: QuotaGate::for_kernel(kernel),
+        key_refusals: RefusalLogs::default(),
         origin: rand::random(),
         next_sequence: AtomicU64::new(1),
         context: Arc::clone(&context),
@@ -194,17 +197,13 @@
         let prepared = if self.is_stop_notice_over(arrived_us) {
             Err((None, ErrorKind::Stopping))
         } else {
-            self.wait_for_start();
+            self.wait_for_start(&request);
             self.prepare(request, arrived_us)
         };
         let prepared = match prepared {
             Ok(prepared) => prepared,
             Err((service, kind)) => {
-                let version = self.configuration_version();
-                let detail = self.key_detail(kind);
-                log::info!(
-                    "entry: request {request_id} refused, {kind}{detail}; configuration version {version}."
-                );
+                self.log_refusal(&request_id, kind);
                 return self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
             }
         };
@@ -224,8 +223,9 @@
         metrics.calls.get_or_create(&labels).inc();
         let (call, service) = (prepared.call, prepared.service.clone());
         let customer = customer_note(prepared.customer.as_deref());
-        let result = CallDriver::new(self, prepared, caller).run(caller);
-        Self::settle_quota(permit, &result);
+        let driver = CallDriver::new(self, prepared, caller);
+        let result = driver.run(caller);
+        Self::settle_quota(permit, &result, driver.has_stored_answer());
         let elapsed_us = self.context.kernel.clock.now_us() - arrived_us;
         metrics
             .call_seconds
@@ -243,11 +243,12 @@
         }
     }
 
-    /// Waits while the node starts until it can decide about calls.
-    fn wait_for_start(&self) {
+    /// Waits while the node starts until it can decide about the call.
+    fn wait_for_start(&self, request: &Request) {
         if self.context.kernel.node_settings().require_configuration {
-            let can_decide = || self.context.can_decide_about_calls();
-            self.context.start_wait.hold(can_decide);
+            let has_started = || self.context.can_decide_about_calls();
+            let can_decide = || self.needs_no_key(request);
+            self.context.start_wait.hold(has_started, can_decide);
         }
     }
 
--- a/components/quota/src/customer.rs
+++ b/components/quota/src/customer.rs
@@ -82,6 +82,8 @@
     is_scarce: bool,
     /// Use of the tolerance, if the deployment has one.
     window: Option<Box<ToleranceWindow>>,
+    /// Time at which the configuration no longer had the customer.
+    removed_us: Option<u64>,
     granted: u64,
     denied: u64,
 }
@@ -122,6 +124,21 @@
         self.clamp_level(is_settling);
     }
 
+    /// The configuration has the customer.
+    pub(crate) fn set_present(&mut self) {
+        self.removed_us = None;
+    }
+
+    /// The configuration doesn't have the customer.
+    pub(crate) fn set_removed(&mut self, now_us: u64) {
+        self.removed_us.get_or_insert(now_us);
+    }
+
+    /// Whether the customer was removed by this time and no node holds anything of it.
+    pub(crate) fn is_unused_since(&self, until_us: u64) -> bool {
+        self.removed_us.is_some_and(|at_us| at_us <= until_us) && self.holdings.is_empty()
+    }
+
     pub(crate) fn limited_rate(&self) -> Option<f64> {
         self.limit.limited_rate()
     }
@@ -207,11 +224,10 @@
         });
     }
 
-    /// Puts back eighths of tokens that a node did not use.
+    /// Puts back eighths of tokens that a node did not use. They stay recorded as released: when that
+    /// was is not known, and a window that began later must not gain by them.
     pub(crate) fn put_back(&mut self, returned: u32, is_settling: bool) {
-        let tokens = f64::from(returned) / UNITS_PER_CALL;
-        self.level += tokens;
-        self.record(self.updated_us, -tokens);
+        self.level += f64::from(returned) / UNITS_PER_CALL;
         self.clamp_level(is_settling);
     }
 
--- a/components/quota/src/node.rs
+++ b/components/quota/src/node.rs
@@ -137,14 +137,21 @@
         self.list = list;
     }
 
-    /// Decides about a call of a customer, or lets it wait under the ticket.
-    pub fn admit(&mut self, now_us: u64, customer: &Arc<str>, ticket: Ticket) -> Admission {
+    /// Decides about a call of a customer with this rate over all nodes, or lets it wait under the
+    /// ticket.
+    pub fn admit(
+        &mut self,
+        now_us: u64,
+        customer: &Arc<str>,
+        rate_per_s: f64,
+        ticket: Ticket,
+    ) -> Admission {
         self.drop_expired(now_us);
         let quota = self
             .customers
             .entry(Arc::clone(customer))
             .or_insert_with(|| LocalQuota::new(now_us));
-        quota.count_arrival(now_us);
+        quota.count_arrival(now_us, rate_per_s);
         let may_ask = !self.is_cut_off && self.list.number(customer).is_some();
         let admission = decide(now_us, quota, self.is_settling, may_ask);
         if admission == Admission::Waiting {
@@ -153,9 +160,9 @@
         admission
     }
 
-    /// What `admit` would decide now about a call of a customer, and the figures behind it. Works on
-    /// a copy of the customer's share.
-    pub fn preview(&self, now_us: u64, customer: &str) -> QuotaPreview {
+    /// What `admit` would decide now about a call of a customer with this rate, and the figures behind
+    /// it. Works on a copy of the customer's share.
+    pub fn preview(&self, now_us: u64, customer: &str, rate_per_s: f64) -> QuotaPreview {
         let known = self.customers.get(customer).cloned();
         let mut quota = known.unwrap_or_else(|| LocalQuota::new(now_us));
         if self.has_expired(now_us) {
@@ -164,6 +171,7 @@
         let share_per_s = quota.share_per_s();
         let tokens = quota.held(now_us);
         let waiting = quota.waiting();
+        quota.count_arrival(now_us, rate_per_s);
         let may_ask = !self.is_cut_off && self.list.number(customer).is_some();
         QuotaPreview {
             admission: decide(now_us, &mut quota, self.is_settling, may_ask),
@@ -206,7 +214,12 @@
             for quota in self.customers.values_mut() {
                 quota.measure(now_us);
             }
-            self.customers.retain(|_, quota| !quota.is_idle(now_us));
+            // Removed customers were kept for their waiting calls.
+            let list = &self.list;
+            self.customers.retain(|name, quota| {
+                let is_listed = list.number(name).is_some() || quota.has_waiting();
+                is_listed && !quota.is_idle(now_us)
+            });
         }
         let (demands, asked) = self.demands(now_us, is_regular);
         if !demands.is_empty() || self.customers.values().any(LocalQuota::has_share) {
@@ -394,7 +407,7 @@
                 continue;
             };
             for ticket in quota.take_waiting(asked) {
-                let verdict = if quota.take_granted() {
+                let verdict = if quota.take_granted(now_us) {
                     Verdict::Admitted
                 } else if has_lease {
                     let pause_ms = quota.pause_ms(now_us).unwrap_or(0);
--- a/components/quota/tests/common/mod.rs
+++ b/components/quota/tests/common/mod.rs
@@ -211,6 +211,17 @@
         }
     }
 
+    /// A configuration with these customers reaches the coordinator and all nodes.
+    pub fn configure(&mut self, customers: &[(Arc<str>, CustomerLimit)]) {
+        if let Some(coordinator) = &mut self.coordinator {
+            coordinator.set_customers(self.now_us, customers.iter().cloned());
+        }
+        for node in &mut self.nodes {
+            let names = customers.iter().map(|(name, _)| Arc::clone(name));
+            node.quota.set_customers(self.now_us, names);
+        }
+    }
+
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].is_dead = true;
         self.nodes[node].waiting.clear();
@@ -339,7 +350,11 @@
         }
         self.next_ticket += 1;
         let name = Arc::clone(&self.loads[load].name);
-        match state.quota.admit(self.now_us, &name, self.next_ticket) {
+        let rate = self.loads[load].limit.limited_rate().unwrap_or(f64::MAX);
+        let admission = state
+            .quota
+            .admit(self.now_us, &name, rate, self.next_ticket);
+        match admission {
             Admission::Decided(verdict) => self.record(load, node, verdict, self.now_us),
             Admission::Waiting => {
                 state.waiting.insert(self.next_ticket, (load, self.now_us));
--- a/components/quota/tests/previews.rs
+++ b/components/quota/tests/previews.rs
@@ -10,6 +10,7 @@
 
 const MS: u64 = 1_000;
 const PREVIEWS: usize = 20;
+const RATE: f64 = 40.0;
 const NODE: NodeId = NodeId {
     mesh: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1),
     incarnation: 1,
@@ -20,7 +21,7 @@
 fn session(mut before: impl FnMut(&NodeQuota, u64, &Arc<str>)) -> (Vec<Admission>, Vec<String>) {
     let customer: Arc<str> = Arc::from("customer");
     let limit = CustomerLimit {
-        rate_per_s: Some(40.0),
+        rate_per_s: Some(RATE),
         burst: 40.0,
     };
     let mut coordinator = QuotaCoordinator::new(0, 1);
@@ -43,7 +44,7 @@
         }
         if step % 7 < 3 {
             before(&node, now_us, &customer);
-            decisions.push(node.admit(now_us, &customer, step));
+            decisions.push(node.admit(now_us, &customer, RATE, step));
         }
         if step % 50 == 0 {
             node.give_back(now_us, &customer);
@@ -58,9 +59,9 @@
     let mut told = Vec::new();
     let with = session(|node, now_us, customer| {
         for _ in 0..PREVIEWS {
-            let _ = node.preview(now_us, customer);
+            let _ = node.preview(now_us, customer, RATE);
         }
-        told.push(node.preview(now_us, customer).admission);
+        told.push(node.preview(now_us, customer, RATE).admission);
     });
     assert!(session(|_, _, _| ()) == with);
     assert_eq!(told, with.0);
