Don't count an answered call as lost work

Cause: such an answer ends as the error `Malformed`, and every error but `NotSent` marked the call as one that the instance may still run, although its whole response had arrived.

The mark is now set only where the pool reports an error. `Mismatched`, `TooLarge` and `Malformed` from the pool still set it: a response for another call says nothing of this one, and a response that is cut off here may still be in production.

--- a/components/node/src/owner/lost_work.rs
+++ b/components/node/src/owner/lost_work.rs
@@ -181,7 +181,9 @@
         self.execute(guard, &decisions);
     }
 
-    /// Notes on a failed job that the instance may still run it.
+    /// Notes on a job without a complete response that the instance may still run it. That is so after
+    /// every error but `NotSent`: a response to another call says nothing of this one, and an instance
+    /// may still produce a response that is cut off here because it is too large or malformed.
     pub(super) fn mark_lost(&self, job: &mut Job, error: CallError) {
         if self.counts_lost_work() && error != CallError::NotSent {
             job.may_run_until_us = Some(job.deadline_us);
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -61,7 +61,7 @@
 
 fn handle_response(
     owner: &Arc<Owner>,
-    job: Job,
+    mut job: Job,
     started_us: u64,
     outcome: Result<Response, CallError>,
     memory: ResponseMemory,
@@ -78,10 +78,14 @@
     match outcome {
         Ok(response) if is_refusal(owner, &response) => finish_refusal(owner, job, &response),
         Ok(response) if is_encoded(owner, &response) => {
+            // Not lost work: the instance has answered.
             finish_error(owner, job, started_us, CallError::Malformed);
         }
         Ok(response) => finish_answer(owner, job, response, service_us, memory),
-        Err(error) => finish_error(owner, job, started_us, error),
+        Err(error) => {
+            owner.mark_lost(&mut job, error);
+            finish_error(owner, job, started_us, error);
+        }
     }
 }
 
@@ -153,7 +157,7 @@
     owner.finish_with_memory(job, result, Some(counted_us), memory);
 }
 
-fn finish_error(owner: &Arc<Owner>, mut job: Job, started_us: u64, error: CallError) {
+fn finish_error(owner: &Arc<Owner>, job: Job, started_us: u64, error: CallError) {
     let was_given_up = owner.unanswered.end(job.call.attempt);
     let was_cut_off = matches!(error, CallError::ConnectionLost | CallError::Truncated);
     if was_cut_off {
@@ -187,7 +191,6 @@
         job.call.attempt,
         job.call.upstream
     );
-    owner.mark_lost(&mut job, error);
     let counted_us =
         (error != CallError::Cancelled).then(|| job.deadline_us.saturating_sub(job.arrived_us));
     owner.finish(job, result, counted_us);
