Keep memory for small requests when small bodies stall

Some 200 callers that send 7 KB of an 8 KB body and stop used up the reserve for small requests, when others held the rest with large bodies. All requests got 503 `memory-full` until the head timeout of the bodies (10 s), those of operators and the instance's heartbeats too, and this could be repeated.

Cause: the reserve is for any request under 32 KiB with copies, whether its body arrives or not, and all ports of a process share the budget.

When a small request finds no memory, the connection with the oldest unfinished body of at least 1.5 s is now closed, as connections are closed to make room. The time is shorter than the wait for memory (2 s), so that the waiting request gets it. The connections are found by the queues that are registered for unread replies, since a reservation doesn't know its own; so a body that waits for memory itself may be chosen if it is the oldest one. The ports of the instance and the operators use the common memory first and have a 32nd of the budget in addition; their unread responses have an eighth of their own, and their connections are not closed for callers.

http/tests/memory_limits.rs with the two mechanisms switched off: small_bodies_that_stall and port_with_own_part fail with 503 Service Unavailable; with them: 5 of 5 runs passed. platform tests short_bodies, chunked_bodies, whole_bodies and heartbeats pass; chunked_bodies failed once at its start because a loopback address was in use (other tests ran on this machine) and passed when repeated.

--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -4,7 +4,7 @@
 mod server_memory;
 
 pub use server::serve;
-pub use server_memory::{refresh_memory_metrics, server_memory};
+pub use server_memory::{port_memory, refresh_memory_metrics, server_memory};
 
 use errors::ErrorKind;
 use http::Response;
--- a/components/admin/src/server.rs
+++ b/components/admin/src/server.rs
@@ -1,7 +1,7 @@
 //! HTTP server of a port. Each connection has a thread and its requests a time limit, so that
 //! connections that fall silent don't keep others from being served.
 
-use crate::{AdminResponse, server_memory};
+use crate::{AdminResponse, port_memory};
 use http::{Request, ServerConfig};
 use kernel::{Kernel, RunningPlugin, StartError};
 use std::{
@@ -33,7 +33,7 @@
     let config = ServerConfig {
         max_connections: MAX_CONNECTIONS,
         max_connections_per_address: MAX_CONNECTIONS,
-        memory: server_memory(kernel),
+        memory: port_memory(kernel),
         max_body_bytes: MAX_BODY_BYTES,
         stop_grace_ms: 0,
         thread_name: plugin.to_owned(),
--- a/components/admin/src/server_memory.rs
+++ b/components/admin/src/server_memory.rs
@@ -10,12 +10,23 @@
     (*memory).clone()
 }
 
+/// Memory of the ports that callers have no part in: those of the instance and of the operators.
+struct PortMemory(ServerMemory);
+
+/// Memory of the ports of the instance and the operators: that of all ports, and a part of their own.
+pub fn port_memory(kernel: &Kernel) -> ServerMemory {
+    let memory = kernel.shared(|| PortMemory(server_memory(kernel).with_own_part()));
+    memory.0.clone()
+}
+
 /// Updates the metrics of the memory budget and of refused callers.
 pub fn refresh_memory_metrics(kernel: &Kernel) {
-    let memory = server_memory(kernel);
+    let (memory, ports) = (server_memory(kernel), port_memory(kernel));
     let bytes = [
         ("requests", memory.requests.held_bytes()),
         ("replies", memory.replies.held_bytes()),
+        ("port-requests", ports.requests.held_bytes()),
+        ("port-replies", ports.replies.held_bytes()),
     ];
     for (kind, bytes) in bytes {
         let gauge = kernel
@@ -26,7 +37,11 @@
     }
     let refusals = [
         ("request-memory", memory.requests.refused()),
-        ("unread-reply", memory.replies.closed()),
+        (
+            "unread-reply",
+            memory.replies.closed() + ports.replies.closed(),
+        ),
+        ("stalled-body", memory.replies.closed_bodies()),
         ("closed-for-room", memory.places.closed_for_room()),
         ("refused-connection", memory.places.refused()),
     ];
--- a/components/http/src/memory_budget.rs
+++ b/components/http/src/memory_budget.rs
@@ -1,7 +1,8 @@
 //! Memory that a process gives to requests: their heads and bodies, and the copies of both until
 //! their response is sent.
 
-use limits::MemoryShares;
+use crate::reply_memory::ReplyMemory;
+use limits::{MemoryShares, SMALL_BYTES};
 use std::{
     net::IpAddr,
     sync::{
@@ -16,16 +17,31 @@
 pub struct MemoryBudget {
     shares: Mutex<MemoryShares<IpAddr>>,
     released: Condvar,
-    refused: AtomicU64,
+    refused: Arc<AtomicU64>,
+    /// Connections whose stalled bodies make room for small requests.
+    connections: Arc<ReplyMemory>,
+    /// Budget of other servers that requests use first. This one is the part that they can't take.
+    shared: Option<Arc<MemoryBudget>>,
 }
 
 impl MemoryBudget {
-    /// A budget of this size.
-    pub fn new(max_bytes: usize) -> Self {
+    /// A budget of this size for requests on these connections.
+    pub(crate) fn new(max_bytes: usize, connections: &Arc<ReplyMemory>) -> Self {
         MemoryBudget {
             shares: Mutex::new(MemoryShares::new(max_bytes)),
             released: Condvar::new(),
-            refused: AtomicU64::new(0),
+            refused: Arc::default(),
+            connections: Arc::clone(connections),
+            shared: None,
+        }
+    }
+
+    /// A budget whose requests use the shared one, and this many bytes more once that is full.
+    pub(crate) fn with_own_part(shared: &Arc<MemoryBudget>, own_bytes: usize) -> Self {
+        MemoryBudget {
+            refused: Arc::clone(&shared.refused),
+            shared: Some(Arc::clone(shared)),
+            ..MemoryBudget::new(own_bytes, &shared.connections)
         }
     }
 
@@ -34,7 +50,8 @@
         self.lock().held_bytes()
     }
 
-    /// Requests that were refused because their memory was not available in time.
+    /// Requests that were refused because their memory was not available in time, also those of
+    /// servers with a part of their own.
     pub fn refused(&self) -> u64 {
         self.refused.load(Ordering::Relaxed)
     }
@@ -48,6 +65,7 @@
     pub(crate) fn reservation(self: &Arc<Self>, peer: IpAddr) -> Reservation {
         Reservation {
             budget: Arc::clone(self),
+            holder: Arc::clone(self.shared.as_ref().unwrap_or(self)),
             peer,
             bytes: 0,
         }
@@ -61,41 +79,60 @@
 /// Memory reserved for one request; returned when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Reservation {
+    /// Budget of the server.
     budget: Arc<MemoryBudget>,
+    /// Budget that the bytes are reserved in: the shared one, or that of the server.
+    holder: Arc<MemoryBudget>,
     peer: IpAddr,
     bytes: usize,
 }
 
 impl Reservation {
     /// Grows to `bytes` in total. If they don't fit, waits at most `wait` for other requests to
-    /// return memory and tries once more; false if they still don't fit.
+    /// return memory and tries once more; false if they still don't fit. For a small request, a body
+    /// that has stalled loses its memory.
     pub(crate) fn grow_to(&mut self, bytes: usize, wait: Duration) -> bool {
-        let Some(added) = bytes.checked_sub(self.bytes).filter(|added| *added > 0) else {
+        if bytes <= self.bytes || self.try_grow_to(bytes) {
             return true;
-        };
-        let budget = &self.budget;
-        let mut shares = budget.lock();
-        if !shares.try_grow(&self.peer, self.bytes, added) {
-            if wait.is_zero() {
-                return false;
-            }
-            let waited = budget.released.wait_timeout(shares, wait);
-            shares = waited.unwrap_or_else(PoisonError::into_inner).0;
-            if !shares.try_grow(&self.peer, self.bytes, added) {
-                return false;
-            }
         }
+        if wait.is_zero() {
+            return false;
+        }
+        if bytes <= SMALL_BYTES {
+            self.budget.connections.close_stalled_body();
+        }
+        // A release just before the wait is noticed at its end; callers wait for short times.
+        let waited = self.holder.released.wait_timeout(self.holder.lock(), wait);
+        drop(waited);
+        self.try_grow_to(bytes)
+    }
+
+    fn try_grow_to(&mut self, bytes: usize) -> bool {
+        let added = bytes - self.bytes;
+        if self.holder.lock().try_grow(&self.peer, self.bytes, added) {
+            self.bytes = bytes;
+            return true;
+        }
+        let has_own_part = !Arc::ptr_eq(&self.holder, &self.budget);
+        if !has_own_part || !self.budget.lock().try_grow(&self.peer, 0, bytes) {
+            return false;
+        }
+        self.release();
+        self.holder = Arc::clone(&self.budget);
         self.bytes = bytes;
         true
     }
+
+    fn release(&mut self) {
+        if self.bytes > 0 {
+            self.holder.lock().release(&self.peer, self.bytes);
+            self.holder.released.notify_all();
+        }
+    }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        if self.bytes == 0 {
-            return;
-        }
-        self.budget.lock().release(&self.peer, self.bytes);
-        self.budget.released.notify_all();
+        self.release();
     }
 }
--- a/components/http/src/reply_memory.rs
+++ b/components/http/src/reply_memory.rs
@@ -3,17 +3,22 @@
 //! The size of a response is known only once it is there, so it is always accepted. When all
 //! responses together are over the budget, connections are closed whose callers don't read.
 
-use crate::reply_queue::ReplyQueue;
+use crate::{reply_queue::ReplyQueue, reply_state::Phase};
 use std::{
     collections::HashMap,
+    fmt,
     net::IpAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
+/// Time after its head from which a body counts as stalled. Shorter than the wait of a request for
+/// memory, so that memory becomes free in that time.
+const MIN_BODY_STALL: Duration = Duration::from_millis(1_500);
+
 /// Unread responses of one connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Unread {
@@ -29,14 +34,21 @@
     by_id: HashMap<u64, (IpAddr, Weak<ReplyQueue>)>,
 }
 
-/// Budget of the unread responses of all servers that share it.
+/// Budget of the unread responses of all servers that share it, and their connections.
 pub struct ReplyMemory {
     max_bytes: usize,
     held_bytes: AtomicUsize,
     closed: AtomicU64,
+    closed_bodies: AtomicU64,
     queues: Mutex<Queues>,
 }
 
+impl fmt::Debug for ReplyMemory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ReplyMemory({} bytes)", self.held_bytes())
+    }
+}
+
 impl ReplyMemory {
     /// A budget of this size.
     pub fn new(max_bytes: usize) -> Self {
@@ -44,6 +56,7 @@
             max_bytes,
             held_bytes: AtomicUsize::new(0),
             closed: AtomicU64::new(0),
+            closed_bodies: AtomicU64::new(0),
             queues: Mutex::default(),
         }
     }
@@ -58,6 +71,11 @@
         self.closed.load(Ordering::Relaxed)
     }
 
+    /// Connections that were closed in the middle of a body, because a small request needed memory.
+    pub fn closed_bodies(&self) -> u64 {
+        self.closed_bodies.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn add(&self, bytes: usize) {
         self.held_bytes.fetch_add(bytes, Ordering::AcqRel);
     }
@@ -115,6 +133,37 @@
         }
     }
 
+    /// Closes the connection that has sent its body for the longest time, if that is long enough. Its
+    /// memory is returned when its thread ends.
+    pub(crate) fn close_stalled_body(&self) {
+        let now = Instant::now();
+        let queues = self.lock();
+        let oldest = queues
+            .by_id
+            .values()
+            .filter_map(|(peer, queue)| {
+                let queue = queue.upgrade()?;
+                let (phase, since) = queue.phase()?;
+                let age = now.saturating_duration_since(since);
+                let is_stalled = phase == Phase::ReadingBody && age >= MIN_BODY_STALL;
+                is_stalled.then_some((age, *peer, queue))
+            })
+            .max_by_key(|(age, ..)| *age);
+        let Some((age, peer, queue)) = oldest else {
+            return;
+        };
+        if queue.close_in_phase(Phase::ReadingBody) {
+            let closed = self.closed_bodies.fetch_add(1, Ordering::Relaxed) + 1;
+            if closed.is_power_of_two() {
+                log::warn!(
+                    "http: memory-full: a connection from {peer} whose body had not ended after {} \
+                     ms was closed for a small request; {closed} so far",
+                    age.as_millis()
+                );
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Queues> {
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/components/http/src/server_memory.rs
+++ b/components/http/src/server_memory.rs
@@ -12,6 +12,12 @@
 /// Budget of a process that has no setting for it, in bytes.
 const DEFAULT_BYTES: usize = 512 << 20;
 
+/// Divisor of the budget that gives the own part of a port for its requests, which are small.
+const OWN_DIVISOR: usize = 32;
+/// Divisor of the budget that gives the memory of a port with its own part for unread responses, such
+/// as pages with metrics.
+const OWN_REPLIES_DIVISOR: usize = 8;
+
 /// Connections that had no place, in all servers that share a budget.
 #[derive(Debug, Default)]
 pub struct PlaceCounters {
@@ -49,15 +55,30 @@
     pub replies: Arc<ReplyMemory>,
     /// Connections that had no place.
     pub places: Arc<PlaceCounters>,
+    max_bytes: usize,
 }
 
 impl ServerMemory {
     /// A budget of this size in total.
     pub fn new(max_bytes: usize) -> Self {
+        let replies = Arc::new(ReplyMemory::new(max_bytes / 2));
         ServerMemory {
-            requests: Arc::new(MemoryBudget::new(max_bytes / 2)),
-            replies: Arc::new(ReplyMemory::new(max_bytes / 2)),
+            requests: Arc::new(MemoryBudget::new(max_bytes / 2, &replies)),
+            replies,
             places: Arc::default(),
+            max_bytes,
+        }
+    }
+
+    /// The same memory with a small part in addition that only the servers with the result use, once
+    /// the rest is in use. Their connections are not closed for small requests of others.
+    #[must_use]
+    pub fn with_own_part(&self) -> Self {
+        let requests = MemoryBudget::with_own_part(&self.requests, self.max_bytes / OWN_DIVISOR);
+        ServerMemory {
+            requests: Arc::new(requests),
+            replies: Arc::new(ReplyMemory::new(self.max_bytes / OWN_REPLIES_DIVISOR)),
+            ..self.clone()
         }
     }
 }
--- a/components/http/tests/memory_limits.rs
+++ b/components/http/tests/memory_limits.rs
@@ -2,7 +2,12 @@
 
 use errors::ErrorKind;
 use http::{Response, ServerConfig, ServerMemory, error_response};
-use std::io::{Read, Write};
+use limits::SMALL_BYTES;
+use socket2::{Domain, Socket, Type};
+use std::{
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
+};
 
 mod common;
 use common::{connect, echo, read_until, send_and_read_all, start, wait_until};
@@ -50,6 +55,82 @@
     server.stop();
 }
 
+/// Requests of this size may use the reserve for small ones: 8 KB of body with copies.
+const SMALL_HEAD: &str = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 8000\r\n\r\n";
+
+/// Fills the memory of a server with bodies that stop short of their end: large ones, and small ones
+/// that use up the reserve.
+fn fill_with_stalled_bodies(address: SocketAddr, memory: &ServerMemory) -> Vec<TcpStream> {
+    let large = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 180000\r\n\r\n";
+    let full = BUDGET_BYTES / 2 * 5 / 4 - SMALL_BYTES;
+    let mut stalled = Vec::new();
+    wait_until("the memory is in use", || {
+        for head in [large, SMALL_HEAD] {
+            // One address alone can't use up the reserve.
+            let source = Ipv4Addr::new(127, 0, 0, 2 + (stalled.len() / 2 % 4) as u8);
+            let mut stream = connect_from(source, address);
+            // Fails if the memory is in use already.
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.write_all(&[b'x'; 7_000]);
+            stalled.push(stream);
+        }
+        memory.requests.held_bytes() > full
+    });
+    stalled
+}
+
+fn connect_from(source: Ipv4Addr, address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from((source, 0)).into()).unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.into()
+}
+
+fn small_request() -> Vec<u8> {
+    let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 4096\r\n\r\n";
+    [head.as_bytes(), &[b'x'; 4096]].concat()
+}
+
+/// Small bodies that stop short of their end use up the reserve for small requests; ordinary requests
+/// were refused until the end of the stalled ones.
+#[test]
+fn small_bodies_that_stall() {
+    let config = config();
+    let memory = config.memory.clone();
+    let server = start(config, echo);
+    let stalled = fill_with_stalled_bodies(server.address(), &memory);
+    for _ in 0..4 {
+        let answer = send_and_read_all(server.address(), &small_request());
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert!(memory.replies.closed_bodies() > 0);
+    drop(stalled);
+    wait_until("the memory is returned", || {
+        memory.requests.held_bytes() == 0
+    });
+    server.stop();
+}
+
+/// Callers whose bodies take all memory kept a process from hearing of its instance and operators.
+#[test]
+fn port_with_own_part() {
+    let callers = config();
+    let memory = callers.memory.clone();
+    let operators = ServerConfig {
+        memory: memory.with_own_part(),
+        ..config()
+    };
+    let server = start(callers, echo);
+    let operator_server = start(operators, echo);
+    let _stalled = fill_with_stalled_bodies(server.address(), &memory);
+    let answer = send_and_read_all(operator_server.address(), &small_request());
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    // Nothing of the callers was closed for it.
+    assert_eq!(memory.replies.closed_bodies(), 0);
+    server.abort();
+    operator_server.stop();
+}
+
 /// The largest request is served where the budget is smaller than its copies.
 #[test]
 fn body_above_the_budget() {
