Compare start times of instances for equality only

After a step back of the time of day, an instance that started beside a running node was taken for older than the node, so that the configured cold period did not apply to it, and a restart of an instance under its name didn't clear the lost work of its earlier start.

Cause: the node compared the instance's start (Unix time) with its own, and took a restart for one only if its start time was later.

A start time that differs from the last one of the same instance is now a new start; reports of earlier starts that arrive late are not applied, as before. The first instance that a node hears of counts as new only if the node has run for a lease by then, on its own clock: an instance that runs reports within its lease.

tests/inside/instance_starts.rs with the old comparisons: restart_in_reports fails "after a step back", first_after_start and first_after_lease fail; with the new ones all pass. first_after_start replaces older_than_node and the first check of started_beside_node, which expected the comparison with the start of the node. platform/tests/cold_instances.rs passes (4 tests).

--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -16,8 +16,6 @@
     announced_slots: u32,
     /// Service of the last announced instance, kept after that instance was removed.
     service: Option<ServiceName>,
-    /// Name and start of the instance of the last report.
-    last_start: Option<(UpstreamName, u64)>,
     /// Detects late reports.
     report_order: ReportOrder,
     /// Detects new processes of the instance, which are cold.
@@ -44,11 +42,10 @@
                 version: 0,
                 announced_slots: 0,
                 service: None,
-                last_start: None,
                 // An instance that is silent for a whole lease counts as gone, so no report is
                 // expected to be on its way for longer.
                 report_order: ReportOrder::new(moment(kernel), lease_us(kernel)),
-                starts: InstanceStarts::default(),
+                starts: InstanceStarts::new(kernel.clock.now_us(), lease_us(kernel)),
             }),
             report_lock: Mutex::default(),
         }
@@ -87,10 +84,10 @@
     /// Tells the owner how long the instance stays cold, by its own report or, after a start, by the
     /// configuration; the later end applies.
     fn publish_cold(&self, announcement: &Announcement) {
-        let node_started_ms = self.kernel.mesh.local_id().incarnation / 1_000;
+        let now_us = self.kernel.clock.now_us();
         let has_started = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            state.starts.record(announcement, node_started_ms)
+            state.starts.record(now_us, announcement)
         };
         let configured_ms = has_started.then(|| self.configured_cold_ms(&announcement.service));
         let remaining_ms = announcement.cold_ms.max(configured_ms).unwrap_or(0);
@@ -151,11 +148,11 @@
 
     /// Tells the other plug-ins if the instance has started anew under its name.
     fn record_start(&self, name: &UpstreamName, started_ms: u64) {
-        let last_start = {
+        let has_restarted = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            state.last_start.replace((name.clone(), started_ms))
+            state.starts.record_report(name, started_ms)
         };
-        if last_start.is_some_and(|(last, ms)| last == *name && ms < started_ms) {
+        if has_restarted {
             self.kernel.events.publish(&Event::LocalUpstreamRestarted);
         }
     }
