--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -3,7 +3,7 @@
 mod server;
 mod server_memory;
 
-pub use server::serve;
+pub use server::{PortLimits, serve};
 pub use server_memory::{port_memory, refresh_memory_metrics, server_memory};
 
 use errors::ErrorKind;
--- a/components/admin/src/server.rs
+++ b/components/admin/src/server.rs
@@ -9,19 +9,36 @@
     time::{Duration, Instant},
 };
 
-/// Most connections of a port at once.
-const MAX_CONNECTIONS: usize = 256;
-/// Largest request body in bytes.
-const MAX_BODY_BYTES: usize = 64 << 10;
 /// Longest wait at a stop for requests in progress.
 const STOP_WAIT: Duration = Duration::from_millis(500);
 
+/// What a port accepts.
+#[derive(Clone, Copy, Debug)]
+pub struct PortLimits {
+    /// Most connections at once.
+    pub max_connections: usize,
+    /// Most bytes of a request body.
+    pub max_body_bytes: usize,
+    /// Longest time for a whole head, then for a whole body.
+    pub request_timeout_ms: u64,
+}
+
+impl Default for PortLimits {
+    fn default() -> Self {
+        PortLimits {
+            max_connections: 256,
+            max_body_bytes: 64 << 10,
+            request_timeout_ms: 10_000,
+        }
+    }
+}
+
 /// Serves `address`, which the setting `flag` gives, until the process stops.
 pub fn serve(
     kernel: &Kernel,
     plugin: &'static str,
-    flag: &str,
-    address: SocketAddr,
+    (flag, address): (&str, SocketAddr),
+    limits: &PortLimits,
     handler: impl Fn(&Request) -> AdminResponse + Send + Sync + 'static,
 ) -> Result<RunningPlugin, StartError> {
     let listener = TcpListener::bind(address).map_err(|error| {
@@ -31,10 +48,11 @@
         )
     })?;
     let config = ServerConfig {
-        max_connections: MAX_CONNECTIONS,
-        max_connections_per_address: MAX_CONNECTIONS,
+        max_connections: limits.max_connections,
+        max_connections_per_address: limits.max_connections,
         memory: port_memory(kernel),
-        max_body_bytes: MAX_BODY_BYTES,
+        max_body_bytes: limits.max_body_bytes,
+        head_timeout_ms: limits.request_timeout_ms,
         stop_grace_ms: 0,
         thread_name: plugin.to_owned(),
         ..ServerConfig::default()
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -6,7 +6,7 @@
     operator_zones::{command_zone, list_zones, zone_in_path},
     reports::{STALE_AFTER_MS, merge_reports, nodes_with_instance, profiles_in_use},
 };
-use admin::{AdminResponse, error_response, json_response, metrics_response};
+use admin::{AdminResponse, PortLimits, error_response, json_response, metrics_response};
 use api::{
     ChangeOp, ChangeRequest, ChangeResponse, DrainRequest, InstanceStatus, NodeStatus,
     ProfileEntry, ProfileList, ReplicaStatus, Status,
@@ -47,8 +47,8 @@
     admin::serve(
         kernel,
         "operator",
-        "--operator-listen",
-        address,
+        ("--operator-listen", address),
+        &PortLimits::default(),
         move |request| operator.handle_request(request),
     )
 }
--- a/components/node/src/platform.rs
+++ b/components/node/src/platform.rs
@@ -1,7 +1,7 @@
 //! Plug-in `platform`: HTTP port for the local instance, for metrics and for the node's state.
 
 use crate::{announce::Announcement, context::NodeContext};
-use admin::{AdminResponse, error_response, json_response, metrics_response};
+use admin::{AdminResponse, PortLimits, error_response, json_response, metrics_response};
 use errors::ErrorKind;
 use http::Request;
 use kernel::{Kernel, PluginEntry, Role, RunningPlugin, StartError};
@@ -17,10 +17,17 @@
 fn start(kernel: &Arc<Kernel>) -> Result<RunningPlugin, StartError> {
     let context = NodeContext::for_kernel(kernel);
     let address = kernel.node_settings().platform_listen;
-    let server = admin::serve(kernel, "platform", "--platform-listen", address, {
+    let server = {
         let context = Arc::clone(&context);
-        move |request| handle_request(request, &context)
-    })?;
+        let address = ("--platform-listen", address);
+        admin::serve(
+            kernel,
+            "platform",
+            address,
+            &PortLimits::default(),
+            move |request| handle_request(request, &context),
+        )?
+    };
     let lease_thread = thread::spawn({
         let context = Arc::clone(&context);
         move || {
