--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -1,7 +1,6 @@
 //! Validates a caller's request and resolves its service, profile, deadline and idempotency key.
 
 use super::{Entry, customers::Credential};
-use crate::parents::higher_priority;
 use calls::{KeyHash, MAX_KEYED_CALL_MS, ParentCall};
 use errors::ErrorKind;
 use http::{Request, strip_hop_by_hop};
@@ -104,9 +103,9 @@
         }
         let parent = self.parent_of(&request);
         let inherited_us = parent.as_ref().map_or(u64::MAX, |p| p.deadline_us);
-        let priority = parent.as_ref().map_or(profile.priority, |p| {
-            higher_priority(p.priority, profile.priority)
-        });
+        let priority = parent
+            .as_ref()
+            .map_or(profile.priority, |p| p.priority.max(profile.priority));
         Ok(PreparedCall {
             call: self.next_call_id(),
             request_id: self.request_id(&request),
--- a/components/node/src/parents.rs
+++ b/components/node/src/parents.rs
@@ -4,7 +4,6 @@
 use crate::context::NodeContext;
 use calls::{ParentCall, ParentCalls};
 use limits::AdmissionOrder;
-use model::Priority;
 use std::sync::{Mutex, PoisonError};
 use wire::RunCall;
 
@@ -58,12 +57,3 @@
         }
     }
 }
-
-/// The higher of two priorities.
-pub(crate) fn higher_priority(a: Priority, b: Priority) -> Priority {
-    match (a, b) {
-        (Priority::High, _) | (_, Priority::High) => Priority::High,
-        (Priority::Normal, _) | (_, Priority::Normal) => Priority::Normal,
-        (Priority::Low, Priority::Low) => Priority::Low,
-    }
-}
