Leave connections of operators' ports to other addresses

Cause: max_connections_per_address was set to max_connections, so the bound for one address had no effect.

One address now leaves an eighth of the connections to others. It isn't a small bound, since operators may come through a proxy. The ports of the instance and the readiness port keep no such bound: all their connections come from one address.

The port of the product itself has the same code and limit, and no test of its own.

--- a/components/admin/src/server.rs
+++ b/components/admin/src/server.rs
@@ -17,20 +17,23 @@
 pub struct PortLimits {
     /// Most connections at once.
     pub max_connections: usize,
+    /// Connections that one address leaves to others. None where all connections come from one
+    /// address, as those of an instance do. It is small, because operators may share a proxy.
+    pub places_for_others: usize,
     /// Most bytes of a request body.
     pub max_body_bytes: usize,
     /// Longest time for a whole head, then for a whole body.
     pub request_timeout_ms: u64,
 }
 
-impl Default for PortLimits {
-    fn default() -> Self {
-        PortLimits {
-            max_connections: 256,
-            max_body_bytes: 64 << 10,
-            request_timeout_ms: 10_000,
-        }
-    }
+impl PortLimits {
+    /// Limits of a port of the product whose connections may all come from one address.
+    pub const DEFAULT: PortLimits = PortLimits {
+        max_connections: 256,
+        places_for_others: 0,
+        max_body_bytes: 64 << 10,
+        request_timeout_ms: 10_000,
+    };
 }
 
 /// Serves `address`, which the setting `flag` gives, until the process stops.
@@ -49,7 +52,7 @@
     })?;
     let config = ServerConfig {
         max_connections: limits.max_connections,
-        max_connections_per_address: limits.max_connections,
+        max_connections_per_address: limits.max_connections - limits.places_for_others,
         memory: port_memory(kernel),
         max_body_bytes: limits.max_body_bytes,
         head_timeout_ms: limits.request_timeout_ms,
--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -30,6 +30,12 @@
     PluginEntry { name: "operator", role: Role::Control, order: 7, start }
 }
 
+/// Operators may share an address, but a client of another address keeps access.
+const LIMITS: PortLimits = PortLimits {
+    places_for_others: 32,
+    ..PortLimits::DEFAULT
+};
+
 struct Operator {
     control: Arc<ControlContext>,
     token: Option<String>,
@@ -48,7 +54,7 @@
         kernel,
         "operator",
         ("--operator-listen", address),
-        &PortLimits::default(),
+        &LIMITS,
         move |request| operator.handle_request(request),
     )
 }
--- a/components/node/src/platform.rs
+++ b/components/node/src/platform.rs
@@ -24,7 +24,7 @@
             kernel,
             "platform",
             address,
-            &PortLimits::default(),
+            &PortLimits::DEFAULT,
             move |request| handle_request(request, &context),
         )?
     };
