Log the rule that refuses a call on its arrival at the owner

Operators saw `refused, no-upstream` for a call to an evacuated zone, as for an instance that isn't there or a node that doesn't know the crash suspects yet, without rule, revision or age.

Each rule now logs its own line. That of the evacuation names the zone, the revision and its age, and the number of refusals; the first and then one in 20 are logged, since their rate is that of the calls. Calls that had a slot when the zone was evacuated are logged too; they were only counted. The line about the waiting calls has the same figures.

tests/inside/evacuation_log.rs checks the text and the sampling; it can't be built on the code before, which had neither. platform/tests/evacuated_zones.rs passes, and its nodes log "owner: availability zone zone-a is evacuated, revision 1.2, confirmed 198 ms ago; ...".

--- a/components/node/src/owner/evacuation.rs
+++ b/components/node/src/owner/evacuation.rs
@@ -5,11 +5,15 @@
 use errors::ErrorKind;
 use kernel::Event;
 use limits::QueueDecision;
-use model::AttemptId;
+use model::{AttemptId, AvailabilityZone, Revision};
 use std::sync::{
     Arc,
     atomic::{AtomicBool, Ordering},
 };
+use wire::RunCall;
+
+/// Of the calls refused on arrival or before their start, one in this number is logged.
+const LOG_DIVISOR: u64 = 20;
 
 /// Whether the zone of this owner is evacuated.
 #[derive(Default)]
@@ -39,14 +43,31 @@
 
     /// Refusal of a call because the zone is evacuated. Checked when a call arrives and again when it
     /// is about to be sent to the instance, since it may have waited meanwhile.
-    pub(super) fn evacuation_refusal(&self) -> Option<ErrorKind> {
+    pub(super) fn evacuation_refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
         if !self.evacuation.is_active.load(Ordering::Acquire) {
             return None;
         }
-        self.context.kernel.metrics.evacuation_refused.inc();
+        let refused = self.context.kernel.metrics.evacuation_refused.inc() + 1;
+        if is_logged(refused) {
+            log::info!(
+                "owner: call {} refused, no-upstream: {}; {refused} refused so far.",
+                call.attempt,
+                self.evacuation_rule(now_us)
+            );
+        }
         Some(ErrorKind::NoUpstream)
     }
 
+    /// The rule by which calls are refused, with its revision and age.
+    fn evacuation_rule(&self, now_us: u64) -> String {
+        let kernel = &self.context.kernel;
+        describe_rule(
+            &kernel.node_settings().availability_zone,
+            kernel.profiles.revision(),
+            kernel.profiles.age_ms(now_us),
+        )
+    }
+
     /// Refuses the calls that wait in the queue. Running ones go on.
     fn refuse_waiting_calls(self: &Arc<Self>) {
         let mut guard = self.lock_instance();
@@ -70,8 +91,21 @@
             .inc_by(refused as u64);
         self.execute(guard, &decisions);
         log::info!(
-            "owner: the availability zone is evacuated; {refused} waiting calls were refused, \
-             {running} running ones go on."
+            "owner: {}; {refused} waiting calls were refused, {running} running ones go on.",
+            self.evacuation_rule(self.now_us())
         );
     }
 }
+
+/// Whether a refusal is logged, by its number from 1 on.
+fn is_logged(refused: u64) -> bool {
+    refused % LOG_DIVISOR == 1
+}
+
+fn describe_rule(zone: &AvailabilityZone, revision: Revision, age_ms: u64) -> String {
+    format!("availability zone {zone} is evacuated, revision {revision}, confirmed {age_ms} ms ago")
+}
+
+#[cfg(test)]
+#[path = "../../tests/inside/evacuation_log.rs"]
+mod tests;
--- a/components/node/src/owner/refusals.rs
+++ b/components/node/src/owner/refusals.rs
@@ -7,26 +7,41 @@
 use wire::RunCall;
 
 impl Owner {
-    /// Reason to refuse a call regardless of its record, if there is one.
+    /// Reason to refuse a call regardless of its record, if there is one. Logs the rule that decided.
     pub(super) fn refusal_reason(
         &self,
         now_us: u64,
         deadline_us: u64,
         call: &RunCall,
     ) -> Option<ErrorKind> {
+        let refuse = |kind: ErrorKind, rule: &str| {
+            log::info!("owner: call {} refused, {kind}: {rule}.", call.attempt);
+            Some(kind)
+        };
         if self.is_refusing.load(Ordering::Acquire) {
-            return Some(ErrorKind::Stopping);
+            return refuse(ErrorKind::Stopping, "this node stops");
         }
         let is_here = self
             .lock_instance()
             .as_ref()
             .is_some_and(|i| i.upstream.name == call.upstream);
-        if !is_here || !self.context.knows_suspects.load(Ordering::Acquire) {
-            return Some(ErrorKind::NoUpstream);
+        if !is_here {
+            let rule = format!("instance {} is not announced here", call.upstream);
+            return refuse(ErrorKind::NoUpstream, &rule);
         }
-        self.evacuation_refusal()
-            .or_else(|| self.congestion_refusal(now_us, call))
-            .or_else(|| self.suspect_refusal(now_us, deadline_us, call))
+        if !self.context.knows_suspects.load(Ordering::Acquire) {
+            let rule = "the crash suspects of other nodes are not known yet";
+            return refuse(ErrorKind::NoUpstream, rule);
+        }
+        let logged = self
+            .evacuation_refusal(now_us, call)
+            .or_else(|| self.congestion_refusal(now_us, call));
+        if logged.is_some() {
+            return logged;
+        }
+        let kind = self.suspect_refusal(now_us, deadline_us, call)?;
+        let evidence = self.context.count_refused(now_us, &call.fingerprint);
+        refuse(kind, &evidence)
     }
 
     /// Records a refused attempt so that it can't start later. Returns its status if the attempt
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -34,7 +34,7 @@
         return;
     }
     let refusal = owner
-        .evacuation_refusal()
+        .evacuation_refusal(started_us, &job.call)
         .or_else(|| owner.congestion_refusal(started_us, &job.call))
         .or_else(|| owner.cold_refusal_at_start(started_us));
     if let Some(kind) = refusal {
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -293,13 +293,6 @@
         }
         if let Some(kind) = self.refusal_reason(now_us, deadline_us, &call) {
             let status = self.record_refusal(now_us, deadline_us, &call);
-            match kind {
-                ErrorKind::CrashSuspect | ErrorKind::CrashHold => {
-                    let evidence = self.context.count_refused(now_us, &call.fingerprint);
-                    log::info!("owner: call {} refused, {kind}; {evidence}.", call.attempt);
-                }
-                _ => log::info!("owner: call {} refused, {kind}.", call.attempt),
-            }
             reply(
                 reply_to,
                 self.load_signal().unwrap_or_default(),
