--- a/components/control/src/operator.rs
+++ b/components/control/src/operator.rs
@@ -6,7 +6,7 @@
     operator_zones::{command_zone, list_zones, zone_in_path},
     reports::{STALE_AFTER_MS, merge_reports, nodes_with_instance, profiles_in_use},
 };
-use admin::{AdminResponse, error_response, json_response, metrics_response};
+use admin::{AdminResponse, PortLimits, error_response, json_response, metrics_response};
 use api::{
     ChangeOp, ChangeRequest, ChangeResponse, DrainRequest, InstanceStatus, NodeStatus,
     ProfileEntry, ProfileList, ReplicaStatus, Status,
@@ -30,6 +30,12 @@
     PluginEntry { name: "operator", role: Role::Control, order: 7, start }
 }
 
+/// Operators may share an address, but a client of another address keeps access.
+const LIMITS: PortLimits = PortLimits {
+    places_for_others: 32,
+    ..PortLimits::DEFAULT
+};
+
 struct Operator {
     control: Arc<ControlContext>,
     token: Option<String>,
@@ -47,8 +53,8 @@
     admin::serve(
         kernel,
         "operator",
-        "--operator-listen",
-        address,
+        ("--operator-listen", address),
+        &LIMITS,
         move |request| operator.handle_request(request),
     )
 }
