--- a/components/bench/src/upstream.rs
+++ b/components/bench/src/upstream.rs
@@ -426,7 +426,7 @@
         wait_while(|| shared.switches().silent && !caller.is_closed());
     }
     let service_time = shared.draw_service_time(&switches);
-    if switches.run_on {
+    if switches.ignores_disconnects {
         thread::sleep(service_time);
     } else {
         sleep_while_connected(service_time, caller);
--- a/components/bench/src/upstream/control.rs
+++ b/components/bench/src/upstream/control.rs
@@ -49,7 +49,7 @@
     /// Share of the calls that are never answered although slots are free, in percent.
     pub hang_percent: u8,
     /// Runs a call to its end although its caller has disconnected.
-    pub run_on: bool,
+    pub ignores_disconnects: bool,
 }
 
 impl Default for Switches {
@@ -66,7 +66,7 @@
             mute: false,
             hang_full: false,
             hang_percent: 0,
-            run_on: false,
+            ignores_disconnects: false,
         }
     }
 }
--- a/components/bench/tests/hanging_upstream.rs
+++ b/components/bench/tests/hanging_upstream.rs
@@ -51,7 +51,7 @@
     upstream.update_switches(|switches| {
         switches.service_time = Some(SERVICE);
         switches.hang_full = true;
-        switches.run_on = true;
+        switches.ignores_disconnects = true;
     });
     upstream
 }
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -43,7 +43,7 @@
 pub struct ColdLimit {
     /// Time for which an instance is cold after its start.
     pub duration_s: Option<Quantity>,
-    /// Calls per second that a cold instance bears; no limit if absent.
+    /// Calls per second that a cold instance can handle; no limit if absent.
     pub calls_per_s: Option<Quantity>,
 }
 
--- a/components/consensus/src/contact.rs
+++ b/components/consensus/src/contact.rs
@@ -62,8 +62,8 @@
         self.config.election_min_us
     }
 
-    /// Notes that another replica was asked to take over.
-    pub(crate) fn note_handover(&mut self, now_us: u64) {
+    /// Records that another replica was asked to take over.
+    pub(crate) fn record_handover(&mut self, now_us: u64) {
         let until_us = now_us + HANDOVER_TIMEOUTS * self.config.election_max_us;
         if let Some(leader_state) = &mut self.leader_state {
             leader_state.handed_over_until_us = until_us;
--- a/components/consensus/src/transfer.rs
+++ b/components/consensus/src/transfer.rs
@@ -61,7 +61,7 @@
             return false;
         }
         transfer.next_us = next_us;
-        self.note_handover(now_us);
+        self.record_handover(now_us);
         self.send_after_save(to, Body::TimeoutNow);
         true
     }
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -420,7 +420,7 @@
         self.check_sole_leaders();
     }
 
-    /// Checks that at most one replica takes itself for the only leader.
+    /// Checks that at most one replica considers itself the only leader.
     fn check_sole_leaders(&self) {
         let is_sole = |(number, host): &(&ReplicaNumber, &Host)| {
             let now_us = self.local_us(**number);
--- a/components/control/src/confirm.rs
+++ b/components/control/src/confirm.rs
@@ -74,7 +74,7 @@
         ages.map(|(node, age_ms, ())| (node, age_ms)).collect()
     }
 
-    fn note_proof(&self, asker: &Asker) {
+    fn record_proof(&self, asker: &Asker) {
         if let Asker::Node(inbound, asked_us) = asker {
             self.lock_proofs().record(*asked_us, inbound.from.mesh, ());
         }
@@ -125,7 +125,7 @@
         let answered = confirmations.lock().end_round(now_us, revision);
         for asker in answered {
             if revision.is_some() {
-                confirmations.note_proof(&asker);
+                confirmations.record_proof(&asker);
             }
             asker.answer(revision);
         }
--- a/components/control/src/customers.rs
+++ b/components/control/src/customers.rs
@@ -27,7 +27,7 @@
     let mut customers: BTreeMap<String, CustomerStatus> = configured
         .unwrap_or_default()
         .iter()
-        .map(|customer| (customer.name.to_string(), unused(customer)))
+        .map(|customer| (customer.name.to_string(), status_without_use(customer)))
         .collect();
     let mut silent: BTreeSet<SocketAddr> = match customers.is_empty() {
         true => BTreeSet::new(),
@@ -73,7 +73,7 @@
     usage
 }
 
-fn unused(customer: &Customer) -> CustomerStatus {
+fn status_without_use(customer: &Customer) -> CustomerStatus {
     let rate_per_s = customer.rate_per_s.map(Quantity::as_f64);
     CustomerStatus {
         name: customer.name.to_string(),
--- a/components/control/src/replica.rs
+++ b/components/control/src/replica.rs
@@ -210,7 +210,7 @@
             let replicas = control.replicas();
             reply(inbound, &ControlReply::Replicas(replicas));
         }
-        // These two wait for a quorum, which must not block a reader thread of the mesh.
+        // Waits for a quorum, which must not block a reader thread of the mesh.
         ControlRequest::Propose(change) => {
             let receiver = control.propose(*change);
             thread::spawn(move || {
--- a/components/control/src/replica_threads.rs
+++ b/components/control/src/replica_threads.rs
@@ -152,7 +152,7 @@
     fn publish_sole_leader(&mut self) {
         let boot_us = Clock::boot_us();
         let now_us = self.now_us();
-        self.note_suspension(now_us, boot_us);
+        self.detect_suspension(now_us, boot_us);
         let is_confirmed_since = |until_us: &u64| {
             *until_us >= self.resumed_us + self.replica.shortest_election_timeout_us()
         };
@@ -176,7 +176,7 @@
 
     /// Notes when the host was suspended, which the clock of the replica doesn't count: heartbeats
     /// from before show nothing about the others' elections.
-    fn note_suspension(&mut self, now_us: u64, boot_us: u64) {
+    fn detect_suspension(&mut self, now_us: u64, boot_us: u64) {
         let offset_us = boot_us.saturating_sub(now_us);
         if offset_us > self.clock_offset_us + MAX_CLOCK_DRIFT_US {
             self.resumed_us = now_us;
--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -35,7 +35,7 @@
         /// Whether this is the first report of a process that has started after this node.
         has_started: bool,
     },
-    /// The local instance has started anew under its name; nothing of its earlier start runs on.
+    /// The local instance has restarted under its name; no work of its earlier start continues.
     LocalUpstreamRestarted,
 }
 
--- a/components/limits/src/admission/lost.rs
+++ b/components/limits/src/admission/lost.rs
@@ -46,7 +46,7 @@
         self.start_waiting(now_us)
     }
 
-    /// Drops all lost work, after the upstream has started anew.
+    /// Drops all lost work, after the upstream has restarted.
     pub fn clear_lost_work(&mut self, now_us: u64) -> Vec<QueueDecision> {
         self.lost.clear();
         self.start_waiting(now_us)
--- a/components/limits/src/lost_work.rs
+++ b/components/limits/src/lost_work.rs
@@ -53,7 +53,7 @@
         self.health_checks += 1;
     }
 
-    /// Ends a health check, answered or not: it takes the upstream no time to speak of.
+    /// Ends a health check, answered or not: its processing time is negligible.
     pub fn end_health_check(&mut self) {
         self.health_checks = self.health_checks.saturating_sub(1);
     }
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Drops all calls, after the upstream has started anew.
+    /// Drops all calls, after the upstream has restarted.
     pub fn clear(&mut self) {
         self.ends_us.clear();
         self.inherited = 0;
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -81,7 +81,7 @@
         upstream.expect("the upstream was stored above")
     }
 
-    /// Tells the owner how long the instance stays cold, by its own report or, after a start, by the
+    /// Publishes how long the instance stays cold, by its own report or, after a start, by the
     /// configuration; the later end applies.
     fn publish_cold(&self, announcement: &Announcement) {
         let now_us = self.kernel.clock.now_us();
@@ -146,7 +146,7 @@
         true
     }
 
-    /// Tells the other plug-ins if the instance has started anew under its name.
+    /// Publishes whether the instance has restarted under its name.
     fn record_start(&self, name: &UpstreamName, started_ms: u64) {
         let has_restarted = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
--- a/components/node/src/owner/cold.rs
+++ b/components/node/src/owner/cold.rs
@@ -139,7 +139,7 @@
         if refused.is_multiple_of(LOG_DIVISOR) {
             let room_in_us = self.shared.cold.lock().room_in_us(now_us);
             log::info!(
-                "owner: the instance is cold and has had its calls of this second; next room in \
+                "owner: cold limit of the instance reached; next call allowed in \
                  {} ms, {} calls refused so far.",
                 room_in_us / 1_000,
                 refused + 1
--- a/components/node/src/owner/evacuation.rs
+++ b/components/node/src/owner/evacuation.rs
@@ -73,7 +73,7 @@
         )
     }
 
-    /// Refuses the calls that wait in the queue. Running ones go on.
+    /// Refuses the calls that wait in the queue. Running ones continue.
     fn refuse_waiting_calls(self: &Arc<Self>) {
         let mut guard = self.lock_instance();
         let Some(instance) = guard.as_mut() else {
@@ -96,7 +96,7 @@
             .inc_by(refused as u64);
         self.execute(guard, &decisions);
         log::info!(
-            "owner: {}; {refused} waiting calls were refused, {running} running ones go on.",
+            "owner: {}; {refused} waiting calls were refused, {running} running ones continue.",
             self.evacuation_rule(self.now_us())
         );
     }
--- a/components/node/src/owner/lost_work.rs
+++ b/components/node/src/owner/lost_work.rs
@@ -173,7 +173,7 @@
         let decisions = instance.admission.clear_lost_work(now_us);
         if lost > 0 {
             log::info!(
-                "owner: instance {} has started anew; {lost} calls of its earlier start are no \
+                "owner: instance {} has restarted; {lost} calls of its earlier start are no \
                  longer counted.",
                 instance.upstream.name
             );
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -69,7 +69,7 @@
         let (owner, context) = (Arc::clone(&owner), Arc::clone(&context));
         move |inbound: Inbound| handle_probe(&owner, &context, &inbound)
     });
-    // Before the owner hears of instances, so that the first call to one is limited already.
+    // Before the owner receives events about instances, so that the first call to one is limited already.
     watch_cold_instance(&owner);
     watch_evacuation(&owner);
     kernel.events.subscribe({
--- a/components/node/src/owner/run.rs
+++ b/components/node/src/owner/run.rs
@@ -12,7 +12,7 @@
 pub(super) const FIRST_FAILURE_STATUS: u16 = 500;
 
 /// Longest time in which a host refuses a connection to itself, in microseconds. A connection that
-/// takes longer to fail is one to a full instance, which runs on.
+/// takes longer to fail is one to a full instance, which continues to run it.
 const MAX_REFUSAL_US: u64 = 100_000;
 
 /// Sends the call to the instance; the result is passed to `Owner::finish`.
--- a/components/node/src/sync/proof.rs
+++ b/components/node/src/sync/proof.rs
@@ -115,7 +115,7 @@
                 proof.on_revision(own);
                 let now_us = Clock::boot_us();
                 if !proof.is_fresh(now_us) {
-                    schedule.hurry(now_us);
+                    schedule.ask_now(now_us);
                 }
             }
         }
--- a/components/quota/src/coordinator.rs
+++ b/components/quota/src/coordinator.rs
@@ -289,11 +289,11 @@
         let Some(holders) = &mut self.holders else {
             return;
         };
-        holders.note_report(now_us, node, is_holding || !report.demands.is_empty());
+        holders.record_report(now_us, node, is_holding || !report.demands.is_empty());
         // Before the node has applied an answer of this coordinator, it may still apply one of its
         // predecessor, which was sent before this one started, to a later report than this.
         if report.epoch == self.epoch {
-            holders.note_known(node);
+            holders.mark_known(node);
         }
         if self.is_settling && holders.are_known() {
             self.settle(now_us);
--- a/components/quota/src/holders.rs
+++ b/components/quota/src/holders.rs
@@ -104,8 +104,8 @@
         self.is_urgent |= is_urgent;
     }
 
-    /// Notes a report, and whether the node holds or wants anything.
-    pub(crate) fn note_report(&mut self, now_us: u64, node: SocketAddr, is_holding: bool) {
+    /// Records a report, and whether the node holds or wants anything.
+    pub(crate) fn record_report(&mut self, now_us: u64, node: SocketAddr, is_holding: bool) {
         if let Some(last) = self.recorded.get_mut(&node) {
             last.heard_us = now_us;
             if is_holding {
@@ -116,7 +116,7 @@
 
     /// The holdings of a node are known: it has applied an answer of this coordinator, so that it
     /// can't apply one of an earlier coordinator any more.
-    pub(crate) fn note_known(&mut self, node: SocketAddr) {
+    pub(crate) fn mark_known(&mut self, node: SocketAddr) {
         self.unheard.remove(&node);
     }
 
--- a/components/revocation/src/schedule.rs
+++ b/components/revocation/src/schedule.rs
@@ -62,7 +62,7 @@
     }
 
     /// Makes the next question due at once, because the configuration changed.
-    pub fn hurry(&mut self, now_us: u64) {
+    pub fn ask_now(&mut self, now_us: u64) {
         self.next_us = self.next_us.min(now_us);
     }
 
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -30,9 +30,9 @@
 /// Default window of the retry budget of services.
 const DEFAULT_RETRY_WINDOW_MS: u64 = 10_000;
 /// Default share of calls beyond the rate of a cold instance, in percent. It is half of what a cold
-/// instance bears, since calls take some time to arrive.
+/// instance can handle, since calls take some time to arrive.
 const DEFAULT_COLD_OVERAGE_PERCENT: u64 = 25;
-/// Default number of additional calls to a cold instance in each second, half of what it bears.
+/// Default number of additional calls to a cold instance in each second, half of what it can handle.
 const DEFAULT_COLD_SLACK: u64 = 4;
 /// Default lease of an announced instance.
 const DEFAULT_LEASE_MS: u64 = 3_000;
