Warm up with several callers in the test of hanging upstreams

Cause: the test sent its warm-up calls one after the other. A trace shows 10 of 11,801 calls at one upstream: the router may send all of them to the one that is a little faster.

Change: eight callers at a time; the calls of the warm-up must not fail, as before, and each upstream has to answer 240 instead of 120.

--- a/components/bench/tests/hanging_upstream.rs
+++ b/components/bench/tests/hanging_upstream.rs
@@ -25,6 +25,7 @@
 const CALLER_LEAVES_AFTER: Duration = Duration::from_millis(40);
 /// Calls after which the answer times of a profile are known.
 const WARM_UP_CALLS: usize = 240;
+const WARM_UP_CALLERS: usize = 8;
 const CALLS: usize = 200;
 const HEALTH_CHECKS_PER_S: u32 = 20;
 
@@ -111,36 +112,45 @@
 }
 
 /// Sends calls one after the other; returns the results that are not an answer.
-fn failed_calls(deployment: &Deployment, count: usize, name: &str) -> Vec<String> {
+fn failed_calls(address: SocketAddr, count: usize, name: &str) -> Vec<String> {
     let headers = [("x-gyard-deadline-ms", "4000")];
     (0..count)
         .map(|n| request(&format!("{name}-{n}"), "GET", &headers, ""))
-        .map(|call| describe_result(&send(deployment.call_address(0), &call)))
+        .map(|call| describe_result(&send(address, &call)))
         .filter(|result| result != "200 from the upstream")
         .collect()
 }
 
+/// Sends calls from several callers at a time, so that they use all upstreams: calls one after the
+/// other may all go to the one that is a little faster.
+fn concurrent_failed_calls(address: SocketAddr) -> Vec<String> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..WARM_UP_CALLERS)
+            .map(|caller| {
+                let name = format!("warm-up-{caller}");
+                scope.spawn(move || failed_calls(address, WARM_UP_CALLS / 4, &name))
+            })
+            .collect();
+        let failed = callers.into_iter().map(|caller| caller.join().unwrap());
+        failed.flatten().collect()
+    })
+}
+
 #[test]
 fn hung_reads_go_elsewhere() {
     let _lock = test_lock();
     let deployment = start_nodes(2, false, 20);
     let upstreams = system::start_upstreams(&deployment, 2);
     wait_until_served(&deployment, 0);
-    assert_eq!(
-        failed_calls(&deployment, WARM_UP_CALLS * 2, "warm-up"),
-        Vec::<String>::new()
-    );
+    let address = deployment.call_address(0);
     wait_until("both upstreams have answered enough calls", || {
-        failed_calls(&deployment, 10, "more");
+        assert_eq!(concurrent_failed_calls(address), Vec::<String>::new());
         upstreams
             .iter()
-            .all(|upstream| upstream.executions().len() >= WARM_UP_CALLS / 2)
+            .all(|upstream| upstream.executions().len() >= WARM_UP_CALLS)
     });
     upstreams[0].update_switches(|switches| switches.hang_percent = 10);
-    assert_eq!(
-        failed_calls(&deployment, CALLS, "hung"),
-        Vec::<String>::new()
-    );
+    assert_eq!(failed_calls(address, CALLS, "hung"), Vec::<String>::new());
 
     // A call that may not be repeated waits for its deadline and gets the outcome `unknown`.
     for upstream in &upstreams {
