--- a/components/bench/src/upstream.rs
+++ b/components/bench/src/upstream.rs
@@ -1,19 +1,23 @@
 //! Test upstream: an HTTP server with slots, service times, and faults that can be switched on.
 
 mod announce;
+mod calls;
+mod command;
 mod control;
+mod crash;
 mod hang;
 mod slots;
 
-use crate::options::{parse_rule, wait_for_signal};
 use announce::Announcer;
+use calls::handle_request;
+pub use command::main;
 pub use control::{ServiceTime, Switches};
-use gumdrop::Options;
-use http::{CallerConnection, Request, Response, Server, ServerConfig, serve};
+use crash::crash;
+use http::{Request, Server, ServerConfig, serve};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
-use slots::{Acquired, Slots};
+use slots::Slots;
 use snafu::{ResultExt, Snafu};
 use std::{
     collections::BTreeMap,
@@ -30,8 +34,6 @@
 /// Interval at which a running call checks whether its caller has disconnected, and at which other
 /// conditions are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// How long a restarting upstream retries to bind its address.
-const REBIND_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Path of health checks; they take no slot.
 const HEALTH_PATH: &str = "/health";
@@ -370,307 +372,3 @@
         });
     }
 }
-
-fn handle_request(shared: &Arc<Shared>, request: &Request, caller: &CallerConnection) -> Response {
-    if request.target == "/control" {
-        return control::handle_control_request(shared, request);
-    }
-    let request_id = request.headers.get("x-request-id").unwrap_or_default();
-    let echo = |response: Response| {
-        let load = hang::load_header(shared);
-        response
-            .with_header("x-request-id", request_id)
-            .with_header(LOAD_HEADER, load)
-    };
-    if shared.hanging.load(Ordering::Acquire) {
-        wait_while(|| !caller.is_closed());
-        return Response::new(500, "");
-    }
-    let switches = shared.switches();
-    if switches.fail_fast {
-        return echo(Response::new(500, "failing fast\n"));
-    }
-    let is_health_check = request.target == HEALTH_PATH;
-    if hang::must_hang(shared, &switches, is_health_check) {
-        wait_while(|| !caller.is_closed());
-        return Response::new(499, "");
-    }
-    if is_health_check {
-        return echo(Response::new(200, ""));
-    }
-    let _slot = match shared
-        .slots
-        .acquire(|| shared.switches().shed, || caller.is_closed())
-    {
-        Acquired::Slot(slot) => slot,
-        Acquired::Shed => return echo(Response::new(503, "shedding load\n")),
-        Acquired::Disconnected => return Response::new(499, ""),
-    };
-    shared.record(request, request_id);
-    if let Some(form) = request.headers.get("x-bench-crash") {
-        match CrashForm::parse(form) {
-            CrashForm::AtOnce => {
-                crash(shared);
-                wait_while(|| !caller.is_closed());
-                return Response::new(500, "");
-            }
-            CrashForm::Late { after, is_hanging } => {
-                shared.hanging.store(is_hanging, Ordering::Release);
-                crash_after(shared, after);
-                // Ends this connection without a response; the others and the listener live on.
-                std::panic::resume_unwind(Box::new("crash"));
-            }
-        }
-    }
-    if switches.silent {
-        wait_while(|| shared.switches().silent && !caller.is_closed());
-    }
-    let service_time = shared.draw_service_time(&switches);
-    if switches.ignores_disconnects {
-        thread::sleep(service_time);
-    } else {
-        sleep_while_connected(service_time, caller);
-    }
-    if lock(&shared.rng).random_range(0..100) < switches.drop_percent {
-        std::panic::resume_unwind(Box::new("the answer is dropped"));
-    }
-    let bytes = request
-        .headers
-        .get("x-bench-bytes")
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(shared.config.response_bytes);
-    echo(
-        Response::new(200, response_body(request_id, bytes))
-            .with_header("content-type", "application/octet-stream"),
-    )
-}
-
-/// How an upstream ends under a request with `x-bench-crash`.
-enum CrashForm {
-    /// With all connections and the listener.
-    AtOnce,
-    /// The call is cut off; the process ends later.
-    Late {
-        /// Time for which the process lives on.
-        after: Duration,
-        /// Whether it no longer answers meanwhile.
-        is_hanging: bool,
-    },
-}
-
-impl CrashForm {
-    /// Reads `answer:MS`, `hang:MS` or anything else for an end at once.
-    fn parse(text: &str) -> Self {
-        let (kind, ms) = text.split_once(':').unwrap_or(("", ""));
-        match (kind, ms.parse()) {
-            ("answer" | "hang", Ok(ms)) => CrashForm::Late {
-                after: Duration::from_millis(ms),
-                is_hanging: kind == "hang",
-            },
-            _ => CrashForm::AtOnce,
-        }
-    }
-}
-
-fn crash_after(shared: &Arc<Shared>, after: Duration) {
-    let shared = Arc::clone(shared);
-    thread::spawn(move || {
-        thread::sleep(after);
-        crash(&shared);
-    });
-}
-
-/// Sleeps for the given time; returns early if the caller disconnects.
-fn sleep_while_connected(time: Duration, caller: &CallerConnection) {
-    let end = Instant::now() + time;
-    loop {
-        let left = end.saturating_duration_since(Instant::now());
-        if left <= POLL_INTERVAL {
-            thread::sleep(left);
-            return;
-        }
-        thread::sleep(POLL_INTERVAL);
-        if caller.is_closed() {
-            return;
-        }
-    }
-}
-
-fn wait_while(condition: impl Fn() -> bool) {
-    while condition() {
-        thread::sleep(POLL_INTERVAL);
-    }
-}
-
-/// Closes the listener and all connections and restarts after the configured time. Runs on its own
-/// thread, because closing the server waits for its handlers, and one of them may be the caller.
-fn crash(shared: &Arc<Shared>) {
-    if shared.crashed.swap(true, Ordering::AcqRel) {
-        return;
-    }
-    shared.crashes.fetch_add(1, Ordering::AcqRel);
-    let shared = Arc::clone(shared);
-    thread::spawn(move || {
-        let server = lock(&shared.server).take();
-        if let Some(server) = &server {
-            server.abort();
-        }
-        drop(server);
-        if shared.config.restart_after_ms == 0 {
-            return;
-        }
-        thread::sleep(Duration::from_millis(shared.config.restart_after_ms));
-        if let Err(error) = restart(&shared) {
-            log::error!(
-                "upstream: {} can't be restarted: {error}",
-                shared.config.name
-            );
-        }
-    });
-}
-
-/// Binds the address again and serves, unless the upstream is being stopped.
-fn restart(shared: &Arc<Shared>) -> Result<(), UpstreamError> {
-    let deadline = Instant::now() + REBIND_TIMEOUT;
-    let address = shared.address;
-    while !shared.stopping.load(Ordering::Acquire) {
-        match TcpListener::bind(address) {
-            Ok(listener) => {
-                *lock(&shared.cold_since) = Instant::now();
-                shared.crashed.store(false, Ordering::Release);
-                shared.hanging.store(false, Ordering::Release);
-                shared.serve(listener).context(ServeSnafu)?;
-                shared.announcer.wake();
-                return Ok(());
-            }
-            Err(_) if Instant::now() < deadline => thread::sleep(POLL_INTERVAL),
-            Err(error) => return Err(error).context(ListenSnafu { address }),
-        }
-    }
-    Ok(())
-}
-
-#[derive(Debug, Options)]
-struct UpstreamOptions {
-    #[options(help = "print this help")]
-    help: bool,
-    #[options(no_short, help = "service to announce", default = "catalogue")]
-    service: String,
-    #[options(no_short, help = "name of the instance", default = "catalogue-1")]
-    name: String,
-    #[options(
-        no_short,
-        help = "address to serve",
-        meta = "IP:PORT",
-        default = "127.0.0.1:0"
-    )]
-    listen: String,
-    #[options(
-        no_short,
-        help = "platform port of the node beside it",
-        meta = "IP:PORT"
-    )]
-    node: Option<SocketAddr>,
-    #[options(no_short, help = "calls that run at once", default = "6")]
-    slots: u32,
-    #[options(no_short, help = "connections accepted at once", default = "260")]
-    connections: u32,
-    #[options(no_short, help = "service time in microseconds", default = "2000")]
-    service_us: u64,
-    #[options(no_short, help = "draw service times from an exponential distribution")]
-    exponential: bool,
-    #[options(no_short, help = "body length of a response", default = "200")]
-    response_bytes: usize,
-    #[options(no_short, help = "profile without a rule", default = "default")]
-    profile: String,
-    #[options(
-        no_short,
-        help = "rule from method (or *) and path to profile",
-        meta = "METHOD:PATH=PROFILE"
-    )]
-    rule: Vec<String>,
-    #[options(no_short, help = "length of the cold start", default = "0")]
-    cold_start_ms: u64,
-    #[options(
-        no_short,
-        help = "time that a crash lasts, 0 for ever",
-        default = "500"
-    )]
-    restart_after_ms: u64,
-    #[options(no_short, help = "seed of the service times", default = "1")]
-    seed: u64,
-}
-
-/// `gyard-bench upstream`: serves until SIGINT or SIGTERM, then prints switches and counters as
-/// JSON.
-pub fn main(args: &[String]) -> i32 {
-    let options = match UpstreamOptions::parse_args_default(args) {
-        Ok(options) if options.help => {
-            println!("{}", UpstreamOptions::usage());
-            return 0;
-        }
-        Ok(options) => options,
-        Err(error) => {
-            eprintln!("upstream: {error}\n\n{}", UpstreamOptions::usage());
-            return 2;
-        }
-    };
-    let config = match options.config() {
-        Ok(config) => config,
-        Err(error) => {
-            eprintln!("upstream: {error}");
-            return 2;
-        }
-    };
-    let upstream = match Upstream::start(config) {
-        Ok(upstream) => upstream,
-        Err(error) => {
-            eprintln!("upstream: {error}");
-            return 1;
-        }
-    };
-    println!("listening on {}", upstream.address());
-    if let Err(error) = wait_for_signal() {
-        eprintln!("upstream: signals can't be handled: {error}");
-        return 1;
-    }
-    upstream.stop();
-    println!("{}", control::status_json(&upstream.shared));
-    0
-}
-
-impl UpstreamOptions {
-    fn config(self) -> Result<UpstreamConfig, String> {
-        let listen = self
-            .listen
-            .parse()
-            .map_err(|_| format!("--listen {}: IP:PORT is expected", self.listen))?;
-        let rules: Result<Vec<AnnouncedRule>, String> =
-            self.rule.iter().map(|text| parse_rule(text)).collect();
-        let service_time = if self.exponential {
-            ServiceTime::Exponential {
-                mean_us: self.service_us,
-            }
-        } else {
-            ServiceTime::Fixed {
-                us: self.service_us,
-            }
-        };
-        Ok(UpstreamConfig {
-            service: self.service,
-            name: self.name,
-            listen,
-            slots: self.slots,
-            connections: self.connections,
-            service_time,
-            response_bytes: self.response_bytes,
-            node: self.node,
-            default_profile: self.profile,
-            rules: rules?,
-            cold_start_ms: self.cold_start_ms,
-            restart_after_ms: self.restart_after_ms,
-            seed: self.seed,
-            ..UpstreamConfig::default()
-        })
-    }
-}
