Close only bodies that hold memory for a small request

Callers saw: a request that waited for memory was reset after 1.5 s in place of the 503 `memory-full` at 2 s, and counted as `stalled-body`. It could be a GET. Uploads of others were closed although only the part of the requester's own address was in use.

Cause: the victim was the oldest connection in `Phase::ReadingBody`, which begins when the head is parsed, before any memory is reserved. So it could be the requester itself or another that waits and holds nothing. Each try of each waiting request searched all connections, on the loop thread.

A connection now notes whether memory is reserved for a body that is not whole; only such a connection is closed, and never the requester's. Nothing is closed if the whole budget has room (`MemoryShares::is_full_for`). One search and one victim at most for each interval of 20 ms and budget, which all waiting requests share.

--- a/components/http/src/memory_budget.rs
+++ b/components/http/src/memory_budget.rs
@@ -1,7 +1,7 @@
 //! Memory that a process gives to requests: their heads and bodies, and the copies of both until
 //! their response is sent.
 
-use crate::reply_memory::ReplyMemory;
+use crate::{reply_memory::ReplyMemory, reply_queue::ReplyQueue};
 use limits::{MemoryShares, SMALL_BYTES};
 use std::{
     net::IpAddr,
@@ -85,18 +85,32 @@
 }
 
 impl Reservation {
-    /// Grows to `bytes` in total; false if they don't fit. For a small request, a body that has
-    /// stalled loses its memory then, so that a later try succeeds.
-    pub(crate) fn grow_to(&mut self, bytes: usize) -> bool {
+    /// Grows to `bytes` in total; false if they don't fit. If the whole budget is full for a small
+    /// request, the body of another connection than `requester` that has stalled loses its memory, so
+    /// that a later try succeeds.
+    pub(crate) fn grow_to(&mut self, bytes: usize, requester: &ReplyQueue) -> bool {
         if bytes <= self.bytes || self.try_grow_to(bytes) {
             return true;
         }
-        if bytes <= SMALL_BYTES {
-            self.budget.connections.close_stalled_body();
+        // No connection has reserved bytes in an own part that would be closed for others.
+        let is_shared = self.holder.shared.is_none();
+        if bytes <= SMALL_BYTES && is_shared && self.is_holder_full_for(bytes) {
+            self.holder.connections.close_stalled_body(requester);
         }
         false
     }
 
+    /// Whether bytes are missing in the whole budget, and not only in the part of the peer.
+    fn is_holder_full_for(&self, bytes: usize) -> bool {
+        let shares = self.holder.lock();
+        shares.is_full_for(self.bytes, bytes - self.bytes)
+    }
+
+    /// Bytes reserved now.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     fn try_grow_to(&mut self, bytes: usize) -> bool {
         let added = bytes - self.bytes;
         if self.holder.lock().try_grow(&self.peer, self.bytes, added) {
--- a/components/http/src/reply_memory.rs
+++ b/components/http/src/reply_memory.rs
@@ -3,7 +3,7 @@
 //! The size of a response is known only once it is there, so it is always accepted. When all
 //! responses together are over the budget, connections are closed whose callers don't read.
 
-use crate::{reply_queue::ReplyQueue, reply_state::Phase};
+use crate::{reply_queue::ReplyQueue, request_body::MEMORY_CHECK};
 use std::{
     collections::HashMap,
     fmt,
@@ -32,6 +32,8 @@
 struct Queues {
     next_id: u64,
     by_id: HashMap<u64, (IpAddr, Weak<ReplyQueue>)>,
+    /// When a stalled body was last looked for.
+    body_check_at: Option<Instant>,
 }
 
 /// Budget of the unread responses of all servers that share it, and their connections.
@@ -133,26 +135,34 @@
         }
     }
 
-    /// Closes the connection that has sent its body for the longest time, if that is long enough. Its
-    /// memory is returned when its thread ends.
-    pub(crate) fn close_stalled_body(&self) {
+    /// Closes the connection that has sent its body for the longest time, if that is long enough and
+    /// memory is reserved for the body. Its memory is returned when the loop removes it. All requests
+    /// that wait for memory together cause one search for each interval in which they try again,
+    /// because it locks every connection.
+    pub(crate) fn close_stalled_body(&self, requester: &ReplyQueue) {
         let now = Instant::now();
-        let queues = self.lock();
+        let mut queues = self.lock();
+        if queues
+            .body_check_at
+            .is_some_and(|last| now < last + MEMORY_CHECK)
+        {
+            return;
+        }
+        queues.body_check_at = Some(now);
         let oldest = queues
             .by_id
             .values()
             .filter_map(|(peer, queue)| {
                 let queue = queue.upgrade()?;
-                let (phase, since) = queue.phase()?;
-                let age = now.saturating_duration_since(since);
-                let is_stalled = phase == Phase::ReadingBody && age >= MIN_BODY_STALL;
-                is_stalled.then_some((age, *peer, queue))
+                let age = now.saturating_duration_since(queue.unfinished_body_since()?);
+                let may_close = age >= MIN_BODY_STALL && !std::ptr::eq(&*queue, requester);
+                may_close.then_some((age, *peer, queue))
             })
             .max_by_key(|(age, ..)| *age);
         let Some((age, peer, queue)) = oldest else {
             return;
         };
-        if queue.close_in_phase(Phase::ReadingBody) {
+        if queue.close_unfinished_body() {
             let closed = self.closed_bodies.fetch_add(1, Ordering::Relaxed) + 1;
             if closed.is_power_of_two() {
                 log::warn!(
--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -255,6 +255,7 @@
         if is_reading && !state.is_reading {
             state.reading_since = Instant::now();
             state.is_reading_body = false;
+            state.is_body_unfinished = false;
         }
         state.is_reading = is_reading;
     }
@@ -266,6 +267,26 @@
         state.is_reading_body = true;
     }
 
+    /// Notes whether memory is reserved for a body of which bytes are missing.
+    pub(crate) fn set_body_unfinished(&self, is_unfinished: bool) {
+        self.lock().is_body_unfinished = is_unfinished;
+    }
+
+    /// When the head of a request arrived that holds memory and whose body is not whole.
+    pub(crate) fn unfinished_body_since(&self) -> Option<Instant> {
+        self.lock().unfinished_body_since()
+    }
+
+    /// Closes the connection if its request still holds memory for a body that is not whole.
+    pub(crate) fn close_unfinished_body(&self) -> bool {
+        let mut state = self.lock();
+        let is_unfinished = state.unfinished_body_since().is_some();
+        if is_unfinished {
+            self.close(&mut state);
+        }
+        is_unfinished
+    }
+
     /// How readily this connection is closed to make room for another one, and since when; `None` if
     /// it must not be closed.
     pub(crate) fn phase(&self) -> Option<(Phase, Instant)> {
--- a/components/http/src/reply_state.rs
+++ b/components/http/src/reply_state.rs
@@ -91,6 +91,8 @@
     pub(crate) reading_since: Instant,
     /// The head of that request has arrived.
     pub(crate) is_reading_body: bool,
+    /// Memory is reserved for its body, of which bytes are missing.
+    pub(crate) is_body_unfinished: bool,
     /// Number of handlers that have not returned.
     pub(crate) running_handlers: usize,
     /// Hooks to run when the caller closes the connection, with the number of their request.
@@ -116,6 +118,7 @@
             is_reading: false,
             reading_since: Instant::now(),
             is_reading_body: false,
+            is_body_unfinished: false,
             running_handlers: 0,
             close_hooks: Vec::new(),
             idle_since: Instant::now(),
@@ -141,6 +144,13 @@
         })
     }
 
+    /// When the head of a request arrived that holds memory and whose body is not whole; `None` if
+    /// there is no such request, or if the connection must not be closed.
+    pub(crate) fn unfinished_body_since(&self) -> Option<Instant> {
+        let (phase, since) = self.phase()?;
+        (phase == Phase::ReadingBody && self.is_body_unfinished).then_some(since)
+    }
+
     /// Output that is not written counts like a running handler, so that a caller that does not read
     /// a reply has fewer requests run.
     pub(crate) fn must_wait(&self, limit: usize) -> bool {
--- a/components/http/src/request_body.rs
+++ b/components/http/src/request_body.rs
@@ -16,7 +16,7 @@
 };
 
 /// How often a request that waits for memory tries again.
-const MEMORY_CHECK: Duration = Duration::from_millis(20);
+pub(crate) const MEMORY_CHECK: Duration = Duration::from_millis(20);
 /// Longest wait of a request for memory.
 const MEMORY_WAIT: Duration = Duration::from_secs(2);
 /// Times that a request is held at once: by the call, in the message to its owner, at the owner, and
@@ -48,6 +48,9 @@
     /// Whether the first bytes of the body have been looked for.
     has_started: bool,
     deadline: Option<Instant>,
+    /// Whether memory is reserved for a body of which bytes are missing, as far as `ReplyQueue` has
+    /// been told.
+    is_unfinished: bool,
 }
 
 impl PartialRequest {
@@ -72,6 +75,7 @@
             memory_until: None,
             has_started: false,
             deadline: None,
+            is_unfinished: false,
         }
     }
 
@@ -93,6 +97,7 @@
             }
             let consumed = self.decoder.decode(buffer.unread())?;
             buffer.consume(consumed);
+            self.report_unfinished(replies);
             if self.head.framing == Framing::Chunked {
                 self.wanted_bytes = self.decoder.memory_bytes();
             }
@@ -107,7 +112,7 @@
     /// Reserves memory for the wanted bytes. If there is none, returns when to try again.
     fn reserve(&mut self, replies: &ReplyQueue) -> Result<Option<Instant>, ReadEnd> {
         let bytes = REQUEST_COPIES * (self.head.head_bytes + self.wanted_bytes);
-        if self.reservation.grow_to(bytes) {
+        if self.reservation.grow_to(bytes, replies) {
             self.memory_until = None;
             return Ok(None);
         }
@@ -123,6 +128,13 @@
         Ok(Some(until.min(now + MEMORY_CHECK)))
     }
 
+    fn report_unfinished(&mut self, replies: &ReplyQueue) {
+        let is_unfinished = self.reservation.bytes() > 0 && !self.decoder.is_complete();
+        if std::mem::replace(&mut self.is_unfinished, is_unfinished) != is_unfinished {
+            replies.set_body_unfinished(is_unfinished);
+        }
+    }
+
     fn send_continue_if_expected(&self, replies: &ReplyQueue) {
         if self.head.headers.has_token("expect", "100-continue") {
             replies.send_bytes(b"HTTP/1.1 100 Continue\r\n\r\n", false);
--- a/components/http/tests/memory_limits.rs
+++ b/components/http/tests/memory_limits.rs
@@ -7,10 +7,11 @@
 use std::{
     io::{Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpStream},
+    sync::{Mutex, mpsc::channel},
 };
 
 mod common;
-use common::{connect, echo, read_until, send_and_read_all, start, wait_until};
+use common::{TEST_TIMEOUT, connect, echo, read_until, send_and_read_all, start, wait_until};
 
 const BUDGET_BYTES: usize = 2 << 20;
 const LONG_BYTES: usize = 256 << 10;
@@ -86,9 +87,10 @@
     socket.into()
 }
 
-fn small_request() -> Vec<u8> {
-    let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 4096\r\n\r\n";
-    [head.as_bytes(), &[b'x'; 4096]].concat()
+fn small_request(body_bytes: usize) -> Vec<u8> {
+    let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: ";
+    let head = format!("{head}{body_bytes}\r\n\r\n");
+    [head.as_bytes(), &vec![b'x'; body_bytes]].concat()
 }
 
 /// Small bodies that stop short of their end use up the reserve for small requests; ordinary requests
@@ -100,7 +102,7 @@
     let server = start(config, echo);
     let stalled = fill_with_stalled_bodies(server.address(), &memory);
     for _ in 0..4 {
-        let answer = send_and_read_all(server.address(), &small_request());
+        let answer = send_and_read_all(server.address(), &small_request(4_096));
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
     assert!(memory.replies.closed_bodies() > 0);
@@ -111,6 +113,72 @@
     server.stop();
 }
 
+/// A request that waited for memory which running handlers hold was closed without an answer, as the
+/// oldest one whose body had not arrived.
+#[test]
+fn memory_of_running_handlers() {
+    const HANDLERS: usize = 40;
+    let config = config();
+    let memory = config.memory.clone();
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let server = start(config, move |request, caller| {
+        released.lock().unwrap().recv_timeout(TEST_TIMEOUT).unwrap();
+        echo(request, caller)
+    });
+    let mut holders: Vec<_> = (0..HANDLERS)
+        .map(|n| {
+            let source = Ipv4Addr::new(127, 0, 0, 2 + (n % 4) as u8);
+            let mut stream = connect_from(source, server.address());
+            stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+            stream.write_all(SMALL_HEAD.as_bytes()).unwrap();
+            stream.write_all(&[b'x'; 8_000]).unwrap();
+            stream
+        })
+        .collect();
+    wait_until("the memory is in use", || {
+        memory.requests.held_bytes() > BUDGET_BYTES / 2 * 5 / 4 - SMALL_BYTES
+    });
+    let answer = send_and_read_all(server.address(), &small_request(8_000));
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+    assert!(answer.contains("\r\nretry-after: 1\r\n"), "{answer}");
+    assert_eq!(memory.replies.closed_bodies(), 0);
+    for _ in 0..HANDLERS {
+        release.send(()).unwrap();
+    }
+    for holder in &mut holders {
+        assert!(read_until(holder, "\r\n\r\n").starts_with("HTTP/1.1 200 "));
+    }
+    server.stop();
+}
+
+/// A small request whose own address had used its part closed the uploads of others.
+#[test]
+fn part_of_one_address() {
+    let config = config();
+    let memory = config.memory.clone();
+    let server = start(config, echo);
+    let part = BUDGET_BYTES / 2 - SMALL_BYTES;
+    let mut stalled = Vec::new();
+    wait_until("the part of the address is in use", || {
+        let mut stream = connect(server.address());
+        // Fails if the part is in use already.
+        let _ = stream.write_all(SMALL_HEAD.as_bytes());
+        stalled.push(stream);
+        memory.requests.held_bytes() > part
+    });
+    let mut upload = connect_from(Ipv4Addr::new(127, 0, 0, 2), server.address());
+    upload.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\n";
+    upload.write_all(head.as_bytes()).unwrap();
+    let answer = send_and_read_all(server.address(), &small_request(8_000));
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:.80}");
+    assert_eq!(memory.replies.closed_bodies(), 0);
+    upload.write_all(b"hello").unwrap();
+    read_until(&mut upload, "POST / hello");
+    server.abort();
+}
+
 /// Callers whose bodies take all memory kept a process from hearing of its instance and operators.
 #[test]
 fn port_with_own_part() {
@@ -123,7 +191,7 @@
     let server = start(callers, echo);
     let operator_server = start(operators, echo);
     let _stalled = fill_with_stalled_bodies(server.address(), &memory);
-    let answer = send_and_read_all(operator_server.address(), &small_request());
+    let answer = send_and_read_all(operator_server.address(), &small_request(4_096));
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     // Nothing of the callers was closed for it.
     assert_eq!(memory.replies.closed_bodies(), 0);
--- a/components/limits/src/memory_shares.rs
+++ b/components/limits/src/memory_shares.rs
@@ -42,27 +42,37 @@
     /// legal request does not rule it out.
     pub fn try_grow(&mut self, peer: &K, own_bytes: usize, bytes: usize) -> bool {
         let peer_bytes = self.by_peer.get(peer).copied().unwrap_or(0);
+        let max_of_peer = self.max_bytes - self.max_bytes / OTHERS_DIVISOR;
+        // A peer that holds nothing else may use all that is left.
+        let is_peer_under =
+            peer_bytes == own_bytes || self.is_under(peer_bytes, max_of_peer, own_bytes, bytes);
         let is_only_holder = self.held_bytes == own_bytes;
+        if !is_only_holder && (self.is_full_for(own_bytes, bytes) || !is_peer_under) {
+            return false;
+        }
+        self.held_bytes += bytes;
+        *self.by_peer.entry(peer.clone()).or_default() += bytes;
+        true
+    }
+
+    /// Whether the whole budget has no room for `bytes` more of a request that holds `own_bytes`,
+    /// whatever its peer holds.
+    pub fn is_full_for(&self, own_bytes: usize, bytes: usize) -> bool {
+        !self.is_under(self.held_bytes, self.max_bytes, own_bytes, bytes)
+    }
+
+    /// Whether `held_bytes` and `bytes` more of a request that holds `own_bytes` are within a bound,
+    /// with the reserve if the request is small.
+    fn is_under(&self, held_bytes: usize, max: usize, own_bytes: usize, bytes: usize) -> bool {
         let is_small = own_bytes.saturating_add(bytes) <= SMALL_BYTES;
         let reserve_bytes = if is_small {
             self.max_bytes / RESERVE_DIVISOR
         } else {
             0
         };
-        let is_under = |held: usize, max: usize| {
-            held.checked_add(bytes)
-                .is_some_and(|total| total <= max.saturating_add(reserve_bytes))
-        };
-        // A peer that holds nothing else may use all that is left.
-        let is_peer_under = peer_bytes == own_bytes
-            || is_under(peer_bytes, self.max_bytes - self.max_bytes / OTHERS_DIVISOR);
-        let fits = is_under(self.held_bytes, self.max_bytes) && is_peer_under;
-        if !fits && !is_only_holder {
-            return false;
-        }
-        self.held_bytes += bytes;
-        *self.by_peer.entry(peer.clone()).or_default() += bytes;
-        true
+        held_bytes
+            .checked_add(bytes)
+            .is_some_and(|total| total <= max.saturating_add(reserve_bytes))
     }
 
     /// Returns bytes of a peer.
