Begin the linger of a connection when its last handler ends

Callers saw: a caller that keeps its socket open after a reply with `connection: close` held its place for the idle timeout (60 s) and 5 s more, in place of 5 s, if its handler ended after the reply was sent.

Cause: the loop is notified of the reply while the handler still runs, sees a busy connection and looks again after the idle timeout. The end of the handler notified the loop only if it waited for that.

The end of the last handler of a closing connection now notifies the loop, which then begins the linger.

Test on the code before: early_replies::handler_ends_after_last_reply panicked at common/mod.rs:81: timed out waiting until the connection ends (30 s). With the change it passes in 5.1 s.

--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -140,6 +140,11 @@
         state.running_handlers -= 1;
         state.idle_since = Instant::now();
         state.close_hooks.retain(|(request, _)| *request != number);
+        // The loop was notified of the reply that closes the connection while the handler still ran,
+        // and begins the linger only now.
+        if state.is_closing && state.running_handlers == 0 {
+            state.is_awaited = true;
+        }
         self.notify_if_awaited(&mut state);
     }
 
--- a/components/http/tests/early_replies.rs
+++ b/components/http/tests/early_replies.rs
@@ -7,10 +7,11 @@
         Mutex,
         mpsc::{Receiver, Sender, channel},
     },
+    time::Duration,
 };
 
 mod common;
-use common::{TEST_TIMEOUT, connect, read_until, start};
+use common::{TEST_TIMEOUT, connect, read_until, start, wait_until};
 
 /// Starts a server whose handlers pass on their `EarlyReply` and then wait. Each returns a response
 /// of its own once a message is sent to the returned sender.
@@ -56,6 +57,26 @@
     server.stop();
 }
 
+/// After a reply that closes the connection, a caller that keeps its side open was noticed only at the
+/// idle timeout if the handler ended after the reply was sent.
+#[test]
+fn handler_ends_after_last_reply() {
+    let (server, replies, release) = start_waiting_server();
+    let mut stream = connect(server.address());
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .unwrap();
+    let (_, early) = replies.recv_timeout(TEST_TIMEOUT).unwrap();
+    assert!(early.send(&Response::new(200, "early")));
+    stream.read_to_end(&mut Vec::new()).unwrap();
+    // The loop has seen the reply before the handler ends.
+    std::thread::sleep(Duration::from_millis(100));
+    release.send(()).unwrap();
+    // Ends before the idle timeout, which is longer than the wait.
+    wait_until("the connection ends", || server.connection_count() == 0);
+    server.stop();
+}
+
 /// The socket accepts only part of a large body immediately; the handler's thread sends the rest.
 #[test]
 fn large_body() {
