Check the deadlines of connections that always have more bytes

Callers saw: nothing; a caller that sends without a pause, for example after a 413, kept its connection and a share of the loop's thread for as long as it wished, past the deadlines of its head or body, of the linger and of writing.

Cause: `advance` returned `Next::Again` after 16 reads, before it tested any deadline. The deadlines are now tested first. `Shared::new` is separate so that a test can run the loop turn by turn, with small reads, which leaves bytes unread at each turn whatever the speed of the machine.

Test on the code before: connection_loop::tests::deadline_of_fast_sender panicked at tests/inside/connection_loop.rs:65: it is not closed.

--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -185,12 +185,16 @@
         self.replies.flush_in_loop();
         let mut reads = 0;
         loop {
+            let mut has_more = false;
             let (deadline, check_at) = match self.step(shared) {
                 Step::Continue => continue,
                 Step::End => return Next::End,
                 Step::Wait(check_at) => (None, check_at),
                 Step::Read(deadline) if !self.is_readable || self.has_ended => (deadline, None),
-                Step::Read(_) if reads == MAX_READS => return Next::Again,
+                Step::Read(deadline) if reads == MAX_READS => {
+                    has_more = true;
+                    (deadline, None)
+                }
                 Step::Read(_) => {
                     reads += 1;
                     match self.read(scratch) {
@@ -214,6 +218,9 @@
                 self.handle_stream_end(shared);
                 continue;
             }
+            if has_more {
+                return Next::Again;
+            }
             return Next::Wait(
                 deadline
                     .into_iter()
--- a/components/http/src/connection_loop.rs
+++ b/components/http/src/connection_loop.rs
@@ -112,19 +112,23 @@
 
 /// Body of the loop's thread; returns when the server accepts no more connections and all have ended.
 pub(crate) fn run_loop(shared: Arc<Shared>, poll: Poll) {
-    let mut connection_loop = ConnectionLoop {
-        shared,
-        poll,
-        entries: HashMap::new(),
-        checks: BinaryHeap::new(),
-        unfinished: VecDeque::new(),
-        scratch: vec![0; READ_BYTES],
-    };
+    let mut connection_loop = ConnectionLoop::new(shared, poll);
     let mut events = Events::with_capacity(MAX_EVENTS);
     while connection_loop.turn(&mut events) {}
 }
 
 impl ConnectionLoop {
+    fn new(shared: Arc<Shared>, poll: Poll) -> Self {
+        ConnectionLoop {
+            shared,
+            poll,
+            entries: HashMap::new(),
+            checks: BinaryHeap::new(),
+            unfinished: VecDeque::new(),
+            scratch: vec![0; READ_BYTES],
+        }
+    }
+
     /// Handles what has happened since the last turn; false at the end of the loop.
     fn turn(&mut self, events: &mut Events) -> bool {
         let timeout = self.timeout();
@@ -247,3 +251,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/inside/connection_loop.rs"]
+mod tests;
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -135,6 +135,31 @@
 }
 
 impl Shared {
+    pub(crate) fn new(
+        config: ServerConfig,
+        connection_loop: LoopHandle,
+        handler: Box<Handler>,
+    ) -> Arc<Self> {
+        let limits = RequestLimits {
+            max_head_bytes: config.max_head_bytes,
+            max_body_bytes: config.max_body_bytes,
+            head_timeout_ms: config.head_timeout_ms,
+            idle_timeout_ms: config.idle_timeout_ms,
+        };
+        Arc::new(Shared {
+            connection_loop: Arc::new(connection_loop),
+            workers: Arc::new(Workers::new(config.thread_name.clone())),
+            limits: Mutex::new(limits),
+            config,
+            handler,
+            stopping: Arc::new(AtomicBool::new(false)),
+            draining: Arc::new(AtomicBool::new(false)),
+            refusals: AtomicUsize::new(0),
+            connections: Mutex::default(),
+            changed: Condvar::new(),
+        })
+    }
+
     fn connections(&self) -> MutexGuard<'_, OpenConnections> {
         self.connections
             .lock()
@@ -165,25 +190,8 @@
 ) -> Result<Server, ServeError> {
     let address = listener.local_addr().context(ListenerSnafu)?;
     let name = config.thread_name.clone();
-    let limits = RequestLimits {
-        max_head_bytes: config.max_head_bytes,
-        max_body_bytes: config.max_body_bytes,
-        head_timeout_ms: config.head_timeout_ms,
-        idle_timeout_ms: config.idle_timeout_ms,
-    };
     let (connection_loop, poll) = LoopHandle::new().context(PollSnafu)?;
-    let shared = Arc::new(Shared {
-        connection_loop: Arc::new(connection_loop),
-        workers: Arc::new(Workers::new(name.clone())),
-        limits: Mutex::new(limits),
-        config,
-        handler: Box::new(handler),
-        stopping: Arc::new(AtomicBool::new(false)),
-        draining: Arc::new(AtomicBool::new(false)),
-        refusals: AtomicUsize::new(0),
-        connections: Mutex::default(),
-        changed: Condvar::new(),
-    });
+    let shared = Shared::new(config, connection_loop, Box::new(handler));
     let builder = || Builder::new().name(name.clone()).stack_size(STACK_BYTES);
     let loop_shared = Arc::clone(&shared);
     builder()
@@ -436,7 +444,7 @@
         }
     }
 
-    fn refused(shared: &Arc<Shared>, id: u64) -> Self {
+    pub(crate) fn refused(shared: &Arc<Shared>, id: u64) -> Self {
         shared.refusals.fetch_add(1, Ordering::AcqRel);
         ConnectionPlace {
             shared: Arc::clone(shared),
--- /dev/null
+++ b/components/http/tests/inside/connection_loop.rs
@@ -0,0 +1,66 @@
+//! Connections that keep the loop busy must neither escape their deadlines nor take more than their
+//! turns.
+
+use super::{ConnectionLoop, LoopHandle, MAX_EVENTS};
+use crate::{
+    Response, ServerConfig,
+    connection::ServedConnection,
+    reply_queue::ReplyQueue,
+    server::{ConnectionPlace, Shared},
+};
+use errors::ErrorKind;
+use mio::{Events, Poll};
+use std::{
+    io::Write,
+    net::{Ipv4Addr, TcpListener, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+/// Longer than a refused caller may linger.
+const AFTER_LINGER: Duration = Duration::from_millis(1_100);
+
+fn shared() -> (Arc<Shared>, Poll) {
+    let (handle, poll) = LoopHandle::new().unwrap();
+    let handler = |_, _: &_| Response::new(200, "");
+    let shared = Shared::new(ServerConfig::default(), handle, Box::new(handler));
+    (shared, poll)
+}
+
+/// A connection that discards what it reads, and the caller's side of it.
+fn refused(shared: &Arc<Shared>, id: u64) -> (ServedConnection, TcpStream) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, peer) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let stream = Arc::new(stream);
+    let memory = &shared.config.memory.replies;
+    let (draining, handle) = (&shared.draining, &shared.connection_loop);
+    let replies = ReplyQueue::new(&stream, draining, memory, handle, id);
+    let place = ConnectionPlace::refused(shared, id);
+    let kind = ErrorKind::TooManyConnections;
+    let served = ServedConnection::refused(&stream, peer, replies, place, kind);
+    (served, caller)
+}
+
+/// A loop that reads few bytes at once, with a refused connection whose caller has sent many.
+fn loop_with_fast_sender(id: u64) -> (ConnectionLoop, TcpStream) {
+    let (shared, poll) = shared();
+    let (connection, mut caller) = refused(&shared, id);
+    caller.write_all(&[b'x'; 32 * 1024]).unwrap();
+    let mut connection_loop = ConnectionLoop::new(shared, poll);
+    connection_loop.scratch = vec![0; 4];
+    connection_loop.add(connection);
+    (connection_loop, caller)
+}
+
+/// A connection that always has more bytes to read was not checked against any deadline.
+#[test]
+fn deadline_of_fast_sender() {
+    let (mut connection_loop, _caller) = loop_with_fast_sender(1);
+    assert_eq!(connection_loop.entries.len(), 1);
+    thread::sleep(AFTER_LINGER);
+    connection_loop.turn(&mut Events::with_capacity(MAX_EVENTS));
+    assert!(connection_loop.entries.is_empty(), "it is not closed");
+}
