Give a connection one turn in each round of the loop

Callers saw: calls beside a caller that sends fast took longer, since that caller had several turns where the others had one.

Cause: the id of a connection with more bytes to read was queued again by each event, notification and check that advanced it, so that it could be in `unfinished` several times. An entry now notes that its turn is still to come, and is not advanced in between.

Test on the code before: one_turn_for_each_connection panicked at tests/inside/connection_loop.rs:76: left: 4, right: 1.

--- a/components/http/src/connection_loop.rs
+++ b/components/http/src/connection_loop.rs
@@ -95,6 +95,8 @@
 struct Entry {
     connection: ServedConnection,
     check_at: Option<Instant>,
+    /// The id is in `unfinished`, where it must be only once: each item is a turn.
+    is_unfinished: bool,
 }
 
 /// State of the loop's thread.
@@ -152,7 +154,11 @@
             }
         }
         for _ in 0..self.unfinished.len() {
-            if let Some(id) = self.unfinished.pop_front() {
+            let Some(id) = self.unfinished.pop_front() else {
+                break;
+            };
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.is_unfinished = false;
                 self.advance(id);
             }
         }
@@ -198,16 +204,20 @@
         let entry = Entry {
             connection,
             check_at: None,
+            is_unfinished: false,
         };
         self.entries.insert(id, entry);
         self.advance(id);
     }
 
-    /// Advances a connection as far as possible without waiting.
+    /// Advances a connection as far as possible without waiting, unless its turn is still to come.
     fn advance(&mut self, id: u64) {
         let Some(entry) = self.entries.get_mut(&id) else {
             return;
         };
+        if entry.is_unfinished {
+            return;
+        }
         let (shared, scratch) = (&self.shared, &mut self.scratch);
         // A fault in one connection must not end the others.
         let next = catch_unwind(AssertUnwindSafe(|| {
@@ -222,7 +232,10 @@
                     self.checks.push(Reverse((at, id)));
                 }
             }
-            Ok(Next::Again) => self.unfinished.push_back(id),
+            Ok(Next::Again) => {
+                entry.is_unfinished = true;
+                self.unfinished.push_back(id);
+            }
             Ok(Next::End) | Err(_) => self.remove(id),
         }
     }
--- a/components/http/tests/inside/connection_loop.rs
+++ b/components/http/tests/inside/connection_loop.rs
@@ -64,3 +64,14 @@
     connection_loop.turn(&mut Events::with_capacity(MAX_EVENTS));
     assert!(connection_loop.entries.is_empty(), "it is not closed");
 }
+
+/// A fast sender had several turns in each round of the loop, one for each event that had found more
+/// bytes than are read in one turn.
+#[test]
+fn one_turn_for_each_connection() {
+    let (mut connection_loop, _caller) = loop_with_fast_sender(1);
+    for _ in 0..3 {
+        connection_loop.advance(1);
+    }
+    assert_eq!(connection_loop.unfinished.len(), 1);
+}
