Remove the checks of connections that have ended

Operators saw: memory that grows with the rate of new connections. At 10,000 short connections a second, 600,000 checks would be kept for the idle timeout of 60 s (an estimate, not measured).

Cause: a check stayed in the heap until its time, also if its connection had ended or an earlier check had replaced it. An ordered set, from which both are deleted, holds one check at most for each connection.

Test on the code before: checks_of_ended_connections panicked at tests/inside/connection_loop.rs:87: left: 2, right: 1.

--- a/components/http/src/connection_loop.rs
+++ b/components/http/src/connection_loop.rs
@@ -10,8 +10,7 @@
 };
 use mio::{Events, Interest, Poll, Token, Waker, event::Event, unix::SourceFd};
 use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     io,
     os::fd::AsRawFd,
     panic::{AssertUnwindSafe, catch_unwind},
@@ -104,8 +103,8 @@
     shared: Arc<Shared>,
     poll: Poll,
     entries: HashMap<u64, Entry>,
-    /// Times of checks. An item counts only if it is the `check_at` of its connection.
-    checks: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// `check_at` of the connections.
+    checks: BTreeSet<(Instant, u64)>,
     /// Connections that have more to read than is read in one turn.
     unfinished: VecDeque<u64>,
     /// Memory that all connections read into.
@@ -125,7 +124,7 @@
             shared,
             poll,
             entries: HashMap::new(),
-            checks: BinaryHeap::new(),
+            checks: BTreeSet::new(),
             unfinished: VecDeque::new(),
             scratch: vec![0; READ_BYTES],
         }
@@ -171,7 +170,7 @@
         if !self.unfinished.is_empty() {
             return Some(Duration::ZERO);
         }
-        let Reverse((at, _)) = self.checks.peek()?;
+        let (at, _) = self.checks.first()?;
         Some(at.saturating_duration_since(Instant::now()))
     }
 
@@ -228,8 +227,10 @@
             Ok(Next::Wait(Some(at))) => {
                 // A later time is set by the earlier check.
                 if entry.check_at.is_none_or(|earlier| at < earlier) {
-                    entry.check_at = Some(at);
-                    self.checks.push(Reverse((at, id)));
+                    if let Some(later) = entry.check_at.replace(at) {
+                        self.checks.remove(&(later, id));
+                    }
+                    self.checks.insert((at, id));
                 }
             }
             Ok(Next::Again) => {
@@ -242,6 +243,9 @@
 
     fn remove(&mut self, id: u64) {
         if let Some(entry) = self.entries.remove(&id) {
+            if let Some(at) = entry.check_at {
+                self.checks.remove(&(at, id));
+            }
             let fd = entry.connection.stream().as_raw_fd();
             // Fails only if the operating system has removed the descriptor already.
             let _ = self.poll.registry().deregister(&mut SourceFd(&fd));
@@ -251,13 +255,11 @@
     /// Advances the connections whose check is due.
     fn run_checks(&mut self) {
         let now = Instant::now();
-        while let Some(Reverse((at, id))) = self.checks.peek().copied()
+        while let Some((at, id)) = self.checks.first().copied()
             && at <= now
         {
-            self.checks.pop();
-            if let Some(entry) = self.entries.get_mut(&id)
-                && entry.check_at == Some(at)
-            {
+            self.checks.pop_first();
+            if let Some(entry) = self.entries.get_mut(&id) {
                 entry.check_at = None;
                 self.advance(id);
             }
--- a/components/http/tests/inside/connection_loop.rs
+++ b/components/http/tests/inside/connection_loop.rs
@@ -75,3 +75,17 @@
     }
     assert_eq!(connection_loop.unfinished.len(), 1);
 }
+
+/// The checks of connections that had ended were kept until their time, for up to the idle timeout.
+#[test]
+fn checks_of_ended_connections() {
+    let (shared, poll) = shared();
+    let mut connection_loop = ConnectionLoop::new(Arc::clone(&shared), poll);
+    for id in 1..=8 {
+        let (connection, _caller) = refused(&shared, id);
+        connection_loop.add(connection);
+        assert_eq!(connection_loop.checks.len(), 1);
+        connection_loop.remove(id);
+    }
+    assert_eq!(connection_loop.checks.len(), 0);
+}
