Close connections that are accepted after the loop has failed

Callers saw: after a fatal poll error, which ends the loop, their connections were still accepted, but nothing was read from them and they were not closed.

Cause: `LoopHandle::add` put connections into the inbox of a loop that no longer takes anything. The end of the loop is now noted in the inbox. What it holds then and what is added later is closed; messages are dropped.

Test, with everything of this change but the call of `end`: connections_after_loop_failure panicked at tests/inside/connection_loop.rs:119: called `Result::unwrap()` on an `Err` value: Os { code: 11, kind: WouldBlock, ... } (read timed out after 10 s).

--- a/components/http/src/connection_loop.rs
+++ b/components/http/src/connection_loop.rs
@@ -32,6 +32,8 @@
     /// Ids of connections whose replies have changed.
     changed: Vec<u64>,
     is_closed: bool,
+    /// The loop has ended, also after a failure; nothing is taken any more.
+    has_ended: bool,
 }
 
 /// Access of other threads to the loop.
@@ -66,8 +68,24 @@
         self.send(|inbox| inbox.is_closed = true);
     }
 
+    /// Notes that the loop has ended, and closes the connections that it has not taken.
+    fn end(&self) {
+        let mut inbox = self.lock();
+        inbox.has_ended = true;
+        let left = std::mem::take(&mut inbox.added);
+        // A connection that is dropped locks the table of connections, under whose lock messages are
+        // sent.
+        drop(inbox);
+        drop(left);
+    }
+
     fn send(&self, send: impl FnOnce(&mut Inbox)) {
         let mut inbox = self.lock();
+        if inbox.has_ended {
+            // As in `end`, a connection in the message is dropped without the lock.
+            drop(inbox);
+            return;
+        }
         let is_wake_pending = !inbox.added.is_empty() || !inbox.changed.is_empty();
         send(&mut inbox);
         drop(inbox);
@@ -113,9 +131,14 @@
 
 /// Body of the loop's thread; returns when the server accepts no more connections and all have ended.
 pub(crate) fn run_loop(shared: Arc<Shared>, poll: Poll) {
+    run_with(shared, poll, Events::with_capacity(MAX_EVENTS));
+}
+
+fn run_with(shared: Arc<Shared>, poll: Poll, mut events: Events) {
+    let handle = Arc::clone(&shared.connection_loop);
     let mut connection_loop = ConnectionLoop::new(shared, poll);
-    let mut events = Events::with_capacity(MAX_EVENTS);
     while connection_loop.turn(&mut events) {}
+    handle.end();
 }
 
 impl ConnectionLoop {
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -436,7 +436,7 @@
 }
 
 impl ConnectionPlace {
-    fn served(shared: &Arc<Shared>, id: u64) -> Self {
+    pub(crate) fn served(shared: &Arc<Shared>, id: u64) -> Self {
         ConnectionPlace {
             shared: Arc::clone(shared),
             id,
--- a/components/http/tests/inside/connection_loop.rs
+++ b/components/http/tests/inside/connection_loop.rs
@@ -1,7 +1,7 @@
 //! Connections that keep the loop busy must neither escape their deadlines nor take more than their
 //! turns.
 
-use super::{ConnectionLoop, LoopHandle, MAX_EVENTS};
+use super::{ConnectionLoop, LoopHandle, MAX_EVENTS, run_with};
 use crate::{
     Response, ServerConfig,
     connection::ServedConnection,
@@ -11,8 +11,8 @@
 use errors::ErrorKind;
 use mio::{Events, Poll};
 use std::{
-    io::Write,
-    net::{Ipv4Addr, TcpListener, TcpStream},
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
     time::Duration,
@@ -21,6 +21,9 @@
 /// Longer than a refused caller may linger.
 const AFTER_LINGER: Duration = Duration::from_millis(1_100);
 
+/// Longest wait for a connection to be closed.
+const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
 fn shared() -> (Arc<Shared>, Poll) {
     let (handle, poll) = LoopHandle::new().unwrap();
     let handler = |_, _: &_| Response::new(200, "");
@@ -28,8 +31,8 @@
     (shared, poll)
 }
 
-/// A connection that discards what it reads, and the caller's side of it.
-fn refused(shared: &Arc<Shared>, id: u64) -> (ServedConnection, TcpStream) {
+/// Both ends of a connection; the accepted one with its address and its replies.
+fn accept(shared: &Shared, id: u64) -> (Arc<TcpStream>, SocketAddr, Arc<ReplyQueue>, TcpStream) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (stream, peer) = listener.accept().unwrap();
@@ -38,6 +41,12 @@
     let memory = &shared.config.memory.replies;
     let (draining, handle) = (&shared.draining, &shared.connection_loop);
     let replies = ReplyQueue::new(&stream, draining, memory, handle, id);
+    (stream, peer, replies, caller)
+}
+
+/// A connection that discards what it reads, and the caller's side of it.
+fn refused(shared: &Arc<Shared>, id: u64) -> (ServedConnection, TcpStream) {
+    let (stream, peer, replies, caller) = accept(shared, id);
     let place = ConnectionPlace::refused(shared, id);
     let kind = ErrorKind::TooManyConnections;
     let served = ServedConnection::refused(&stream, peer, replies, place, kind);
@@ -89,3 +98,24 @@
     }
     assert_eq!(connection_loop.checks.len(), 0);
 }
+
+/// After a failure of the loop, callers waited without end for connections that were still accepted.
+#[test]
+fn connections_after_loop_failure() {
+    let (shared, poll) = shared();
+    let add = |id| {
+        let (stream, peer, replies, caller) = accept(&shared, id);
+        let place = ConnectionPlace::served(&shared, id);
+        let served = ServedConnection::new(&shared, &stream, peer, replies, place);
+        shared.connection_loop.add(served);
+        caller.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        caller
+    };
+    let before = add(1);
+    // Polling for no events is an error on Linux.
+    run_with(Arc::clone(&shared), poll, Events::with_capacity(0));
+    let after = add(2);
+    for mut caller in [before, after] {
+        assert_eq!(caller.read(&mut [0]).unwrap(), 0);
+    }
+}
