Close lingering connections first to make room

Callers saw: 503 `too-many-connections` for up to 5 s, although all places were held by callers that had got their last reply. Callers that send `connection: close` and keep the socket open could refuse all others this way.

Cause: `phase` was `None` for each closing connection, also when its last reply was written and only the caller's end was awaited. Such a connection has the new first phase `Lingering`. One that `close` has shut down already has none, since the loop ends it anyway. A caller whose reply is closed early has it in its receive buffer or on the way; unread bytes that it sent after its last request may reset the connection, which happens only on a full server.

--- a/components/http/src/open_connections.rs
+++ b/components/http/src/open_connections.rs
@@ -91,7 +91,7 @@
             .filter_map(|connection| {
                 let (phase, since) = connection.replies.phase()?;
                 let may_close = match phase {
-                    Phase::Idle | Phase::ReadingHead => true,
+                    Phase::Lingering | Phase::Idle | Phase::ReadingHead => true,
                     Phase::ReadingBody | Phase::Unread => now.duration_since(since) >= MIN_STALL,
                 };
                 may_close.then_some((phase, since, connection))
--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -205,6 +205,7 @@
 
     fn close(&self, state: &mut State) {
         state.is_closing = true;
+        state.is_shut_down = true;
         state.slots.clear();
         state.drop_output();
         let unread_bytes = state.unread_bytes;
--- a/components/http/src/reply_state.rs
+++ b/components/http/src/reply_state.rs
@@ -32,6 +32,8 @@
 /// closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
+    /// The reply that closes the connection is written, and the caller has not closed its side.
+    Lingering,
     /// No request is read or handled, and all replies are written.
     Idle,
     ReadingHead,
@@ -79,6 +81,8 @@
     pub(crate) is_awaited: bool,
     /// A reply closed the connection; no further reply is sent.
     pub(crate) is_closing: bool,
+    /// Both directions were shut down, so that the loop ends the connection.
+    pub(crate) is_shut_down: bool,
     /// The caller has announced that the request just read is its last one.
     pub(crate) has_last_request: bool,
     pub(crate) is_caller_closed: bool,
@@ -112,6 +116,7 @@
             unread_since: Instant::now(),
             is_awaited: false,
             is_closing: false,
+            is_shut_down: false,
             has_last_request: false,
             is_caller_closed: false,
             is_read_shut_down: false,
@@ -131,9 +136,14 @@
             .slots
             .iter()
             .any(|slot| matches!(slot, Slot::Waiting { .. }));
-        if is_handled || self.is_closing {
+        if is_handled || self.is_shut_down {
             return None;
         }
+        if self.is_closing {
+            let is_done =
+                self.slots.is_empty() && self.output.is_empty() && self.running_handlers == 0;
+            return is_done.then_some((Phase::Lingering, self.idle_since));
+        }
         if self.unread_bytes > 0 {
             return Some((Phase::Unread, self.unread_since));
         }
--- a/components/http/tests/server_limits.rs
+++ b/components/http/tests/server_limits.rs
@@ -4,7 +4,7 @@
 use std::{
     io::{ErrorKind, Read, Write},
     net::TcpStream,
-    sync::mpsc::channel,
+    sync::{Arc, mpsc::channel},
     time::Duration,
 };
 
@@ -125,6 +125,35 @@
     server.stop();
 }
 
+/// Callers that keep their side open after the reply that closes their connection must not keep others
+/// out.
+#[test]
+fn place_of_lingering_connection() {
+    const PLACES: usize = 4;
+    let config = ServerConfig {
+        max_connections: PLACES,
+        ..ServerConfig::default()
+    };
+    let places = Arc::clone(&config.memory.places);
+    let server = start(config, echo);
+    let close = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let lingering: Vec<_> = (0..PLACES)
+        .map(|_| {
+            let mut stream = connect(server.address());
+            stream.write_all(close).unwrap();
+            stream.read_to_end(&mut Vec::new()).unwrap();
+            stream
+        })
+        .collect();
+    // Repeated, because a handler may end some time after its reply.
+    wait_until("another caller has a place", || {
+        send_and_read_all(server.address(), close).starts_with("HTTP/1.1 200")
+    });
+    assert!(places.closed_for_room() > 0);
+    drop(lingering);
+    server.stop();
+}
+
 #[test]
 fn places_of_one_address() {
     let limit = ServerConfig {
