End connections that read a request when their last one is answered

Callers saw: at the end of a stop, the response to a request that was answered in place of its handler had no `connection: close` if a part of a further request had arrived, and the connection stayed open, although nothing more was answered on it.

Cause: `is_reading` stayed true. A reply is not the last one while a request is read, and `stop_reading_if_idle` leaves such a connection alone. `answer_waiting` now ends the reading under the same lock, and `set_reading` does not begin it again on a connection that takes no request.

Test on the code before: unfinished_before_partial_request panicked at pipelined_calls.rs:411: called `Result::unwrap()` on an `Err` value: Os { code: 11, kind: WouldBlock, ... } (no end of the stream in 30 s).

--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -100,11 +100,14 @@
     }
 
     /// Answers all requests that have no response yet, so that the responses behind them are sent.
-    /// Returns their number; what their handlers return later is dropped.
+    /// Returns their number; what their handlers return later is dropped. A request that is being read
+    /// is not run any more.
     pub(crate) fn answer_waiting(&self, response: &Response) -> usize {
         let answered = {
             let mut state = self.lock();
             state.has_last_request = true;
+            // The last of these replies closes the connection, although a further request is read.
+            state.is_reading = false;
             let mut answered = 0;
             for index in 0..state.slots.len() {
                 if let Slot::Waiting { is_head } = state.slots[index] {
@@ -263,7 +266,7 @@
             state.is_reading_body = false;
             state.is_body_unfinished = false;
         }
-        state.is_reading = is_reading;
+        state.is_reading = is_reading && !state.takes_no_request();
     }
 
     /// Called when the head of the request that is being read has arrived.
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -381,3 +381,44 @@
     drop(stream);
     release.send(()).unwrap();
 }
+
+/// When requests were answered at the end of a stop while a further one arrived, the reply did not
+/// announce the end of the connection, and the stop did not end it.
+#[test]
+fn unfinished_before_partial_request() {
+    let config = ServerConfig {
+        stop_grace_ms: 0,
+        ..ServerConfig::default()
+    };
+    let (started, wait_started) = channel();
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let server = start(config, move |request, _| {
+        started.send(()).unwrap();
+        released.lock().unwrap().recv_timeout(TEST_TIMEOUT).unwrap();
+        Response::new(200, request.target)
+    });
+    let head = "GET /part HTTP/1.1\r\nhost:";
+    let body = "POST /part HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\n12";
+    let streams = [head, body].map(|part| {
+        let mut stream = connect(server.address());
+        let sent = request("/running") + part;
+        stream.write_all(sent.as_bytes()).unwrap();
+        stream
+    });
+    for _ in &streams {
+        wait_started.recv_timeout(TEST_TIMEOUT).unwrap();
+    }
+    // The rest of what was sent is read meanwhile.
+    std::thread::sleep(HANDLER_END);
+    assert_eq!(server.answer_unfinished(&Response::new(502, "cut off")), 2);
+    for mut stream in &streams {
+        let mut text = String::new();
+        std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
+        assert!(text.contains("\r\nconnection: close\r\n"), "{text}");
+    }
+    release.send(()).unwrap();
+    release.send(()).unwrap();
+    server.stop_until(Some(Instant::now() + TEST_TIMEOUT));
+    assert_eq!(server.connection_count(), 0);
+}
