Create served and refused connections in one place

`ServedConnection::new` and `refused` listed all fields; both now start from `unregistered`. `READ_BYTES` stood in two files. No change of behaviour; `cargo test -p http` passes. Messages of tests no longer name a thread of each connection.

--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -124,19 +124,10 @@
         place: ConnectionPlace,
     ) -> Self {
         let memory = &shared.config.memory.replies;
+        let registration = memory.register(peer.ip(), &replies);
         ServedConnection {
-            id: place.id(),
-            stream: Arc::clone(stream),
-            peer,
-            _registration: Some(memory.register(peer.ip(), &replies)),
-            replies,
-            buffer: ReadBuffer::default(),
-            stage: Stage::Head(None),
-            is_readable: true,
-            may_be_closed: false,
-            has_ended: false,
-            closing_since: None,
-            _place: place,
+            _registration: Some(registration),
+            ..ServedConnection::unregistered(stream, peer, replies, place)
         }
     }
 
@@ -148,7 +139,19 @@
         place: ConnectionPlace,
         kind: ErrorKind,
     ) -> Self {
-        let mut connection = ServedConnection {
+        let mut connection = ServedConnection::unregistered(stream, peer, replies, place);
+        connection.send_refusal(kind);
+        connection
+    }
+
+    /// A connection that the reply memory does not know.
+    fn unregistered(
+        stream: &Arc<TcpStream>,
+        peer: SocketAddr,
+        replies: Arc<ReplyQueue>,
+        place: ConnectionPlace,
+    ) -> Self {
+        ServedConnection {
             id: place.id(),
             stream: Arc::clone(stream),
             peer,
@@ -161,9 +164,7 @@
             closing_since: None,
             _registration: None,
             _place: place,
-        };
-        connection.send_refusal(kind);
-        connection
+        }
     }
 
     pub(crate) fn id(&self) -> u64 {
--- a/components/http/src/connection_loop.rs
+++ b/components/http/src/connection_loop.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     connection::{Next, ServedConnection},
+    read_buffer::READ_BYTES,
     server::Shared,
 };
 use mio::{Events, Interest, Poll, Token, Waker, event::Event, unix::SourceFd};
@@ -22,8 +23,6 @@
 const WAKE: Token = Token(0);
 /// Most events fetched from the operating system at once.
 const MAX_EVENTS: usize = 256;
-/// Most bytes read from a connection at once.
-const READ_BYTES: usize = 16 * 1024;
 
 /// What other threads have for the loop.
 #[derive(Default)]
--- a/components/http/src/read_buffer.rs
+++ b/components/http/src/read_buffer.rs
@@ -6,7 +6,8 @@
     time::{Duration, Instant},
 };
 
-const READ_BYTES: usize = 16 * 1024;
+/// Most bytes read from a connection at once.
+pub(crate) const READ_BYTES: usize = 16 * 1024;
 /// Buffer capacity that is kept once all bytes are consumed; the rest is freed.
 const KEPT_CAPACITY_BYTES: usize = 64 * 1024;
 
--- a/components/http/tests/pipelined_calls.rs
+++ b/components/http/tests/pipelined_calls.rs
@@ -90,9 +90,7 @@
     std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
     assert!(text.ends_with("/1") && !text.contains("/2"), "{text}");
     drop(stream);
-    wait_until("the connection's thread ends", || {
-        server.connection_count() == 0
-    });
+    wait_until("the connection ends", || server.connection_count() == 0);
     server.stop();
 }
 
--- a/components/http/tests/server_limits.rs
+++ b/components/http/tests/server_limits.rs
@@ -38,9 +38,7 @@
         std::thread::sleep(Duration::from_millis(20));
         stream.write_all(b"b").is_err()
     });
-    wait_until("the connection's thread ends", || {
-        server.connection_count() == 0
-    });
+    wait_until("the connection ends", || server.connection_count() == 0);
     server.stop();
 }
 
@@ -196,9 +194,7 @@
     });
     let answer = send_and_read_all(server.address(), b"GET /panic HTTP/1.1\r\nhost: a\r\n\r\n");
     assert_eq!(answer, "");
-    wait_until("the connection's thread ends", || {
-        server.connection_count() == 0
-    });
+    wait_until("the connection ends", || server.connection_count() == 0);
     let answer = send_and_read_all(server.address(), b"GET / HTTP/1.0\r\n\r\n");
     assert!(answer.starts_with("HTTP/1.1 200"));
     server.stop();
