--- a/components/admin/src/server.rs
+++ b/components/admin/src/server.rs
@@ -1,5 +1,5 @@
-//! HTTP server of a port. Each connection has a thread and its requests a time limit, so that
-//! connections that fall silent don't keep others from being served.
+//! HTTP server of a port. Its connections share one thread and their requests have a time limit, so
+//! that connections that fall silent don't keep others from being served.
 
 use crate::{AdminResponse, port_memory};
 use http::{Request, ServerConfig};
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -105,7 +105,8 @@
     pub given_up: Counter,
     /// Calls that count as running at the local upstream although no answer will come.
     pub lost_work: Gauge,
-    /// Memory in use at the HTTP ports, by kind: requests, replies.
+    /// Memory in use at the HTTP ports, by kind: requests, replies, and port-requests, port-replies
+    /// for the part that only the ports of the instance and the operators have.
     pub server_memory_bytes: Family<KindLabels, Gauge>,
     /// Refusals at the HTTP ports since the start, by kind.
     pub server_refusals: Family<KindLabels, Gauge>,
