Test that waiting requests share one search for a stalled body

Guards the bound of one victim for each interval of 20 ms and the rule that the requester is spared. Without the interval the test panics at tests/inside/stalled_bodies.rs:40: 19 closed (of 20 in 20 tries); without the rule at stalled_bodies.rs:42: requester.unfinished_body_since().is_some().

--- a/components/http/src/reply_memory.rs
+++ b/components/http/src/reply_memory.rs
@@ -211,3 +211,7 @@
         self.memory.lock().by_id.remove(&self.id);
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/inside/stalled_bodies.rs"]
+mod tests;
