--- a/components/http/src/connection.rs
+++ b/components/http/src/connection.rs
@@ -124,19 +124,10 @@
         place: ConnectionPlace,
     ) -> Self {
         let memory = &shared.config.memory.replies;
+        let registration = memory.register(peer.ip(), &replies);
         ServedConnection {
-            id: place.id(),
-            stream: Arc::clone(stream),
-            peer,
-            _registration: Some(memory.register(peer.ip(), &replies)),
-            replies,
-            buffer: ReadBuffer::default(),
-            stage: Stage::Head(None),
-            is_readable: true,
-            may_be_closed: false,
-            has_ended: false,
-            closing_since: None,
-            _place: place,
+            _registration: Some(registration),
+            ..ServedConnection::unregistered(stream, peer, replies, place)
         }
     }
 
@@ -148,7 +139,19 @@
         place: ConnectionPlace,
         kind: ErrorKind,
     ) -> Self {
-        let mut connection = ServedConnection {
+        let mut connection = ServedConnection::unregistered(stream, peer, replies, place);
+        connection.send_refusal(kind);
+        connection
+    }
+
+    /// A connection that the reply memory does not know.
+    fn unregistered(
+        stream: &Arc<TcpStream>,
+        peer: SocketAddr,
+        replies: Arc<ReplyQueue>,
+        place: ConnectionPlace,
+    ) -> Self {
+        ServedConnection {
             id: place.id(),
             stream: Arc::clone(stream),
             peer,
@@ -161,9 +164,7 @@
             closing_since: None,
             _registration: None,
             _place: place,
-        };
-        connection.send_refusal(kind);
-        connection
+        }
     }
 
     pub(crate) fn id(&self) -> u64 {
@@ -185,12 +186,16 @@
         self.replies.flush_in_loop();
         let mut reads = 0;
         loop {
+            let mut has_more = false;
             let (deadline, check_at) = match self.step(shared) {
                 Step::Continue => continue,
                 Step::End => return Next::End,
                 Step::Wait(check_at) => (None, check_at),
                 Step::Read(deadline) if !self.is_readable || self.has_ended => (deadline, None),
-                Step::Read(_) if reads == MAX_READS => return Next::Again,
+                Step::Read(deadline) if reads == MAX_READS => {
+                    has_more = true;
+                    (deadline, None)
+                }
                 Step::Read(_) => {
                     reads += 1;
                     match self.read(scratch) {
@@ -214,6 +219,9 @@
                 self.handle_stream_end(shared);
                 continue;
             }
+            if has_more {
+                return Next::Again;
+            }
             return Next::Wait(
                 deadline
                     .into_iter()
--- a/components/http/src/connection_loop.rs
+++ b/components/http/src/connection_loop.rs
@@ -6,12 +6,12 @@
 
 use crate::{
     connection::{Next, ServedConnection},
+    read_buffer::READ_BYTES,
     server::Shared,
 };
 use mio::{Events, Interest, Poll, Token, Waker, event::Event, unix::SourceFd};
 use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     io,
     os::fd::AsRawFd,
     panic::{AssertUnwindSafe, catch_unwind},
@@ -23,8 +23,6 @@
 const WAKE: Token = Token(0);
 /// Most events fetched from the operating system at once.
 const MAX_EVENTS: usize = 256;
-/// Most bytes read from a connection at once.
-const READ_BYTES: usize = 16 * 1024;
 
 /// What other threads have for the loop.
 #[derive(Default)]
@@ -33,6 +31,8 @@
     /// Ids of connections whose replies have changed.
     changed: Vec<u64>,
     is_closed: bool,
+    /// The loop has ended, also after a failure; nothing is taken any more.
+    has_ended: bool,
 }
 
 /// Access of other threads to the loop.
@@ -67,8 +67,24 @@
         self.send(|inbox| inbox.is_closed = true);
     }
 
+    /// Notes that the loop has ended, and closes the connections that it has not taken.
+    fn end(&self) {
+        let mut inbox = self.lock();
+        inbox.has_ended = true;
+        let left = std::mem::take(&mut inbox.added);
+        // A connection that is dropped locks the table of connections, under whose lock messages are
+        // sent.
+        drop(inbox);
+        drop(left);
+    }
+
     fn send(&self, send: impl FnOnce(&mut Inbox)) {
         let mut inbox = self.lock();
+        if inbox.has_ended {
+            // As in `end`, a connection in the message is dropped without the lock.
+            drop(inbox);
+            return;
+        }
         let is_wake_pending = !inbox.added.is_empty() || !inbox.changed.is_empty();
         send(&mut inbox);
         drop(inbox);
@@ -95,6 +111,8 @@
 struct Entry {
     connection: ServedConnection,
     check_at: Option<Instant>,
+    /// The id is in `unfinished`, where it must be only once: each item is a turn.
+    is_unfinished: bool,
 }
 
 /// State of the loop's thread.
@@ -102,8 +120,8 @@
     shared: Arc<Shared>,
     poll: Poll,
     entries: HashMap<u64, Entry>,
-    /// Times of checks. An item counts only if it is the `check_at` of its connection.
-    checks: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// `check_at` of the connections.
+    checks: BTreeSet<(Instant, u64)>,
     /// Connections that have more to read than is read in one turn.
     unfinished: VecDeque<u64>,
     /// Memory that all connections read into.
@@ -112,19 +130,28 @@
 
 /// Body of the loop's thread; returns when the server accepts no more connections and all have ended.
 pub(crate) fn run_loop(shared: Arc<Shared>, poll: Poll) {
-    let mut connection_loop = ConnectionLoop {
-        shared,
-        poll,
-        entries: HashMap::new(),
-        checks: BinaryHeap::new(),
-        unfinished: VecDeque::new(),
-        scratch: vec![0; READ_BYTES],
-    };
-    let mut events = Events::with_capacity(MAX_EVENTS);
+    run_with(shared, poll, Events::with_capacity(MAX_EVENTS));
+}
+
+fn run_with(shared: Arc<Shared>, poll: Poll, mut events: Events) {
+    let handle = Arc::clone(&shared.connection_loop);
+    let mut connection_loop = ConnectionLoop::new(shared, poll);
     while connection_loop.turn(&mut events) {}
+    handle.end();
 }
 
 impl ConnectionLoop {
+    fn new(shared: Arc<Shared>, poll: Poll) -> Self {
+        ConnectionLoop {
+            shared,
+            poll,
+            entries: HashMap::new(),
+            checks: BTreeSet::new(),
+            unfinished: VecDeque::new(),
+            scratch: vec![0; READ_BYTES],
+        }
+    }
+
     /// Handles what has happened since the last turn; false at the end of the loop.
     fn turn(&mut self, events: &mut Events) -> bool {
         let timeout = self.timeout();
@@ -148,7 +175,11 @@
             }
         }
         for _ in 0..self.unfinished.len() {
-            if let Some(id) = self.unfinished.pop_front() {
+            let Some(id) = self.unfinished.pop_front() else {
+                break;
+            };
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.is_unfinished = false;
                 self.advance(id);
             }
         }
@@ -161,7 +192,7 @@
         if !self.unfinished.is_empty() {
             return Some(Duration::ZERO);
         }
-        let Reverse((at, _)) = self.checks.peek()?;
+        let (at, _) = self.checks.first()?;
         Some(at.saturating_duration_since(Instant::now()))
     }
 
@@ -194,16 +225,20 @@
         let entry = Entry {
             connection,
             check_at: None,
+            is_unfinished: false,
         };
         self.entries.insert(id, entry);
         self.advance(id);
     }
 
-    /// Advances a connection as far as possible without waiting.
+    /// Advances a connection as far as possible without waiting, unless its turn is still to come.
     fn advance(&mut self, id: u64) {
         let Some(entry) = self.entries.get_mut(&id) else {
             return;
         };
+        if entry.is_unfinished {
+            return;
+        }
         let (shared, scratch) = (&self.shared, &mut self.scratch);
         // A fault in one connection must not end the others.
         let next = catch_unwind(AssertUnwindSafe(|| {
@@ -214,17 +249,25 @@
             Ok(Next::Wait(Some(at))) => {
                 // A later time is set by the earlier check.
                 if entry.check_at.is_none_or(|earlier| at < earlier) {
-                    entry.check_at = Some(at);
-                    self.checks.push(Reverse((at, id)));
+                    if let Some(later) = entry.check_at.replace(at) {
+                        self.checks.remove(&(later, id));
+                    }
+                    self.checks.insert((at, id));
                 }
             }
-            Ok(Next::Again) => self.unfinished.push_back(id),
+            Ok(Next::Again) => {
+                entry.is_unfinished = true;
+                self.unfinished.push_back(id);
+            }
             Ok(Next::End) | Err(_) => self.remove(id),
         }
     }
 
     fn remove(&mut self, id: u64) {
         if let Some(entry) = self.entries.remove(&id) {
+            if let Some(at) = entry.check_at {
+                self.checks.remove(&(at, id));
+            }
             let fd = entry.connection.stream().as_raw_fd();
             // Fails only if the operating system has removed the descriptor already.
             let _ = self.poll.registry().deregister(&mut SourceFd(&fd));
@@ -234,16 +277,18 @@
     /// Advances the connections whose check is due.
     fn run_checks(&mut self) {
         let now = Instant::now();
-        while let Some(Reverse((at, id))) = self.checks.peek().copied()
+        while let Some((at, id)) = self.checks.first().copied()
             && at <= now
         {
-            self.checks.pop();
-            if let Some(entry) = self.entries.get_mut(&id)
-                && entry.check_at == Some(at)
-            {
+            self.checks.pop_first();
+            if let Some(entry) = self.entries.get_mut(&id) {
                 entry.check_at = None;
                 self.advance(id);
             }
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/inside/connection_loop.rs"]
+mod tests;
--- a/components/http/src/reply_queue.rs
+++ b/components/http/src/reply_queue.rs
@@ -100,11 +100,14 @@
     }
 
     /// Answers all requests that have no response yet, so that the responses behind them are sent.
-    /// Returns their number; what their handlers return later is dropped.
+    /// Returns their number; what their handlers return later is dropped. A request that is being read
+    /// is not run any more.
     pub(crate) fn answer_waiting(&self, response: &Response) -> usize {
         let answered = {
             let mut state = self.lock();
             state.has_last_request = true;
+            // The last of these replies closes the connection, although a further request is read.
+            state.is_reading = false;
             let mut answered = 0;
             for index in 0..state.slots.len() {
                 if let Slot::Waiting { is_head } = state.slots[index] {
@@ -140,6 +143,11 @@
         state.running_handlers -= 1;
         state.idle_since = Instant::now();
         state.close_hooks.retain(|(request, _)| *request != number);
+        // The loop was notified of the reply that closes the connection while the handler still ran,
+        // and begins the linger only now.
+        if state.is_closing && state.running_handlers == 0 {
+            state.is_awaited = true;
+        }
         self.notify_if_awaited(&mut state);
     }
 
@@ -200,6 +208,7 @@
 
     fn close(&self, state: &mut State) {
         state.is_closing = true;
+        state.is_shut_down = true;
         state.slots.clear();
         state.drop_output();
         let unread_bytes = state.unread_bytes;
@@ -255,8 +264,9 @@
         if is_reading && !state.is_reading {
             state.reading_since = Instant::now();
             state.is_reading_body = false;
+            state.is_body_unfinished = false;
         }
-        state.is_reading = is_reading;
+        state.is_reading = is_reading && !state.takes_no_request();
     }
 
     /// Called when the head of the request that is being read has arrived.
@@ -266,6 +276,26 @@
         state.is_reading_body = true;
     }
 
+    /// Notes whether memory is reserved for a body of which bytes are missing.
+    pub(crate) fn set_body_unfinished(&self, is_unfinished: bool) {
+        self.lock().is_body_unfinished = is_unfinished;
+    }
+
+    /// When the head of a request arrived that holds memory and whose body is not whole.
+    pub(crate) fn unfinished_body_since(&self) -> Option<Instant> {
+        self.lock().unfinished_body_since()
+    }
+
+    /// Closes the connection if its request still holds memory for a body that is not whole.
+    pub(crate) fn close_unfinished_body(&self) -> bool {
+        let mut state = self.lock();
+        let is_unfinished = state.unfinished_body_since().is_some();
+        if is_unfinished {
+            self.close(&mut state);
+        }
+        is_unfinished
+    }
+
     /// How readily this connection is closed to make room for another one, and since when; `None` if
     /// it must not be closed.
     pub(crate) fn phase(&self) -> Option<(Phase, Instant)> {
