Reply to cancelled calls whose long response waits

Callers saw `owner-lost` in place of `deadline-passed` for an idempotent call whose response waited for a slow connection when its deadline passed. The entry also advanced its connection generation, as if the connection to the owner had been lost, and counted a response of up to 16 MiB in memory that was no longer reserved.

Cancelling such a call dropped its `ReplyTo`, which the mesh reports to the entry as `ConnectionLost`. The recorded status, which answers the `Cancel`, is `Forgotten` for an idempotent call, and the whole response for a call that must not run twice, which then went to the full connection at once.

The cancellation now replies `Failed(DeadlinePassed)`, as it does for a running call, and with the same status. The record is not changed, so that a later query (retry of a keyed call) still gets the response.

--- a/components/node/src/owner/delayed_replies.rs
+++ b/components/node/src/owner/delayed_replies.rs
@@ -93,14 +93,10 @@
         self.lock().len()
     }
 
-    /// Drops the response if it waits: its entry reads the status of the call instead.
-    pub(super) fn cancel(&self, attempt: AttemptId) {
+    fn take(&self, attempt: AttemptId) -> Option<DelayedReply> {
         let mut waiting = self.lock();
-        let index = waiting.iter().position(|other| other.attempt == attempt);
-        let dropped = index.map(|index| waiting.remove(index));
-        // Dropping it sends a message, which should not be done under the lock.
-        drop(waiting);
-        drop(dropped);
+        let index = waiting.iter().position(|other| other.attempt == attempt)?;
+        Some(waiting.remove(index))
     }
 
     fn take_due(&self, now_us: u64) -> Option<DelayedReply> {
@@ -160,6 +156,16 @@
         let _ = self.wake.send(());
     }
 
+    /// Replies to a cancelled call without its response, if that waits. Returns the kind with which
+    /// the call has ended then. Its status stays as it is, so that later queries get the response.
+    pub(super) fn cancel_delayed(&self, attempt: AttemptId) -> Option<ErrorKind> {
+        let delayed = self.delayed_replies.take(attempt)?;
+        // As for a running call. Without a reply, the entry would take the connection for lost.
+        let kind = ErrorKind::DeadlinePassed;
+        reply(delayed.reply, delayed.signal, RunResult::Failed(kind));
+        Some(kind)
+    }
+
     /// Sends the responses that need not wait any longer; returns the time until the next check.
     pub(super) fn send_delayed_replies(&self) -> Option<Duration> {
         while let Some(delayed) = self.delayed_replies.take_due(self.now_us()) {
@@ -196,3 +202,7 @@
         Some(ErrorKind::Overloaded)
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/delayed_replies.rs"]
+mod tests;
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -10,7 +10,7 @@
     unanswered::UnansweredCalls,
 };
 use crate::context::NodeContext;
-use calls::{BeginResult, CallRecords, IncomingAttempt, RecordsConfig};
+use calls::{AttemptStatus, BeginResult, CallRecords, IncomingAttempt, RecordsConfig};
 use crossbeam::channel::Sender;
 use errors::ErrorKind;
 use http::ResponseMemory;
@@ -335,7 +335,7 @@
     }
 
     /// Cancels an attempt, whether it waits or runs, and replies with its status.
-    fn cancel(&self, request: &AttemptStatusRequest, reply_to: ReplyTo) {
+    pub(super) fn cancel(&self, request: &AttemptStatusRequest, reply_to: ReplyTo) {
         let now_us = self.now_us();
         let mut dropped = None;
         {
@@ -347,10 +347,15 @@
             }
         }
         self.shared.running.cancel(request.attempt);
-        self.delayed_replies.cancel(request.attempt);
-        let status = self
+        let recorded = self
             .lock_records()
             .cancel(now_us, &request.to_status_query(now_us));
+        // The recorded status of a call that must not run twice has its response, which the
+        // connection can't take now.
+        let status = match self.cancel_delayed(request.attempt) {
+            Some(kind) => AttemptStatus::Failed(kind),
+            None => recorded,
+        };
         if let Some(job) = dropped {
             let signal = self.load_signal().unwrap_or_default();
             reply(job.reply, signal, RunResult::Refused(ErrorKind::Cancelled));
@@ -358,7 +363,7 @@
         reply_status(reply_to, status);
     }
 
-    fn query_status(&self, request: &AttemptStatusRequest, reply_to: ReplyTo) {
+    pub(super) fn query_status(&self, request: &AttemptStatusRequest, reply_to: ReplyTo) {
         let now_us = self.now_us();
         let status = self
             .lock_records()
