Send long responses of an entry in the order in which they came

Callers of an entry on a slow link got `deadline-passed` although their response was there: whether a long response waits depended only on the bytes queued on the connection. A new one that came in a moment with less than 1 MiB queued was sent at once, filled the connection again, and overtook those that waited for the next check, possibly until their deadlines.

A response now also waits while others wait for the entry with its origin. The check and the addition are made under one lock, and the timer sends those that are due from the front, so that the order is kept.

Test `owner::delayed_replies::tests::in_order` on the code before: left: [2, 1] right: [1, 2]

--- a/components/node/src/owner/delayed_replies.rs
+++ b/components/node/src/owner/delayed_replies.rs
@@ -99,6 +99,19 @@
         Some(waiting.remove(index))
     }
 
+    /// Lets a response wait, if the connection to its entry has much to write or others wait for that
+    /// entry already, which it must not overtake. Returns it if it can be sent now.
+    fn add(&self, delayed: DelayedReply) -> Option<DelayedReply> {
+        let mut waiting = self.lock();
+        let origin = delayed.attempt.call.origin;
+        let is_behind_others = waiting.iter().any(|r| r.attempt.call.origin == origin);
+        if !is_behind_others && delayed.reply.queued_bytes() <= MAX_QUEUED_BYTES {
+            return Some(delayed);
+        }
+        waiting.push(delayed);
+        None
+    }
+
     fn take_due(&self, now_us: u64) -> Option<DelayedReply> {
         let mut waiting = self.lock();
         let index = waiting.iter().position(|other| other.is_due(now_us))?;
@@ -123,7 +136,7 @@
 
 impl Owner {
     /// Sends the result of a call that has ended, or lets it wait if it is long and the connection to
-    /// its entry has much to write.
+    /// its entry has much to write, or others wait for that entry.
     pub(super) fn reply_or_delay(
         &self,
         now_us: u64,
@@ -136,13 +149,13 @@
             RunResult::Answer { message, .. } => message.len(),
             _ => 0,
         };
-        if bytes <= LONG_BYTES || job.reply.queued_bytes() <= MAX_QUEUED_BYTES {
+        if bytes <= LONG_BYTES {
             reply(job.reply, signal, result);
             return;
         }
         // Only the encoded response is held by now.
         memory.keep(bytes);
-        self.delayed_replies.lock().push(DelayedReply {
+        let not_delayed = self.delayed_replies.add(DelayedReply {
             attempt: job.call.attempt,
             reply: job.reply,
             signal,
@@ -152,6 +165,10 @@
             deadline_us: job.deadline_us,
             _memory: memory,
         });
+        if let Some(delayed) = not_delayed {
+            reply(delayed.reply, delayed.signal, delayed.result);
+            return;
+        }
         // A lost wake-up is harmless, since the timer also wakes up periodically.
         let _ = self.wake.send(());
     }
--- a/components/node/tests/inside/delayed_replies.rs
+++ b/components/node/tests/inside/delayed_replies.rs
@@ -195,6 +195,14 @@
     }
 }
 
+fn wait_until(holds: impl Fn() -> bool) {
+    let until = Instant::now() + TEST_TIMEOUT;
+    while !holds() {
+        assert!(Instant::now() < until, "never happened");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
 fn failed(kind: ErrorKind) -> CallReply {
     CallReply::Ran {
         signal: model::LoadSignal::default(),
@@ -226,3 +234,19 @@
         assert_eq!(rig.next_reply(), (3, Ok(CallReply::Status(kept))));
     }
 }
+
+/// A response must not overtake one of the same entry that waits, which then might not be sent before
+/// its deadline.
+#[test]
+fn in_order() {
+    let rig = Rig::start();
+    let release = rig.stall();
+    rig.end_call(1, true, LONG);
+    drop(release);
+    let probe = rig.request(0);
+    wait_until(|| probe.queued_bytes() == 0);
+    rig.end_call(2, true, LONG);
+    rig.owner.send_delayed_replies();
+    let numbers = [rig.next_reply().0, rig.next_reply().0];
+    assert_eq!(numbers, [1, 2]);
+}
