Send the long responses that wait when a node ends

Callers of slow entries got no answer to calls that had run, if the owner's node reached its stop timeout: `Owner::close` ended the timer, and the responses that waited were dropped with the process.

A response that comes after the close is sent as well, since no timer would do it later; both orders of a close and an addition are covered by the lock of the waiting responses.

--- a/components/node/src/owner/delayed_replies.rs
+++ b/components/node/src/owner/delayed_replies.rs
@@ -112,6 +112,11 @@
         None
     }
 
+    fn take_first(&self) -> Option<DelayedReply> {
+        let mut waiting = self.lock();
+        (!waiting.is_empty()).then(|| waiting.remove(0))
+    }
+
     fn take_due(&self, now_us: u64) -> Option<DelayedReply> {
         let mut waiting = self.lock();
         let index = waiting.iter().position(|other| other.is_due(now_us))?;
@@ -169,6 +174,11 @@
             reply(delayed.reply, delayed.signal, delayed.result);
             return;
         }
+        // After the close, which may have sent the others before this one was added, no timer runs.
+        if self.is_closed() {
+            self.send_all_delayed_replies();
+            return;
+        }
         // A lost wake-up is harmless, since the timer also wakes up periodically.
         let _ = self.wake.send(());
     }
@@ -191,6 +201,14 @@
         (self.delayed_replies.count() > 0).then_some(CHECK_INTERVAL)
     }
 
+    /// Sends all responses that wait, whatever is queued on their connections: the mesh still writes
+    /// for a moment when the process ends.
+    pub(super) fn send_all_delayed_replies(&self) {
+        while let Some(delayed) = self.delayed_replies.take_first() {
+            delayed.send(self.now_us());
+        }
+    }
+
     /// Refusal of a call whose entry has too many responses waiting for it, or that comes while those
     /// of all entries take all their memory. Checked on arrival and right before the start.
     pub(super) fn congestion_refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -186,8 +186,10 @@
         next.map(|at_us| Duration::from_micros(at_us.saturating_sub(now_us)))
     }
 
+    /// Ends the timer and sends the replies that it would send later.
     pub(crate) fn close(&self) {
         self.closed.store(true, Ordering::Release);
+        self.send_all_delayed_replies();
         // The timer also ends by its own period, so a lost wake-up is harmless.
         let _ = self.wake.send(());
     }
--- a/components/node/tests/inside/delayed_replies.rs
+++ b/components/node/tests/inside/delayed_replies.rs
@@ -250,3 +250,24 @@
     let numbers = [rig.next_reply().0, rig.next_reply().0];
     assert_eq!(numbers, [1, 2]);
 }
+
+/// A node whose stop timeout passes must not drop the responses of calls that have run.
+#[test]
+fn sent_at_close() {
+    let rig = Rig::start();
+    let release = rig.stall();
+    rig.end_call(1, false, LONG);
+    rig.owner.close();
+    rig.end_call(2, false, LONG);
+    drop(release);
+    for number in [1, 2] {
+        let (replied, reply) = rig.next_reply();
+        assert_eq!(replied, number);
+        let result = RunResult::Answer {
+            status: 200,
+            message: vec![number as u8; LONG].into(),
+        };
+        let signal = model::LoadSignal::default();
+        assert_eq!(reply, Ok(CallReply::Ran { signal, result }));
+    }
+}
