Show refusals because of waiting responses in route queries

Operators saw `start, by owner` in `gyard route` for calls that the owner refuses as `overloaded` because long responses wait for their entry: `upcoming_refusal` left that rule out, and the previewed call had origin 0 in place of its entry's.

The rule is now `Owner::congestion`, which reads only; `congestion_refusal` adds the count and the log line. The preview asks it with the origin of its own entry. `readiness_refusal` returns kind and rule, so that `refusal_reason` no longer repeats it.

Test `owner::delayed_replies::tests::refusals_previewed` on the code before: left: None right: Some("overloaded") That test covers the owner's side; that the entry asks with its own origin follows from `run_call`, which now takes it as an argument.

--- a/components/node/src/entry/preview/mod.rs
+++ b/components/node/src/entry/preview/mod.rs
@@ -367,7 +367,7 @@
         if upstream.node != self.context.kernel.mesh.local_id() {
             return figures::estimated_admission(upstream, figures, wait.start_now);
         }
-        let call = run_call(upstream, target, identity, &wait);
+        let call = run_call(self.origin, upstream, target, identity, &wait);
         match self.context.owner_preview.get() {
             Some(owner) => owner.admission(&call, target.customer.as_deref()),
             None => figures::estimated_admission(upstream, figures, wait.start_now),
@@ -411,6 +411,7 @@
 
 /// The first attempt of a call as its owner gets it, without the request.
 fn run_call(
+    origin: u64,
     upstream: &Upstream,
     target: &Target,
     identity: Fingerprint,
@@ -420,7 +421,7 @@
     RunCall {
         attempt: AttemptId {
             call: CallId {
-                origin: 0,
+                origin,
                 sequence: 0,
             },
             attempt: 0,
--- a/components/node/src/owner/arrivals.rs
+++ b/components/node/src/owner/arrivals.rs
@@ -11,8 +11,8 @@
 use errors::ErrorKind;
 use http::CancelToken;
 use limits::{AdmissionRequest, AdmissionResult, CustomerKey, PaceStatus, QueueDecision};
-use model::{LoadSignal, UpstreamName};
-use std::sync::{Arc, MutexGuard, atomic::Ordering};
+use model::LoadSignal;
+use std::sync::{Arc, MutexGuard};
 use wire::{RunCall, RunResult};
 
 /// Longest time for which calls wait for a slow host to recover, in microseconds. After that they
@@ -23,20 +23,6 @@
 const MIN_WAIT_DIVISOR: u64 = 4;
 
 impl Owner {
-    /// Reason to refuse all calls to an upstream because it isn't here or this node is not ready for
-    /// them.
-    pub(super) fn readiness_refusal(&self, upstream: &UpstreamName) -> Option<ErrorKind> {
-        if self.is_refusing.load(Ordering::Acquire) {
-            return Some(ErrorKind::Stopping);
-        }
-        let is_here = self
-            .lock_instance()
-            .as_ref()
-            .is_some_and(|i| i.upstream.name == *upstream);
-        let is_ready = is_here && self.context.knows_suspects.load(Ordering::Acquire);
-        (!is_ready).then_some(ErrorKind::NoUpstream)
-    }
-
     /// Passes a call to admission control, after a health check if the host's pace is not known.
     pub(super) fn check_pace_and_admit(self: &Arc<Self>, now_us: u64, arrival: Arrival) {
         let mut guard = self.lock_instance();
--- a/components/node/src/owner/delayed_replies.rs
+++ b/components/node/src/owner/delayed_replies.rs
@@ -66,7 +66,7 @@
 }
 
 /// Bytes of the waiting responses of an entry, of all entries, and the longest wait of the entry's.
-struct Backlog {
+pub(super) struct Backlog {
     entry_bytes: usize,
     all_bytes: usize,
     entry_since_us: Option<u64>,
@@ -89,6 +89,10 @@
         }
     }
 
+    fn max_entry_bytes(&self) -> usize {
+        self.max_bytes / ENTRY_DIVISOR
+    }
+
     pub(super) fn count(&self) -> usize {
         self.lock().len()
     }
@@ -209,25 +213,30 @@
         }
     }
 
-    /// Refusal of a call whose entry has too many responses waiting for it, or that comes while those
-    /// of all entries take all their memory. Checked on arrival and right before the start.
+    /// What waits, if it is too much for further calls of the entry with this origin to run: its own
+    /// responses take all that they may, or those of all entries do. Reads only.
+    pub(super) fn congestion(&self, origin: u64) -> Option<Backlog> {
+        let delayed = &self.delayed_replies;
+        let backlog = delayed.backlog(origin);
+        let is_entry_full = backlog.entry_bytes > delayed.max_entry_bytes();
+        (is_entry_full || backlog.all_bytes > delayed.max_bytes).then_some(backlog)
+    }
+
+    /// Refusal of a call by `congestion`, counted and logged. Checked on arrival and right before the
+    /// start.
     pub(super) fn congestion_refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
+        let backlog = self.congestion(call.attempt.call.origin)?;
         let delayed = &self.delayed_replies;
-        let backlog = delayed.backlog(call.attempt.call.origin);
-        let max_entry_bytes = delayed.max_bytes / ENTRY_DIVISOR;
-        let is_entry_full = backlog.entry_bytes > max_entry_bytes;
-        if !is_entry_full && backlog.all_bytes <= delayed.max_bytes {
-            return None;
-        }
         let refused = delayed.refused.fetch_add(1, Ordering::Relaxed);
         if refused.is_multiple_of(LOG_DIVISOR) {
             let since_us = backlog.entry_since_us.unwrap_or(now_us);
             log::warn!(
-                "owner: call {} refused, overloaded: responses of {} of at most {max_entry_bytes} \
-                 bytes wait for its entry, the first for {} ms, and of {} of at most {} bytes for \
-                 all; {} refused so far.",
+                "owner: call {} refused, overloaded: responses of {} of at most {} bytes wait for \
+                 its entry, the first for {} ms, and of {} of at most {} bytes for all; {} refused \
+                 so far.",
                 call.attempt,
                 backlog.entry_bytes,
+                delayed.max_entry_bytes(),
                 now_us.saturating_sub(since_us) / 1_000,
                 backlog.all_bytes,
                 delayed.max_bytes,
--- a/components/node/src/owner/preview.rs
+++ b/components/node/src/owner/preview.rs
@@ -48,9 +48,13 @@
     /// Reason to refuse a call before it comes to admission control.
     fn upcoming_refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
         let evacuated = || self.is_evacuated().then_some(ErrorKind::NoUpstream);
+        let origin = call.attempt.call.origin;
+        let is_congested = || self.congestion(origin).is_some();
         let is_cold_full = || !self.shared.cold.has_room(now_us);
         self.readiness_refusal(&call.upstream)
+            .map(|(kind, _)| kind)
             .or_else(evacuated)
+            .or_else(|| is_congested().then_some(ErrorKind::Overloaded))
             .or_else(|| self.upcoming_suspect_refusal(now_us, &call.fingerprint))
             .or_else(|| is_cold_full().then_some(ErrorKind::Overloaded))
     }
--- a/components/node/src/owner/refusals.rs
+++ b/components/node/src/owner/refusals.rs
@@ -3,10 +3,32 @@
 use super::state::{Owner, incoming_attempt};
 use calls::{AttemptStatus, BeginResult};
 use errors::ErrorKind;
+use model::UpstreamName;
 use std::sync::atomic::Ordering;
 use wire::RunCall;
 
 impl Owner {
+    /// Reason to refuse all calls to an upstream because it isn't here or this node is not ready for
+    /// them, with the rule for the log. Reads only.
+    pub(super) fn readiness_refusal(&self, upstream: &UpstreamName) -> Option<(ErrorKind, String)> {
+        if self.is_refusing.load(Ordering::Acquire) {
+            return Some((ErrorKind::Stopping, "this node stops".to_owned()));
+        }
+        let is_here = self
+            .lock_instance()
+            .as_ref()
+            .is_some_and(|i| i.upstream.name == *upstream);
+        if !is_here {
+            let rule = format!("instance {upstream} is not announced here");
+            return Some((ErrorKind::NoUpstream, rule));
+        }
+        if !self.context.knows_suspects.load(Ordering::Acquire) {
+            let rule = "the crash suspects of other nodes are not known yet";
+            return Some((ErrorKind::NoUpstream, rule.to_owned()));
+        }
+        None
+    }
+
     /// Reason to refuse a call regardless of its record, if there is one. Logs the rule that decided.
     pub(super) fn refusal_reason(
         &self,
@@ -18,20 +40,8 @@
             log::info!("owner: call {} refused, {kind}: {rule}.", call.attempt);
             Some(kind)
         };
-        if self.is_refusing.load(Ordering::Acquire) {
-            return refuse(ErrorKind::Stopping, "this node stops");
-        }
-        let is_here = self
-            .lock_instance()
-            .as_ref()
-            .is_some_and(|i| i.upstream.name == call.upstream);
-        if !is_here {
-            let rule = format!("instance {} is not announced here", call.upstream);
-            return refuse(ErrorKind::NoUpstream, &rule);
-        }
-        if !self.context.knows_suspects.load(Ordering::Acquire) {
-            let rule = "the crash suspects of other nodes are not known yet";
-            return refuse(ErrorKind::NoUpstream, rule);
+        if let Some((kind, rule)) = self.readiness_refusal(&call.upstream) {
+            return refuse(kind, &rule);
         }
         let logged = self
             .evacuation_refusal(now_us, call)
--- a/components/node/tests/inside/delayed_replies.rs
+++ b/components/node/tests/inside/delayed_replies.rs
@@ -5,17 +5,20 @@
     instance::Job,
     state::{Owner, incoming_attempt},
 };
-use crate::context::NodeContext;
+use crate::context::{NodeContext, OwnerPreview};
 use calls::AttemptStatus;
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseMemory};
 use kernel::{Kernel, KernelHandle, Settings};
 use mesh::{Channel, Limits, Mesh, ReplyTo, RequestError};
-use model::{AttemptId, CallId, Fingerprint, NodeId, Priority, ProfileName, UpstreamName};
+use model::{
+    AttemptId, AvailabilityZone, CallId, Fingerprint, HostName, NodeId, Priority, ProfileName,
+    ServiceName, Upstream, UpstreamName, UpstreamState,
+};
 use settings::{NodeFlags, NodeSettings, SettingSource};
 use std::{
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 use wire::{AttemptStatusRequest, CallReply, HttpMessage, RunCall, RunResult, decode};
@@ -179,6 +182,24 @@
         }
     }
 
+    fn upstream(&self) -> Upstream {
+        Upstream {
+            name: UpstreamName::parse("i-1").unwrap(),
+            service: ServiceName::parse("catalogue").unwrap(),
+            availability_zone: AvailabilityZone::parse("zone-1").unwrap(),
+            host: HostName::parse("host-1").unwrap(),
+            node: self.owner_id(),
+            address: self.owner_id().mesh,
+            slots: 4,
+            connections: 10,
+            state: UpstreamState::Serving,
+            announced_ms: 0,
+            default_profile: ProfileName::parse("default").unwrap(),
+            rules: Arc::new([]),
+            version: 0,
+        }
+    }
+
     fn status_request(&self, call: &RunCall) -> AttemptStatusRequest {
         AttemptStatusRequest {
             attempt: call.attempt,
@@ -271,3 +292,23 @@
         assert_eq!(reply, Ok(CallReply::Ran { signal, result }));
     }
 }
+
+/// A route query must tell that the owner refuses the calls of an entry, and must not count as one.
+#[test]
+fn refusals_previewed() {
+    let rig = Rig::start();
+    let release = rig.stall();
+    rig.owner.update_instance(Some(&rig.upstream()));
+    rig.owner
+        .context
+        .knows_suspects
+        .store(true, Ordering::Release);
+    let mut call = rig.call(2, true);
+    let preview = |call: &RunCall| rig.owner.admission(call, None).error;
+    assert_eq!(preview(&call), None);
+    rig.end_call(1, true, LONG);
+    assert_eq!(preview(&call).as_deref(), Some("overloaded"));
+    call.attempt.call.origin += 1;
+    assert_eq!(preview(&call), None);
+    drop(release);
+}
