Count the responses that wait for entries and the calls refused for them

`Retry-After` of these refusals still follows from service times.

Test `owner::delayed_replies::tests::measured` on the code before: error[E0609]: no field `delayed_reply_bytes` on type `&Metrics` error[E0609]: no field `congestion_refused` on type `&Metrics`

--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -101,6 +101,10 @@
     pub evacuated_zones: Gauge,
     /// Calls that an owner refused because its availability zone is evacuated.
     pub evacuation_refused: Counter,
+    /// Bytes of the long responses that wait for slow connections to their entries.
+    pub delayed_reply_bytes: Gauge,
+    /// Calls that an owner refused because such responses take all their memory.
+    pub congestion_refused: Counter,
     /// Calls that the local upstream left unanswered and that were given up early.
     pub given_up: Counter,
     /// Calls that count as running at the local upstream although no answer will come.
@@ -151,6 +155,8 @@
             cold_refused: Counter::default(),
             evacuated_zones: Gauge::default(),
             evacuation_refused: Counter::default(),
+            delayed_reply_bytes: Gauge::default(),
+            congestion_refused: Counter::default(),
             given_up: Counter::default(),
             lost_work: Gauge::default(),
             server_memory_bytes: Family::default(),
@@ -276,6 +282,16 @@
             "Calls refused because the availability zone is evacuated",
             self.evacuation_refused.clone(),
         );
+        registry.register(
+            "delayed_reply_bytes",
+            "Long responses that wait for slow connections to entries",
+            self.delayed_reply_bytes.clone(),
+        );
+        registry.register(
+            "congestion_refused",
+            "Calls refused because responses wait for slow connections to entries",
+            self.congestion_refused.clone(),
+        );
         registry.register(
             "given_up",
             "Calls without an answer that were given up early",
--- a/components/node/src/owner/delayed_replies.rs
+++ b/components/node/src/owner/delayed_replies.rs
@@ -8,13 +8,11 @@
 use super::{instance::Job, replies::reply, state::Owner};
 use errors::ErrorKind;
 use http::ResponseMemory;
+use kernel::Metrics;
 use mesh::ReplyTo;
 use model::{AttemptId, LoadSignal};
 use std::{
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use wire::{RunCall, RunResult};
@@ -76,16 +74,16 @@
 pub(super) struct DelayedReplies {
     max_bytes: usize,
     waiting: Mutex<Vec<DelayedReply>>,
-    refused: AtomicU64,
+    metrics: Metrics,
 }
 
 impl DelayedReplies {
-    /// Responses of a process with this memory budget.
-    pub(super) fn new(memory_budget_bytes: usize) -> Self {
+    /// Responses of a process with this memory budget, counted in these metrics.
+    pub(super) fn new(memory_budget_bytes: usize, metrics: &Metrics) -> Self {
         DelayedReplies {
             max_bytes: memory_budget_bytes / BUDGET_DIVISOR,
             waiting: Mutex::default(),
-            refused: AtomicU64::new(0),
+            metrics: metrics.clone(),
         }
     }
 
@@ -100,7 +98,7 @@
     fn take(&self, attempt: AttemptId) -> Option<DelayedReply> {
         let mut waiting = self.lock();
         let index = waiting.iter().position(|other| other.attempt == attempt)?;
-        Some(waiting.remove(index))
+        Some(self.remove(&mut waiting, index))
     }
 
     /// Lets a response wait, if the connection to its entry has much to write or others wait for that
@@ -112,19 +110,28 @@
         if !is_behind_others && delayed.reply.queued_bytes() <= MAX_QUEUED_BYTES {
             return Some(delayed);
         }
+        let bytes = &self.metrics.delayed_reply_bytes;
+        bytes.inc_by(delayed.bytes as i64);
         waiting.push(delayed);
         None
     }
 
     fn take_first(&self) -> Option<DelayedReply> {
         let mut waiting = self.lock();
-        (!waiting.is_empty()).then(|| waiting.remove(0))
+        (!waiting.is_empty()).then(|| self.remove(&mut waiting, 0))
     }
 
     fn take_due(&self, now_us: u64) -> Option<DelayedReply> {
         let mut waiting = self.lock();
         let index = waiting.iter().position(|other| other.is_due(now_us))?;
-        Some(waiting.remove(index))
+        Some(self.remove(&mut waiting, index))
+    }
+
+    fn remove(&self, waiting: &mut Vec<DelayedReply>, index: usize) -> DelayedReply {
+        let delayed = waiting.remove(index);
+        let bytes = &self.metrics.delayed_reply_bytes;
+        bytes.dec_by(delayed.bytes as i64);
+        delayed
     }
 
     /// What waits for the entry with this origin of calls.
@@ -227,7 +234,7 @@
     pub(super) fn congestion_refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
         let backlog = self.congestion(call.attempt.call.origin)?;
         let delayed = &self.delayed_replies;
-        let refused = delayed.refused.fetch_add(1, Ordering::Relaxed);
+        let refused = delayed.metrics.congestion_refused.inc();
         if refused.is_multiple_of(LOG_DIVISOR) {
             let since_us = backlog.entry_since_us.unwrap_or(now_us);
             log::warn!(
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -66,6 +66,7 @@
             evacuation: Evacuation::default(),
             delayed_replies: DelayedReplies::new(
                 context.kernel.caller_limits().memory_budget_bytes,
+                &context.kernel.metrics,
             ),
             start_queue: Mutex::default(),
             start_lock: Mutex::default(),
--- a/components/node/tests/inside/delayed_replies.rs
+++ b/components/node/tests/inside/delayed_replies.rs
@@ -312,3 +312,21 @@
     assert_eq!(preview(&call), None);
     drop(release);
 }
+
+/// The memory that waiting responses take, and the calls refused for it, must be seen by operators.
+#[test]
+fn measured() {
+    let rig = Rig::start();
+    let release = rig.stall();
+    let metrics = &rig.node.kernel().metrics;
+    rig.end_call(1, true, LONG);
+    assert_eq!(metrics.delayed_reply_bytes.get(), LONG as i64);
+    let refusal = rig
+        .owner
+        .congestion_refusal(rig.owner.now_us(), &rig.call(2, true));
+    assert_eq!(refusal, Some(ErrorKind::Overloaded));
+    assert_eq!(metrics.congestion_refused.get(), 1);
+    rig.owner.close();
+    assert_eq!(metrics.delayed_reply_bytes.get(), 0);
+    drop(release);
+}
