Sample log lines about quota refusals by their kind

Operators didn't see that customers were refused as `quota-unconfirmed` while another customer was over its limit: one `RefusalLog` of a line per second covered all customers and both kinds.

The gate now uses `RefusalLogs`, one for each kind, as for keys. The line is made by `refusal_line`, so that a test can ask for it. The node that the tests of delayed replies start is shared as `test_node`.

Test `quotas::tests::sampled_by_kind` with the line extracted and the sampling as before: assertion failed: other.is_some_and(|line| line.contains("customer beta refused, "))

--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -24,6 +24,9 @@
 mod start_wait;
 mod suspects;
 mod sync;
+#[cfg(test)]
+#[path = "../tests/inside/test_node.rs"]
+mod test_node;
 
 pub use announce::Announcement;
 pub use instance_api::InstanceApi;
--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -3,7 +3,7 @@
 
 mod reporter;
 
-use crate::{context::NodeContext, refusal_log::RefusalLog};
+use crate::{context::NodeContext, refusal_log::RefusalLogs};
 use config::Configuration;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use errors::ErrorKind;
@@ -86,6 +86,7 @@
     /// Wakes the reporter when a call waits.
     wake: Sender<()>,
     wakes: Receiver<()>,
+    refusal_logs: RefusalLogs,
 }
 
 struct GateState {
@@ -95,7 +96,6 @@
     /// Rates of the customers that have one, in calls per second.
     limited: HashMap<Arc<str>, f64>,
     configuration: Option<Arc<Configuration>>,
-    refusal_log: RefusalLog,
     /// Decisions by customer; only customers with a rate have an entry.
     counts: HashMap<Arc<str>, Counts>,
 }
@@ -121,11 +121,11 @@
                     next_ticket: 0,
                     limited: HashMap::new(),
                     configuration: None,
-                    refusal_log: RefusalLog::default(),
                     counts: HashMap::new(),
                 }),
                 wake,
                 wakes,
+                refusal_logs: RefusalLogs::default(),
             }
         })
     }
@@ -169,7 +169,9 @@
             kind,
             retry_after_ms,
         };
-        self.log_refusal(customer, refusal);
+        if let Some(line) = self.refusal_line(customer, refusal) {
+            log::info!("{line}");
+        }
         Err(refusal)
     }
 
@@ -283,20 +285,18 @@
         usage.collect()
     }
 
-    fn log_refusal(&self, customer: &str, refusal: QuotaRefusal) {
-        let mut state = self.lock();
+    /// The log line about a refusal, if one is due.
+    fn refusal_line(&self, customer: &str, refusal: QuotaRefusal) -> Option<String> {
         let now_us = Clock::boot_us();
-        let Some(suppressed) = state.refusal_log.take_turn(now_us) else {
-            return;
-        };
+        let suppressed = self.refusal_logs.take_turn(now_us, refusal.kind)?;
+        let state = self.lock();
         let share_per_s = state.quota.share_per_s(customer);
         let lease_ms = state.quota.lease_left_us(now_us) / 1_000;
         drop(state);
-        log::info!(
+        Some(format!(
             "quotas: a call of customer {customer} refused, {}; share {share_per_s:.1} calls/s, lease {lease_ms} ms, retry after {} ms; {suppressed} more refusals since the last line.",
-            refusal.kind,
-            refusal.retry_after_ms
-        );
+            refusal.kind, refusal.retry_after_ms
+        ))
     }
 
     fn count(&self, kind: &'static str) {
@@ -333,3 +333,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/quota_log.rs"]
+mod tests;
--- a/components/node/tests/inside/delayed_replies.rs
+++ b/components/node/tests/inside/delayed_replies.rs
@@ -5,18 +5,20 @@
     instance::Job,
     state::{Owner, incoming_attempt},
 };
-use crate::context::{NodeContext, OwnerPreview};
+use crate::{
+    context::{NodeContext, OwnerPreview},
+    test_node::start_node,
+};
 use calls::AttemptStatus;
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use errors::ErrorKind;
 use http::{AsyncPool, CancelToken, PoolConfig, ResponseMemory};
-use kernel::{Kernel, KernelHandle, Settings};
+use kernel::KernelHandle;
 use mesh::{Channel, Limits, Mesh, ReplyTo, RequestError};
 use model::{
     AttemptId, AvailabilityZone, CallId, Fingerprint, HostName, NodeId, Priority, ProfileName,
     ServiceName, Upstream, UpstreamName, UpstreamState,
 };
-use settings::{NodeFlags, NodeSettings, SettingSource};
 use std::{
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
@@ -30,7 +32,7 @@
 const LONG: usize = 100 << 10;
 /// More than the buffers of the operating system take, and at most one message of the mesh.
 const FILLER: usize = 15 << 20;
-const BUDGET: &str = "1048576";
+const BUDGET: usize = 1 << 20;
 
 type Replies = Receiver<(u64, Result<Vec<u8>, RequestError>)>;
 
@@ -47,18 +49,7 @@
 
 impl Rig {
     fn start() -> Self {
-        let text = |text: &str| Some(text.to_owned());
-        let flags = NodeFlags {
-            call_listen: text("127.0.0.1:0"),
-            mesh_listen: text("127.0.0.1:0"),
-            platform_listen: text("127.0.0.1:0"),
-            zone: text("zone-1"),
-            memory_budget_bytes: text(BUDGET),
-            ..NodeFlags::default()
-        };
-        let settings = NodeSettings::read(&flags, &SettingSource::new(|_| None)).unwrap();
-        let key = settings.mesh_key.0;
-        let node = Kernel::start(Settings::Node(Box::new(settings))).unwrap();
+        let node = start_node(BUDGET);
         let kernel = node.kernel();
         let (wake, _) = unbounded();
         let owner = Arc::new(Owner::new(&NodeContext::for_kernel(kernel), wake));
@@ -71,6 +62,7 @@
             silent_after_ms: timeout_ms,
             ..Limits::default()
         };
+        let key = kernel.node_settings().mesh_key.0;
         let entry = Mesh::builder().key(key).limits(limits).start().unwrap();
         let (replied, replies) = unbounded();
         Rig {
