Decide about quotas in route queries by the admission itself

The preview compared the text of the verdict that it shows to operators (`over-limit`, `unavailable`), so that another word for one of them would have turned a refused call into an admitted one. It now matches the `Admission`, so that the compiler checks that each verdict is covered.

--- a/components/node/src/entry/preview/figures.rs
+++ b/components/node/src/entry/preview/figures.rs
@@ -16,9 +16,6 @@
 
 /// Reason of the choice for a request that is tried at one upstream alone.
 pub(super) const CRASH_TRIAL: &str = "crash-trial";
-/// Verdicts of quotas that refuse a call.
-pub(super) const OVER_LIMIT: &str = "over-limit";
-pub(super) const UNAVAILABLE: &str = "unavailable";
 
 /// An enum value as it is serialized.
 pub(super) fn word<T: Serialize>(value: &T) -> String {
@@ -89,10 +86,10 @@
         Admission::Waiting => ("asks-coordinator", None),
         Admission::Decided(QuotaVerdict::Admitted) => ("admitted", None),
         Admission::Decided(QuotaVerdict::OverLimit { retry_after_ms }) => {
-            (OVER_LIMIT, Some(retry_after_ms))
+            ("over-limit", Some(retry_after_ms))
         }
         Admission::Decided(QuotaVerdict::Unavailable { retry_after_ms }) => {
-            (UNAVAILABLE, Some(retry_after_ms))
+            ("unavailable", Some(retry_after_ms))
         }
     };
     let value = |quantity: Option<Quantity>| quantity.map_or(0.0, Quantity::as_f64);
--- a/components/node/src/entry/preview/mod.rs
+++ b/components/node/src/entry/preview/mod.rs
@@ -9,7 +9,7 @@
     customers::identify,
     driver::send::{QueueWait, queue_wait},
 };
-use api::{AdmissionInfo, QuotaInfo, RouteAnswer, RouteOutcome, RouteQuery};
+use api::{AdmissionInfo, RouteAnswer, RouteOutcome, RouteQuery};
 use config::{MatchedRoute, RouteTable};
 use errors::ErrorKind;
 use figures::{candidates, cold_limit, left_out, matched_route, quota_info, split_parts};
@@ -17,6 +17,7 @@
 use model::{
     AttemptId, CallId, Fingerprint, Profile, ServiceName, Upstream, UpstreamName, ZonePreference,
 };
+use quota::{Admission, Verdict as QuotaVerdict};
 use routing::{CandidateFigures, Router};
 use std::{net::Ipv4Addr, sync::Arc};
 use suspects::Verdict;
@@ -266,21 +267,20 @@
         let (Some(preview), Some(limits)) = (self.quotas.preview(customer), limits) else {
             return Ok(());
         };
-        let info: QuotaInfo = quota_info(&preview, limits);
-        let kind = match info.verdict.as_str() {
-            figures::OVER_LIMIT => Some(ErrorKind::QuotaExceeded),
-            figures::UNAVAILABLE => Some(ErrorKind::QuotaUnconfirmed),
-            _ => None,
+        answer.quota = Some(quota_info(&preview, limits));
+        let (kind, retry_after_ms) = match preview.admission {
+            Admission::Waiting | Admission::Decided(QuotaVerdict::Admitted) => return Ok(()),
+            Admission::Decided(QuotaVerdict::OverLimit { retry_after_ms }) => {
+                (ErrorKind::QuotaExceeded, retry_after_ms)
+            }
+            Admission::Decided(QuotaVerdict::Unavailable { retry_after_ms }) => {
+                (ErrorKind::QuotaUnconfirmed, retry_after_ms)
+            }
         };
-        let retry_after_ms = info.retry_after_ms;
-        answer.quota = Some(info);
-        match kind {
-            Some(kind) => Err(Refusal {
-                retry_after_ms,
-                ..refuse(kind, format!("customer {customer}"))
-            }),
-            None => Ok(()),
-        }
+        Err(Refusal {
+            retry_after_ms: Some(retry_after_ms),
+            ..refuse(kind, format!("customer {customer}"))
+        })
     }
 
     /// The router as the next call of the service finds it, with the load of the local instance.
