Answer a route query from one configuration

`preview_quota` read the route table again, so that an answer given during a change of the configuration could show the route and customer of one version and the limits of another. The table is now read once, after the proof for keys as for calls, and passed on.

The window between the two reads can't be hit in a test on purpose, so none fails on the code before. The rate by which the quota decides is still that of the quota gate, which applies a configuration on its own.

--- a/components/node/src/entry/preview/mod.rs
+++ b/components/node/src/entry/preview/mod.rs
@@ -107,14 +107,19 @@
             return Err(refuse(ErrorKind::Stopping, "this node is stopping"));
         }
         let request = request_of(&answer.call);
-        let target = self.preview_target(&request, answer)?;
+        // Before the table, as for calls.
+        let may_accept_keys = self.context.revocation.may_accept_keys();
+        // Read once, so that the whole answer is from one configuration.
+        let table = self.context.kernel.profiles.routes();
+        let table = table.as_deref();
+        let target = self.preview_target(&request, table, may_accept_keys, answer)?;
         answer.service = Some(target.service.clone());
         answer.priority = Some(target.profile.priority);
         let router = self.preview_router(now_us, &target.service);
         answer.left_out = left_out(&self.context, &target.service, &router);
         let (identity, verdict) = self.preview_suspect(now_us, &request, &target, answer)?;
         if let Some(customer) = &target.customer {
-            self.preview_quota(customer, answer)?;
+            self.preview_quota(customer, table, answer)?;
         }
         self.preview_choice(now_us, &router, &target, (identity, verdict), answer)
     }
@@ -123,15 +128,15 @@
     fn preview_target(
         &self,
         request: &Request,
+        table: Option<&RouteTable>,
+        may_accept_keys: bool,
         answer: &mut RouteAnswer,
     ) -> Result<Target, Refusal> {
-        let kernel = &self.context.kernel;
-        let may_accept_keys = self.context.revocation.may_accept_keys();
-        if let Some(table) = kernel.profiles.routes() {
+        if let Some(table) = table {
             answer.configuration = Some(table.configuration().version);
-            return self.preview_route(&table, may_accept_keys, answer);
+            return self.preview_route(table, may_accept_keys, answer);
         }
-        if kernel.node_settings().require_configuration {
+        if self.context.kernel.node_settings().require_configuration {
             let detail = "this node has no configuration yet";
             return Err(refuse(ErrorKind::NotConfigured, detail));
         }
@@ -261,9 +266,13 @@
     }
 
     /// Adds the quota of the customer.
-    fn preview_quota(&self, customer: &str, answer: &mut RouteAnswer) -> Result<(), Refusal> {
-        let table = self.context.kernel.profiles.routes();
-        let limits = table.as_ref().and_then(|table| table.customer(customer));
+    fn preview_quota(
+        &self,
+        customer: &str,
+        table: Option<&RouteTable>,
+        answer: &mut RouteAnswer,
+    ) -> Result<(), Refusal> {
+        let limits = table.and_then(|table| table.customer(customer));
         let (Some(preview), Some(limits)) = (self.quotas.preview(customer), limits) else {
             return Ok(());
         };
