--- a/components/node/src/owner/cold.rs
+++ b/components/node/src/owner/cold.rs
@@ -1,6 +1,7 @@
 //! Limits the calls to the local instance while it is cold.
 
 use super::{instance::Instance, state::Owner};
+use crate::refusal_log::is_logged;
 use api::ColdState;
 use errors::ErrorKind;
 use http::Response;
@@ -17,8 +18,6 @@
 
 /// Longest cold period that is accepted, so that a wrong report can't limit an instance for hours.
 const MAX_COLD: Duration = Duration::from_secs(600);
-/// Of the calls refused because the instance is cold, one in this number is logged.
-const LOG_DIVISOR: u64 = 20;
 
 /// The limit of the local instance, which outlives its announcement: an instance that announces
 /// itself again must not get a second full window.
@@ -135,14 +134,13 @@
     }
 
     fn count_cold_refusal(&self, now_us: u64) -> ErrorKind {
-        let refused = self.context.kernel.metrics.cold_refused.inc();
-        if refused.is_multiple_of(LOG_DIVISOR) {
+        let refused = self.context.kernel.metrics.cold_refused.inc() + 1;
+        if is_logged(refused) {
             let room_in_us = self.shared.cold.lock().room_in_us(now_us);
             log::info!(
                 "owner: cold limit of the instance reached; next call allowed in \
-                 {} ms, {} calls refused so far.",
-                room_in_us / 1_000,
-                refused + 1
+                 {} ms, {refused} calls refused so far.",
+                room_in_us / 1_000
             );
         }
         ErrorKind::Overloaded
--- a/components/node/src/owner/delayed_replies.rs
+++ b/components/node/src/owner/delayed_replies.rs
@@ -6,6 +6,7 @@
 //! responses take a quarter of what all may take.
 
 use super::{instance::Job, replies::reply, state::Owner};
+use crate::refusal_log::is_logged;
 use errors::ErrorKind;
 use http::ResponseMemory;
 use kernel::Metrics;
@@ -29,8 +30,6 @@
 const BUDGET_DIVISOR: usize = 4;
 /// Divisor of that memory that gives the part of one entry.
 const ENTRY_DIVISOR: usize = 4;
-/// Of the refused calls, one in this number is logged.
-const LOG_DIVISOR: u64 = 20;
 
 /// A response that waits. Its call has ended.
 struct DelayedReply {
@@ -234,20 +233,19 @@
     pub(super) fn congestion_refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
         let backlog = self.congestion(call.attempt.call.origin)?;
         let delayed = &self.delayed_replies;
-        let refused = delayed.metrics.congestion_refused.inc();
-        if refused.is_multiple_of(LOG_DIVISOR) {
+        let refused = delayed.metrics.congestion_refused.inc() + 1;
+        if is_logged(refused) {
             let since_us = backlog.entry_since_us.unwrap_or(now_us);
             log::warn!(
                 "owner: call {} refused, overloaded: responses of {} of at most {} bytes wait for \
-                 its entry, the first for {} ms, and of {} of at most {} bytes for all; {} refused \
-                 so far.",
+                 its entry, the first for {} ms, and of {} of at most {} bytes for all; {refused} \
+                 refused so far.",
                 call.attempt,
                 backlog.entry_bytes,
                 delayed.max_entry_bytes(),
                 now_us.saturating_sub(since_us) / 1_000,
                 backlog.all_bytes,
-                delayed.max_bytes,
-                refused + 1
+                delayed.max_bytes
             );
         }
         Some(ErrorKind::Overloaded)
--- a/components/node/src/owner/evacuation.rs
+++ b/components/node/src/owner/evacuation.rs
@@ -2,6 +2,7 @@
 //! know of the evacuation yet move the refused calls to other zones.
 
 use super::state::Owner;
+use crate::refusal_log::is_logged;
 use errors::ErrorKind;
 use kernel::Event;
 use limits::QueueDecision;
@@ -12,9 +13,6 @@
 };
 use wire::RunCall;
 
-/// Of the calls refused on arrival or before their start, one in this number is logged.
-const LOG_DIVISOR: u64 = 20;
-
 /// Whether the zone of this owner is evacuated.
 #[derive(Default)]
 pub(super) struct Evacuation {
@@ -102,11 +100,6 @@
     }
 }
 
-/// Whether a refusal is logged, by its number from 1 on.
-fn is_logged(refused: u64) -> bool {
-    refused % LOG_DIVISOR == 1
-}
-
 fn describe_rule(zone: &AvailabilityZone, revision: Revision, age_ms: u64) -> String {
     format!("availability zone {zone} is evacuated, revision {revision}, confirmed {age_ms} ms ago")
 }
--- a/components/node/src/refusal_log.rs
+++ b/components/node/src/refusal_log.rs
@@ -9,6 +9,14 @@
 /// Interval of the lines about refused calls.
 const INTERVAL_US: u64 = 1_000_000;
 
+/// Of the calls that an owner refuses by one rule, one in this number is logged.
+const LOG_DIVISOR: u64 = 20;
+
+/// Whether the refusal of a call by a rule of the owner is logged, by its number from 1 on.
+pub(crate) fn is_logged(refused: u64) -> bool {
+    refused % LOG_DIVISOR == 1
+}
+
 /// Time of the next line, and the refusals without a line.
 #[derive(Debug, Default)]
 pub(crate) struct RefusalLog {
--- a/components/node/tests/inside/evacuation_log.rs
+++ b/components/node/tests/inside/evacuation_log.rs
@@ -1,7 +1,8 @@
 //! Guards against refusals of an evacuated zone that look like those of a missing instance, and against
 //! a line for each of many refused calls.
 
-use super::{describe_rule, is_logged};
+use super::describe_rule;
+use crate::refusal_log::is_logged;
 use model::{AvailabilityZone, Revision};
 
 #[test]
