Hold calls of a starting node at most until their deadlines

Callers of a node that starts waited beyond the deadline that they had given: `StartWait::hold` knew only the end of `--start-wait-ms`.

It now ends at the earlier of the two. The deadline is the caller's and, once the configuration is there, that of the route; it is computed again at each notification, since the configuration may come during the wait. The lookup of a request's route, which stood twice, is one function.

--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -2,7 +2,7 @@
 
 use super::{Entry, customers::Credential};
 use calls::{KeyHash, MAX_KEYED_CALL_MS, ParentCall};
-use config::MatchedRoute;
+use config::{MatchedRoute, RouteTable};
 use errors::ErrorKind;
 use http::{Request, strip_hop_by_hop};
 use model::{CallId, Fingerprint, Priority, Profile, ServiceName};
@@ -144,6 +144,20 @@
         self.context.parent_of(request.headers.get(name)?)
     }
 
+    /// Deadline of a request that is not prepared yet, as far as it is known: the caller's, and the
+    /// route's if there is a configuration.
+    pub(super) fn known_deadline_us(&self, request: &Request, arrived_us: u64) -> Option<u64> {
+        let kernel = &self.context.kernel;
+        let header = kernel.node_settings().headers.deadline_ms;
+        // One that can't be read is refused when the request is prepared.
+        let caller_ms = caller_deadline_ms(header, request).ok().flatten();
+        let table = kernel.profiles.routes();
+        let matched = table.as_ref().and_then(|table| find_route(table, request));
+        let route_ms = matched.map(|matched| u64::from(matched.profile.deadline_ms));
+        let known_ms = caller_ms.into_iter().chain(route_ms).min()?;
+        Some(arrived_us + known_ms * 1_000)
+    }
+
     /// Resolves the target by the configuration's routes, or without a configuration by the
     /// request's service name and that service's announced rules.
     fn resolve_target(&self, request: &mut Request) -> Result<CallTarget, Refusal> {
@@ -152,10 +166,7 @@
         // Before the table: one that was read earlier may be older than the proof.
         let may_accept_keys = self.context.revocation.may_accept_keys();
         if let Some(table) = kernel.profiles.routes() {
-            let host = request.headers.get("host").unwrap_or_default();
-            let matched = table
-                .find(host.trim(), &path)
-                .ok_or((None, ErrorKind::NoRoute))?;
+            let matched = find_route(&table, request).ok_or((None, ErrorKind::NoRoute))?;
             let credential = self
                 .authenticate(&table, &matched.route, may_accept_keys, request)
                 .map_err(|kind| (None, kind))?;
@@ -265,13 +276,27 @@
     ServiceName::parse(label.to_ascii_lowercase()).ok()
 }
 
+/// The route of a request in this table.
+pub(super) fn find_route<'a>(table: &'a RouteTable, request: &Request) -> Option<&'a MatchedRoute> {
+    let host = request.headers.get("host").unwrap_or_default();
+    let path = request.target.split('?').next().unwrap_or("/");
+    table.find(host.trim(), path).map(AsRef::as_ref)
+}
+
 /// The profile's deadline, or the caller's if that is shorter.
 fn deadline_ms(header: &str, request: &Request, profile: &Profile) -> Result<u64, ErrorKind> {
+    let longest_ms = u64::from(profile.deadline_ms);
+    let caller_ms = caller_deadline_ms(header, request)?;
+    Ok(caller_ms.map_or(longest_ms, |ms| ms.min(longest_ms)))
+}
+
+/// The deadline that the caller asks for, if it does.
+fn caller_deadline_ms(header: &str, request: &Request) -> Result<Option<u64>, ErrorKind> {
     let Some(text) = request.headers.get(header) else {
-        return Ok(u64::from(profile.deadline_ms));
+        return Ok(None);
     };
     match text.trim().parse::<u64>() {
-        Ok(ms) if (1..=MAX_DEADLINE_MS).contains(&ms) => Ok(ms.min(u64::from(profile.deadline_ms))),
+        Ok(ms) if (1..=MAX_DEADLINE_MS).contains(&ms) => Ok(Some(ms)),
         _ => Err(ErrorKind::BadDeadline),
     }
 }
--- a/components/node/src/entry/customers.rs
+++ b/components/node/src/entry/customers.rs
@@ -1,6 +1,9 @@
 //! Checks the keys of customers at the entry.
 
-use super::{Entry, call::PreparedCall};
+use super::{
+    Entry,
+    call::{PreparedCall, find_route},
+};
 use config::{KnownCustomer, Route, RouteTable, hash_key};
 use errors::ErrorKind;
 use http::Request;
@@ -57,9 +60,7 @@
         let Some(table) = self.context.kernel.profiles.routes() else {
             return false;
         };
-        let host = request.headers.get("host").unwrap_or_default();
-        let path = request.target.split('?').next().unwrap_or("/");
-        let matched = table.find(host.trim(), path);
+        let matched = find_route(&table, request);
         matched.is_none_or(|matched| matched.route.is_public)
     }
 
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -197,7 +197,7 @@
         let prepared = if self.is_stop_notice_over(arrived_us) {
             Err((None, ErrorKind::Stopping))
         } else {
-            self.wait_for_start(&request);
+            self.wait_for_start(&request, arrived_us);
             self.prepare(request, arrived_us)
         };
         let prepared = match prepared {
@@ -244,11 +244,17 @@
     }
 
     /// Waits while the node starts until it can decide about the call.
-    fn wait_for_start(&self, request: &Request) {
-        if self.context.kernel.node_settings().require_configuration {
+    fn wait_for_start(&self, request: &Request, arrived_us: u64) {
+        let kernel = &self.context.kernel;
+        if kernel.node_settings().require_configuration {
+            let deadline = || {
+                let deadline_us = self.known_deadline_us(request, arrived_us)?;
+                Some(kernel.clock.instant(deadline_us))
+            };
             let has_started = || self.context.can_decide_about_calls();
             let can_decide = || self.needs_no_key(request);
-            self.context.start_wait.hold(has_started, can_decide);
+            let start_wait = &self.context.start_wait;
+            start_wait.hold(deadline, has_started, can_decide);
         }
     }
 
@@ -318,3 +324,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/start_deadline.rs"]
+mod tests;
--- a/components/node/src/start_wait.rs
+++ b/components/node/src/start_wait.rs
@@ -40,8 +40,14 @@
     }
 
     /// Waits until the node `has_started`, so that it can decide about every call, or `can_decide`
-    /// about this one. Returns at once if it had started when an earlier call came.
-    pub(crate) fn hold(&self, has_started: impl Fn() -> bool, can_decide: impl Fn() -> bool) {
+    /// about this one, at most until its `deadline` as far as that is known. Returns at once if it had
+    /// started when an earlier call came.
+    pub(crate) fn hold(
+        &self,
+        deadline: impl Fn() -> Option<Instant>,
+        has_started: impl Fn() -> bool,
+        can_decide: impl Fn() -> bool,
+    ) {
         if self.has_started.load(Ordering::Acquire) {
             return;
         }
@@ -51,7 +57,8 @@
                 self.has_started.store(true, Ordering::Release);
                 return;
             }
-            let left = self.until.saturating_duration_since(Instant::now());
+            let until = deadline().map_or(self.until, |at| at.min(self.until));
+            let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() || can_decide() {
                 return;
             }
@@ -66,12 +73,12 @@
     use super::StartWait;
     use std::{
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicBool, Ordering},
             mpsc::{Receiver, channel},
         },
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     };
 
     /// Longer than any test runs, so that only the notification ends a wait.
@@ -90,7 +97,7 @@
         let (sender, end) = channel();
         let wait = Arc::clone(wait);
         thread::spawn(move || {
-            wait.hold(has_started, || can_decide);
+            wait.hold(|| None, has_started, || can_decide);
             // Fails if the test is over.
             let _ = sender.send(());
         });
@@ -147,4 +154,29 @@
             "the call is not held"
         );
     }
+    /// Guards against calls that are held beyond their own deadline, also if that becomes known only
+    /// with the configuration.
+    #[test]
+    fn held_until_deadline() {
+        let wait = Arc::new(StartWait::new(LONG));
+        let deadline = Arc::new(Mutex::new(None));
+        let (sender, end) = channel();
+        let (checked, checks) = channel();
+        thread::spawn({
+            let (wait, deadline) = (Arc::clone(&wait), Arc::clone(&deadline));
+            move || {
+                let has_started = || {
+                    let _ = checked.send(());
+                    false
+                };
+                wait.hold(|| *deadline.lock().unwrap(), has_started, || false);
+                // Fails if the test is over.
+                let _ = sender.send(());
+            }
+        });
+        assert_returned(&checks);
+        *deadline.lock().unwrap() = Some(Instant::now());
+        wait.notify();
+        assert_returned(&end);
+    }
 }
