--- a/components/node/src/entry/preview/mod.rs
+++ b/components/node/src/entry/preview/mod.rs
@@ -9,7 +9,7 @@
     customers::identify,
     driver::send::{QueueWait, queue_wait},
 };
-use api::{AdmissionInfo, QuotaInfo, RouteAnswer, RouteOutcome, RouteQuery};
+use api::{AdmissionInfo, RouteAnswer, RouteOutcome, RouteQuery};
 use config::{MatchedRoute, RouteTable};
 use errors::ErrorKind;
 use figures::{candidates, cold_limit, left_out, matched_route, quota_info, split_parts};
@@ -17,6 +17,7 @@
 use model::{
     AttemptId, CallId, Fingerprint, Profile, ServiceName, Upstream, UpstreamName, ZonePreference,
 };
+use quota::{Admission, Verdict as QuotaVerdict};
 use routing::{CandidateFigures, Router};
 use std::{net::Ipv4Addr, sync::Arc};
 use suspects::Verdict;
@@ -106,14 +107,19 @@
             return Err(refuse(ErrorKind::Stopping, "this node is stopping"));
         }
         let request = request_of(&answer.call);
-        let target = self.preview_target(&request, answer)?;
+        // Before the table, as for calls.
+        let may_accept_keys = self.context.revocation.may_accept_keys();
+        // Read once, so that the whole answer is from one configuration.
+        let table = self.context.kernel.profiles.routes();
+        let table = table.as_deref();
+        let target = self.preview_target(&request, table, may_accept_keys, answer)?;
         answer.service = Some(target.service.clone());
         answer.priority = Some(target.profile.priority);
         let router = self.preview_router(now_us, &target.service);
         answer.left_out = left_out(&self.context, &target.service, &router);
         let (identity, verdict) = self.preview_suspect(now_us, &request, &target, answer)?;
         if let Some(customer) = &target.customer {
-            self.preview_quota(customer, answer)?;
+            self.preview_quota(customer, table, answer)?;
         }
         self.preview_choice(now_us, &router, &target, (identity, verdict), answer)
     }
@@ -122,15 +128,15 @@
     fn preview_target(
         &self,
         request: &Request,
+        table: Option<&RouteTable>,
+        may_accept_keys: bool,
         answer: &mut RouteAnswer,
     ) -> Result<Target, Refusal> {
-        let kernel = &self.context.kernel;
-        let may_accept_keys = self.context.revocation.may_accept_keys();
-        if let Some(table) = kernel.profiles.routes() {
+        if let Some(table) = table {
             answer.configuration = Some(table.configuration().version);
-            return self.preview_route(&table, may_accept_keys, answer);
+            return self.preview_route(table, may_accept_keys, answer);
         }
-        if kernel.node_settings().require_configuration {
+        if self.context.kernel.node_settings().require_configuration {
             let detail = "this node has no configuration yet";
             return Err(refuse(ErrorKind::NotConfigured, detail));
         }
@@ -260,27 +266,30 @@
     }
 
     /// Adds the quota of the customer.
-    fn preview_quota(&self, customer: &str, answer: &mut RouteAnswer) -> Result<(), Refusal> {
-        let table = self.context.kernel.profiles.routes();
-        let limits = table.as_ref().and_then(|table| table.customer(customer));
+    fn preview_quota(
+        &self,
+        customer: &str,
+        table: Option<&RouteTable>,
+        answer: &mut RouteAnswer,
+    ) -> Result<(), Refusal> {
+        let limits = table.and_then(|table| table.customer(customer));
         let (Some(preview), Some(limits)) = (self.quotas.preview(customer), limits) else {
             return Ok(());
         };
-        let info: QuotaInfo = quota_info(&preview, limits);
-        let kind = match info.verdict.as_str() {
-            figures::OVER_LIMIT => Some(ErrorKind::QuotaExceeded),
-            figures::UNAVAILABLE => Some(ErrorKind::QuotaUnconfirmed),
-            _ => None,
+        answer.quota = Some(quota_info(&preview, limits));
+        let (kind, retry_after_ms) = match preview.admission {
+            Admission::Waiting | Admission::Decided(QuotaVerdict::Admitted) => return Ok(()),
+            Admission::Decided(QuotaVerdict::OverLimit { retry_after_ms }) => {
+                (ErrorKind::QuotaExceeded, retry_after_ms)
+            }
+            Admission::Decided(QuotaVerdict::Unavailable { retry_after_ms }) => {
+                (ErrorKind::QuotaUnconfirmed, retry_after_ms)
+            }
         };
-        let retry_after_ms = info.retry_after_ms;
-        answer.quota = Some(info);
-        match kind {
-            Some(kind) => Err(Refusal {
-                retry_after_ms,
-                ..refuse(kind, format!("customer {customer}"))
-            }),
-            None => Ok(()),
-        }
+        Err(Refusal {
+            retry_after_ms: Some(retry_after_ms),
+            ..refuse(kind, format!("customer {customer}"))
+        })
     }
 
     /// The router as the next call of the service finds it, with the load of the local instance.
@@ -367,7 +376,7 @@
         if upstream.node != self.context.kernel.mesh.local_id() {
             return figures::estimated_admission(upstream, figures, wait.start_now);
         }
-        let call = run_call(upstream, target, identity, &wait);
+        let call = run_call(self.origin, upstream, target, identity, &wait);
         match self.context.owner_preview.get() {
             Some(owner) => owner.admission(&call, target.customer.as_deref()),
             None => figures::estimated_admission(upstream, figures, wait.start_now),
@@ -411,6 +420,7 @@
 
 /// The first attempt of a call as its owner gets it, without the request.
 fn run_call(
+    origin: u64,
     upstream: &Upstream,
     target: &Target,
     identity: Fingerprint,
@@ -420,7 +430,7 @@
     RunCall {
         attempt: AttemptId {
             call: CallId {
-                origin: 0,
+                origin,
                 sequence: 0,
             },
             attempt: 0,
--- a/components/node/src/owner/delayed_replies.rs
+++ b/components/node/src/owner/delayed_replies.rs
@@ -6,15 +6,14 @@
 //! responses take a quarter of what all may take.
 
 use super::{instance::Job, replies::reply, state::Owner};
+use crate::refusal_log::is_logged;
 use errors::ErrorKind;
 use http::ResponseMemory;
+use kernel::Metrics;
 use mesh::ReplyTo;
 use model::{AttemptId, LoadSignal};
 use std::{
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use wire::{RunCall, RunResult};
@@ -31,8 +30,6 @@
 const BUDGET_DIVISOR: usize = 4;
 /// Divisor of that memory that gives the part of one entry.
 const ENTRY_DIVISOR: usize = 4;
-/// Of the refused calls, one in this number is logged.
-const LOG_DIVISOR: u64 = 20;
 
 /// A response that waits. Its call has ended.
 struct DelayedReply {
@@ -66,7 +63,7 @@
 }
 
 /// Bytes of the waiting responses of an entry, of all entries, and the longest wait of the entry's.
-struct Backlog {
+pub(super) struct Backlog {
     entry_bytes: usize,
     all_bytes: usize,
     entry_since_us: Option<u64>,
@@ -76,37 +73,64 @@
 pub(super) struct DelayedReplies {
     max_bytes: usize,
     waiting: Mutex<Vec<DelayedReply>>,
-    refused: AtomicU64,
+    metrics: Metrics,
 }
 
 impl DelayedReplies {
-    /// Responses of a process with this memory budget.
-    pub(super) fn new(memory_budget_bytes: usize) -> Self {
+    /// Responses of a process with this memory budget, counted in these metrics.
+    pub(super) fn new(memory_budget_bytes: usize, metrics: &Metrics) -> Self {
         DelayedReplies {
             max_bytes: memory_budget_bytes / BUDGET_DIVISOR,
             waiting: Mutex::default(),
-            refused: AtomicU64::new(0),
+            metrics: metrics.clone(),
         }
     }
 
+    fn max_entry_bytes(&self) -> usize {
+        self.max_bytes / ENTRY_DIVISOR
+    }
+
     pub(super) fn count(&self) -> usize {
         self.lock().len()
     }
 
-    /// Drops the response if it waits: its entry reads the status of the call instead.
-    pub(super) fn cancel(&self, attempt: AttemptId) {
+    fn take(&self, attempt: AttemptId) -> Option<DelayedReply> {
         let mut waiting = self.lock();
-        let index = waiting.iter().position(|other| other.attempt == attempt);
-        let dropped = index.map(|index| waiting.remove(index));
-        // Dropping it sends a message, which should not be done under the lock.
-        drop(waiting);
-        drop(dropped);
+        let index = waiting.iter().position(|other| other.attempt == attempt)?;
+        Some(self.remove(&mut waiting, index))
+    }
+
+    /// Lets a response wait, if the connection to its entry has much to write or others wait for that
+    /// entry already, which it must not overtake. Returns it if it can be sent now.
+    fn add(&self, delayed: DelayedReply) -> Option<DelayedReply> {
+        let mut waiting = self.lock();
+        let origin = delayed.attempt.call.origin;
+        let is_behind_others = waiting.iter().any(|r| r.attempt.call.origin == origin);
+        if !is_behind_others && delayed.reply.queued_bytes() <= MAX_QUEUED_BYTES {
+            return Some(delayed);
+        }
+        let bytes = &self.metrics.delayed_reply_bytes;
+        bytes.inc_by(delayed.bytes as i64);
+        waiting.push(delayed);
+        None
+    }
+
+    fn take_first(&self) -> Option<DelayedReply> {
+        let mut waiting = self.lock();
+        (!waiting.is_empty()).then(|| self.remove(&mut waiting, 0))
     }
 
     fn take_due(&self, now_us: u64) -> Option<DelayedReply> {
         let mut waiting = self.lock();
         let index = waiting.iter().position(|other| other.is_due(now_us))?;
-        Some(waiting.remove(index))
+        Some(self.remove(&mut waiting, index))
+    }
+
+    fn remove(&self, waiting: &mut Vec<DelayedReply>, index: usize) -> DelayedReply {
+        let delayed = waiting.remove(index);
+        let bytes = &self.metrics.delayed_reply_bytes;
+        bytes.dec_by(delayed.bytes as i64);
+        delayed
     }
 
     /// What waits for the entry with this origin of calls.
@@ -127,7 +151,7 @@
 
 impl Owner {
     /// Sends the result of a call that has ended, or lets it wait if it is long and the connection to
-    /// its entry has much to write.
+    /// its entry has much to write, or others wait for that entry.
     pub(super) fn reply_or_delay(
         &self,
         now_us: u64,
@@ -140,13 +164,13 @@
             RunResult::Answer { message, .. } => message.len(),
             _ => 0,
         };
-        if bytes <= LONG_BYTES || job.reply.queued_bytes() <= MAX_QUEUED_BYTES {
+        if bytes <= LONG_BYTES {
             reply(job.reply, signal, result);
             return;
         }
         // Only the encoded response is held by now.
         memory.keep(bytes);
-        self.delayed_replies.lock().push(DelayedReply {
+        let not_delayed = self.delayed_replies.add(DelayedReply {
             attempt: job.call.attempt,
             reply: job.reply,
             signal,
@@ -156,10 +180,29 @@
             deadline_us: job.deadline_us,
             _memory: memory,
         });
+        if let Some(delayed) = not_delayed {
+            reply(delayed.reply, delayed.signal, delayed.result);
+            return;
+        }
+        // After the close, which may have sent the others before this one was added, no timer runs.
+        if self.is_closed() {
+            self.send_all_delayed_replies();
+            return;
+        }
         // A lost wake-up is harmless, since the timer also wakes up periodically.
         let _ = self.wake.send(());
     }
 
+    /// Replies to a cancelled call without its response, if that waits. Returns the kind with which
+    /// the call has ended then. Its status stays as it is, so that later queries get the response.
+    pub(super) fn cancel_delayed(&self, attempt: AttemptId) -> Option<ErrorKind> {
+        let delayed = self.delayed_replies.take(attempt)?;
+        // As for a running call. Without a reply, the entry would take the connection for lost.
+        let kind = ErrorKind::DeadlinePassed;
+        reply(delayed.reply, delayed.signal, RunResult::Failed(kind));
+        Some(kind)
+    }
+
     /// Sends the responses that need not wait any longer; returns the time until the next check.
     pub(super) fn send_delayed_replies(&self) -> Option<Duration> {
         while let Some(delayed) = self.delayed_replies.take_due(self.now_us()) {
@@ -168,31 +211,47 @@
         (self.delayed_replies.count() > 0).then_some(CHECK_INTERVAL)
     }
 
-    /// Refusal of a call whose entry has too many responses waiting for it, or that comes while those
-    /// of all entries take all their memory. Checked on arrival and right before the start.
+    /// Sends all responses that wait, whatever is queued on their connections: the mesh still writes
+    /// for a moment when the process ends.
+    pub(super) fn send_all_delayed_replies(&self) {
+        while let Some(delayed) = self.delayed_replies.take_first() {
+            delayed.send(self.now_us());
+        }
+    }
+
+    /// What waits, if it is too much for further calls of the entry with this origin to run: its own
+    /// responses take all that they may, or those of all entries do. Reads only.
+    pub(super) fn congestion(&self, origin: u64) -> Option<Backlog> {
+        let delayed = &self.delayed_replies;
+        let backlog = delayed.backlog(origin);
+        let is_entry_full = backlog.entry_bytes > delayed.max_entry_bytes();
+        (is_entry_full || backlog.all_bytes > delayed.max_bytes).then_some(backlog)
+    }
+
+    /// Refusal of a call by `congestion`, counted and logged. Checked on arrival and right before the
+    /// start.
     pub(super) fn congestion_refusal(&self, now_us: u64, call: &RunCall) -> Option<ErrorKind> {
+        let backlog = self.congestion(call.attempt.call.origin)?;
         let delayed = &self.delayed_replies;
-        let backlog = delayed.backlog(call.attempt.call.origin);
-        let max_entry_bytes = delayed.max_bytes / ENTRY_DIVISOR;
-        let is_entry_full = backlog.entry_bytes > max_entry_bytes;
-        if !is_entry_full && backlog.all_bytes <= delayed.max_bytes {
-            return None;
-        }
-        let refused = delayed.refused.fetch_add(1, Ordering::Relaxed);
-        if refused.is_multiple_of(LOG_DIVISOR) {
+        let refused = delayed.metrics.congestion_refused.inc() + 1;
+        if is_logged(refused) {
             let since_us = backlog.entry_since_us.unwrap_or(now_us);
             log::warn!(
-                "owner: call {} refused, overloaded: responses of {} of at most {max_entry_bytes} \
-                 bytes wait for its entry, the first for {} ms, and of {} of at most {} bytes for \
-                 all; {} refused so far.",
+                "owner: call {} refused, overloaded: responses of {} of at most {} bytes wait for \
+                 its entry, the first for {} ms, and of {} of at most {} bytes for all; {refused} \
+                 refused so far.",
                 call.attempt,
                 backlog.entry_bytes,
+                delayed.max_entry_bytes(),
                 now_us.saturating_sub(since_us) / 1_000,
                 backlog.all_bytes,
-                delayed.max_bytes,
-                refused + 1
+                delayed.max_bytes
             );
         }
         Some(ErrorKind::Overloaded)
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/delayed_replies.rs"]
+mod tests;
