Send calls at once to cold instances that start together with their nodes

What callers saw: after a loss of power no call ran for the first second of the nodes.

Change: the window is open if the first report says that the instance is cold and started at most 250 ms ago, by the time of day and by the rest of its cold period. The second doesn't depend on the clock, so that a step alone can't make an old start look new.

--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -32,13 +32,24 @@
     LocalInstanceCold {
         /// Rest of the cold period in milliseconds.
         remaining_ms: u64,
-        /// Whether this is the first report of a process that has started after this node.
-        has_started: bool,
+        /// What is known of the start of its process.
+        start: InstanceStart,
     },
     /// The local instance has restarted under its name; no work of its earlier start continues.
     LocalUpstreamRestarted,
 }
 
+/// What a node knows of the start of its local instance when it gets a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InstanceStart {
+    /// Nothing: the process may have run for long before this node started, or has reported before.
+    Unknown,
+    /// It is the first instance that this node hears of, and it says that it has just started.
+    Recent,
+    /// This is the first report of a process that has started after this node.
+    Observed,
+}
+
 type Subscriber = Arc<dyn Fn(&Event) + Send + Sync>;
 
 /// Event bus between the plug-ins of one process.
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use clock::Clock;
 pub use directory::Directory;
-pub use events::{Event, Events};
+pub use events::{Event, Events, InstanceStart};
 pub use metrics::{CallLabels, ErrorLabels, KindLabels, Metrics};
 pub use plugin::{PluginEntry, Role, RunningPlugin, StartError};
 pub use process::run_until_stopped;
--- a/components/limits/src/cold.rs
+++ b/components/limits/src/cold.rs
@@ -11,6 +11,9 @@
 const RAMP_STEP_US: u64 = 250_000;
 /// Steps of the ramp. There is no limit after them.
 const RAMP_STEPS: u64 = 4;
+/// Longest age of an upstream at a report that was not acknowledged before: unacknowledged reports are
+/// repeated at once, others after a second or so.
+const MAX_FIRST_REPORT_AGE_US: u64 = 250_000;
 
 /// Calls that a cold upstream may get in any second.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -21,6 +24,8 @@
     pub overage_percent: u32,
     /// Additional calls in each second.
     pub slack: u32,
+    /// Time for which an upstream is cold after its start, if it is known.
+    pub duration_us: Option<u64>,
 }
 
 impl ColdRate {
@@ -41,6 +46,10 @@
     cold_until_us: Option<u64>,
     /// Time until which the window counts as full, since calls before it are not known.
     unknown_until_us: u64,
+    /// Rest of the cold period in the first report of an upstream that says it has just started.
+    first_cold_left_us: Option<u64>,
+    /// Time for which an upstream is cold after its start, if it is known.
+    cold_duration_us: Option<u64>,
     /// Time of the last call that was sent while there was no limit; such calls are not counted.
     last_unlimited_us: Option<u64>,
     /// Times of the calls in the last window, in ascending order.
@@ -54,6 +63,8 @@
             max_per_window: None,
             cold_until_us: None,
             unknown_until_us: started_us + WINDOW_US,
+            first_cold_left_us: None,
+            cold_duration_us: None,
             last_unlimited_us: None,
             sent_us: VecDeque::new(),
         }
@@ -73,6 +84,8 @@
             self.sent_us.clear();
         }
         self.max_per_window = max_per_window;
+        self.cold_duration_us = rate.and_then(|rate| rate.duration_us);
+        self.use_first_report();
     }
 
     /// Records a call that was sent while there was no limit.
@@ -85,6 +98,26 @@
         self.unknown_until_us = 0;
     }
 
+    /// The first report that this owner gets is of an upstream that says it has just started and is
+    /// cold for this time. If little of its cold period has passed, as after a start together with
+    /// the owner, no earlier process has known of it and sent calls to it.
+    pub fn upstream_starts(&mut self, cold_left_us: u64) {
+        self.first_cold_left_us = Some(cold_left_us);
+        self.use_first_report();
+    }
+
+    /// Opens the window at the first report or, if it came earlier, when the duration of the cold
+    /// period is known.
+    fn use_first_report(&mut self) {
+        if let (Some(left_us), Some(duration_us)) = (self.first_cold_left_us, self.cold_duration_us)
+        {
+            if left_us + MAX_FIRST_REPORT_AGE_US >= duration_us {
+                self.unknown_until_us = 0;
+            }
+            self.first_cold_left_us = None;
+        }
+    }
+
     /// The upstream is cold until this time. Of several reports the latest end applies, since one
     /// that arrives late or is wrong must not end the limit early.
     pub fn extend(&mut self, cold_until_us: u64) {
--- a/components/limits/tests/cold_window.rs
+++ b/components/limits/tests/cold_window.rs
@@ -14,6 +14,7 @@
         calls_per_s: 18.0,
         overage_percent: 25,
         slack: 4,
+        duration_us: Some(3 * SECOND_US),
     }
 }
 
@@ -117,6 +118,45 @@
     assert_eq!(sent[0], LATER_US + 100 * MS);
 }
 
+/// Load pattern: a loss of power restarts all owners and upstreams while callers send as usual. Guards
+/// against owners that hold all calls back for their first second, though no earlier process can have
+/// sent calls to upstreams that started together with them.
+#[test]
+fn starts_with_owner() {
+    for is_rate_known in [true, false] {
+        let mut limiter = ColdLimiter::new(LATER_US);
+        if is_rate_known {
+            limiter.set_rate(Some(rate()));
+        }
+        limiter.upstream_starts(2_900 * MS);
+        limiter.extend(LATER_US + 2_950 * MS);
+        limiter.set_rate(Some(rate()));
+        let sent = send_burst(&mut limiter, LATER_US + 50 * MS, LATER_US + 3 * SECOND_US);
+        assert_eq!(sent[0], LATER_US + 50 * MS);
+        assert_eq!(most_per_s(&sent), rate().max_per_window());
+    }
+}
+
+/// Guards against a second full window for an upstream that an earlier owner has sent calls to: its
+/// first report to this owner comes late in its cold period, or the period isn't known.
+#[test]
+fn started_long_before_owner() {
+    for (cold_left_us, duration_us) in [
+        (2_700 * MS, Some(3 * SECOND_US)),
+        (1, Some(3 * SECOND_US)),
+        (3 * SECOND_US, None),
+    ] {
+        let mut limiter = ColdLimiter::new(LATER_US);
+        limiter.set_rate(Some(ColdRate {
+            duration_us,
+            ..rate()
+        }));
+        limiter.upstream_starts(cold_left_us);
+        limiter.extend(LATER_US + 2 * SECOND_US);
+        assert!(!limiter.try_send(LATER_US + 999 * MS));
+    }
+}
+
 /// Guards against calls that an owner decided on before it was frozen and sends when it continues:
 /// at most the one that it was about to send is outside its window.
 #[test]
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -1,7 +1,7 @@
 //! The local instance, which runs beside this node: its announcement, lease and state.
 
 use crate::{announce::Announcement, health_request::is_serving, instance_starts::InstanceStarts};
-use kernel::{Clock, Event, Kernel};
+use kernel::{Clock, Event, InstanceStart, Kernel};
 use members::{Moment, ReportOrder, ReportPosition, ReportVerdict};
 use model::{ServiceName, Upstream, UpstreamName, UpstreamState};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -85,16 +85,18 @@
     /// configuration; the later end applies.
     fn publish_cold(&self, announcement: &Announcement) {
         let now_us = self.kernel.clock.now_us();
-        let has_started = {
+        let unix_ms = Clock::unix_us() / 1_000;
+        let start = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            state.starts.record(now_us, announcement)
+            state.starts.record(now_us, unix_ms, announcement)
         };
+        let has_started = start == InstanceStart::Observed;
         let configured_ms = has_started.then(|| self.configured_cold_ms(&announcement.service));
         let remaining_ms = announcement.cold_ms.max(configured_ms).unwrap_or(0);
         if remaining_ms > 0 {
             self.kernel.events.publish(&Event::LocalInstanceCold {
                 remaining_ms,
-                has_started,
+                start,
             });
         }
     }
--- a/components/node/src/owner/cold.rs
+++ b/components/node/src/owner/cold.rs
@@ -5,7 +5,7 @@
 use api::ColdState;
 use errors::ErrorKind;
 use http::Response;
-use kernel::Event;
+use kernel::{Event, InstanceStart};
 use limits::{ColdLimiter, ColdRate};
 use model::{LoadSignal, ServiceName};
 use std::{
@@ -154,6 +154,9 @@
             calls_per_s: limit.calls_per_s?.as_f64(),
             overage_percent: settings.cold_overage_percent,
             slack: settings.cold_slack,
+            duration_us: limit
+                .duration_s
+                .map(|duration_s| (duration_s.as_f64() * 1_000_000.0) as u64),
         })
     }
 }
@@ -166,13 +169,19 @@
         move |event| {
             if let Event::LocalInstanceCold {
                 remaining_ms,
-                has_started,
+                start,
             } = event
             {
-                if *has_started {
-                    owner.shared.cold.lock().upstream_started();
+                let remaining = Duration::from_millis(*remaining_ms).min(MAX_COLD);
+                match start {
+                    InstanceStart::Unknown => {}
+                    InstanceStart::Recent => {
+                        let mut limiter = owner.shared.cold.lock();
+                        limiter.upstream_starts(remaining.as_micros() as u64);
+                    }
+                    InstanceStart::Observed => owner.shared.cold.lock().upstream_started(),
                 }
-                owner.handle_cold(Duration::from_millis(*remaining_ms));
+                owner.handle_cold(remaining);
             }
         }
     });
--- a/components/node/tests/inside/instance_starts.rs
+++ b/components/node/tests/inside/instance_starts.rs
@@ -3,9 +3,12 @@
 
 use super::InstanceStarts;
 use crate::announce::Announcement;
+use kernel::InstanceStart;
 use model::UpstreamName;
 
 const LEASE_US: u64 = 10_000_000;
+/// Time of day at which the reports arrive.
+const UNIX_MS: u64 = 20_000;
 
 fn announcement(name: &str, started_ms: Option<u64>) -> Announcement {
     let started = started_ms.map_or_else(|| "null".to_owned(), |ms| ms.to_string());
@@ -22,7 +25,8 @@
 
 /// Records an announcement soon after the start of the node.
 fn record(starts: &mut InstanceStarts, name: &str, started_ms: Option<u64>) -> bool {
-    starts.record(LEASE_US / 2, &announcement(name, started_ms))
+    let announcement = announcement(name, started_ms);
+    starts.record(LEASE_US / 2, UNIX_MS, &announcement) == InstanceStart::Observed
 }
 
 /// An instance that the node hears of soon after its own start may have run before. Its start time
@@ -36,14 +40,37 @@
     }
 }
 
+/// Guards against a node that starts together with its instance and takes it for one that may have
+/// run for long, and against the opposite: one that isn't cold, is older, or seems to start later.
+#[test]
+fn started_with_node() {
+    for (started_ms, cold_ms, expected) in [
+        (UNIX_MS - 100, Some(2_900), InstanceStart::Recent),
+        (UNIX_MS - 100, Some(0), InstanceStart::Unknown),
+        (UNIX_MS - 100, None, InstanceStart::Unknown),
+        (UNIX_MS - 2_000, Some(1_000), InstanceStart::Unknown),
+        (UNIX_MS + 1, Some(2_900), InstanceStart::Unknown),
+    ] {
+        let mut starts = starts();
+        let mut report = announcement("i-1", Some(started_ms));
+        report.cold_ms = cold_ms;
+        let start = starts.record(LEASE_US / 2, UNIX_MS, &report);
+        assert_eq!(start, expected, "started {started_ms}, cold {cold_ms:?}");
+        let next = starts.record(LEASE_US / 2, UNIX_MS, &report);
+        assert_eq!(next, InstanceStart::Unknown, "a repetition");
+    }
+}
+
 /// An instance that ran would have reported within its lease. One that started after the time of day
 /// had gone back was taken for older than the node.
 #[test]
 fn first_after_lease() {
     for started_ms in [Some(3_000), None] {
         let mut starts = starts();
-        assert!(starts.record(LEASE_US, &announcement("i-1", started_ms)));
-        assert!(!starts.record(LEASE_US + 1, &announcement("i-1", started_ms)));
+        let report = announcement("i-1", started_ms);
+        let starts_of_reports = [0, 1].map(|us| starts.record(LEASE_US + us, UNIX_MS, &report));
+        let expected = [InstanceStart::Observed, InstanceStart::Unknown];
+        assert_eq!(starts_of_reports, expected);
     }
 }
 
--- a/components/routing/tests/cold_zone.rs
+++ b/components/routing/tests/cold_zone.rs
@@ -96,6 +96,7 @@
                 calls_per_s: 18.0,
                 overage_percent: 25,
                 slack: 4,
+                duration_us: None,
             }));
             Owner {
                 limiter,
