--- a/components/calls/src/parent_calls.rs
+++ b/components/calls/src/parent_calls.rs
@@ -3,7 +3,7 @@
 //!
 //! Workload: an instance serves a call by calling other services. If one of these calls is refused,
 //! the work that was already done for its parent is wasted. The request id of such a call is that of
-//! its parent, extended by a full stop and a number.
+//! its parent, extended by a full stop and letters or digits.
 
 use model::{AttemptId, Priority};
 use std::{collections::HashMap, sync::Arc};
@@ -54,10 +54,10 @@
         }
     }
 
-    /// The running call that a call with this request id is made for: the id is `PARENT.N`.
+    /// The running call that a call with this request id is made for: the id is `PARENT.SUFFIX`.
     pub fn parent_of(&self, request_id: &str) -> Option<&ParentCall> {
-        let (parent, number) = request_id.rsplit_once('.')?;
-        let is_number = !number.is_empty() && number.bytes().all(|b| b.is_ascii_digit());
-        is_number.then(|| self.by_id.get(parent)).flatten()
+        let (parent, suffix) = request_id.rsplit_once('.')?;
+        let is_suffix = !suffix.is_empty() && suffix.bytes().all(|b| b.is_ascii_alphanumeric());
+        is_suffix.then(|| self.by_id.get(parent)).flatten()
     }
 }
