Split the entry's state machine of a call by stage

Change: the messages, one attempt, routing, results, retries and the end of a call are modules of their own, and each constant stands beside its use. take_pending, query_status and is_lack_of_capacity replace logic that stood two to four times; on_send_failed is a function of its own. Public paths are the same.

--- a/components/calls/src/entry/keyed.rs
+++ b/components/calls/src/entry/keyed.rs
@@ -1,13 +1,24 @@
 //! The part of the call state machine that claims idempotency keys and queries their holders.
 
-use super::{
-    Action, EntryCall, HOLDER_DELAY_US, HOLDER_JITTER_US, JITTER_FACTOR, MAX_NEVER_STARTED, State,
-    backoff_us,
-};
+use super::{Action, EntryCall, State, backoff_us};
 use crate::{AttemptStatus, Holder};
 use errors::ErrorKind;
 use model::{AttemptId, CallId};
 
+/// First delay before the status of a key's holder is queried: a few round trips between
+/// availability zones.
+const HOLDER_DELAY_US: u64 = 10_000;
+
+/// Range of the jitter that is added to `HOLDER_DELAY_US`.
+const HOLDER_JITTER_US: u64 = 10_000;
+
+/// Odd factor near 2^64 divided by the golden ratio; it spreads the jitter of consecutive calls.
+const JITTER_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// Maximum number of attempts listed in a claim: own attempts (at most 10) and holders of the key
+/// that never started.
+const MAX_NEVER_STARTED: usize = 24;
+
 impl<U: Copy + Eq> EntryCall<U> {
     /// Claims the key for an attempt.
     pub(super) fn claim(&mut self, index: usize) {
@@ -18,14 +29,14 @@
         }
         self.attempts[index].state = State::Claiming;
         self.actions.push(Action::Claim {
-            attempt: self.id(index),
+            attempt: self.attempt_id(index),
             upstream: self.attempts[index].upstream,
             never_started: self.never_started.clone(),
         });
     }
 
     pub(super) fn on_claimed(&mut self, now_us: u64, attempt: AttemptId) {
-        let Some(index) = self.index_in(attempt, |s| s == State::Claiming) else {
+        let Some(index) = self.index_if(attempt, |s| s == State::Claiming) else {
             return;
         };
         if now_us < self.spec.deadline_us {
@@ -33,8 +44,8 @@
         }
     }
 
-    pub(super) fn on_held(&mut self, now_us: u64, attempt: AttemptId, holder: Holder) {
-        let Some(index) = self.index_in(attempt, |s| s == State::Claiming) else {
+    pub(super) fn on_claim_held(&mut self, now_us: u64, attempt: AttemptId, holder: Holder) {
+        let Some(index) = self.index_if(attempt, |s| s == State::Claiming) else {
             return;
         };
         self.wait_for_holder(now_us, index, holder);
@@ -53,7 +64,7 @@
     }
 
     pub(super) fn on_claim_failed(&mut self, attempt: AttemptId, kind: ErrorKind) {
-        if let Some(index) = self.index_in(attempt, |s| s == State::Claiming) {
+        if let Some(index) = self.index_if(attempt, |s| s == State::Claiming) {
             self.attempts[index].state = State::NotRun;
             self.fail(kind);
         }
--- a/components/calls/src/entry/timers.rs
+++ b/components/calls/src/entry/timers.rs
@@ -1,9 +1,13 @@
 //! The part of the call state machine that depends on the time: repeated queries, the hedge, the
 //! deadline and the next wake-up.
 
-use super::{Action, Attempt, DEADLINE_GRACE_US, EntryCall, Pending, State};
+use super::{Action, Attempt, EntryCall, Pending, State};
 use errors::ErrorKind;
 
+/// How long after the deadline the entry waits for the owner's reply to its cancel request: a few
+/// round trips between availability zones, and short compared to any useful deadline.
+pub const DEADLINE_GRACE_US: u64 = 100_000;
+
 impl<U: Copy + Eq> EntryCall<U> {
     pub(super) fn perform_due(&mut self, now_us: u64) {
         if now_us >= self.spec.deadline_us {
@@ -13,8 +17,7 @@
         for index in 0..self.attempts.len() {
             match self.attempts[index].state {
                 State::QueryDueAt(due_us) if due_us <= now_us => {
-                    self.attempts[index].state = State::Queried;
-                    self.actions.push(Action::QueryStatus(self.id(index)));
+                    self.query_status(index);
                 }
                 State::HolderWait { holder, due_us } if due_us <= now_us => {
                     self.attempts[index].state = State::HolderQueried(holder);
@@ -78,7 +81,7 @@
                 State::Sent | State::Queried | State::QueryDueAt(_) => {
                     let disconnected = state != State::Sent;
                     self.attempts[index].state = State::Cancelling { disconnected };
-                    self.actions.push(Action::Cancel(self.id(index)));
+                    self.actions.push(Action::Cancel(self.attempt_id(index)));
                 }
                 State::Cancelling { .. } | State::NotRun | State::Lost | State::Ended => {}
             }
