--- a/components/errors/src/lib.rs
+++ b/components/errors/src/lib.rs
@@ -2,5 +2,9 @@
 //! HTTP status, outcome and texts.
 
 mod kind;
+mod outcome;
+mod table;
 
-pub use kind::{ErrorInfo, ErrorKind, Outcome};
+pub use kind::ErrorKind;
+pub use outcome::Outcome;
+pub use table::ErrorInfo;
