Split the simulated control group of the consensus tests

Change: disks, network, faults, requests, reports and changes are modules of their own, and the check for sole leaders stands with the other invariants.

--- a/components/consensus/tests/cluster/invariants.rs
+++ b/components/consensus/tests/cluster/invariants.rs
@@ -1,11 +1,16 @@
 //! Safety properties of the protocol, checked after each input and at the end of a run.
 
-use super::{Cluster, MAX_CURRENT_LAG_US};
+use super::{Cluster, Host};
 use consensus::{Body, Message, Replica, ReplicaId, ReplicaNumber, Role};
 use rand::RngExt;
 use registry::ChangeResult;
 use std::collections::BTreeSet;
 
+/// Age from which on an accepted change must be applied at every replica that counts as current: a
+/// leader steps down and a follower gives its leader up within the longest election timeout each,
+/// on clocks that run at 70 %.
+const MAX_CURRENT_LAG_US: u64 = 4_000_000;
+
 impl Cluster {
     /// A replica that counts as current has applied every change that was accepted some time ago.
     pub(super) fn check_current_replicas(&mut self) {
@@ -30,6 +35,25 @@
         }
     }
 
+    /// Checks that at most one replica considers itself the only leader.
+    pub(super) fn check_sole_leaders(&self) {
+        let is_sole = |(number, host): &(&ReplicaNumber, &Host)| {
+            let now_us = self.local_us(**number);
+            let until_us = host.replica.as_ref()?.sole_leader_until_us(now_us);
+            (now_us < until_us?).then_some(**number)
+        };
+        let sole: Vec<_> = self
+            .hosts
+            .iter()
+            .filter_map(|host| is_sole(&host))
+            .collect();
+        assert!(
+            sole.len() <= 1,
+            "replicas {sole:?} take themselves for the only leader\n{}",
+            self.report()
+        );
+    }
+
     /// A vote, formation acceptance or acknowledgement may be sent only after the state that it
     /// reports is on the disk.
     pub(super) fn check_saved_before_send(&self, from: ReplicaNumber, message: &Message) {
