Refuse calls to a service without upstreams as not run, not as unknown

Callers don't send calls with 404 again.

Cause: the directory drops a service with its last upstream, and the entry took any service that isn't in the directory for unknown.

Evidence: on the former code, lost_service::node_stopped (lost_service.rs:30) and instance_withdrawn (:50) fail with left: "404 unknown-service not-run" right: "503 no-upstream not-run"

Fix: the directory keeps the names of services that have lost their last upstream, recorded under the lock of the shard that drops them, so that a call can't find the service unknown in between. Calls to these services are refused as no-upstream, which gets Retry-After. Services that never had an upstream here are still unknown-service. Only services without upstreams are counted: beyond 1,024 the one that lost its last upstream first is removed (bounded_names fails without this: 1025 names). Calls by the routes of a configuration, as on the users' platform, take another path and were refused as no-upstream before; configured_service keeps that.

--- a/components/kernel/src/directory.rs
+++ b/components/kernel/src/directory.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     events::{Event, Events},
+    known_services::KnownServices,
     stop::lock,
 };
 use model::{NodeId, ProfileName, ServiceName, Upstream, UpstreamName};
@@ -20,6 +21,8 @@
 #[derive(Clone)]
 pub struct Directory {
     shards: Arc<[Mutex<Services>; SHARDS]>,
+    /// Services that have lost their last upstream. Locked after the shard of the service.
+    known: Arc<Mutex<KnownServices>>,
     events: Events,
 }
 
@@ -28,6 +31,7 @@
     pub fn new(events: Events) -> Self {
         Directory {
             shards: Arc::new(std::array::from_fn(|_| Mutex::default())),
+            known: Arc::default(),
             events,
         }
     }
@@ -62,6 +66,8 @@
             upstreams.remove(name);
             if upstreams.is_empty() {
                 services.remove(service);
+                // Before the shard is unlocked, so that nobody finds the service unknown meanwhile.
+                lock(&self.known).record_loss(service);
             }
         }
         let (service, name) = (service.clone(), name.clone());
@@ -84,6 +90,12 @@
         lock(self.shard(service)).contains_key(service)
     }
 
+    /// Whether the service had an upstream before its last one was removed. Bounded: of services
+    /// without upstreams, the 1,024 that lost theirs last are known.
+    pub fn had_upstream(&self, service: &ServiceName) -> bool {
+        lock(&self.known).contains(service)
+    }
+
     /// The profile for a call by method and path, according to the rules of the upstream of the
     /// service that was announced last.
     pub fn profile_for(
--- a/components/kernel/src/lib.rs
+++ b/components/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod directory;
 mod events;
+mod known_services;
 mod metrics;
 mod plugin;
 mod process;
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -222,7 +222,11 @@
     ) -> Result<Profile, ErrorKind> {
         let kernel = &self.context.kernel;
         let name = kernel.directory.profile_for(service, method, path);
-        let name = name.ok_or(ErrorKind::UnknownService)?;
+        // A service whose last upstream is gone may have one again when the call is sent again.
+        let name = name.ok_or_else(|| match kernel.directory.had_upstream(service) {
+            true => ErrorKind::NoUpstream,
+            false => ErrorKind::UnknownService,
+        })?;
         let profile = kernel.profiles.resolve(&name);
         profile.ok_or(ErrorKind::UnknownProfile)
     }
