Split the simulated nodes and coordinator of the quota tests

Change: loads, calls, messages, decisions and checks are modules of their own; count_between replaces logic that stood three times; the handlers are named on_report and on_answer like on_recorded, and record_decision tells decisions from the record of the holders. The re-exports are allowed to be unused, as the module's functions are, because each test file uses its part.

The 41 tests of quota pass.

--- a/components/quota/tests/common/record.rs
+++ b/components/quota/tests/common/record.rs
@@ -52,7 +52,7 @@
         coordinator.end_record_change(self.now_us, true);
         self.commit(epoch, &change);
         for (node, incarnation, payload) in std::mem::take(&mut self.awaiting) {
-            self.report(node, incarnation, &payload);
+            self.on_report(node, incarnation, &payload);
         }
     }
 }
