Split the policy simulation by entries and network

Change: the entries' part of a run and the delays of messages are modules of their own, beside the owners' part; send_message replaces the scheduling of messages that stood five times, and run, start_attempt and handle_event give away a part each. The settings of load reports stand with the owners, which send them.

--- a/components/bench/src/policy/chooser.rs
+++ b/components/bench/src/policy/chooser.rs
@@ -218,7 +218,7 @@
             self.router
                 .record_signal(now_us, self.keys[instance], signal);
         }
-        let mut exclude = [UpstreamKey::default(); super::sim::MAX_ATTEMPTS];
+        let mut exclude = [UpstreamKey::default(); super::entry::MAX_ATTEMPTS];
         for (slot, &instance) in exclude.iter_mut().zip(used) {
             *slot = self.keys[instance];
         }
--- a/components/bench/src/policy/mod.rs
+++ b/components/bench/src/policy/mod.rs
@@ -5,9 +5,11 @@
 //! arrivals and disturbances.
 
 mod chooser;
+mod entry;
 mod event;
 mod instance;
 mod mix;
+mod network;
 mod owner;
 mod plot;
 mod report;
--- a/components/bench/src/policy/owner.rs
+++ b/components/bench/src/policy/owner.rs
@@ -1,17 +1,17 @@
 //! The owners' part of a simulated run: admission, execution and load reports of the instances.
 
-use super::{
-    event::Event,
-    instance::Instance,
-    scenario::Disturbance,
-    sim::{REPORT_DELAY_US, REPORT_INTERVAL_US, Simulation},
-};
+use super::{event::Event, instance::Instance, scenario::Disturbance, sim::Simulation};
 use errors::ErrorKind;
 use limits::{AdmissionRequest, AdmissionResult, CancelResult, QueueDecision};
 use model::{AttemptId, Priority};
 use rand::RngExt;
 use routing::AttemptResult;
 
+/// Time between an instance's load reports, in microseconds.
+const REPORT_INTERVAL_US: u64 = 50_000;
+/// Shortest and longest delay of a load report or of gossip, in microseconds.
+const REPORT_DELAY_US: (u64, u64) = (5_000, 200_000);
+
 impl Simulation<'_> {
     /// Asks the owner's admission for a slot for an attempt that has arrived.
     pub(super) fn admit(&mut self, id: AttemptId, max_queue_wait_us: Option<u64>) {
@@ -127,16 +127,24 @@
         stopping: bool,
     ) {
         let signal = self.instances[instance].next_load_signal(self.now_us);
-        let at_us = self.now_us + self.draw_delay_us(attempt.call.origin as usize, instance);
-        self.schedule(
-            at_us,
-            Event::ResponseArrived {
-                attempt,
-                result,
-                stopping,
-                signal,
-            },
-        );
+        let event = Event::ResponseArrived {
+            attempt,
+            result,
+            stopping,
+            signal,
+        };
+        self.send_message(attempt.call.origin as usize, instance, event);
+    }
+
+    /// Replies to a probe that has arrived at the instance.
+    pub(super) fn handle_probe(&mut self, entry: usize, instance: usize, sent_us: u64) {
+        let event = Event::ProbeReplyArrived {
+            entry,
+            key: self.entries[entry].key(instance),
+            signal: self.instances[instance].next_load_signal(self.now_us),
+            sent_us,
+        };
+        self.send_message(entry, instance, event);
     }
 
     /// Cancels an attempt at the owner. If it has not arrived there yet, it is marked and will not
