Bound the stored responses of calls by the memory budget

What callers saw: nothing, until the process of an owner runs out of memory. Cause: responses of calls that must not run twice are kept for 30 s, up to 64 MiB beside the memory budget, on hosts of 160 MB and less.

Beyond it the oldest responses are dropped and their calls end as unknown, as before at 64 MiB.

--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -29,6 +29,8 @@
 
 /// Interval of pace checks while calls wait for a slow host, in microseconds.
 const PACE_CHECK_INTERVAL_US: u64 = 25_000;
+/// Share of the memory budget of a process for the responses that its owner keeps, as a divisor.
+const STORED_RESPONSES_DIVISOR: usize = 4;
 
 /// Admits and runs the calls to the local instance; every call there goes through it.
 pub(crate) struct Owner {
@@ -51,13 +53,25 @@
     closed: AtomicBool,
 }
 
+/// Settings of the records, whose kept responses count with what callers make the process hold.
+fn records_config(incarnation: u64, memory_budget_bytes: usize) -> RecordsConfig {
+    let defaults = RecordsConfig::default();
+    RecordsConfig {
+        incarnation,
+        max_bytes: defaults
+            .max_bytes
+            .min(memory_budget_bytes / STORED_RESPONSES_DIVISOR),
+        ..defaults
+    }
+}
+
 impl Owner {
     pub(crate) fn new(context: &Arc<NodeContext>, wake: Sender<()>) -> Self {
         let incarnation = context.kernel.mesh.local_id().incarnation;
-        let config = RecordsConfig {
+        let config = records_config(
             incarnation,
-            ..RecordsConfig::default()
-        };
+            context.kernel.caller_limits().memory_budget_bytes,
+        );
         Owner {
             context: Arc::clone(context),
             instance: Mutex::new(None),
