Learn which services calls need and which of them lack capacity

Cause: instances that serve a call by calling a service which is short of capacity work on calls that they can only answer with an error.

Change: limits::DownstreamCapacity learns, for each profile, the share of its calls that call each service, and from the ends of the instance's calls which services are short of capacity and for which priorities. It decides about a call on its arrival and admits one call every 100 ms as a probe. State is bounded and observations lose half of their weight in 10 s. RefusalCause has the wait until the end of the shortage for Retry-After. Nothing uses it yet.

--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -6,6 +6,7 @@
 mod byte_budget;
 mod capacity_search;
 mod cold;
+mod downstream;
 mod lost_work;
 mod memory_shares;
 mod pace;
@@ -23,6 +24,7 @@
 pub use byte_budget::ByteBudget;
 pub use capacity_search::CapacitySearch;
 pub use cold::{ColdLimiter, ColdRate};
+pub use downstream::{DownstreamCapacity, DownstreamOutcome, DownstreamRefusal};
 pub use lost_work::LostWork;
 pub use memory_shares::{MemoryShares, SMALL_BYTES};
 pub use pace::{HostPace, PaceStatus, USUAL_PACE_PERCENT};
--- a/components/limits/src/retry_after.rs
+++ b/components/limits/src/retry_after.rs
@@ -39,6 +39,11 @@
     Other,
     /// The node waits for the control group to confirm its configuration.
     Unconfirmed,
+    /// The instance would call a service that is short of capacity for this time.
+    Downstream {
+        /// Time until the shortage is considered to have ended, in milliseconds.
+        wait_ms: u64,
+    },
 }
 
 /// Time after which the caller should retry, in milliseconds. `random`, a number from 0 to 1,
@@ -53,6 +58,9 @@
         RefusalCause::Held => HOLD_MS + random_share(&SHORT_SHARE, target_ms),
         RefusalCause::Other => random_share(&SHORT_SHARE, target_ms),
         RefusalCause::Unconfirmed => UNCONFIRMED_MS,
+        RefusalCause::Downstream { wait_ms } => {
+            wait_ms as f64 + random_share(&SHORT_SHARE, target_ms)
+        }
         RefusalCause::NoCapacity { expected_ms } => {
             let late_ms = (expected_ms as f64 - target_ms).max(0.0);
             let wait_ms =
