Refuse calls that would find no capacity downstream

Cause: while service B is short of capacity, calls of service A run, find no capacity at B and end with 500: the work is wasted.

The owner sends the time until the end of the shortage in the new variant RunResult::RefusedFor, and the entry tells it to the caller in Retry-After. The setting also enables the recognition of calls that instances make. Metric gyard_downstream_refused_total, a sampled log line, and the rule in `gyard route`. Without the setting there is no state and no check.

--- a/components/api/src/route.rs
+++ b/components/api/src/route.rs
@@ -219,6 +219,9 @@
     pub verdict: String,
     /// Code from the error table, if the call is refused.
     pub error: Option<String>,
+    /// Rule of admission by the capacity downstream, if it refuses the call.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub downstream: Option<String>,
     /// `owner` if the upstream is beside the node that answers and its owner decided; `load-signal`
     /// if the verdict is the node's estimate by the last load signal of another owner.
     pub source: String,
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -583,6 +583,7 @@
         count_lost_work: false,
         give_up_percent: 0,
         start_wait_ms: 0,
+        downstream_admission: false,
         admission: limits::AdmissionOrder::default(),
         call_listen: ANY_PORT,
         mesh_listen: mesh,
--- a/components/client/src/route_output.rs
+++ b/components/client/src/route_output.rs
@@ -203,8 +203,10 @@
             cold.cold_left_ms, cold.room_in_ms
         )
     });
+    let rule = admission.downstream.as_ref();
+    let rule = rule.map_or_else(String::new, |rule| format!("; {rule}"));
     format!(
-        "{verdict}{error}, by {source}: running {running} of {slots}, waiting {waiting}, {age}{cold}"
+        "{verdict}{error}, by {source}: running {running} of {slots}, waiting {waiting}, {age}{cold}{rule}"
     )
 }
 
--- a/components/kernel/src/metrics.rs
+++ b/components/kernel/src/metrics.rs
@@ -105,6 +105,8 @@
     pub delayed_reply_bytes: Gauge,
     /// Calls that an owner refused because such responses take all their memory.
     pub congestion_refused: Counter,
+    /// Calls that an owner refused because they would call a service that is short of capacity.
+    pub downstream_refused: Counter,
     /// Calls that the local upstream left unanswered and that were given up early.
     pub given_up: Counter,
     /// Calls that count as running at the local upstream although no answer will come.
@@ -158,6 +160,7 @@
             evacuation_refused: Counter::default(),
             delayed_reply_bytes: Gauge::default(),
             congestion_refused: Counter::default(),
+            downstream_refused: Counter::default(),
             given_up: Counter::default(),
             lost_work: Gauge::default(),
             server_memory_bytes: Family::default(),
@@ -293,6 +296,11 @@
             "Calls refused because responses wait for slow connections to entries",
             self.congestion_refused.clone(),
         );
+        registry.register(
+            "downstream_refused",
+            "Calls refused because they would call a service that is short of capacity",
+            self.downstream_refused.clone(),
+        );
         registry.register(
             "given_up",
             "Calls without an answer that were given up early",
--- a/components/node/src/context.rs
+++ b/components/node/src/context.rs
@@ -1,8 +1,8 @@
 //! State that the plug-ins of one node share in addition to the kernel.
 
 use crate::{
-    announce::Announcement, generations::ConnectionGenerations, local::LocalInstance,
-    parents::Parents, probes::ProbeTable, revision_offers::RevisionOffers,
+    announce::Announcement, downstream::Downstream, generations::ConnectionGenerations,
+    local::LocalInstance, parents::Parents, probes::ProbeTable, revision_offers::RevisionOffers,
     revocation::RevocationState, start_wait::StartWait,
 };
 use api::{AdmissionInfo, RouteAnswer, RouteQuery};
@@ -52,6 +52,8 @@
     pub(crate) route_preview: OnceLock<RoutePreview>,
     /// Calls that run at the local instance and may make others.
     pub(crate) parents: Parents,
+    /// Capacity of the services that the local instance calls; `None` without the setting.
+    pub(crate) downstream: Option<Downstream>,
 }
 
 /// Returns the load of the local instance, if one is announced.
@@ -89,6 +91,7 @@
             owner_preview: OnceLock::new(),
             route_preview: OnceLock::new(),
             parents: Parents::default(),
+            downstream: Downstream::new(kernel.node_settings()),
         })
     }
 
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -139,7 +139,7 @@
 
 impl Entry {
     /// The running call of the local instance that a request is made for.
-    fn parent_of(&self, request: &Request) -> Option<ParentCall> {
+    pub(super) fn parent_of(&self, request: &Request) -> Option<ParentCall> {
         let name = self.context.kernel.node_settings().headers.request_id?;
         self.context.parent_of(request.headers.get(name)?)
     }
--- /dev/null
+++ b/components/node/src/entry/downstream.rs
@@ -0,0 +1,93 @@
+//! The calls that the local instance makes for a running call: which services they go to, and how they
+//! end. Nothing here is used without `--downstream-admission`.
+
+use super::Entry;
+use calls::ParentCall;
+use errors::ErrorKind;
+use http::{Request, Response};
+use limits::{DownstreamOutcome, RefusalCause, retry_after_ms};
+use model::ServiceName;
+
+/// A call that the instance makes for a running call.
+pub(super) struct NestedCall {
+    parent: ParentCall,
+    sent_us: u64,
+}
+
+impl Entry {
+    /// The request as a call of the local instance, if it is one.
+    pub(super) fn nested_call(&self, request: &Request, sent_us: u64) -> Option<NestedCall> {
+        self.context.downstream.as_ref()?;
+        let parent = self.parent_of(request)?;
+        Some(NestedCall { parent, sent_us })
+    }
+
+    /// Response to a call that an owner refused because a service which the call would call is short of
+    /// capacity for this time.
+    pub(super) fn downstream_response(
+        &self,
+        service: &ServiceName,
+        kind: ErrorKind,
+        target_ms: u64,
+        wait_us: u64,
+    ) -> Response {
+        let mut response = self.refusal_response(Some(service), kind, target_ms);
+        let cause = RefusalCause::Downstream {
+            wait_ms: wait_us.div_ceil(1_000),
+        };
+        let seconds = retry_after_ms(cause, target_ms, rand::random()) / 1_000.0;
+        response.headers.set("retry-after", format!("{seconds:.3}"));
+        response
+    }
+}
+
+impl NestedCall {
+    /// Records that the call goes to a service.
+    pub(super) fn record_sent(&self, entry: &Entry, service: &ServiceName) {
+        if let Some(downstream) = &entry.context.downstream {
+            downstream.lock().call(self.parent.attempt, service);
+        }
+    }
+
+    /// Records that an upstream answered the call.
+    pub(super) fn record_answered(&self, entry: &Entry, service: &ServiceName) {
+        self.record(entry, service, DownstreamOutcome::Answered);
+    }
+
+    /// Records that the call ended without an answer, with the response to it.
+    pub(super) fn record_refused(
+        &self,
+        entry: &Entry,
+        service: &ServiceName,
+        kind: ErrorKind,
+        response: &Response,
+    ) {
+        self.record_sent(entry, service);
+        let retry_after_us = retry_after_us(response);
+        let outcome = match kind {
+            ErrorKind::Overloaded | ErrorKind::QueueFull => {
+                DownstreamOutcome::Overloaded { retry_after_us }
+            }
+            ErrorKind::NoUpstream => DownstreamOutcome::NoUpstream { retry_after_us },
+            _ => return,
+        };
+        self.record(entry, service, outcome);
+    }
+
+    fn record(&self, entry: &Entry, service: &ServiceName, outcome: DownstreamOutcome) {
+        let Some(downstream) = &entry.context.downstream else {
+            return;
+        };
+        let now_us = entry.context.kernel.clock.now_us();
+        let priority = self.parent.priority;
+        downstream
+            .lock()
+            .record(now_us, self.sent_us, service, priority, outcome);
+    }
+}
+
+fn retry_after_us(response: &Response) -> u64 {
+    let seconds = response.headers.get("retry-after");
+    let seconds: Option<f64> = seconds.and_then(|seconds| seconds.parse().ok());
+    seconds.map_or(0, |seconds| (seconds * 1e6) as u64)
+}
--- a/components/node/src/entry/driver/mod.rs
+++ b/components/node/src/entry/driver/mod.rs
@@ -4,6 +4,7 @@
 //! delivers an event also executes the resulting actions and sends the response, which saves the
 //! wake-up of another thread.
 
+mod refusals;
 pub(super) mod send;
 
 use super::{Entry, call::PreparedCall, routes::ServiceRoutes};
@@ -12,6 +13,7 @@
 use http::{CallerConnection, EarlyReply, Headers, Response};
 use limits::CapacitySearch;
 use model::{AttemptId, NodeId, Upstream};
+use refusals::LastRefusal;
 use routing::UpstreamKey;
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -62,6 +64,7 @@
     wake_us: AtomicU64,
     /// Whether the answer is that of another call with the same idempotency key.
     has_stored_answer: AtomicBool,
+    last_refusal: Mutex<Option<LastRefusal>>,
 }
 
 /// State of one call, locked by the thread that handles its events.
@@ -112,6 +115,7 @@
             early_reply: caller.early_reply(),
             wake_us: AtomicU64::new(call.deadline_us),
             has_stored_answer: AtomicBool::new(false),
+            last_refusal: Mutex::default(),
             call,
             routes,
             state: Mutex::new(DriverState {
--- /dev/null
+++ b/components/node/src/entry/driver/refusals.rs
@@ -0,0 +1,45 @@
+//! The last refusal of a call by an owner, which tells why a call ends that is not retried.
+
+use super::CallDriver;
+use errors::ErrorKind;
+use std::sync::{MutexGuard, PoisonError};
+
+/// Why an owner refused an attempt.
+#[derive(Clone, Copy)]
+pub(super) struct LastRefusal {
+    kind: ErrorKind,
+    /// Time at which the owner expects to admit such calls, if it said so.
+    until_us: Option<u64>,
+}
+
+impl CallDriver {
+    /// Records that an owner refused an attempt. Only calls of owners or entries that admit by the
+    /// capacity downstream need this.
+    pub(crate) fn note_refusal(&self, kind: ErrorKind, until_us: Option<u64>) {
+        if until_us.is_some() || self.entry.context.downstream.is_some() {
+            *self.lock_last_refusal() = Some(LastRefusal { kind, until_us });
+        }
+    }
+
+    /// The cause of a call's end: the refusal of the last attempt, if the call could not be retried.
+    pub(crate) fn cause(&self, kind: ErrorKind) -> ErrorKind {
+        match (kind, *self.lock_last_refusal()) {
+            (ErrorKind::RetryBudgetSpent, Some(last)) => last.kind,
+            _ => kind,
+        }
+    }
+
+    /// Time until the owner that refused the call last expects to admit it, if it said so and the call
+    /// ended because of that.
+    pub(crate) fn refused_for_us(&self, kind: ErrorKind) -> Option<u64> {
+        let last = (*self.lock_last_refusal())?;
+        let until_us = last.until_us.filter(|_| self.cause(kind) == last.kind)?;
+        Some(until_us.saturating_sub(self.now_us()))
+    }
+
+    fn lock_last_refusal(&self) -> MutexGuard<'_, Option<LastRefusal>> {
+        self.last_refusal
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod customers;
 mod decision;
+mod downstream;
 mod driver;
 mod evacuation;
 mod key_claims;
@@ -194,6 +195,7 @@
     fn handle_request(self: &Arc<Self>, request: Request, caller: &CallerConnection) -> Response {
         let arrived_us = self.context.kernel.clock.now_us();
         let request_id = self.request_id(&request);
+        let nested = self.nested_call(&request, arrived_us);
         let prepared = if self.is_stop_notice_over(arrived_us) {
             Err((None, ErrorKind::Stopping))
         } else {
@@ -204,7 +206,11 @@
             Ok(prepared) => prepared,
             Err((service, kind)) => {
                 self.log_refusal(&request_id, kind);
-                return self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
+                let response = self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
+                if let (Some(nested), Some(service)) = (&nested, &service) {
+                    nested.record_refused(self, service, kind, &response);
+                }
+                return response;
             }
         };
         let permit = match self.charge_quota(&prepared) {
@@ -223,6 +229,9 @@
         metrics.calls.get_or_create(&labels).inc();
         let (call, service) = (prepared.call, prepared.service.clone());
         let customer = customer_note(prepared.customer.as_deref());
+        if let Some(nested) = &nested {
+            nested.record_sent(self, &service);
+        }
         let driver = CallDriver::new(self, prepared, caller);
         let result = driver.run(caller);
         Self::settle_quota(permit, &result, driver.has_stored_answer());
@@ -232,13 +241,26 @@
             .get_or_create(&labels)
             .observe(elapsed_us as f64 / 1e6);
         match result {
-            Ok(response) => response,
+            Ok(response) => {
+                if let Some(nested) = nested.filter(|_| !driver.has_stored_answer()) {
+                    nested.record_answered(self, &service);
+                }
+                response
+            }
             Err(kind) => {
                 log::info!(
                     "entry: request {request_id} call {call}{customer} ended without an answer after {} ms, {kind}.",
                     elapsed_us / 1_000
                 );
-                self.refusal_response(Some(&service), kind, target_ms)
+                let response = match driver.refused_for_us(kind) {
+                    None => self.refusal_response(Some(&service), kind, target_ms),
+                    Some(wait_us) => self.downstream_response(&service, kind, target_ms, wait_us),
+                };
+                if let Some(nested) = nested {
+                    let cause = driver.cause(kind);
+                    nested.record_refused(self, &service, cause, &response);
+                }
+                response
             }
         }
     }
--- a/components/node/src/entry/preview/figures.rs
+++ b/components/node/src/entry/preview/figures.rs
@@ -185,6 +185,7 @@
     AdmissionInfo {
         verdict: verdict.to_owned(),
         error: error.map(|kind| kind.info().code.to_owned()),
+        downstream: None,
         source: "load-signal".to_owned(),
         running: signal.map_or(0, |signal| signal.in_flight),
         waiting: signal.map_or(0, |signal| signal.queued),
--- a/components/node/src/entry/reply.rs
+++ b/components/node/src/entry/reply.rs
@@ -102,7 +102,14 @@
                 AttemptResult::Cancelled,
                 Event::Refused(attempt, ErrorKind::Cancelled),
             ),
-            RunResult::Refused(kind) => (AttemptResult::Refused, Event::Refused(attempt, kind)),
+            RunResult::Refused(kind) => {
+                self.driver.note_refusal(kind, None);
+                (AttemptResult::Refused, Event::Refused(attempt, kind))
+            }
+            RunResult::RefusedFor { kind, wait_us } => {
+                self.driver.note_refusal(kind, Some(now_us + wait_us));
+                (AttemptResult::Refused, Event::Refused(attempt, kind))
+            }
             RunResult::Failed(kind) => (
                 self.failed_or_timed_out(now_us),
                 Event::Failed(attempt, kind),
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod announce;
 mod context;
+mod downstream;
 mod entry;
 mod generations;
 mod gossip;
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod crash_incidents;
 mod delayed_replies;
+mod downstream;
 mod evacuation;
 mod health;
 mod instance;
--- a/components/node/src/owner/preview.rs
+++ b/components/node/src/owner/preview.rs
@@ -18,6 +18,11 @@
     fn admission(&self, call: &RunCall, customer: Option<&str>) -> AdmissionInfo {
         let now_us = self.now_us();
         let refusal = self.upcoming_refusal(now_us, call);
+        let downstream = match refusal {
+            None => self.upcoming_downstream_refusal(now_us, call),
+            Some(_) => None,
+        };
+        let refusal = refusal.or_else(|| downstream.is_some().then_some(ErrorKind::Overloaded));
         let guard = self.lock_instance();
         let instance = guard.as_ref();
         let result = match (refusal, instance) {
@@ -34,6 +39,7 @@
         AdmissionInfo {
             verdict: verdict.to_owned(),
             error,
+            downstream,
             source: "owner".to_owned(),
             running: admission.map_or(0, Admission::in_flight),
             waiting: admission.map_or(0, Admission::queued),
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -229,7 +229,8 @@
         self.end_trial(attempt);
         self.shared.running.remove(attempt);
         self.unanswered.end(attempt);
-        self.context.end_parent(&job.call);
+        let is_answered = matches!(result, RunResult::Answer { .. });
+        self.context.end_parent(now_us, &job.call, is_answered);
         let (signal, decisions, mut guard) = {
             let mut guard = self.lock_instance();
             let Some(instance) = guard.as_mut() else {
@@ -303,6 +304,14 @@
             );
             return;
         }
+        if let Some(refused) = self.downstream_refusal(now_us, &call) {
+            let result = match self.record_refusal(now_us, deadline_us, &call) {
+                None | Some(AttemptStatus::NotStarted) => refused,
+                Some(status) => RunResult::Duplicate(status),
+            };
+            reply(reply_to, self.load_signal().unwrap_or_default(), result);
+            return;
+        }
         let begin = self
             .lock_records()
             .begin(now_us, &incoming_attempt(&call, deadline_us));
@@ -380,7 +389,9 @@
             RunResult::Answer { message, .. } => {
                 records.finish(now_us, attempt, Arc::clone(message));
             }
-            RunResult::Refused(kind) | RunResult::Failed(kind) => {
+            RunResult::Refused(kind)
+            | RunResult::RefusedFor { kind, .. }
+            | RunResult::Failed(kind) => {
                 records.fail(now_us, attempt, *kind);
             }
             RunResult::Duplicate(_) => (),
--- a/components/node/src/owner/suspects.rs
+++ b/components/node/src/owner/suspects.rs
@@ -311,7 +311,7 @@
         true
     }
 
-    fn is_trial(&self, attempt: AttemptId) -> bool {
+    pub(super) fn is_trial(&self, attempt: AttemptId) -> bool {
         let trial = lock(&self.suspicions.trial);
         trial.as_ref().is_some_and(|trial| trial.attempt == attempt)
     }
--- a/components/node/src/parents.rs
+++ b/components/node/src/parents.rs
@@ -1,5 +1,6 @@
 //! Calls of the local instance: recognised by their request id, they inherit from the call that they
-//! are made for. Used only if owners order waiting calls by cost.
+//! are made for. Used only if owners order waiting calls by cost or admit calls by the capacity
+//! downstream.
 
 use crate::context::NodeContext;
 use calls::{ParentCall, ParentCalls};
@@ -14,12 +15,23 @@
 impl NodeContext {
     /// Adds a call that starts at the local instance.
     pub(crate) fn start_parent(&self, call: &RunCall, parent: ParentCall) {
-        self.with_parents(call, |parents, id| parents.start(id, parent));
+        self.with_parents(call, |parents, id| {
+            parents.start(id, parent);
+            if let Some(downstream) = &self.downstream {
+                downstream.lock().start(call.attempt);
+            }
+        });
     }
 
     /// Removes a call that has ended at the local instance.
-    pub(crate) fn end_parent(&self, call: &RunCall) {
-        self.with_parents(call, |parents, id| parents.end(id, call.attempt));
+    pub(crate) fn end_parent(&self, now_us: u64, call: &RunCall, is_answered: bool) {
+        self.with_parents(call, |parents, id| {
+            parents.end(id, call.attempt);
+            if let Some(downstream) = &self.downstream {
+                let mut downstream = downstream.lock();
+                downstream.end(now_us, call.attempt, &call.profile, is_answered);
+            }
+        });
     }
 
     /// The running call of the local instance that a call with this request id is made for.
@@ -37,7 +49,8 @@
 
     fn knows_parents(&self) -> bool {
         let settings = self.kernel.node_settings();
-        settings.admission == AdmissionOrder::Cost && settings.headers.request_id.is_some()
+        let is_used = settings.admission == AdmissionOrder::Cost || settings.downstream_admission;
+        is_used && settings.headers.request_id.is_some()
     }
 
     fn with_parents(&self, call: &RunCall, run: impl FnOnce(&mut ParentCalls, &str)) {
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -143,6 +143,9 @@
     pub give_up_percent: u8,
     /// Order of the calls that wait for the local instance.
     pub admission: AdmissionOrder,
+    /// Whether calls are refused before they run if the local instance would call a service that is
+    /// short of capacity for them.
+    pub downstream_admission: bool,
     /// Time after the start in which calls wait for the configuration, in milliseconds; 0 to refuse
     /// them at once.
     pub start_wait_ms: u64,
@@ -280,6 +283,13 @@
             admission: source
                 .optional("admission", flags.admission.as_deref(), "deadline or cost")?
                 .unwrap_or_default(),
+            downstream_admission: source
+                .optional(
+                    "downstream-admission",
+                    flags.downstream_admission.as_deref(),
+                    "true or false",
+                )?
+                .unwrap_or(false),
             start_wait_ms: number("start-wait-ms", &flags.start_wait_ms, 0, 0, 60_000)?,
             give_up_percent: number("give-up-percent", &flags.give_up_percent, 0, 0, 100)? as u8,
             stop_timeout_ms: number(
--- a/components/settings/src/node_flags.rs
+++ b/components/settings/src/node_flags.rs
@@ -267,6 +267,13 @@
         help = "order of waiting calls, deadline or cost (default: deadline)"
     )]
     pub admission: Option<String>,
+    /// Whether calls are refused whose own calls would find no capacity.
+    #[options(
+        no_short,
+        meta = "BOOL",
+        help = "refuse calls for which the instance calls a service without capacity (default: false)"
+    )]
+    pub downstream_admission: Option<String>,
     /// Time after the start in which calls wait for the configuration, in milliseconds.
     #[options(
         no_short,
--- a/components/settings/tests/node_settings.rs
+++ b/components/settings/tests/node_settings.rs
@@ -30,6 +30,7 @@
         error_after(|f| f.control = Some("127.0.0.1:1,nonsense".into())),
         error_after(|f| f.max_body_bytes = Some("0".into())),
         error_after(|f| f.admission = Some("value".into())),
+        error_after(|f| f.downstream_admission = Some("on".into())),
         error_after(|f| f.give_up_percent = Some("101".into())),
         error_after(|f| f.start_wait_ms = Some("60001".into())),
         error_after(|f| f.log_format = Some("xml".into())),
--- a/components/wire/src/call.rs
+++ b/components/wire/src/call.rs
@@ -70,8 +70,8 @@
         /// Name of the customer, for fairness in the owner's queue.
         customer: Arc<str>,
     },
-    /// Run an attempt of a call that an instance makes for another call; sent only if owners order
-    /// waiting calls by cost.
+    /// Run an attempt of a call that an instance makes for another call; sent only if the settings
+    /// enable the recognition of such calls.
     RunNested {
         /// The attempt.
         call: RunCall,
@@ -127,6 +127,14 @@
     Failed(ErrorKind),
     /// The owner had received the attempt before; this is its status.
     Duplicate(AttemptStatus),
+    /// As `Refused`, with the time until the owner expects to admit such calls; sent only if the
+    /// settings of the owner enable admission by the capacity downstream.
+    RefusedFor {
+        /// Reason of the refusal.
+        kind: ErrorKind,
+        /// Time until calls like this one are expected to be admitted, in microseconds.
+        wait_us: u64,
+    },
 }
 
 /// Reply to a [`CallRequest`].
