--- a/components/bench/src/deployment/defaults.rs
+++ b/components/bench/src/deployment/defaults.rs
@@ -60,6 +60,7 @@
         cold_slack: 4,
         count_lost_work: false,
         give_up_percent: 0,
+        downstream_admission: false,
         start_wait_ms: 0,
         admission: limits::AdmissionOrder::default(),
         call_listen: ANY_PORT,
--- a/components/node/src/owner/mod.rs
+++ b/components/node/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod crash_incidents;
 mod delayed_replies;
+mod downstream;
 mod evacuation;
 mod health;
 mod instance;
@@ -14,6 +15,7 @@
 mod run;
 mod running;
 mod state;
+mod stored_responses;
 mod suspects;
 mod unanswered;
 
--- a/components/node/src/owner/state.rs
+++ b/components/node/src/owner/state.rs
@@ -6,11 +6,12 @@
     instance::{Arrival, Instance, Job, SharedByInstances, take_refused},
     replies::{refused_or_duplicate, reply, reply_status},
     run::{FIRST_FAILURE_STATUS, run_job},
+    stored_responses::records_config,
     suspects::Suspicions,
     unanswered::UnansweredCalls,
 };
 use crate::context::NodeContext;
-use calls::{AttemptStatus, BeginResult, CallRecords, IncomingAttempt, RecordsConfig};
+use calls::{AttemptStatus, BeginResult, CallRecords, IncomingAttempt};
 use crossbeam::channel::Sender;
 use errors::ErrorKind;
 use http::ResponseMemory;
@@ -29,8 +30,6 @@
 
 /// Interval of pace checks while calls wait for a slow host, in microseconds.
 const PACE_CHECK_INTERVAL_US: u64 = 25_000;
-/// Share of the memory budget of a process for the responses that its owner keeps, as a divisor.
-const STORED_RESPONSES_DIVISOR: usize = 4;
 
 /// Admits and runs the calls to the local instance; every call there goes through it.
 pub(crate) struct Owner {
@@ -53,18 +52,6 @@
     closed: AtomicBool,
 }
 
-/// Settings of the records, whose kept responses count with what callers make the process hold.
-fn records_config(incarnation: u64, memory_budget_bytes: usize) -> RecordsConfig {
-    let defaults = RecordsConfig::default();
-    RecordsConfig {
-        incarnation,
-        max_bytes: defaults
-            .max_bytes
-            .min(memory_budget_bytes / STORED_RESPONSES_DIVISOR),
-        ..defaults
-    }
-}
-
 impl Owner {
     pub(crate) fn new(context: &Arc<NodeContext>, wake: Sender<()>) -> Self {
         let incarnation = context.kernel.mesh.local_id().incarnation;
@@ -243,7 +230,8 @@
         self.end_trial(attempt);
         self.shared.running.remove(attempt);
         self.unanswered.end(attempt);
-        self.context.end_parent(&job.call);
+        let is_answered = matches!(result, RunResult::Answer { .. });
+        self.context.end_parent(now_us, &job.call, is_answered);
         let (signal, decisions, mut guard) = {
             let mut guard = self.lock_instance();
             let Some(instance) = guard.as_mut() else {
@@ -317,6 +305,14 @@
             );
             return;
         }
+        if let Some(refused) = self.downstream_refusal(now_us, &call) {
+            let result = match self.record_refusal(now_us, deadline_us, &call) {
+                None | Some(AttemptStatus::NotStarted) => refused,
+                Some(status) => RunResult::Duplicate(status),
+            };
+            reply(reply_to, self.load_signal().unwrap_or_default(), result);
+            return;
+        }
         let begin = self
             .lock_records()
             .begin(now_us, &incoming_attempt(&call, deadline_us));
@@ -394,7 +390,9 @@
             RunResult::Answer { message, .. } => {
                 records.finish(now_us, attempt, Arc::clone(message));
             }
-            RunResult::Refused(kind) | RunResult::Failed(kind) => {
+            RunResult::Refused(kind)
+            | RunResult::RefusedFor { kind, .. }
+            | RunResult::Failed(kind) => {
                 records.fail(now_us, attempt, *kind);
             }
             RunResult::Duplicate(_) => (),
