Announce the instance only once the node runs calls

What callers saw: after the start of a node, calls that entries sent to the instance beside it were refused as no-upstream for up to 0.5 s. Calls with one attempt, or whose other upstreams were starting too, ended with 503.

Cause: a starting node runs no calls until it knows the crash suspects of its peers, 0.5 s at most, but gossip announced the instance with its first report.

Evidence: start_order::calls_during_start, in which a peer's answers are lost, fails on the former code (start_order.rs:42, call-19) left: "503 no-upstream not-run" right: "200 from the upstream"

Fix: gossip announces the instance, to the entry of its own node too, when the node has caught up or the time limit has passed. The owner still gets the instance with its report, and the report is acknowledged at once. Catching up takes effect with the answer of the peer and not at the next tick of 25 ms. The instance is read when it is announced, under a lock, so that an older state can't replace a newer one. Until then the local instance's service is refused as no-upstream and not as unknown-service (reported_service fails without this: 404 unknown-service not-run).

--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -37,6 +37,9 @@
     },
     /// The local instance has restarted under its name; no work of its earlier start continues.
     LocalUpstreamRestarted,
+    /// This node knows the crash suspects of its peers, or the time for that has passed; it runs
+    /// calls from now on.
+    CrashSuspectsKnown,
 }
 
 type Subscriber = Arc<dyn Fn(&Event) + Send + Sync>;
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -222,8 +222,7 @@
     ) -> Result<Profile, ErrorKind> {
         let kernel = &self.context.kernel;
         let name = kernel.directory.profile_for(service, method, path);
-        // A service whose last upstream is gone may have one again when the call is sent again.
-        let name = name.ok_or_else(|| match kernel.directory.had_upstream(service) {
+        let name = name.ok_or_else(|| match self.knows_service(service) {
             true => ErrorKind::NoUpstream,
             false => ErrorKind::UnknownService,
         })?;
@@ -231,6 +230,14 @@
         profile.ok_or(ErrorKind::UnknownProfile)
     }
 
+    /// Whether a service that has no upstream now may have one when its calls are sent again: its last
+    /// one is gone, or the local instance is not announced yet.
+    fn knows_service(&self, service: &ServiceName) -> bool {
+        let context = &self.context;
+        context.kernel.directory.had_upstream(service)
+            || context.local.service().as_ref() == Some(service)
+    }
+
     /// The caller's request id, cut to the length that is logged.
     pub(super) fn request_id(&self, request: &Request) -> String {
         let names = &self.context.kernel.node_settings().headers;
--- a/components/node/src/gossip/mod.rs
+++ b/components/node/src/gossip/mod.rs
@@ -10,7 +10,7 @@
 use model::{Revision, ServiceName, Upstream, UpstreamName};
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -30,6 +30,9 @@
     context: Arc<NodeContext>,
     members: Mutex<Members>,
     announced: Mutex<AnnouncedUpstreams>,
+    /// Held while the local instance is read and announced, so that an older state can't replace a
+    /// newer one.
+    announce_lock: Mutex<()>,
     /// Wakes the introduction thread after a change of the local record.
     record_changed: Sender<()>,
 }
@@ -48,6 +51,7 @@
             rand::random(),
         )),
         announced: Mutex::default(),
+        announce_lock: Mutex::default(),
         context,
     });
     kernel.mesh.set_handler(Channel::Gossip, {
@@ -114,10 +118,9 @@
     }
 
     fn handle_event(&self, event: &Event) {
-        let now_us = self.now_us();
         match event {
-            Event::LocalUpstreamChanged(upstream) => {
-                self.announce_upstream(now_us, upstream.as_ref());
+            Event::LocalUpstreamChanged(_) | Event::CrashSuspectsKnown => {
+                self.announce_upstream();
             }
             Event::NodesDiscovered(addresses) => {
                 let mut members = self.members();
@@ -126,15 +129,26 @@
                 }
             }
             Event::Stopping => {
-                let actions = self.members().leave(now_us);
+                let actions = self.members().leave(self.now_us());
                 self.execute(actions);
             }
             _ => (),
         }
     }
 
-    fn announce_upstream(&self, now_us: u64, upstream: Option<&Upstream>) {
-        let info = local_info(&self.context, upstream);
+    /// Announces the local instance as it is now, but not before its owner runs calls: entries would
+    /// send it calls that it refuses.
+    fn announce_upstream(&self) {
+        let _announcing = self
+            .announce_lock
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if !self.context.knows_suspects.load(Ordering::Acquire) {
+            return;
+        }
+        let now_us = self.now_us();
+        let upstream = self.context.local.upstream();
+        let info = local_info(&self.context, upstream.as_ref());
         let result = self.members().set_local_info(now_us, info.clone());
         match result {
             Ok(actions) => self.execute(actions),
--- a/components/node/src/suspects.rs
+++ b/components/node/src/suspects.rs
@@ -60,13 +60,26 @@
         let mut tick = START_TICK;
         while !self.context.kernel.shutdown.wait(tick) {
             self.tick();
-            if self.lock().is_caught_up() {
+            if self.publish_caught_up() {
                 tick = TICK;
-                self.context.knows_suspects.store(true, Ordering::Release);
             }
         }
     }
 
+    /// Lets the node run calls once it has caught up; returns whether it has.
+    fn publish_caught_up(&self) -> bool {
+        let is_caught_up = self.lock().is_caught_up();
+        if is_caught_up && !self.context.knows_suspects.swap(true, Ordering::AcqRel) {
+            log::info!(
+                "suspects: the crash suspects of other nodes are known, or none answered in time; \
+                 calls may run."
+            );
+            let events = &self.context.kernel.events;
+            events.publish(&Event::CrashSuspectsKnown);
+        }
+        is_caught_up
+    }
+
     fn tick(&self) {
         let now_us = self.context.kernel.clock.now_us();
         let peers = self.context.peers();
@@ -110,6 +123,8 @@
             );
         }
         self.send(answers);
+        // Not left to the next tick: the instance is announced after this.
+        self.publish_caught_up();
     }
 
     fn send(&self, outgoing: Vec<Outgoing>) {
