--- a/components/kernel/src/events.rs
+++ b/components/kernel/src/events.rs
@@ -37,6 +37,9 @@
     },
     /// The local instance has restarted under its name; no work of its earlier start continues.
     LocalUpstreamRestarted,
+    /// This node knows the crash suspects of its peers, or the time for that has passed; it runs
+    /// calls from now on.
+    CrashSuspectsKnown,
 }
 
 /// What a node knows of the start of its local instance when it gets a report.
