--- a/components/calls/src/records/config.rs
+++ b/components/calls/src/records/config.rs
@@ -1,6 +1,6 @@
 //! Settings of the records.
 
-/// Settings of [`CallRecords`].
+/// Settings of [`CallRecords`](crate::CallRecords).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RecordsConfig {
     /// Incarnation of this owner.
--- a/components/calls/src/records/messages.rs
+++ b/components/calls/src/records/messages.rs
@@ -38,7 +38,7 @@
     pub keyed: bool,
 }
 
-/// Result of [`CallRecords::begin`]: whether an attempt may enter the owner's queue.
+/// Result of [`CallRecords::begin`](crate::CallRecords::begin): whether an attempt may enter the owner's queue.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BeginResult {
     /// New; it may be queued and, once `try_start` has returned true, run.
