Name times and methods of the downstream capacity by what they hold

`next_probe_us` was a point in time in one place and a time span in two others, and `since_us` was the time of the last refusal, not the start. The tuple of times becomes a struct, `call` and `record` become `record_call` and `record_outcome`, and the test's `Result` no longer hides the one of the standard library. No behaviour changes. The tests of limits pass.

--- a/components/limits/src/downstream.rs
+++ b/components/limits/src/downstream.rs
@@ -52,7 +52,7 @@
     /// Time until the shortage is considered to have ended, unless a later call shows it again.
     pub retry_after_us: u64,
     /// Time until a call may be admitted as the next probe.
-    pub next_probe_us: u64,
+    pub next_probe_in_us: u64,
 }
 
 /// Which services the calls of each profile call, and which of these services are short of capacity.
@@ -73,7 +73,7 @@
     }
 
     /// Records that the instance calls a service for a running call.
-    pub fn call(&mut self, parent: AttemptId, service: &ServiceName) {
+    pub fn record_call(&mut self, parent: AttemptId, service: &ServiceName) {
         if let Some(services) = self.running.get_mut(&parent)
             && services.len() < MAX_SERVICES
             && !services.contains(service)
@@ -106,7 +106,7 @@
     ///
     /// The callee's owners serve higher priorities first. So a call refused for lack of capacity shows a
     /// shortage for its own and lower priorities, and an answer the end of it for its own and higher ones.
-    pub fn record(
+    pub fn record_outcome(
         &mut self,
         now_us: u64,
         sent_us: u64,
@@ -169,20 +169,20 @@
         let calls = self.profiles.get(profile)?;
         let refusals = calls.shares(MIN_SHARE).filter_map(|(service, share)| {
             let shortage = self.shortages.get(service)?;
-            let (since_us, until_us) = shortage.period(now_us, priority)?;
+            let period = shortage.period(now_us, priority)?;
             (!shortage.is_probe_due(now_us, priority)).then(|| DownstreamRefusal {
                 service: service.clone(),
                 share,
-                age_us: now_us.saturating_sub(since_us),
-                retry_after_us: until_us - now_us,
-                next_probe_us: shortage.next_probe_us(now_us),
+                age_us: now_us.saturating_sub(period.last_seen_us),
+                retry_after_us: period.until_us - now_us,
+                next_probe_in_us: shortage.next_probe_in_us(now_us),
             })
         });
         refusals.max_by_key(|refusal| refusal.retry_after_us)
     }
 
     fn services_of(&self, profile: &ProfileName) -> Vec<ServiceName> {
-        // No service is short of capacity most of the time.
+        // Saves the allocation until a first shortage is recorded. Shortages that have ended are kept.
         if self.shortages.is_empty() {
             return Vec::new();
         }
--- a/components/limits/src/downstream/shortage.rs
+++ b/components/limits/src/downstream/shortage.rs
@@ -10,17 +10,25 @@
 const PROBE_INTERVAL_US: u64 = 100_000;
 /// Time for which calls of lower priorities are not probes after a call was refused. It is as long as
 /// the longest shortage that one call shows.
-const RANK_HOLD_US: u64 = MAX_SHORTAGE_US;
+const LOWER_PROBE_DELAY_US: u64 = MAX_SHORTAGE_US;
 /// Number of priorities.
 const PRIORITIES: usize = 3;
 
+/// Time for which the service is short of capacity for one priority.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Period {
+    /// Time of the last call to the service that was refused.
+    pub(super) last_seen_us: u64,
+    /// Time at which the shortage ends, unless a later refused call extends it.
+    pub(super) until_us: u64,
+}
+
 /// What is known of the shortage of one service. The entries of the arrays are by priority, lowest first.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Shortage {
-    /// Time of the last refused call, and time at which the shortage ends. A priority that is short is
-    /// so no longer than all lower ones.
-    periods: [Option<(u64, u64)>; PRIORITIES],
-    /// Time of the last call that was refused because of this shortage.
+    /// A priority that is short is so no longer than all lower ones.
+    periods: [Option<Period>; PRIORITIES],
+    /// Time of the last call of the local instance that was refused because of this shortage.
     refused_us: [Option<u64>; PRIORITIES],
     next_probe_us: u64,
     last_probe: Option<Priority>,
@@ -37,8 +45,10 @@
         }
         let until_us = now_us + retry_after_us.clamp(MIN_SHORTAGE_US, MAX_SHORTAGE_US);
         for period in &mut self.periods[..=index(highest)] {
-            let until_us = period.map_or(until_us, |(_, before_us)| until_us.max(before_us));
-            *period = Some((now_us, until_us));
+            *period = Some(Period {
+                last_seen_us: now_us,
+                until_us: period.map_or(until_us, |before| until_us.max(before.until_us)),
+            });
         }
     }
 
@@ -46,7 +56,7 @@
     /// the last refusal, was answered.
     pub(super) fn end_from(&mut self, priority: Priority, sent_us: u64) {
         for period in &mut self.periods[index(priority)..] {
-            if period.is_some_and(|(since_us, _)| since_us <= sent_us) {
+            if period.is_some_and(|period| period.last_seen_us <= sent_us) {
                 *period = None;
             }
         }
@@ -56,15 +66,15 @@
         self.period(now_us, Priority::Low).is_some()
     }
 
-    /// Time of the last refused call and end of the shortage for a priority, if it lasts.
-    pub(super) fn period(&self, now_us: u64, priority: Priority) -> Option<(u64, u64)> {
-        self.periods[index(priority)].filter(|(_, until_us)| now_us < *until_us)
+    /// The shortage for a priority, if it lasts.
+    pub(super) fn period(&self, now_us: u64, priority: Priority) -> Option<Period> {
+        self.periods[index(priority)].filter(|period| now_us < period.until_us)
     }
 
     /// Whether a call of this priority is admitted as a probe. A lower priority gets no probe while
     /// calls of a higher one are refused, and a call of a higher one is admitted beside it.
     pub(super) fn is_probe_due(&self, now_us: u64, priority: Priority) -> bool {
-        let is_recent = |at_us: &u64| now_us < *at_us + RANK_HOLD_US;
+        let is_recent = |at_us: &u64| now_us < *at_us + LOWER_PROBE_DELAY_US;
         let is_higher_refused = self.refused_us[index(priority) + 1..]
             .iter()
             .flatten()
@@ -76,7 +86,7 @@
     }
 
     /// Time until the next probe.
-    pub(super) fn next_probe_us(&self, now_us: u64) -> u64 {
+    pub(super) fn next_probe_in_us(&self, now_us: u64) -> u64 {
         self.next_probe_us.saturating_sub(now_us)
     }
 
--- a/components/limits/tests/downstream.rs
+++ b/components/limits/tests/downstream.rs
@@ -32,7 +32,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Result {
+struct Counts {
     served: u64,
     wasted: u64,
     refused: u64,
@@ -70,7 +70,7 @@
     ServiceName::parse(name).unwrap()
 }
 
-fn replay(seed: u64, has_rule: bool) -> Result {
+fn replay(seed: u64, has_rule: bool) -> Counts {
     let mut random = Random(seed);
     let (profile, callee) = (profile(), service("b"));
     let mut nodes = vec![DownstreamCapacity::default(); NODES];
@@ -80,7 +80,7 @@
         at_us += (2e6 / CALLS_PER_S as f64 * random.share()) as u64;
         events.push(Reverse((at_us, Event::Arrival, call, at_us)));
     }
-    let mut result = Result::default();
+    let mut result = Counts::default();
     let mut b_free_us = 0_u64;
     while let Some(Reverse((now_us, event, call, sent_us))) = events.pop() {
         let node = &mut nodes[call as usize % NODES];
@@ -96,7 +96,7 @@
                 events.push(Reverse((now_us + WORK_US, Event::CallToB, call, now_us)));
             }
             Event::CallToB => {
-                node.call(attempt(call), &callee);
+                node.record_call(attempt(call), &callee);
                 let wait_us = b_free_us.saturating_sub(now_us);
                 if wait_us > B_MAX_WAIT_US {
                     let cause = RefusalCause::NoCapacity {
@@ -106,7 +106,7 @@
                     let outcome = DownstreamOutcome::Overloaded {
                         retry_after_us: (retry_ms * MS as f64) as u64,
                     };
-                    node.record(now_us, now_us, &callee, Priority::Normal, outcome);
+                    node.record_outcome(now_us, now_us, &callee, Priority::Normal, outcome);
                     node.end(now_us, attempt(call), &profile, true);
                     result.wasted += 1;
                     result.last_lost_us = now_us;
@@ -118,7 +118,7 @@
             }
             Event::Answer => {
                 let answered = DownstreamOutcome::Answered;
-                node.record(now_us, sent_us, &callee, Priority::Normal, answered);
+                node.record_outcome(now_us, sent_us, &callee, Priority::Normal, answered);
                 node.end(now_us, attempt(call), &profile, true);
                 result.served += 1;
             }
--- a/components/limits/tests/downstream_rules.rs
+++ b/components/limits/tests/downstream_rules.rs
@@ -32,7 +32,7 @@
     for number in 0..calls {
         state.start(attempt(number));
         for name in services {
-            state.call(attempt(number), &service(name));
+            state.record_call(attempt(number), &service(name));
         }
         state.end(at_us, attempt(number), &profile(name), true);
     }
@@ -53,7 +53,7 @@
     let mut state = DownstreamCapacity::default();
     learn(&mut state, T0_US, "p", 20, &["b"]);
     let outcome = overloaded(retry_after_ms);
-    state.record(T0_US, T0_US - MS, &service("b"), priority, outcome);
+    state.record_outcome(T0_US, T0_US - MS, &service("b"), priority, outcome);
     state
 }
 
@@ -69,7 +69,7 @@
         learn(&mut state, T0_US, "p", calls, &["b", "b", "c"]);
         learn(&mut state, T0_US, "p", without, &[]);
         let outcome = overloaded(1_000);
-        state.record(T0_US, T0_US, &service("b"), Priority::Normal, outcome);
+        state.record_outcome(T0_US, T0_US, &service("b"), Priority::Normal, outcome);
         let refused = !is_admitted(&mut state, T0_US + MS, Priority::Normal);
         assert_eq!(refused, is_refused, "{calls} with and {without} without");
         assert!(
@@ -87,7 +87,7 @@
     let later_us = T0_US + 20_000 * MS;
     learn(&mut state, later_us, "p", 21, &[]);
     let outcome = overloaded(1_000);
-    state.record(later_us, later_us, &service("b"), Priority::Normal, outcome);
+    state.record_outcome(later_us, later_us, &service("b"), Priority::Normal, outcome);
     assert!(
         is_admitted(&mut state, later_us, Priority::Normal),
         "20 s weigh as a quarter"
@@ -104,7 +104,7 @@
         state.end(T0_US, attempt(number + 1_000), &profile("p"), true);
     }
     let outcome = overloaded(1_000);
-    state.record(T0_US, T0_US, &service("b"), Priority::Normal, outcome);
+    state.record_outcome(T0_US, T0_US, &service("b"), Priority::Normal, outcome);
     assert!(!is_admitted(&mut state, T0_US, Priority::Normal));
 }
 
@@ -121,7 +121,7 @@
     for (sent_us, is_over) in [(T0_US - 1, false), (T0_US + 1, true)] {
         let mut state = short(Priority::Normal, 1_000);
         let (b, priority) = (service("b"), Priority::Normal);
-        state.record(T0_US + 9 * MS, sent_us, &b, priority, answered);
+        state.record_outcome(T0_US + 9 * MS, sent_us, &b, priority, answered);
         assert_eq!(is_admitted(&mut state, T0_US + 10 * MS, priority), is_over);
     }
 }
@@ -140,7 +140,7 @@
     let mut state = short(Priority::Normal, 1_000);
     let preview = |state: &DownstreamCapacity, ms| {
         let refusal = state.preview(T0_US + ms * MS, &profile("p"), Priority::Normal);
-        refusal.map(|refusal| refusal.next_probe_us / MS)
+        refusal.map(|refusal| refusal.next_probe_in_us / MS)
     };
     assert_eq!(preview(&state, 90), Some(10));
     assert_eq!(preview(&state, 100), None, "a probe is due");
@@ -179,7 +179,7 @@
     );
     let b = service("b");
     let (answered, sent_us) = (DownstreamOutcome::Answered, T0_US + 101 * MS);
-    state.record(T0_US + 150 * MS, sent_us, &b, high, answered);
+    state.record_outcome(T0_US + 150 * MS, sent_us, &b, high, answered);
     assert!(is_admitted(&mut state, T0_US + 151 * MS, high));
     assert!(!is_admitted(&mut state, T0_US + 152 * MS, low));
 
@@ -187,7 +187,7 @@
     let outcome = DownstreamOutcome::NoUpstream {
         retry_after_us: 500 * MS,
     };
-    state.record(T0_US, T0_US, &b, low, outcome);
+    state.record_outcome(T0_US, T0_US, &b, low, outcome);
     assert!(
         !is_admitted(&mut state, T0_US + MS, high),
         "no upstream at all"
@@ -214,7 +214,7 @@
     learn(&mut state, T0_US, "p", 20, &called);
     let record = |state: &mut DownstreamCapacity, name: &str| {
         let outcome = overloaded(1_000);
-        state.record(T0_US, T0_US, &service(name), Priority::Normal, outcome);
+        state.record_outcome(T0_US, T0_US, &service(name), Priority::Normal, outcome);
     };
     record(&mut state, called[8]);
     assert!(
--- a/components/node/src/entry/downstream.rs
+++ b/components/node/src/entry/downstream.rs
@@ -45,7 +45,7 @@
     /// Records that the call goes to a service.
     pub(super) fn record_sent(&self, entry: &Entry, service: &ServiceName) {
         if let Some(downstream) = &entry.context.downstream {
-            downstream.lock().call(self.parent.attempt, service);
+            downstream.lock().record_call(self.parent.attempt, service);
         }
     }
 
@@ -82,7 +82,7 @@
         let priority = self.parent.priority;
         downstream
             .lock()
-            .record(now_us, self.sent_us, service, priority, outcome);
+            .record_outcome(now_us, self.sent_us, service, priority, outcome);
     }
 }
 
--- a/components/node/src/owner/downstream.rs
+++ b/components/node/src/owner/downstream.rs
@@ -54,6 +54,6 @@
         refusal.share * 100.0,
         call.profile,
         refusal.age_us / 1_000,
-        refusal.next_probe_us.div_ceil(1_000)
+        refusal.next_probe_in_us.div_ceil(1_000)
     )
 }
