Name the known services and the runs of a lost service plainly

The directory's field `known` had the name of a local variable that holds an upstream. The tests of kernel and lost_service pass.

--- a/components/bench/tests/lost_service.rs
+++ b/components/bench/tests/lost_service.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// With a configuration, as on the users' platform, a service is known by its route alone.
+/// With a configuration, a service is known by its route, also before it has had an upstream.
 #[test]
 fn configured_service() {
     let _lock = test_lock();
--- a/components/kernel/src/directory.rs
+++ b/components/kernel/src/directory.rs
@@ -22,7 +22,7 @@
 pub struct Directory {
     shards: Arc<[Mutex<Services>; SHARDS]>,
     /// Services that have lost their last upstream. Locked after the shard of the service.
-    known: Arc<Mutex<KnownServices>>,
+    known_services: Arc<Mutex<KnownServices>>,
     events: Events,
 }
 
@@ -31,7 +31,7 @@
     pub fn new(events: Events) -> Self {
         Directory {
             shards: Arc::new(std::array::from_fn(|_| Mutex::default())),
-            known: Arc::default(),
+            known_services: Arc::default(),
             events,
         }
     }
@@ -67,7 +67,7 @@
             if upstreams.is_empty() {
                 services.remove(service);
                 // Before the shard is unlocked, so that nobody finds the service unknown meanwhile.
-                lock(&self.known).record_loss(service);
+                lock(&self.known_services).record_loss(service);
             }
         }
         let (service, name) = (service.clone(), name.clone());
@@ -93,7 +93,7 @@
     /// Whether the service had an upstream before its last one was removed. Bounded: of services
     /// without upstreams, the 1,024 that lost theirs last are known.
     pub fn had_upstream(&self, service: &ServiceName) -> bool {
-        lock(&self.known).contains(service)
+        lock(&self.known_services).contains(service)
     }
 
     /// The profile for a call by method and path, according to the rules of the upstream of the
