--- a/components/node/src/entry/downstream.rs
+++ b/components/node/src/entry/downstream.rs
@@ -1,5 +1,6 @@
 //! The calls that the local instance makes for a running call: which services they go to, and how they
-//! end. Nothing here is used without `--downstream-admission`.
+//! end. Recorded only with `--downstream-admission`. Also the response to calls that an owner with this
+//! setting refuses, which an entry without it gives too.
 
 use super::Entry;
 use calls::ParentCall;
@@ -54,7 +55,8 @@
         self.record(entry, service, DownstreamOutcome::Answered);
     }
 
-    /// Records that the call ended without an answer, with the response to it.
+    /// Records that the call went to a service, perhaps only to be refused here, and ended without an
+    /// answer; `response` has the time after which it may be sent again.
     pub(super) fn record_refused(
         &self,
         entry: &Entry,
--- a/components/node/src/entry/driver/refusals.rs
+++ b/components/node/src/entry/driver/refusals.rs
@@ -13,9 +13,9 @@
 }
 
 impl CallDriver {
-    /// Records that an owner refused an attempt. Only calls of owners or entries that admit by the
-    /// capacity downstream need this.
-    pub(crate) fn note_refusal(&self, kind: ErrorKind, until_us: Option<u64>) {
+    /// Records that an owner refused an attempt, if the owner said for how long or this node admits by
+    /// the capacity downstream. Nothing else reads it.
+    pub(crate) fn record_refusal(&self, kind: ErrorKind, until_us: Option<u64>) {
         if until_us.is_some() || self.entry.context.downstream.is_some() {
             *self.lock_last_refusal() = Some(LastRefusal { kind, until_us });
         }
@@ -29,9 +29,9 @@
         }
     }
 
-    /// Time until the owner that refused the call last expects to admit it, if it said so and the call
-    /// ended because of that.
-    pub(crate) fn refused_for_us(&self, kind: ErrorKind) -> Option<u64> {
+    /// Time until the owner of the recorded refusal expects to admit the call, if it said so and the call
+    /// ended because of that refusal.
+    pub(crate) fn until_admitted_us(&self, kind: ErrorKind) -> Option<u64> {
         let last = (*self.lock_last_refusal())?;
         let until_us = last.until_us.filter(|_| self.cause(kind) == last.kind)?;
         Some(until_us.saturating_sub(self.now_us()))
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -252,7 +252,7 @@
                     "entry: request {request_id} call {call}{customer} ended without an answer after {} ms, {kind}.",
                     elapsed_us / 1_000
                 );
-                let response = match driver.refused_for_us(kind) {
+                let response = match driver.until_admitted_us(kind) {
                     None => self.refusal_response(Some(&service), kind, target_ms),
                     Some(wait_us) => self.downstream_response(&service, kind, target_ms, wait_us),
                 };
--- a/components/node/src/entry/reply.rs
+++ b/components/node/src/entry/reply.rs
@@ -103,11 +103,11 @@
                 Event::Refused(attempt, ErrorKind::Cancelled),
             ),
             RunResult::Refused(kind) => {
-                self.driver.note_refusal(kind, None);
+                self.driver.record_refusal(kind, None);
                 (AttemptResult::Refused, Event::Refused(attempt, kind))
             }
             RunResult::RefusedFor { kind, wait_us } => {
-                self.driver.note_refusal(kind, Some(now_us + wait_us));
+                self.driver.record_refusal(kind, Some(now_us + wait_us));
                 (AttemptResult::Refused, Event::Refused(attempt, kind))
             }
             RunResult::Failed(kind) => (
