--- a/components/limits/tests/cold_window.rs
+++ b/components/limits/tests/cold_window.rs
@@ -270,3 +270,18 @@
     assert_eq!((full.slots, full.queued), (1, 1));
     assert!(full.service_time_us > 900_000);
 }
+
+/// Guards against a limit that comes with a new configuration soon after the start of an upstream and
+/// doesn't count the calls that were sent without a limit.
+#[test]
+#[ignore = "known red: the window opens after calls that were not counted"]
+fn limit_after_calls() {
+    let mut limiter = ColdLimiter::new(LATER_US);
+    limiter.upstream_starts(2_900 * MS);
+    limiter.extend(LATER_US + 2_900 * MS);
+    for number in 0..50 {
+        assert!(limiter.try_send(LATER_US + number * MS));
+    }
+    limiter.set_rate(Some(rate()));
+    assert!(!limiter.try_send(LATER_US + 60 * MS));
+}
--- a/components/quota/tests/leader_change.rs
+++ b/components/quota/tests/leader_change.rs
@@ -237,6 +237,30 @@
     assert!(matches!(answer, QuotaAnswer::NotCoordinator { .. }));
 }
 
+/// Guards against the entry of a node that has ended while it was being recorded: successors wait for
+/// its lease.
+#[test]
+#[ignore = "known red: the entry stays"]
+fn leaves_while_recorded() {
+    let (mut coordinator, list) = successor();
+    let other = NodeId {
+        mesh: SocketAddr::from(([127, 0, 0, 1], 2)),
+        incarnation: 1,
+    };
+    let first = QuotaReport {
+        demands: Vec::new(),
+        ..report(&list, 0, 1)
+    };
+    assert!(!coordinator.awaits_record(other, &first));
+    coordinator.handle(10_000, other, &first);
+    let change = coordinator.next_record_change(10_000).expect("a change");
+    assert_eq!(change.added, [other.mesh]);
+    coordinator.leave(12_000, other);
+    coordinator.end_record_change(15_000, true);
+    let change = coordinator.next_record_change(SECOND_US);
+    assert_eq!(change.map(|change| change.removed), Some(vec![other.mesh]));
+}
+
 /// The log must not grow while nothing changes, and idle nodes must leave the record.
 #[test]
 fn record_is_written_in_batches_and_only_for_limits() {
