--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -48,7 +48,7 @@
         self.reset_election_timer(now_us);
         self.leader = None;
         if !self.may_campaign() {
-            // The election whose term is being written goes on.
+            // Votes for a candidate still count while its term is being written.
             if self.role != Role::Candidate {
                 self.role = Role::Follower;
             }
--- a/components/consensus/src/output.rs
+++ b/components/consensus/src/output.rs
@@ -73,9 +73,9 @@
         self.persisted_sequence >= self.hard_state_sequence
     }
 
-    /// Gives an election whose votes are being written time to end before the next one.
+    /// Measures the write, and delays the next election so that the present one can end first.
     fn on_hard_state_saved(&mut self, now_us: u64) {
-        self.term_write_us = now_us.saturating_sub(self.hard_state_write_began_us);
+        self.hard_state_write_us = now_us.saturating_sub(self.hard_state_write_began_us);
         let is_election = self.leader.is_none() && self.hard_state.voted_for.is_some();
         if is_election && self.election_due_us < now_us + self.election_writes_us() {
             self.reset_election_timer(now_us);
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -89,7 +89,7 @@
     /// When the last write of the hard state was requested.
     pub(crate) hard_state_write_began_us: u64,
     /// Time that the last write of the hard state took.
-    pub(crate) term_write_us: u64,
+    pub(crate) hard_state_write_us: u64,
     /// Sequence number and last log index of each unconfirmed write of entries or snapshots.
     pub(crate) unpersisted: VecDeque<(u64, u64)>,
     /// Messages that wait for the write with the given sequence number.
@@ -152,7 +152,7 @@
             hard_state_sequence: 0,
             input_us: now_us,
             hard_state_write_began_us: now_us,
-            term_write_us: 0,
+            hard_state_write_us: 0,
             unpersisted: VecDeque::new(),
             held_messages: VecDeque::new(),
             outputs: Vec::new(),
@@ -365,7 +365,7 @@
 
     /// Time that the writes of an election take if they take as long as the last one here.
     pub(crate) fn election_writes_us(&self) -> u64 {
-        (2 * self.term_write_us).min(MAX_ELECTION_WRITES_US)
+        (2 * self.hard_state_write_us).min(MAX_ELECTION_WRITES_US)
     }
 
     /// Records that the current term has a leader.
--- a/components/consensus/tests/open_groups.rs
+++ b/components/consensus/tests/open_groups.rs
@@ -29,8 +29,8 @@
     });
 }
 
-/// The timeouts of control replicas in open groups, which are shorter than the defaults.
-fn group_in_one_region(config: &mut ReplicaConfig) {
+/// An open group with the election timeouts of control replicas, which are shorter than the defaults.
+fn short_timeouts(config: &mut ReplicaConfig) {
     open_group(config);
     config.election_min_us = 300_000;
     config.election_max_us = 600_000;
@@ -201,7 +201,7 @@
 /// each sync, and waits for a leader that commits a change.
 fn elect_with_slow_disks(disk_sync_us: u64, last_fast_disk: u64) {
     for seed in 0..20 {
-        let mut group = Cluster::with_config(5, 700 + seed, group_in_one_region);
+        let mut group = Cluster::with_config(5, 700 + seed, short_timeouts);
         group.run_until("five voters", FORMATION_US, |c| voter_count(c) == VOTERS);
         group.faults.disk_sync_us = disk_sync_us;
         group.faults.last_fast_disk = last_fast_disk;
@@ -230,7 +230,7 @@
 fn forms_on_slow_disks() {
     for disk_sync_us in [100_000, 200_000, 400_000, 1_200_000] {
         for seed in 0..20 {
-            let mut group = Cluster::with_config(5, 700 + seed, group_in_one_region);
+            let mut group = Cluster::with_config(5, 700 + seed, short_timeouts);
             group.faults.disk_sync_us = disk_sync_us;
             group.run_until("five voters", FORMATION_US, |c| voter_count(c) == VOTERS);
         }
