--- a/components/limits/src/cold.rs
+++ b/components/limits/src/cold.rs
@@ -11,8 +11,8 @@
 const RAMP_STEP_US: u64 = 250_000;
 /// Steps of the ramp. There is no limit after them.
 const RAMP_STEPS: u64 = 4;
-/// Longest age of an upstream at a report that was not acknowledged before: unacknowledged reports are
-/// repeated at once, others after a second or so.
+/// Age of an upstream up to which a report of it counts as its first one. An upstream reports again
+/// some 10 ms after a report without an acknowledgement, but about a second after an acknowledged one.
 const MAX_FIRST_REPORT_AGE_US: u64 = 250_000;
 
 /// Calls that a cold upstream may get in any second.
@@ -85,7 +85,7 @@
         }
         self.max_per_window = max_per_window;
         self.cold_duration_us = rate.and_then(|rate| rate.duration_us);
-        self.use_first_report();
+        self.apply_first_report();
     }
 
     /// Records a call that was sent while there was no limit.
@@ -101,14 +101,14 @@
     /// The first report that this owner gets is of an upstream that says it has just started and is
     /// cold for this time. If little of its cold period has passed, as after a start together with
     /// the owner, no earlier process has known of it and sent calls to it.
-    pub fn upstream_starts(&mut self, cold_left_us: u64) {
+    pub fn record_first_report(&mut self, cold_left_us: u64) {
         self.first_cold_left_us = Some(cold_left_us);
-        self.use_first_report();
+        self.apply_first_report();
     }
 
     /// Opens the window at the first report or, if it came earlier, when the duration of the cold
     /// period is known.
-    fn use_first_report(&mut self) {
+    fn apply_first_report(&mut self) {
         if let (Some(left_us), Some(duration_us)) = (self.first_cold_left_us, self.cold_duration_us)
         {
             if left_us + MAX_FIRST_REPORT_AGE_US >= duration_us {
--- a/components/limits/tests/cold_window.rs
+++ b/components/limits/tests/cold_window.rs
@@ -128,7 +128,7 @@
         if is_rate_known {
             limiter.set_rate(Some(rate()));
         }
-        limiter.upstream_starts(2_900 * MS);
+        limiter.record_first_report(2_900 * MS);
         limiter.extend(LATER_US + 2_950 * MS);
         limiter.set_rate(Some(rate()));
         let sent = send_burst(&mut limiter, LATER_US + 50 * MS, LATER_US + 3 * SECOND_US);
@@ -151,7 +151,7 @@
             duration_us,
             ..rate()
         }));
-        limiter.upstream_starts(cold_left_us);
+        limiter.record_first_report(cold_left_us);
         limiter.extend(LATER_US + 2 * SECOND_US);
         assert!(!limiter.try_send(LATER_US + 999 * MS));
     }
@@ -277,7 +277,7 @@
 #[ignore = "known red: the window opens after calls that were not counted"]
 fn limit_after_calls() {
     let mut limiter = ColdLimiter::new(LATER_US);
-    limiter.upstream_starts(2_900 * MS);
+    limiter.record_first_report(2_900 * MS);
     limiter.extend(LATER_US + 2_900 * MS);
     for number in 0..50 {
         assert!(limiter.try_send(LATER_US + number * MS));
--- a/components/node/src/owner/cold.rs
+++ b/components/node/src/owner/cold.rs
@@ -177,7 +177,7 @@
                     InstanceStart::Unknown => {}
                     InstanceStart::Recent => {
                         let mut limiter = owner.shared.cold.lock();
-                        limiter.upstream_starts(remaining.as_micros() as u64);
+                        limiter.record_first_report(remaining.as_micros() as u64);
                     }
                     InstanceStart::Observed => owner.shared.cold.lock().upstream_started(),
                 }
