--- a/components/node/src/quotas/reporter.rs
+++ b/components/node/src/quotas/reporter.rs
@@ -20,7 +20,7 @@
 pub(super) const MAX_PAUSE: Duration = Duration::from_millis(200);
 /// Longest sleep while a call waits for the refill of a share.
 pub(super) const WAITING_PAUSE: Duration = Duration::from_millis(10);
-/// Longest delay of a stop by the message that this node leaves.
+/// Longest time for which a stop waits until the coordinator confirms that this node leaves.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Most replicas that are asked with one report.
 const MAX_ATTEMPTS: usize = 5;
--- a/components/quota/src/holders.rs
+++ b/components/quota/src/holders.rs
@@ -63,7 +63,7 @@
     committed_complete: Option<bool>,
     /// Recorded nodes whose holdings are not known for certain.
     unheard: BTreeSet<SocketAddr>,
-    /// Recorded nodes that have ended.
+    /// Recorded nodes whose process has ended; their entries are removed with the next change.
     left: BTreeSet<SocketAddr>,
     next_removal_us: u64,
     /// Whether a call waits for an entry.
