End a shortage at the time that its first refusal named

Callers of a service whose calls call the service itself were refused without end after one shortage. A call that was admitted as a probe had its own call refused by the same rule, with the rest of the shortage.

The entry now records the point in time that the owner named, counted from the sending of the attempt, without the spread and without the minimum of 50 ms. A refusal of this kind can't move the end, and a shortage still passes up a chain of services.

With the minimum of 50 ms applied to the named time it fails (120 ms: 150 ms), as does shortage_passes_up. Tests of limits (downstream_rules), node (lib) and downstream_capacity pass.

--- a/components/limits/src/downstream.rs
+++ b/components/limits/src/downstream.rs
@@ -9,7 +9,7 @@
 
 use model::{AttemptId, Priority, ProfileName, ServiceName};
 use profiles::ProfileCalls;
-use shortage::Shortage;
+use shortage::{Shortage, shortage_us};
 use std::collections::HashMap;
 
 /// Maximum number of running calls whose own calls are recorded.
@@ -33,6 +33,14 @@
         /// Time after which its caller was told to retry.
         retry_after_us: u64,
     },
+    /// Its owner refused it because a service that it would call is short of capacity. This time is
+    /// recorded as it is: a shortage that lasted longer at each such refusal would never end where the
+    /// calls of a service call the service itself.
+    RefusedUntil {
+        /// Time at which the owner expects to admit such calls, without the spread that its caller was
+        /// told.
+        until_us: u64,
+    },
     /// The service had no upstream, and the call has not run.
     NoUpstream {
         /// Time after which its caller was told to retry.
@@ -114,15 +122,20 @@
         priority: Priority,
         outcome: DownstreamOutcome,
     ) {
-        let (highest, retry_after_us) = match outcome {
+        let (highest, until_us) = match outcome {
             DownstreamOutcome::Answered => {
                 if let Some(shortage) = self.shortages.get_mut(service) {
                     shortage.end_from(priority, sent_us);
                 }
                 return;
             }
-            DownstreamOutcome::Overloaded { retry_after_us } => (priority, retry_after_us),
-            DownstreamOutcome::NoUpstream { retry_after_us } => (Priority::High, retry_after_us),
+            DownstreamOutcome::Overloaded { retry_after_us } => {
+                (priority, now_us + shortage_us(retry_after_us))
+            }
+            DownstreamOutcome::RefusedUntil { until_us } => (priority, until_us),
+            DownstreamOutcome::NoUpstream { retry_after_us } => {
+                (Priority::High, now_us + shortage_us(retry_after_us))
+            }
         };
         if !self.shortages.contains_key(service) && self.shortages.len() >= MAX_SHORTAGES {
             self.shortages
@@ -132,7 +145,7 @@
             }
         }
         let shortage = self.shortages.entry(service.clone()).or_default();
-        shortage.extend(now_us, highest, retry_after_us);
+        shortage.extend(now_us, highest, until_us);
     }
 
     /// Decides about a call on its arrival: admits it, perhaps as a probe, or refuses it.
--- a/components/limits/src/downstream/shortage.rs
+++ b/components/limits/src/downstream/shortage.rs
@@ -3,7 +3,8 @@
 
 use model::Priority;
 
-/// Shortest and longest time for which a refused call shows a shortage.
+/// Shortest and longest time for which a refused call shows a shortage. The shortest one doesn't apply
+/// to the rest of a shortage that an owner named.
 const MIN_SHORTAGE_US: u64 = 50_000;
 const MAX_SHORTAGE_US: u64 = 1_000_000;
 /// Interval at which one call is admitted as a probe.
@@ -36,14 +37,14 @@
 
 impl Shortage {
     /// Adds a call to the service that was refused, for priorities up to `highest`.
-    pub(super) fn extend(&mut self, now_us: u64, highest: Priority, retry_after_us: u64) {
+    pub(super) fn extend(&mut self, now_us: u64, highest: Priority, until_us: u64) {
         if !self.is_active(now_us) {
             *self = Shortage {
                 next_probe_us: now_us + PROBE_INTERVAL_US,
                 ..Shortage::default()
             };
         }
-        let until_us = now_us + retry_after_us.clamp(MIN_SHORTAGE_US, MAX_SHORTAGE_US);
+        let until_us = until_us.min(now_us + MAX_SHORTAGE_US);
         for period in &mut self.periods[..=index(highest)] {
             *period = Some(Period {
                 last_seen_us: now_us,
@@ -102,6 +103,11 @@
     }
 }
 
+/// Time for which a call shows a shortage whose caller was told to retry after this time.
+pub(super) fn shortage_us(retry_after_us: u64) -> u64 {
+    retry_after_us.clamp(MIN_SHORTAGE_US, MAX_SHORTAGE_US)
+}
+
 fn index(priority: Priority) -> usize {
     match priority {
         Priority::Low => 0,
--- a/components/limits/tests/downstream_rules.rs
+++ b/components/limits/tests/downstream_rules.rs
@@ -224,3 +224,50 @@
     record(&mut state, called[7]);
     assert!(!is_admitted(&mut state, T0_US, Priority::Normal));
 }
+
+/// A service whose calls call the service itself: a probe must not be refused by the rule that it
+/// tests, which would show the shortage again.
+#[test]
+fn service_calls_itself() {
+    for retry_after_ms in [120, 300, 1_000] {
+        let mut state = short(Priority::Normal, retry_after_ms);
+        let mut last_refused_ms = 0;
+        for ms in 0..10_000 {
+            let at_us = T0_US + ms * MS;
+            if !is_admitted(&mut state, at_us, Priority::Normal) {
+                last_refused_ms = ms;
+                continue;
+            }
+            let nested = state.admit(at_us + MS / 2, &profile("p"), Priority::Normal);
+            let outcome = match nested {
+                Ok(()) => DownstreamOutcome::Answered,
+                Err(refusal) => DownstreamOutcome::RefusedUntil {
+                    until_us: at_us + MS / 2 + refusal.retry_after_us,
+                },
+            };
+            let (b, priority) = (service("b"), Priority::Normal);
+            state.record_outcome(at_us + MS / 2, at_us, &b, priority, outcome);
+        }
+        assert!(
+            last_refused_ms < retry_after_ms,
+            "{retry_after_ms} ms: {last_refused_ms} ms"
+        );
+    }
+}
+
+/// The rest of a shortage further down passes up a chain of services, as long as it is.
+#[test]
+fn shortage_passes_up() {
+    for rest_ms in [20, 90, 5_000] {
+        let mut state = short(Priority::Low, 0);
+        let outcome = DownstreamOutcome::RefusedUntil {
+            until_us: T0_US + rest_ms * MS,
+        };
+        let (b, priority) = (service("b"), Priority::Normal);
+        state.record_outcome(T0_US, T0_US, &b, priority, outcome);
+        let refusal_at = |ms| state.preview(T0_US + ms * MS, &profile("p"), priority);
+        let last_ms = rest_ms.min(100) - 1;
+        assert!(refusal_at(last_ms).is_some(), "{rest_ms} ms");
+        assert_eq!(refusal_at(rest_ms.min(1_000)), None, "{rest_ms} ms");
+    }
+}
--- a/components/node/src/entry/downstream.rs
+++ b/components/node/src/entry/downstream.rs
@@ -24,15 +24,16 @@
     }
 
     /// Response to a call that an owner refused because a service which the call would call is short of
-    /// capacity for this time.
+    /// capacity until this time.
     pub(super) fn downstream_response(
         &self,
         service: &ServiceName,
         kind: ErrorKind,
         target_ms: u64,
-        wait_us: u64,
+        until_us: u64,
     ) -> Response {
         let mut response = self.refusal_response(Some(service), kind, target_ms);
+        let wait_us = until_us.saturating_sub(self.context.kernel.clock.now_us());
         let cause = RefusalCause::Downstream {
             wait_ms: wait_us.div_ceil(1_000),
         };
@@ -56,24 +57,20 @@
     }
 
     /// Records that the call went to a service, perhaps only to be refused here, and ended without an
-    /// answer; `response` has the time after which it may be sent again.
+    /// answer. `until_us` is the time at which the owner expects to admit such calls, if it said so, and
+    /// `response` has the time after which the call may be sent again.
     pub(super) fn record_refused(
         &self,
         entry: &Entry,
         service: &ServiceName,
         kind: ErrorKind,
+        until_us: Option<u64>,
         response: &Response,
     ) {
         self.record_sent(entry, service);
-        let retry_after_us = retry_after_us(response);
-        let outcome = match kind {
-            ErrorKind::Overloaded | ErrorKind::QueueFull => {
-                DownstreamOutcome::Overloaded { retry_after_us }
-            }
-            ErrorKind::NoUpstream => DownstreamOutcome::NoUpstream { retry_after_us },
-            _ => return,
-        };
-        self.record(entry, service, outcome);
+        if let Some(outcome) = refused_outcome(kind, until_us, response) {
+            self.record(entry, service, outcome);
+        }
     }
 
     fn record(&self, entry: &Entry, service: &ServiceName, outcome: DownstreamOutcome) {
@@ -88,8 +85,31 @@
     }
 }
 
+/// What a call that ended without an answer shows of the capacity of its service.
+fn refused_outcome(
+    kind: ErrorKind,
+    until_us: Option<u64>,
+    response: &Response,
+) -> Option<DownstreamOutcome> {
+    let retry_after_us = retry_after_us(response);
+    match (kind, until_us) {
+        (ErrorKind::Overloaded | ErrorKind::QueueFull, Some(until_us)) => {
+            Some(DownstreamOutcome::RefusedUntil { until_us })
+        }
+        (ErrorKind::Overloaded | ErrorKind::QueueFull, None) => {
+            Some(DownstreamOutcome::Overloaded { retry_after_us })
+        }
+        (ErrorKind::NoUpstream, _) => Some(DownstreamOutcome::NoUpstream { retry_after_us }),
+        _ => None,
+    }
+}
+
 fn retry_after_us(response: &Response) -> u64 {
     let seconds = response.headers.get("retry-after");
     let seconds: Option<f64> = seconds.and_then(|seconds| seconds.parse().ok());
     seconds.map_or(0, |seconds| (seconds * 1e6) as u64)
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/refused_outcomes.rs"]
+mod tests;
--- a/components/node/src/entry/driver/refusals.rs
+++ b/components/node/src/entry/driver/refusals.rs
@@ -29,12 +29,11 @@
         }
     }
 
-    /// Time until the owner of the recorded refusal expects to admit the call, if it said so and the call
-    /// ended because of that refusal.
-    pub(crate) fn until_admitted_us(&self, kind: ErrorKind) -> Option<u64> {
+    /// Time at which the owner of the recorded refusal expects to admit the call, if it said so and the
+    /// call ended because of that refusal.
+    pub(crate) fn refused_until_us(&self, kind: ErrorKind) -> Option<u64> {
         let last = (*self.lock_last_refusal())?;
-        let until_us = last.until_us.filter(|_| self.cause(kind) == last.kind)?;
-        Some(until_us.saturating_sub(self.now_us()))
+        last.until_us.filter(|_| self.cause(kind) == last.kind)
     }
 
     fn lock_last_refusal(&self) -> MutexGuard<'_, Option<LastRefusal>> {
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -208,7 +208,7 @@
                 self.log_refusal(&request_id, kind);
                 let response = self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
                 if let (Some(nested), Some(service)) = (&nested, &service) {
-                    nested.record_refused(self, service, kind, &response);
+                    nested.record_refused(self, service, kind, None, &response);
                 }
                 return response;
             }
@@ -252,13 +252,14 @@
                     "entry: request {request_id} call {call}{customer} ended without an answer after {} ms, {kind}.",
                     elapsed_us / 1_000
                 );
-                let response = match driver.until_admitted_us(kind) {
+                let until_us = driver.refused_until_us(kind);
+                let response = match until_us {
                     None => self.refusal_response(Some(&service), kind, target_ms),
-                    Some(wait_us) => self.downstream_response(&service, kind, target_ms, wait_us),
+                    Some(until_us) => self.downstream_response(&service, kind, target_ms, until_us),
                 };
                 if let Some(nested) = nested {
                     let cause = driver.cause(kind);
-                    nested.record_refused(self, &service, cause, &response);
+                    nested.record_refused(self, &service, cause, until_us, &response);
                 }
                 response
             }
--- a/components/node/src/entry/reply.rs
+++ b/components/node/src/entry/reply.rs
@@ -107,7 +107,9 @@
                 (AttemptResult::Refused, Event::Refused(attempt, kind))
             }
             RunResult::RefusedFor { kind, wait_us } => {
-                self.driver.record_refusal(kind, Some(now_us + wait_us));
+                // From the time of sending, so that a slow reply doesn't extend the shortage.
+                let until_us = self.sent_us.saturating_add(wait_us);
+                self.driver.record_refusal(kind, Some(until_us));
                 (AttemptResult::Refused, Event::Refused(attempt, kind))
             }
             RunResult::Failed(kind) => (
