Apply the minimum of 20 calls of a profile to their weights

After a long silence one call decided whether a profile calls a service: the observations had lost their weight, but the calls that must precede a decision were counted without it, so the share was that of the first new call (one_call_after_silence failed at its assertion that the call is admitted). The minimum now applies to the sum of the weights at the last call; the unweighted count is gone. A profile with fewer than about 1.4 calls/s, evenly spread, isn't used any more. The tests downstream and downstream_rules of limits pass.

--- a/components/limits/src/downstream/profiles.rs
+++ b/components/limits/src/downstream/profiles.rs
@@ -5,14 +5,14 @@
 
 /// Time in which observations lose half of their weight.
 const HALF_LIFE_US: f64 = 10e6;
-/// Calls of a profile that must have ended before its shares are used.
-const MIN_CALLS: u32 = 20;
+/// Number of calls of a profile, weighted by age, from which its shares are used. Without the weights,
+/// the first call after a long silence would decide alone.
+const MIN_WEIGHT: f64 = 20.0;
 
 /// The calls of one profile that have ended, by the services that they called.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ProfileCalls {
-    calls: u32,
-    /// Number of calls, weighted by age.
+    /// Number of calls, weighted by their age at the last one.
     weight: f64,
     /// Services with the weighted number of calls that called them.
     services: Vec<(ServiceName, f64)>,
@@ -23,7 +23,6 @@
     /// Adds a call that called these services. A further service replaces the rarest one.
     pub(super) fn record(&mut self, now_us: u64, called: &[ServiceName]) {
         self.age(now_us);
-        self.calls = self.calls.saturating_add(1);
         self.weight += 1.0;
         for service in called {
             if let Some((_, weight)) = self.services.iter_mut().find(|(name, _)| name == service) {
@@ -42,7 +41,7 @@
     /// The services that at least this share of the calls call, with their shares; none before there
     /// are enough calls.
     pub(super) fn shares(&self, min_share: f64) -> impl Iterator<Item = (&ServiceName, f64)> {
-        let has_enough = self.calls >= MIN_CALLS;
+        let has_enough = self.weight >= MIN_WEIGHT;
         let services = self.services.iter().filter(move |_| has_enough);
         services
             .map(|(service, weight)| (service, weight / self.weight))
--- a/components/limits/tests/downstream_rules.rs
+++ b/components/limits/tests/downstream_rules.rs
@@ -271,3 +271,15 @@
         assert_eq!(refusal_at(rest_ms.min(1_000)), None, "{rest_ms} ms");
     }
 }
+
+/// Calls that have lost their weight must not decide together with the first one after a silence.
+#[test]
+fn one_call_after_silence() {
+    let mut state = DownstreamCapacity::default();
+    learn(&mut state, T0_US, "p", 1_000, &[]);
+    let later_us = T0_US + 300_000 * MS;
+    learn(&mut state, later_us, "p", 1, &["b"]);
+    let outcome = overloaded(1_000);
+    state.record_outcome(later_us, later_us, &service("b"), Priority::Normal, outcome);
+    assert!(is_admitted(&mut state, later_us, Priority::Normal));
+}
