Forget the loss of a service that has an upstream again

A service stayed among the 1,024 known services without upstreams after it had regained one. Such names took the places of services that have none, whose callers then got 404 unknown-service (regained_names_uncounted failed at its assertion that the first service is known). The name is now removed when the service gets an upstream, under the lock of its shard; had_upstream looks at both under that lock, so that a service isn't unknown while its upstream comes back. The test also checks that the services that regained an upstream are known.

--- a/components/kernel/src/directory.rs
+++ b/components/kernel/src/directory.rs
@@ -21,7 +21,7 @@
 #[derive(Clone)]
 pub struct Directory {
     shards: Arc<[Mutex<Services>; SHARDS]>,
-    /// Services that have lost their last upstream. Locked after the shard of the service.
+    /// Services that have lost their last upstream and have none now. Locked after the shard of the service.
     known_services: Arc<Mutex<KnownServices>>,
     events: Events,
 }
@@ -47,6 +47,9 @@
             {
                 return false;
             }
+            if upstreams.is_empty() {
+                lock(&self.known_services).record_return(&upstream.service);
+            }
             upstreams.insert(upstream.name.clone(), upstream.clone());
         }
         self.events.publish(&Event::UpstreamChanged(upstream));
@@ -90,10 +93,12 @@
         lock(self.shard(service)).contains_key(service)
     }
 
-    /// Whether the service had an upstream before its last one was removed. Bounded: of services
+    /// Whether the service has an upstream, or had one before its last one was removed. Bounded: of services
     /// without upstreams, the 1,024 that lost theirs last are known.
     pub fn had_upstream(&self, service: &ServiceName) -> bool {
-        lock(&self.known_services).contains(service)
+        // Both under the lock of the shard, so that a service that regains an upstream is known throughout.
+        let services = lock(self.shard(service));
+        services.contains_key(service) || lock(&self.known_services).contains(service)
     }
 
     /// The profile for a call by method and path, according to the rules of the upstream of the
--- a/components/kernel/src/known_services.rs
+++ b/components/kernel/src/known_services.rs
@@ -8,7 +8,7 @@
 /// Maximum of services without upstreams whose names are kept.
 const MAX_SERVICES: usize = 1_024;
 
-/// Services that have lost their last upstream, with the number of that loss. Beyond the maximum, the
+/// Services that have lost their last upstream and have none now, with the number of that loss. Beyond the maximum, the
 /// one that lost its last upstream first is removed.
 #[derive(Debug, Default)]
 pub(crate) struct KnownServices {
@@ -29,7 +29,12 @@
         }
     }
 
-    /// Whether the service has lost its last upstream since the start.
+    /// Records that a service has an upstream again.
+    pub(crate) fn record_return(&mut self, service: &ServiceName) {
+        self.losses.remove(service);
+    }
+
+    /// Whether the service has lost its last upstream since the start and has none now.
     pub(crate) fn contains(&self, service: &ServiceName) -> bool {
         self.losses.contains_key(service)
     }
--- a/components/kernel/tests/known_services.rs
+++ b/components/kernel/tests/known_services.rs
@@ -76,3 +76,16 @@
     }
     assert!(directory.had_upstream(&service(0)));
 }
+
+/// Services that have regained an upstream don't take the place of those that have none.
+#[test]
+fn regained_names_uncounted() {
+    let directory = Directory::new(Events::default());
+    announce_and_remove(&directory, &service(0));
+    for number in 1..=MAX_SERVICES {
+        announce_and_remove(&directory, &service(number));
+        assert!(directory.upsert(upstream(&service(number), 2)));
+        assert!(directory.had_upstream(&service(number)));
+    }
+    assert!(directory.had_upstream(&service(0)));
+}
