Let a refusal without a time replace the time of an earlier owner

Each refusal is now recorded; the rule is a type of its own, without a lock. With the former condition the new test last_one_decides fails (left: Some(7), right: None). The tests of node (lib) pass.

--- a/components/node/src/entry/driver/mod.rs
+++ b/components/node/src/entry/driver/mod.rs
@@ -64,7 +64,7 @@
     wake_us: AtomicU64,
     /// Whether the answer is that of another call with the same idempotency key.
     has_stored_answer: AtomicBool,
-    last_refusal: Mutex<Option<LastRefusal>>,
+    last_refusal: Mutex<LastRefusal>,
 }
 
 /// State of one call, locked by the thread that handles its events.
--- a/components/node/src/entry/driver/refusals.rs
+++ b/components/node/src/entry/driver/refusals.rs
@@ -6,39 +6,59 @@
 
 /// Why an owner refused an attempt.
 #[derive(Clone, Copy)]
-pub(super) struct LastRefusal {
+struct Refusal {
     kind: ErrorKind,
     /// Time at which the owner expects to admit such calls, if it said so.
     until_us: Option<u64>,
 }
 
+/// The last refusal of a call by an owner, if any.
+#[derive(Default)]
+pub(super) struct LastRefusal(Option<Refusal>);
+
+impl LastRefusal {
+    /// Replaces the refusal of an earlier owner, also by one without a time.
+    fn record(&mut self, kind: ErrorKind, until_us: Option<u64>) {
+        self.0 = Some(Refusal { kind, until_us });
+    }
+
+    fn cause(&self, kind: ErrorKind) -> ErrorKind {
+        match (kind, self.0) {
+            (ErrorKind::RetryBudgetSpent, Some(last)) => last.kind,
+            _ => kind,
+        }
+    }
+
+    fn until_us(&self, kind: ErrorKind) -> Option<u64> {
+        let last = self.0?;
+        last.until_us.filter(|_| self.cause(kind) == last.kind)
+    }
+}
+
 impl CallDriver {
-    /// Records that an owner refused an attempt, if the owner said for how long or this node admits by
-    /// the capacity downstream. Nothing else reads it.
+    /// Records that an owner refused an attempt.
     pub(crate) fn record_refusal(&self, kind: ErrorKind, until_us: Option<u64>) {
-        if until_us.is_some() || self.entry.context.downstream.is_some() {
-            *self.lock_last_refusal() = Some(LastRefusal { kind, until_us });
-        }
+        self.lock_last_refusal().record(kind, until_us);
     }
 
     /// The cause of a call's end: the refusal of the last attempt, if the call could not be retried.
     pub(crate) fn cause(&self, kind: ErrorKind) -> ErrorKind {
-        match (kind, *self.lock_last_refusal()) {
-            (ErrorKind::RetryBudgetSpent, Some(last)) => last.kind,
-            _ => kind,
-        }
+        self.lock_last_refusal().cause(kind)
     }
 
-    /// Time at which the owner of the recorded refusal expects to admit the call, if it said so and the
+    /// Time at which the owner of the last refusal expects to admit the call, if it said so and the
     /// call ended because of that refusal.
     pub(crate) fn refused_until_us(&self, kind: ErrorKind) -> Option<u64> {
-        let last = (*self.lock_last_refusal())?;
-        last.until_us.filter(|_| self.cause(kind) == last.kind)
+        self.lock_last_refusal().until_us(kind)
     }
 
-    fn lock_last_refusal(&self) -> MutexGuard<'_, Option<LastRefusal>> {
+    fn lock_last_refusal(&self) -> MutexGuard<'_, LastRefusal> {
         self.last_refusal
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+#[path = "../../../tests/inside/last_refusal.rs"]
+mod tests;
