Count no-upstream as a shortage only where the entry knew no upstream

A call of the instance that an owner refused as no-upstream (an earlier process, an evacuated zone, an instance that is gone there) showed a shortage of the service for all priorities, although other instances may have capacity. The entry now notes whether it has chosen an upstream for a call, and no-upstream counts only if it hasn't. Without that note the new test gone_at_owner fails ('503 overloaded not-run' in place of an answer). The tests of node (lib) pass, as do downstream_capacity and lost_service.

--- a/components/bench/tests/downstream_capacity.rs
+++ b/components/bench/tests/downstream_capacity.rs
@@ -1,6 +1,7 @@
 //! Guards against calls that run at an instance although a service which they call is short of
 //! capacity, against calls that run although they were refused as not run, against callers that are told
-//! to retry before the shortage can end, and against refusals that go on after it.
+//! to retry before the shortage can end, against refusals that go on after it, and against those where
+//! only one owner has no upstream.
 
 mod system;
 
@@ -9,6 +10,7 @@
     upstream::{ServiceTime, Upstream},
 };
 use http::{Request, Response, Server, ServerConfig, serve};
+use model::{ServiceName, UpstreamName};
 use std::{
     collections::HashSet,
     net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -258,3 +260,24 @@
     callee.update_switches(|switches| switches.silent = false);
     fillers.into_iter().for_each(|call| call.join().unwrap());
 }
+
+/// An owner that has no upstream shows nothing of the other instances of its service.
+#[test]
+fn gone_at_owner() {
+    let _lock = test_lock();
+    let (deployment, _instance, _callee) = start(true, 1_000);
+    let directory = &deployment.node(0).directory;
+    let service = ServiceName::parse("callee").unwrap();
+    let mut gone = directory.upstreams(&service)[0].clone();
+    gone.name = UpstreamName::parse("gone").unwrap();
+    assert!(directory.upsert(gone));
+    let (mut number, mut failed) = (0, 0);
+    wait_until("calls go to the instance that is gone", || {
+        number += 1;
+        let result = call(deployment.call_address(1), &format!("gone-{number}"));
+        assert!(result.ends_with("from the upstream"), "{result}");
+        failed += usize::from(result.starts_with("500"));
+        failed == 3
+    });
+    assert_eq!(deployment.node(0).metrics.downstream_refused.get(), 0);
+}
--- a/components/node/src/entry/choose.rs
+++ b/components/node/src/entry/choose.rs
@@ -81,6 +81,7 @@
         for (key, node) in targets {
             self.send_probe(key, node);
         }
+        self.record_upstream_found();
         state.max_queue_wait = choice
             .max_queue_wait_us
             .map(|max_queue_wait_us| (choice.upstream, max_queue_wait_us));
@@ -95,7 +96,10 @@
         let name = context.trial_upstream(self.now_us(), service, identity);
         let key = name.and_then(|name| self.routes.router().key(&name));
         match key.filter(|key| !exclude.contains(key)) {
-            Some(key) => Event::Routed(key),
+            Some(key) => {
+                self.record_upstream_found();
+                Event::Routed(key)
+            }
             None => Event::NoRoute(ErrorKind::CrashHold),
         }
     }
--- a/components/node/src/entry/downstream.rs
+++ b/components/node/src/entry/downstream.rs
@@ -15,6 +15,16 @@
     sent_us: u64,
 }
 
+/// How a call ended without an answer.
+pub(super) struct UnansweredCall {
+    /// Why it ended; for a call that could not be retried, its last refusal by an owner.
+    pub(super) cause: ErrorKind,
+    /// Time at which the owner that refused it last expects to admit such calls, if it said so.
+    pub(super) until_us: Option<u64>,
+    /// Whether this entry knew an upstream for it.
+    pub(super) has_found_upstream: bool,
+}
+
 impl Entry {
     /// The request as a call of the local instance, if it is one.
     pub(super) fn nested_call(&self, request: &Request, sent_us: u64) -> Option<NestedCall> {
@@ -57,18 +67,16 @@
     }
 
     /// Records that the call went to a service, perhaps only to be refused here, and ended without an
-    /// answer. `until_us` is the time at which the owner expects to admit such calls, if it said so, and
-    /// `response` has the time after which the call may be sent again.
+    /// answer; `response` has the time after which it may be sent again.
     pub(super) fn record_refused(
         &self,
         entry: &Entry,
         service: &ServiceName,
-        kind: ErrorKind,
-        until_us: Option<u64>,
+        call: &UnansweredCall,
         response: &Response,
     ) {
         self.record_sent(entry, service);
-        if let Some(outcome) = refused_outcome(kind, until_us, response) {
+        if let Some(outcome) = refused_outcome(call, response) {
             self.record(entry, service, outcome);
         }
     }
@@ -85,21 +93,20 @@
     }
 }
 
-/// What a call that ended without an answer shows of the capacity of its service.
-fn refused_outcome(
-    kind: ErrorKind,
-    until_us: Option<u64>,
-    response: &Response,
-) -> Option<DownstreamOutcome> {
+/// What a call that ended without an answer shows of the capacity of its service. An owner that has no
+/// upstream, such as one in an evacuated zone, shows nothing: other instances may have capacity.
+fn refused_outcome(call: &UnansweredCall, response: &Response) -> Option<DownstreamOutcome> {
     let retry_after_us = retry_after_us(response);
-    match (kind, until_us) {
+    match (call.cause, call.until_us) {
         (ErrorKind::Overloaded | ErrorKind::QueueFull, Some(until_us)) => {
             Some(DownstreamOutcome::RefusedUntil { until_us })
         }
         (ErrorKind::Overloaded | ErrorKind::QueueFull, None) => {
             Some(DownstreamOutcome::Overloaded { retry_after_us })
         }
-        (ErrorKind::NoUpstream, _) => Some(DownstreamOutcome::NoUpstream { retry_after_us }),
+        (ErrorKind::NoUpstream, _) if !call.has_found_upstream => {
+            Some(DownstreamOutcome::NoUpstream { retry_after_us })
+        }
         _ => None,
     }
 }
--- a/components/node/src/entry/driver/mod.rs
+++ b/components/node/src/entry/driver/mod.rs
@@ -65,6 +65,7 @@
     /// Whether the answer is that of another call with the same idempotency key.
     has_stored_answer: AtomicBool,
     last_refusal: Mutex<LastRefusal>,
+    has_found_upstream: AtomicBool,
 }
 
 /// State of one call, locked by the thread that handles its events.
@@ -116,6 +117,7 @@
             wake_us: AtomicU64::new(call.deadline_us),
             has_stored_answer: AtomicBool::new(false),
             last_refusal: Mutex::default(),
+            has_found_upstream: AtomicBool::new(false),
             call,
             routes,
             state: Mutex::new(DriverState {
--- a/components/node/src/entry/driver/refusals.rs
+++ b/components/node/src/entry/driver/refusals.rs
@@ -1,8 +1,9 @@
 //! The last refusal of a call by an owner, which tells why a call ends that is not retried.
 
 use super::CallDriver;
+use crate::entry::downstream::UnansweredCall;
 use errors::ErrorKind;
-use std::sync::{MutexGuard, PoisonError};
+use std::sync::{MutexGuard, PoisonError, atomic::Ordering};
 
 /// Why an owner refused an attempt.
 #[derive(Clone, Copy)]
@@ -22,6 +23,7 @@
         self.0 = Some(Refusal { kind, until_us });
     }
 
+    /// The cause of a call's end: the refusal of the last attempt, if the call could not be retried.
     fn cause(&self, kind: ErrorKind) -> ErrorKind {
         match (kind, self.0) {
             (ErrorKind::RetryBudgetSpent, Some(last)) => last.kind,
@@ -29,6 +31,8 @@
         }
     }
 
+    /// Time at which the owner expects to admit the call, if it said so and the call ended because of
+    /// this refusal.
     fn until_us(&self, kind: ErrorKind) -> Option<u64> {
         let last = self.0?;
         last.until_us.filter(|_| self.cause(kind) == last.kind)
@@ -41,15 +45,19 @@
         self.lock_last_refusal().record(kind, until_us);
     }
 
-    /// The cause of a call's end: the refusal of the last attempt, if the call could not be retried.
-    pub(crate) fn cause(&self, kind: ErrorKind) -> ErrorKind {
-        self.lock_last_refusal().cause(kind)
+    /// Records that this entry knew an upstream for the call.
+    pub(crate) fn record_upstream_found(&self) {
+        self.has_found_upstream.store(true, Ordering::Release);
     }
 
-    /// Time at which the owner of the last refusal expects to admit the call, if it said so and the
-    /// call ended because of that refusal.
-    pub(crate) fn refused_until_us(&self, kind: ErrorKind) -> Option<u64> {
-        self.lock_last_refusal().until_us(kind)
+    /// How the call ended, if without an answer.
+    pub(crate) fn unanswered(&self, kind: ErrorKind) -> UnansweredCall {
+        let last_refusal = self.lock_last_refusal();
+        UnansweredCall {
+            cause: last_refusal.cause(kind),
+            until_us: last_refusal.until_us(kind),
+            has_found_upstream: self.has_found_upstream.load(Ordering::Acquire),
+        }
     }
 
     fn lock_last_refusal(&self) -> MutexGuard<'_, LastRefusal> {
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -17,6 +17,7 @@
 use crate::{context::NodeContext, quotas::QuotaGate, refusal_log::RefusalLogs};
 use admin::server_memory;
 use decision::customer_note;
+use downstream::UnansweredCall;
 use driver::CallDriver;
 use errors::ErrorKind;
 use evacuation::watch_evacuations;
@@ -208,7 +209,12 @@
                 self.log_refusal(&request_id, kind);
                 let response = self.refusal_response(service.as_ref(), kind, DEFAULT_TARGET_MS);
                 if let (Some(nested), Some(service)) = (&nested, &service) {
-                    nested.record_refused(self, service, kind, None, &response);
+                    let call = UnansweredCall {
+                        cause: kind,
+                        until_us: None,
+                        has_found_upstream: false,
+                    };
+                    nested.record_refused(self, service, &call, &response);
                 }
                 return response;
             }
@@ -252,14 +258,13 @@
                     "entry: request {request_id} call {call}{customer} ended without an answer after {} ms, {kind}.",
                     elapsed_us / 1_000
                 );
-                let until_us = driver.refused_until_us(kind);
-                let response = match until_us {
+                let call = driver.unanswered(kind);
+                let response = match call.until_us {
                     None => self.refusal_response(Some(&service), kind, target_ms),
                     Some(until_us) => self.downstream_response(&service, kind, target_ms, until_us),
                 };
                 if let Some(nested) = nested {
-                    let cause = driver.cause(kind);
-                    nested.record_refused(self, &service, cause, until_us, &response);
+                    nested.record_refused(self, &service, &call, &response);
                 }
                 response
             }
