--- a/components/node/src/entry/downstream.rs
+++ b/components/node/src/entry/downstream.rs
@@ -15,6 +15,16 @@
     sent_us: u64,
 }
 
+/// How a call ended without an answer.
+pub(super) struct UnansweredCall {
+    /// Why it ended; for a call that could not be retried, its last refusal by an owner.
+    pub(super) cause: ErrorKind,
+    /// Time at which the owner that refused it last expects to admit such calls, if it said so.
+    pub(super) until_us: Option<u64>,
+    /// Whether this entry knew an upstream for it.
+    pub(super) has_found_upstream: bool,
+}
+
 impl Entry {
     /// The request as a call of the local instance, if it is one.
     pub(super) fn nested_call(&self, request: &Request, sent_us: u64) -> Option<NestedCall> {
@@ -24,15 +34,16 @@
     }
 
     /// Response to a call that an owner refused because a service which the call would call is short of
-    /// capacity for this time.
+    /// capacity until this time.
     pub(super) fn downstream_response(
         &self,
         service: &ServiceName,
         kind: ErrorKind,
         target_ms: u64,
-        wait_us: u64,
+        until_us: u64,
     ) -> Response {
         let mut response = self.refusal_response(Some(service), kind, target_ms);
+        let wait_us = until_us.saturating_sub(self.context.kernel.clock.now_us());
         let cause = RefusalCause::Downstream {
             wait_ms: wait_us.div_ceil(1_000),
         };
@@ -61,19 +72,13 @@
         &self,
         entry: &Entry,
         service: &ServiceName,
-        kind: ErrorKind,
+        call: &UnansweredCall,
         response: &Response,
     ) {
         self.record_sent(entry, service);
-        let retry_after_us = retry_after_us(response);
-        let outcome = match kind {
-            ErrorKind::Overloaded | ErrorKind::QueueFull => {
-                DownstreamOutcome::Overloaded { retry_after_us }
-            }
-            ErrorKind::NoUpstream => DownstreamOutcome::NoUpstream { retry_after_us },
-            _ => return,
-        };
-        self.record(entry, service, outcome);
+        if let Some(outcome) = refused_outcome(call, response) {
+            self.record(entry, service, outcome);
+        }
     }
 
     fn record(&self, entry: &Entry, service: &ServiceName, outcome: DownstreamOutcome) {
@@ -88,8 +93,30 @@
     }
 }
 
+/// What a call that ended without an answer shows of the capacity of its service. An owner that has no
+/// upstream, such as one in an evacuated zone, shows nothing: other instances may have capacity.
+fn refused_outcome(call: &UnansweredCall, response: &Response) -> Option<DownstreamOutcome> {
+    let retry_after_us = retry_after_us(response);
+    match (call.cause, call.until_us) {
+        (ErrorKind::Overloaded | ErrorKind::QueueFull, Some(until_us)) => {
+            Some(DownstreamOutcome::RefusedUntil { until_us })
+        }
+        (ErrorKind::Overloaded | ErrorKind::QueueFull, None) => {
+            Some(DownstreamOutcome::Overloaded { retry_after_us })
+        }
+        (ErrorKind::NoUpstream, _) if !call.has_found_upstream => {
+            Some(DownstreamOutcome::NoUpstream { retry_after_us })
+        }
+        _ => None,
+    }
+}
+
 fn retry_after_us(response: &Response) -> u64 {
     let seconds = response.headers.get("retry-after");
     let seconds: Option<f64> = seconds.and_then(|seconds| seconds.parse().ok());
     seconds.map_or(0, |seconds| (seconds * 1e6) as u64)
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/refused_outcomes.rs"]
+mod tests;
