--- a/components/kernel/src/directory.rs
+++ b/components/kernel/src/directory.rs
@@ -21,7 +21,8 @@
 #[derive(Clone)]
 pub struct Directory {
     shards: Arc<[Mutex<Services>; SHARDS]>,
-    /// Services that have lost their last upstream and have none now. Locked after the shard of the service.
+    /// Services that have lost their last upstream and have none now. Locked after the shard of the
+    /// service.
     known_services: Arc<Mutex<KnownServices>>,
     events: Events,
 }
@@ -93,10 +94,11 @@
         lock(self.shard(service)).contains_key(service)
     }
 
-    /// Whether the service has an upstream, or had one before its last one was removed. Bounded: of services
-    /// without upstreams, the 1,024 that lost theirs last are known.
+    /// Whether the service has an upstream, or had one before its last one was removed. Bounded: of
+    /// services without upstreams, the 1,024 that lost theirs last are known.
     pub fn had_upstream(&self, service: &ServiceName) -> bool {
-        // Both under the lock of the shard, so that a service that regains an upstream is known throughout.
+        // Both under the lock of the shard, so that a service that regains an upstream is known
+        // throughout.
         let services = lock(self.shard(service));
         services.contains_key(service) || lock(&self.known_services).contains(service)
     }
--- a/components/kernel/src/known_services.rs
+++ b/components/kernel/src/known_services.rs
@@ -8,8 +8,8 @@
 /// Maximum of services without upstreams whose names are kept.
 const MAX_SERVICES: usize = 1_024;
 
-/// Services that have lost their last upstream and have none now, with the number of that loss. Beyond the maximum, the
-/// one that lost its last upstream first is removed.
+/// Services that have lost their last upstream and have none now, with the number of that loss. Beyond
+/// the maximum, the one that lost its last upstream first is removed.
 #[derive(Debug, Default)]
 pub(crate) struct KnownServices {
     losses: HashMap<ServiceName, u64>,
