Use an address of its own for a port without a listener in a mesh test

A connection was made to the released port, so another test of the program, which binds ports of 127.0.0.1 all the time, had got it; which one was not traced. The port is of 127.0.0.2 now, which no other test binds. The checks are unchanged.

--- a/components/mesh/tests/message_order.rs
+++ b/components/mesh/tests/message_order.rs
@@ -148,7 +148,8 @@
 
 #[test]
 fn request_without_listener_is_not_sent() {
-    let unused = TcpListener::bind("127.0.0.1:0").unwrap();
+    // Other tests bind the ports of another address: one that got this port would accept.
+    let unused = TcpListener::bind("127.0.0.2:0").unwrap();
     let to = unused.local_addr().unwrap();
     drop(unused);
     let a = start();
