Review: a kill at the first start leaves the control group unformed

Tried: SIGKILL of the process of the lowest seed 0.25 s after the first start, and its restart with bootstrap = false.

--- a/review/standin-2/src/lost_formation.rs
+++ b/review/standin-2/src/lost_formation.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     deployment::{Deployment, Plan},
+    http::exchange,
     operator::{configuration, route, submit},
     record::Record,
     Verdict,
@@ -29,6 +30,9 @@
 /// How long the operator goes on.
 const LIMIT: Duration = Duration::from_secs(60);
 
+/// Requests that are sent at the end, only for the record. No instance runs.
+const REQUESTS: usize = 5;
+
 pub fn run(has_trouble: bool, record: &Record) -> Result<Verdict, String> {
     let mut deployment = Deployment::new(Plan {
         cores: START_ORDER.len() as u8,
@@ -63,6 +67,17 @@
         return Err("a process has ended".to_owned());
     }
     record.line(format!("the node is ready: {}", deployment.is_ready(0)));
+    for number in 0..REQUESTS {
+        let id = format!("9c41d07b{number:08x}");
+        let fields = [
+            ("Host", "ficu95.example".to_owned()),
+            ("X-Request-Id", id.clone()),
+            ("X-Deadline-Milliseconds", "1000".to_owned()),
+        ];
+        let to = deployment.outbound(0);
+        let reply = exchange(to, "GET", "/pufi791/2f", &fields, b"", Duration::from_secs(2));
+        record.line(format!("client: {id} answered {:?}", reply.map(|reply| reply.status)));
+    }
     Ok(match result {
         Ok(after) if after <= ACK_TIMEOUT => Verdict::Held,
         Ok(after) => Verdict::Broken(format!("the first configuration is acknowledged after {after:?} only")),
