--- a/review/standin-2/src/caller_service.rs
+++ b/review/standin-2/src/caller_service.rs
@@ -38,7 +38,12 @@
         send_odd_heartbeat(&deployment, record);
     }
     let routes = [route("r-2b9wu3f", "/pufi791/", "safe", CALLED)];
-    submit(&deployment.operators(), &configuration(7, &routes), Duration::from_secs(30), record)?;
+    submit(
+        &deployment.operators(),
+        &configuration(7, &routes),
+        Duration::from_secs(30),
+        record,
+    )?;
     if !wait_until(Duration::from_secs(10), || deployment.is_ready(0)) {
         return Err("the node does not become ready".to_owned());
     }
@@ -49,7 +54,11 @@
     }
     let runs = called.runs();
     let wrong: Vec<_> = runs.iter().filter(|run| run.caller != CALLER).collect();
-    record.line(format!("{served} answers 200, {} runs, {} with another caller", runs.len(), wrong.len()));
+    record.line(format!(
+        "{served} answers 200, {} runs, {} with another caller",
+        runs.len(),
+        wrong.len()
+    ));
     match wrong.first() {
         _ if runs.is_empty() => Err("no request ran".to_owned()),
         None => Ok(Verdict::Held),
@@ -71,7 +80,14 @@
         unix_ms()
     );
     let fields = [("Content-Type", "application/json".to_owned())];
-    let reply = exchange(deployment.heartbeats(0), "PUT", "/instances/i-c4e91a77", &fields, body.as_bytes(), Duration::from_secs(1));
+    let reply = exchange(
+        deployment.heartbeats(0),
+        "PUT",
+        "/instances/i-c4e91a77",
+        &fields,
+        body.as_bytes(),
+        Duration::from_secs(1),
+    );
     let status = reply.map(|reply| reply.status);
     record.line(format!("heartbeat of another writer {body}: {status:?}"));
 }
@@ -90,7 +106,14 @@
             ("X-Request-Id", id.clone()),
             ("X-Deadline-Milliseconds", "2000".to_owned()),
         ];
-        let reply = exchange(deployment.outbound(0), "GET", "/pufi791/2f", &fields, b"", Duration::from_secs(3));
+        let reply = exchange(
+            deployment.outbound(0),
+            "GET",
+            "/pufi791/2f",
+            &fields,
+            b"",
+            Duration::from_secs(3),
+        );
         match reply {
             Ok(reply) => {
                 served += usize::from(reply.status == 200);
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -144,8 +144,15 @@
         let mut values = self.common_values(ip, &name);
         let service = self.plan.sidecars[usize::from(sidecar)];
         values.insert("service".into(), service.into());
-        values.insert("application_address".into(), self.application(sidecar).to_string());
-        for (key, offset) in [("outbound", OUTBOUND), ("inbound", INBOUND), ("readiness", READINESS)] {
+        values.insert(
+            "application_address".into(),
+            self.application(sidecar).to_string(),
+        );
+        for (key, offset) in [
+            ("outbound", OUTBOUND),
+            ("inbound", INBOUND),
+            ("readiness", READINESS),
+        ] {
             let at = self.at(ip, offset).to_string();
             values.insert(format!("listen_addresses.{key}"), at);
         }
@@ -163,7 +170,10 @@
             ("region", "region-a".to_owned()),
             ("seed_nodes", seeds.join(",")),
             ("internal_port_range.0", self.first_port.to_string()),
-            ("internal_port_range.1", (self.first_port + INTERNAL_LAST).to_string()),
+            (
+                "internal_port_range.1",
+                (self.first_port + INTERNAL_LAST).to_string(),
+            ),
             ("listen_addresses.control", self.at(ip, CONTROL).to_string()),
             ("fault_tolerance.machines", self.plan.tolerated.to_string()),
             ("heartbeat_interval_ms", "1500".to_owned()),
@@ -185,7 +195,12 @@
         values
     }
 
-    fn start(&mut self, role: &str, name: &str, values: &HashMap<String, String>) -> Result<(), String> {
+    fn start(
+        &mut self,
+        role: &str,
+        name: &str,
+        values: &HashMap<String, String>,
+    ) -> Result<(), String> {
         let role = self.roles.get(role).ok_or("the deploy file lacks a role")?;
         let log = File::options()
             .create(true)
@@ -226,10 +241,16 @@
 
     /// Whether the node says that it is ready.
     pub fn is_ready(&self, sidecar: u8) -> bool {
-        let reply = exchange(self.readiness(sidecar), "GET", "/readiness", &[], b"", Duration::from_secs(1));
+        let reply = exchange(
+            self.readiness(sidecar),
+            "GET",
+            "/readiness",
+            &[],
+            b"",
+            Duration::from_secs(1),
+        );
         matches!(reply, Ok(Reply { status: 200, .. }))
     }
-
 }
 
 impl Drop for Deployment {
@@ -238,7 +259,9 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        if std::env::var_os("KEEP_LOGS").is_none() && self.directory.starts_with(std::env::temp_dir()) {
+        if std::env::var_os("KEEP_LOGS").is_none()
+            && self.directory.starts_with(std::env::temp_dir())
+        {
             let _ = fs::remove_dir_all(&self.directory);
         }
     }
@@ -250,18 +273,27 @@
 
 /// Reads what the deploy file says of each role: `run` and the variables.
 fn read_roles() -> Result<HashMap<String, Role>, String> {
-    let text = fs::read_to_string("deploy/system.toml").map_err(|e| format!("deploy/system.toml: {e}"))?;
+    let text =
+        fs::read_to_string("deploy/system.toml").map_err(|e| format!("deploy/system.toml: {e}"))?;
     let mut roles: HashMap<String, Role> = HashMap::new();
     let (mut role, mut in_env) = (String::new(), false);
     for line in text.lines().map(str::trim) {
-        if let Some(section) = line.strip_prefix("[roles.").and_then(|l| l.strip_suffix(']')) {
+        if let Some(section) = line
+            .strip_prefix("[roles.")
+            .and_then(|l| l.strip_suffix(']'))
+        {
             in_env = section.ends_with(".env");
             role = section.trim_end_matches(".env").to_owned();
             continue;
         }
-        let Some((key, value)) = line.split_once('=') else { continue };
+        let Some((key, value)) = line.split_once('=') else {
+            continue;
+        };
         let (key, value) = (key.trim(), value.trim().trim_matches('"'));
-        let entry = roles.entry(role.clone()).or_insert_with(|| Role { run: Vec::new(), env: Vec::new() });
+        let entry = roles.entry(role.clone()).or_insert_with(|| Role {
+            run: Vec::new(),
+            env: Vec::new(),
+        });
         if in_env {
             entry.env.push((key.to_owned(), value.to_owned()));
         } else if key == "run" {
@@ -276,7 +308,9 @@
     let mut filled = String::new();
     let mut rest = text;
     while let Some((before, after)) = rest.split_once("{{") {
-        let Some((name, behind)) = after.split_once("}}") else { break };
+        let Some((name, behind)) = after.split_once("}}") else {
+            break;
+        };
         filled.push_str(before);
         filled.push_str(values.get(name).map_or("", String::as_str));
         rest = behind;
@@ -299,5 +333,7 @@
 }
 
 pub fn unix_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis())
 }
--- a/review/standin-2/src/draining_ignored.rs
+++ b/review/standin-2/src/draining_ignored.rs
@@ -29,7 +29,7 @@
 /// Time that a request takes at an instance.
 const WORK: Duration = Duration::from_millis(150);
 /// Clients on the machine, each of which sends one request after the other.
-const CLIENTS: usize = 4;
+const CLIENTS: usize = 8;
 /// Pause between two requests of a client.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -56,7 +56,12 @@
     let leaving = Instance::start(LEAVING, CALLED, places(1), WORK, record).map_err(io)?;
     let staying = Instance::start("i-0e9d33b1", CALLED, places(2), WORK, record).map_err(io)?;
     let routes = [route("r-2b9wu3f", "/pufi791/", "unsafe", CALLED)];
-    submit(&deployment.operators(), &configuration(7, &routes), Duration::from_secs(30), record)?;
+    submit(
+        &deployment.operators(),
+        &configuration(7, &routes),
+        Duration::from_secs(30),
+        record,
+    )?;
     let seen = Arc::new(Seen::default());
     let to = deployment.outbound(0);
     let both_serve = || {
@@ -66,7 +71,9 @@
     if !wait_until(Duration::from_secs(20), both_serve) {
         return Err("an instance gets no requests".to_owned());
     }
-    let clients: Vec<_> = (0..CLIENTS).map(|_| start_client(to, &seen, record)).collect();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| start_client(to, &seen, record))
+        .collect();
     thread::sleep(Duration::from_millis(3_500));
     seen.failed.store(0, Ordering::Relaxed);
     if has_trouble {
@@ -89,7 +96,11 @@
     if !deployment.all_run() {
         return Err("a process has ended".to_owned());
     }
-    let late: Vec<_> = leaving.runs().into_iter().filter(|run| run.at > acknowledged + DRAIN).collect();
+    let late: Vec<_> = leaving
+        .runs()
+        .into_iter()
+        .filter(|run| run.at > acknowledged + DRAIN)
+        .collect();
     let failed = seen.failed.load(Ordering::Relaxed);
     record.line(format!(
         "{} requests ran at {LEAVING} later than drain_ms after the acknowledgement; {failed} requests failed",
@@ -115,9 +126,18 @@
     let fields = [("Content-Type", "application/json".to_owned())];
     let path = format!("/instances/{LEAVING}");
     let limit = Duration::from_secs(1);
-    let reply = exchange(deployment.heartbeats(1), "PUT", &path, &fields, body.as_bytes(), limit);
+    let reply = exchange(
+        deployment.heartbeats(1),
+        "PUT",
+        &path,
+        &fields,
+        body.as_bytes(),
+        limit,
+    );
     let status = reply.map(|reply| reply.status);
-    record.line(format!("heartbeat of another writer at {path} {body}: {status:?}"));
+    record.line(format!(
+        "heartbeat of another writer at {path} {body}: {status:?}"
+    ));
 }
 
 fn start_client(to: SocketAddr, seen: &Arc<Seen>, record: &Record) -> JoinHandle<()> {
@@ -138,7 +158,14 @@
         ("X-Request-Id", id.clone()),
         ("X-Deadline-Milliseconds", "2000".to_owned()),
     ];
-    let reply = exchange(to, "POST", "/pufi791/2f", &fields, b"{}", Duration::from_secs(3));
+    let reply = exchange(
+        to,
+        "POST",
+        "/pufi791/2f",
+        &fields,
+        b"{}",
+        Duration::from_secs(3),
+    );
     let status = reply.map(|reply| reply.status);
     if !matches!(status, Ok(200)) {
         seen.failed.fetch_add(1, Ordering::Relaxed);
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -46,7 +46,9 @@
             break;
         }
         if let Some((name, value)) = field.split_once(':') {
-            message.fields.push((name.to_owned(), value.trim().to_owned()));
+            message
+                .fields
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
     let is_chunked = message.field("transfer-encoding").is_some();
@@ -99,14 +101,24 @@
     let until = Instant::now() + limit;
     let mut stream = TcpStream::connect_timeout(&to, limit)?;
     stream.set_nodelay(true)?;
-    let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    let left = until
+        .saturating_duration_since(Instant::now())
+        .max(Duration::from_millis(1));
     stream.set_read_timeout(Some(left))?;
     stream.set_write_timeout(Some(left))?;
     let mut all = fields.to_vec();
-    if !fields.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+    if !fields
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("host"))
+    {
         all.insert(0, ("Host", to.to_string()));
     }
-    write_message(&mut stream, &format!("{method} {path} HTTP/1.1"), &all, body)?;
+    write_message(
+        &mut stream,
+        &format!("{method} {path} HTTP/1.1"),
+        &all,
+        body,
+    )?;
     read_reply(&mut BufReader::new(stream))
 }
 
--- a/review/standin-2/src/instance.rs
+++ b/review/standin-2/src/instance.rs
@@ -102,18 +102,36 @@
         );
         let path = format!("/instances/{}", self.id);
         let fields = [("Content-Type", "application/json".to_owned())];
-        let reply = exchange(self.reports_to, "PUT", &path, &fields, body.as_bytes(), Duration::from_secs(1));
+        let reply = exchange(
+            self.reports_to,
+            "PUT",
+            &path,
+            &fields,
+            body.as_bytes(),
+            Duration::from_secs(1),
+        );
         let status = reply.ok().map(|reply| reply.status);
-        self.record.line(format!("heartbeat of {} ({state}, {sequence}): {status:?}", self.id));
+        self.record.line(format!(
+            "heartbeat of {} ({state}, {sequence}): {status:?}",
+            self.id
+        ));
         status
     }
 
     /// Sends its `DELETE` and exits: its connections end, and nothing listens any more.
     pub fn exit(&self) {
         let path = format!("/instances/{}", self.id);
-        let reply = exchange(self.reports_to, "DELETE", &path, &[], b"", Duration::from_secs(1));
+        let reply = exchange(
+            self.reports_to,
+            "DELETE",
+            &path,
+            &[],
+            b"",
+            Duration::from_secs(1),
+        );
         let status = reply.ok().map(|reply| reply.status);
-        self.record.line(format!("DELETE of {}: {status:?}", self.id));
+        self.record
+            .line(format!("DELETE of {}: {status:?}", self.id));
         self.is_stopped.store(true, Ordering::Relaxed);
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
@@ -129,7 +147,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader) {
             if self.answer(&request, &mut writer).is_err() {
@@ -139,7 +159,12 @@
     }
 
     fn answer(&self, request: &Message, writer: &mut TcpStream) -> std::io::Result<()> {
-        let target = request.first_line.split(' ').nth(1).unwrap_or("").to_owned();
+        let target = request
+            .first_line
+            .split(' ')
+            .nth(1)
+            .unwrap_or("")
+            .to_owned();
         if target == "/health" {
             let status = match self.is_draining.load(Ordering::Relaxed) {
                 true => "HTTP/1.1 503 Draining",
@@ -163,13 +188,22 @@
             self.id, self.service, request.first_line
         ));
         let at = Instant::now();
-        self.runs.lock().unwrap().push(Run { id: id.clone(), caller, at });
+        self.runs.lock().unwrap().push(Run {
+            id: id.clone(),
+            caller,
+            at,
+        });
         thread::sleep(self.work);
         let fields = [
             ("X-Request-Id", id.clone()),
             ("X-Server-Stamp", format!("{}.{id}", self.id)),
         ];
-        write_message(writer, "HTTP/1.1 200 OK", &fields, format!("done {id}").as_bytes())
+        write_message(
+            writer,
+            "HTTP/1.1 200 OK",
+            &fields,
+            format!("done {id}").as_bytes(),
+        )
     }
 }
 
--- a/review/standin-2/src/lost_formation.rs
+++ b/review/standin-2/src/lost_formation.rs
@@ -58,11 +58,18 @@
     sleep_until(RESTART_AT);
     if has_trouble {
         deployment.start_core(KILLED, false)?;
-        record.line(format!("core {KILLED} starts again, bootstrap = false, its disk is kept"));
+        record.line(format!(
+            "core {KILLED} starts again, bootstrap = false, its disk is kept"
+        ));
     }
     thread::sleep(STABILITY_WINDOW);
     let routes = [route("r-2b9wu3f", "/pufi791/", "safe", "huvo11a")];
-    let result = submit(&deployment.operators(), &configuration(1, &routes), LIMIT, record);
+    let result = submit(
+        &deployment.operators(),
+        &configuration(1, &routes),
+        LIMIT,
+        record,
+    );
     if !deployment.all_run() {
         return Err("a process has ended".to_owned());
     }
@@ -75,8 +82,18 @@
             ("X-Deadline-Milliseconds", "1000".to_owned()),
         ];
         let to = deployment.outbound(0);
-        let reply = exchange(to, "GET", "/pufi791/2f", &fields, b"", Duration::from_secs(2));
-        record.line(format!("client: {id} answered {:?}", reply.map(|reply| reply.status)));
+        let reply = exchange(
+            to,
+            "GET",
+            "/pufi791/2f",
+            &fields,
+            b"",
+            Duration::from_secs(2),
+        );
+        record.line(format!(
+            "client: {id} answered {:?}",
+            reply.map(|reply| reply.status)
+        ));
     }
     Ok(match result {
         Ok(after) if after <= ACK_TIMEOUT => Verdict::Held,
--- a/review/standin-2/src/operator.rs
+++ b/review/standin-2/src/operator.rs
@@ -43,14 +43,25 @@
     while started.elapsed() < limit {
         for to in operators {
             let fields = [("Content-Type", "application/json".to_owned())];
-            let reply = exchange(*to, "PUT", "/configuration", &fields, body.as_bytes(), Duration::from_secs(1));
+            let reply = exchange(
+                *to,
+                "PUT",
+                "/configuration",
+                &fields,
+                body.as_bytes(),
+                Duration::from_secs(1),
+            );
             last = match reply {
                 Ok(reply) => {
-                    let text = String::from_utf8_lossy(&reply.message.body).trim().to_owned();
+                    let text = String::from_utf8_lossy(&reply.message.body)
+                        .trim()
+                        .to_owned();
                     record.line(format!("operator at {to}: {} {text}", reply.status));
                     match reply.status {
                         200 => return Ok(started.elapsed()),
-                        400..=499 if !matches!(reply.status, 408 | 429) => return Err(format!("{}", reply.status)),
+                        400..=499 if !matches!(reply.status, 408 | 429) => {
+                            return Err(format!("{}", reply.status))
+                        }
                         status => status.to_string(),
                     }
                 }
@@ -70,7 +81,14 @@
     let started = Instant::now();
     while started.elapsed() < limit {
         for to in operators {
-            let reply = exchange(*to, "GET", "/configuration", &[], b"", Duration::from_secs(1));
+            let reply = exchange(
+                *to,
+                "GET",
+                "/configuration",
+                &[],
+                b"",
+                Duration::from_secs(1),
+            );
             if let Ok(reply) = reply {
                 let text = String::from_utf8_lossy(&reply.message.body).into_owned();
                 record.line(format!("read at {to}: {} {text}", reply.status));
--- a/review/standin-2/src/small_weights.rs
+++ b/review/standin-2/src/small_weights.rs
@@ -34,15 +34,29 @@
     let operators = deployment.operators();
     let first = route("r-2b9wu3f", "/pufi791/", "safe", SERVICES[1]);
     let limit = Duration::from_secs(30);
-    submit(&operators, &configuration(7, &[first.clone()]), limit, record)?;
-    let weights = if has_trouble { ["0.0002", "0.0003"] } else { ["2", "3"] };
+    submit(
+        &operators,
+        &configuration(7, std::slice::from_ref(&first)),
+        limit,
+        record,
+    )?;
+    let weights = if has_trouble {
+        ["0.0002", "0.0003"]
+    } else {
+        ["2", "3"]
+    };
     let part = |n: usize| format!(r#"{{"service":"{}","weight":{}}}"#, SERVICES[n], weights[n]);
     let added = format!(
         r#"{{"name":"r-i9n73hh","path_prefix":"/lohu930/","kind":"safe","timeout_ms":2000,"target_latency_ms":600,"priority":2,"weighted_services":[{},{}],"attempts":2}}"#,
         part(0),
         part(1)
     );
-    submit(&operators, &configuration(12, &[first, added]), limit, record)?;
+    submit(
+        &operators,
+        &configuration(12, &[first, added]),
+        limit,
+        record,
+    )?;
     let are_up = || deployment.is_ready(0) && instances.iter().all(|i| i.report() == Some(200));
     if !wait_until(Duration::from_secs(10), are_up) {
         return Err("the node does not become ready".to_owned());
@@ -76,7 +90,10 @@
     }
     let mut broken = Vec::new();
     if !is_same {
-        broken.push("the configuration that is read back has other weights than the acknowledged one".to_owned());
+        broken.push(
+            "the configuration that is read back has other weights than the acknowledged one"
+                .to_owned(),
+        );
     }
     if added * 4 < first {
         broken.push(format!("{added} of {REQUESTS} requests on the added route are served, {first} on the first one"));
