Review: requests run at a service to which no configuration leads

Tried: one heartbeat of another writer, with a list as its information, at the machine of an instance of another service. Seen: that instance runs 39 to 47 of 260 requests of a route that doesn't lead to it; 5 of 5 runs. Without the odd heartbeat: 5 of 5 held.

review/build-2.sh && review/6/run.sh; TROUBLE=0 review/6/run.sh

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -10,6 +10,7 @@
 
 mod caller_service;
 mod draining_ignored;
+mod foreign_service;
 mod lost_formation;
 mod small_weights;
 
@@ -37,6 +38,7 @@
     let result = match case.as_str() {
         "caller-service" => caller_service::run(has_trouble, &record),
         "draining-ignored" => draining_ignored::run(has_trouble, &record),
+        "foreign-service" => foreign_service::run(has_trouble, &record),
         "lost-formation" => lost_formation::run(has_trouble, &record),
         "small-weights" => small_weights::run(has_trouble, &record),
         _ => Err(format!("unknown case {case}")),
