Keep weights as they are sent, and divide calls by them whatever their size

Cause: the adapter turned each weight into whole thousandths before anything else saw it.

Change: Quantity, which other fractional numbers used already, keeps the notation of each number that its two variants would change, and weights are quantities. The split takes its proportions from the exact decimal values: 18 digits below the first one of the largest weight. The first two stored formats keep their bytes and hold what they can hold unchanged; anything else goes into a third one, whose variants come last. Builds before this one can't read that, as they could not read customers before.

--- a/components/bench/tests/route_queries.rs
+++ b/components/bench/tests/route_queries.rs
@@ -7,7 +7,7 @@
 };
 use config::{
     ApiKey, CallerLimits, ColdLimit, Configuration, Customer, Destination, Quantity, Route,
-    Service, VirtualHost, Weight, WeightedService,
+    Service, VirtualHost, WeightedService,
 };
 use model::ServiceName;
 use serde_json::Value;
@@ -59,7 +59,7 @@
 fn configuration() -> Configuration {
     let split = [("catalogue", 2), ("lending", 1)].map(|(name, weight)| WeightedService {
         service: service(name),
-        weight: Weight::whole(weight),
+        weight: Quantity::Whole(weight),
     });
     let lending = Destination::Service(service("lending"));
     Configuration {
--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -82,18 +82,20 @@
         if parts.is_empty() {
             report("a split needs at least one part".to_owned());
         }
-        for part in parts.iter().filter(|part| part.weight.thousandths < 0) {
-            report(format!("the weight of {} is below 0", part.service));
+        for part in parts {
+            if part.weight.value().is_negative() {
+                report(format!("the weight of {} is below 0", part.service));
+            }
         }
     }
 }
 
 fn check_cold_limit(service: &Service, errors: &mut Vec<FieldError>) {
-    let amounts = [service.cold.duration_s, service.cold.calls_per_s];
+    let amounts = [&service.cold.duration_s, &service.cold.calls_per_s];
     if amounts
         .into_iter()
         .flatten()
-        .any(|amount| !amount.is_valid_amount())
+        .any(|amount| amount.value().is_negative())
     {
         errors.push(FieldError {
             field: format!("service {}", service.name),
@@ -141,11 +143,11 @@
                 report(&customer.name, "one of its keys is used twice".to_owned());
             }
         }
-        let amounts = [customer.rate_per_s, customer.burst];
+        let amounts = [&customer.rate_per_s, &customer.burst];
         if amounts
             .into_iter()
             .flatten()
-            .any(|amount| !amount.is_valid_amount() || amount.as_f64() > MAX_CUSTOMER_AMOUNT)
+            .any(|amount| amount.value().is_negative() || amount.to_f64() > MAX_CUSTOMER_AMOUNT)
         {
             let reason = format!("rate and burst must be between 0 and {MAX_CUSTOMER_AMOUNT}");
             report(&customer.name, reason);
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -39,7 +39,7 @@
 }
 
 /// Limit on the calls of a service's instances that are cold.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ColdLimit {
     /// Time for which an instance is cold after its start.
     pub duration_s: Option<Quantity>,
@@ -131,34 +131,5 @@
     /// Service that this part of the calls goes to.
     pub service: ServiceName,
     /// Weight of its share of the calls.
-    pub weight: Weight,
-}
-
-/// A weight in thousandths, so that fractional weights compare and add without rounding.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Weight {
-    /// Thousandths of one; [`Configuration::check`] rejects negative values.
-    pub thousandths: i64,
-}
-
-impl Weight {
-    /// A weight from a whole number.
-    pub fn whole(weight: i64) -> Self {
-        Weight {
-            thousandths: weight.saturating_mul(1_000),
-        }
-    }
-
-    /// A weight from a fractional number, rounded to thousandths. A negative one stays negative, so
-    /// that it is rejected and doesn't become 0.
-    pub fn from_fraction(weight: f64) -> Self {
-        let rounded = (weight * 1_000.0).round() as i64;
-        Weight {
-            thousandths: if weight < 0.0 {
-                rounded.min(-1)
-            } else {
-                rounded
-            },
-        }
-    }
+    pub weight: Quantity,
 }
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -4,6 +4,7 @@
 mod check;
 mod customer;
 mod customer_table;
+mod decimal;
 mod document;
 mod quantity;
 mod stored;
@@ -12,11 +13,12 @@
 
 pub use customer::{ApiKey, Customer, hash_key};
 pub use customer_table::{CustomerTable, KnownCustomer};
+pub use decimal::Decimal;
 pub use document::{
-    CallerLimits, ColdLimit, Configuration, Destination, Route, Service, VirtualHost, Weight,
+    CallerLimits, ColdLimit, Configuration, Destination, Route, Service, VirtualHost,
     WeightedService,
 };
 pub use quantity::Quantity;
-pub use stored::BaseConfiguration;
+pub use stored::{FirstFormat, SecondFormat, StoredConfiguration};
 pub use table::{MatchedRoute, RouteTable};
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/components/config/src/table.rs
+++ b/components/config/src/table.rs
@@ -133,7 +133,7 @@
     /// Limit on the calls to a service's instances while they are cold.
     pub fn cold_limit(&self, service: &ServiceName) -> Option<ColdLimit> {
         let services = &self.configuration.services;
-        Some(services.iter().find(|s| s.name == *service)?.cold)
+        Some(services.iter().find(|s| s.name == *service)?.cold.clone())
     }
 
     /// Whether the configuration lists the service.
--- a/components/config/src/weighted_round_robin.rs
+++ b/components/config/src/weighted_round_robin.rs
@@ -1,13 +1,17 @@
 //! Division of the calls of a route among several services by weight.
 
-use crate::document::WeightedService;
+use crate::{decimal::Decimal, document::WeightedService};
+
+/// Decimal digits with which the largest weight counts. What smaller weights have below its last
+/// digit is left out, less than one call in 10^17.
+const WEIGHT_DIGITS: i64 = 18;
 
 /// Smooth weighted round robin: after any number of choices, each part's count differs from its
 /// exact share by less than the number of parts. The choice doesn't depend on the capacity of a
 /// part, so a part at capacity refuses its own share instead of changing the split.
 #[derive(Clone, Debug)]
 pub struct WeightedRoundRobin {
-    /// Wider than the weights of a configuration, so that sums of the largest ones don't overflow.
+    /// Proportions of the weights, below 10^18 each. Their sums have room in 128 bits.
     weights: Vec<i128>,
     credits: Vec<i128>,
 }
@@ -16,10 +20,7 @@
     /// A round robin in its initial state, advanced by a number of choices that depends on `seed`,
     /// so that not all entries start with the same part.
     pub fn new(parts: &[WeightedService], seed: u64) -> Self {
-        let weights: Vec<i128> = parts
-            .iter()
-            .map(|part| i128::from(part.weight.thousandths.max(0)))
-            .collect();
+        let weights = proportions(parts);
         let mut round_robin = WeightedRoundRobin {
             credits: vec![0; weights.len()],
             weights,
@@ -48,3 +49,19 @@
             .max_by_key(|index| (credit(*index), std::cmp::Reverse(*index)))
     }
 }
+
+/// The weights as whole numbers in the same proportions, whatever their size.
+fn proportions(parts: &[WeightedService]) -> Vec<i128> {
+    let weights: Vec<Decimal> = parts.iter().map(|part| part.weight.value()).collect();
+    let positive = weights.iter().filter(|weight| !weight.is_negative());
+    let Some(places) = positive.filter_map(Decimal::places).max() else {
+        return vec![0; weights.len()];
+    };
+    let proportion = |weight: &Decimal| match weight.places() {
+        Some(own) if !weight.is_negative() => {
+            weight.first_digits(WEIGHT_DIGITS - places.saturating_sub(own)) as i128
+        }
+        _ => 0,
+    };
+    weights.iter().map(proportion).collect()
+}
--- a/components/config/tests/customer_keys.rs
+++ b/components/config/tests/customer_keys.rs
@@ -126,19 +126,19 @@
 /// those which deployments use.
 #[test]
 fn bounded_amounts() {
-    let check = |rate, burst| {
+    let check = |rate: Option<&Quantity>, burst: Option<&Quantity>| {
         let mut limited = customer("choir", &["a"], None);
-        (limited.rate_per_s, limited.burst) = (rate, burst);
+        (limited.rate_per_s, limited.burst) = (rate.cloned(), burst.cloned());
         let mut configuration = table(None).configuration().as_ref().clone();
         configuration.hosts.clear();
         configuration.customers = Some(vec![limited]);
         configuration.check().is_ok()
     };
-    let largest = Some(Quantity::Whole(1_000_000_000));
-    assert!(check(largest, largest));
+    let largest = Quantity::Whole(1_000_000_000);
+    assert!(check(Some(&largest), Some(&largest)));
     let above = [Quantity::Whole(1_000_000_001), Quantity::Fraction(1e300)];
-    for amount in above.map(Some) {
-        assert!(!check(amount, None), "rate {amount:?}");
-        assert!(!check(None, amount), "burst {amount:?}");
+    for amount in &above {
+        assert!(!check(Some(amount), None), "rate {amount:?}");
+        assert!(!check(None, Some(amount)), "burst {amount:?}");
     }
 }
--- a/components/config/tests/route_match.rs
+++ b/components/config/tests/route_match.rs
@@ -2,8 +2,8 @@
 //! accepted with invalid fields.
 
 use config::{
-    CallerLimits, ColdLimit, Configuration, Destination, Route, RouteTable, Service, VirtualHost,
-    Weight, WeightedService,
+    CallerLimits, ColdLimit, Configuration, Destination, Quantity, Route, RouteTable, Service,
+    VirtualHost, WeightedService,
 };
 use model::{Priority, ServiceName};
 use std::sync::Arc;
@@ -88,7 +88,7 @@
         [("catalogue", 90), ("lending", 10)]
             .map(|(name, weight)| WeightedService {
                 service: service(name),
-                weight: Weight::whole(weight),
+                weight: Quantity::Whole(weight),
             })
             .into(),
     );
@@ -108,7 +108,7 @@
         [("catalogue", 5), ("lending", 3), ("orders", 0)]
             .map(|(name, weight)| WeightedService {
                 service: service(name),
-                weight: Weight::whole(weight),
+                weight: Quantity::Whole(weight),
             })
             .into(),
     );
@@ -133,7 +133,7 @@
         ["catalogue", "lending"]
             .map(|name| WeightedService {
                 service: service(name),
-                weight: Weight::whole(i64::MAX),
+                weight: Quantity::Whole(i64::MAX),
             })
             .into(),
     );
@@ -161,7 +161,7 @@
         ("negative weight", |r| {
             r.destination = Destination::Split(vec![WeightedService {
                 service: service("lending"),
-                weight: Weight::whole(-1),
+                weight: Quantity::Whole(-1),
             }]);
         }),
     ];
--- a/components/control/src/quotas.rs
+++ b/components/control/src/quotas.rs
@@ -260,8 +260,8 @@
 
 fn limit_of(customer: &Customer) -> (Arc<str>, CustomerLimit) {
     let limit = CustomerLimit {
-        rate_per_s: customer.rate_per_s.map(Quantity::as_f64),
-        burst: customer.burst.map_or(0.0, Quantity::as_f64),
+        rate_per_s: customer.rate_per_s.as_ref().map(Quantity::to_f64),
+        burst: customer.burst.as_ref().map_or(0.0, Quantity::to_f64),
     };
     (Arc::clone(&customer.name), limit)
 }
--- a/components/node/src/entry/preview/figures.rs
+++ b/components/node/src/entry/preview/figures.rs
@@ -44,7 +44,7 @@
     };
     let part = parts.iter().map(|part| SplitPart {
         service: part.service.clone(),
-        weight: part.weight.thousandths as f64 / 1_000.0,
+        weight: part.weight.to_f64(),
         is_next: upcoming == Some(&part.service),
     });
     part.collect()
@@ -53,8 +53,8 @@
 pub(super) fn cold_limit(table: &RouteTable, service: &ServiceName) -> Option<ColdLimitInfo> {
     let limit = table.cold_limit(service)?;
     let info = ColdLimitInfo {
-        duration_s: limit.duration_s.map(Quantity::as_f64),
-        calls_per_s: limit.calls_per_s.map(Quantity::as_f64),
+        duration_s: limit.duration_s.as_ref().map(Quantity::to_f64),
+        calls_per_s: limit.calls_per_s.as_ref().map(Quantity::to_f64),
     };
     (info.duration_s.is_some() || info.calls_per_s.is_some()).then_some(info)
 }
@@ -92,10 +92,10 @@
             ("unavailable", Some(retry_after_ms))
         }
     };
-    let value = |quantity: Option<Quantity>| quantity.map_or(0.0, Quantity::as_f64);
+    let value = |quantity: &Option<Quantity>| quantity.as_ref().map_or(0.0, Quantity::to_f64);
     QuotaInfo {
-        rate_per_s: value(limits.rate_per_s),
-        burst: value(limits.burst),
+        rate_per_s: value(&limits.rate_per_s),
+        burst: value(&limits.burst),
         verdict: verdict.to_owned(),
         retry_after_ms,
         share_per_s: preview.share_per_s,
--- a/components/node/src/local.rs
+++ b/components/node/src/local.rs
@@ -112,7 +112,7 @@
         let routes = self.kernel.profiles.routes();
         let limit = routes.and_then(|routes| routes.cold_limit(service));
         let duration_s = limit.and_then(|limit| limit.duration_s);
-        duration_s.map_or(0, |duration_s| (duration_s.as_f64() * 1_000.0) as u64)
+        duration_s.map_or(0, |duration_s| (duration_s.to_f64() * 1_000.0) as u64)
     }
 
     /// Calls `announce` unless the report is older than one that was applied before: a late report
--- a/components/node/src/owner/cold.rs
+++ b/components/node/src/owner/cold.rs
@@ -151,12 +151,12 @@
         let limit = kernel.profiles.routes()?.cold_limit(service)?;
         let settings = kernel.node_settings();
         Some(ColdRate {
-            calls_per_s: limit.calls_per_s?.as_f64(),
+            calls_per_s: limit.calls_per_s.as_ref()?.to_f64(),
             overage_percent: settings.cold_overage_percent,
             slack: settings.cold_slack,
             duration_us: limit
                 .duration_s
-                .map(|duration_s| (duration_s.as_f64() * 1_000_000.0) as u64),
+                .map(|duration_s| (duration_s.to_f64() * 1_000_000.0) as u64),
         })
     }
 }
--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -270,7 +270,7 @@
         let names = customers.iter().map(|customer| Arc::clone(&customer.name));
         state.quota.set_customers(Clock::boot_us(), names);
         let limited = customers.iter().filter_map(|customer| {
-            let rate_per_s = customer.rate_per_s?.as_f64();
+            let rate_per_s = customer.rate_per_s.as_ref()?.to_f64();
             (rate_per_s > 0.0).then(|| (Arc::clone(&customer.name), rate_per_s))
         });
         state.limited = limited.collect();
--- a/components/registry/src/stored.rs
+++ b/components/registry/src/stored.rs
@@ -8,7 +8,7 @@
     holders::{HolderUpdate, QuotaHolders},
     settings::GroupSettings,
 };
-use config::{BaseConfiguration, Configuration};
+use config::{Configuration, FirstFormat, SecondFormat, StoredConfiguration};
 use model::{AvailabilityZone, Profile, ProfileName};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, sync::Arc};
@@ -22,11 +22,12 @@
         name: ProfileName,
         successor: Option<ProfileName>,
     },
-    ConfigureBase(BaseConfiguration),
-    Configure(Arc<Configuration>),
+    ConfigureFirst(FirstFormat),
+    ConfigureSecond(SecondFormat),
     Evacuate(AvailabilityZone),
     Readmit(AvailabilityZone),
     RecordQuotaHolders(HolderUpdate),
+    ConfigureThird(Arc<Configuration>),
 }
 
 impl From<Op> for StoredOp {
@@ -35,9 +36,10 @@
             Op::Add(profile) => StoredOp::Add(profile),
             Op::Update(profile) => StoredOp::Update(profile),
             Op::Retire { name, successor } => StoredOp::Retire { name, successor },
-            Op::Configure(configuration) => match BaseConfiguration::new(&configuration) {
-                Some(base) => StoredOp::ConfigureBase(base),
-                None => StoredOp::Configure(configuration),
+            Op::Configure(configuration) => match StoredConfiguration::new(&configuration) {
+                StoredConfiguration::First(stored) => StoredOp::ConfigureFirst(stored),
+                StoredConfiguration::Second(stored) => StoredOp::ConfigureSecond(stored),
+                StoredConfiguration::Third(stored) => StoredOp::ConfigureThird(stored),
             },
             Op::Evacuate(zone) => StoredOp::Evacuate(zone),
             Op::Readmit(zone) => StoredOp::Readmit(zone),
@@ -52,8 +54,9 @@
             StoredOp::Add(profile) => Op::Add(profile),
             StoredOp::Update(profile) => Op::Update(profile),
             StoredOp::Retire { name, successor } => Op::Retire { name, successor },
-            StoredOp::ConfigureBase(base) => Op::Configure(Arc::new(base.into())),
-            StoredOp::Configure(configuration) => Op::Configure(configuration),
+            StoredOp::ConfigureFirst(stored) => Op::Configure(Arc::new(stored.into())),
+            StoredOp::ConfigureSecond(stored) => Op::Configure(Arc::new(stored.into())),
+            StoredOp::ConfigureThird(stored) => Op::Configure(stored),
             StoredOp::Evacuate(zone) => Op::Evacuate(zone),
             StoredOp::Readmit(zone) => Op::Readmit(zone),
             StoredOp::RecordQuotaHolders(update) => Op::RecordQuotaHolders(update),
@@ -62,17 +65,22 @@
 }
 
 /// Encoded form of [`GroupSettings`]. The first two variants have the encoding of an optional
-/// configuration, which older data has in this place.
+/// configuration, which older data has in this place. The order of the variants is part of the format.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum StoredSettings {
     None,
-    Base(BaseConfiguration),
-    Full {
-        configuration: Option<Arc<Configuration>>,
+    First(FirstFormat),
+    Second {
+        configuration: Option<SecondFormat>,
         evacuated_zones: BTreeSet<AvailabilityZone>,
     },
-    WithHolders {
-        configuration: Option<Arc<Configuration>>,
+    SecondWithHolders {
+        configuration: Option<SecondFormat>,
+        evacuated_zones: BTreeSet<AvailabilityZone>,
+        quota_holders: Arc<QuotaHolders>,
+    },
+    Third {
+        configuration: Arc<Configuration>,
         evacuated_zones: BTreeSet<AvailabilityZone>,
         quota_holders: Arc<QuotaHolders>,
     },
@@ -80,24 +88,37 @@
 
 impl From<GroupSettings> for StoredSettings {
     fn from(settings: GroupSettings) -> Self {
-        if *settings.quota_holders != QuotaHolders::default() {
-            return StoredSettings::WithHolders {
-                configuration: settings.configuration,
-                evacuated_zones: BTreeSet::clone(&settings.evacuated_zones),
+        let has_holders = *settings.quota_holders != QuotaHolders::default();
+        let evacuated_zones = BTreeSet::clone(&settings.evacuated_zones);
+        let is_plain = evacuated_zones.is_empty() && !has_holders;
+        let configuration = match &settings.configuration {
+            None if is_plain => return StoredSettings::None,
+            None => None,
+            Some(configuration) => match StoredConfiguration::new(configuration) {
+                StoredConfiguration::First(stored) if is_plain => {
+                    return StoredSettings::First(stored);
+                }
+                StoredConfiguration::First(_) => SecondFormat::new(configuration),
+                StoredConfiguration::Second(stored) => Some(stored),
+                StoredConfiguration::Third(configuration) => {
+                    return StoredSettings::Third {
+                        configuration,
+                        evacuated_zones,
+                        quota_holders: settings.quota_holders,
+                    };
+                }
+            },
+        };
+        match has_holders {
+            true => StoredSettings::SecondWithHolders {
+                configuration,
+                evacuated_zones,
                 quota_holders: settings.quota_holders,
-            };
-        }
-        if settings.evacuated_zones.is_empty() {
-            let Some(configuration) = &settings.configuration else {
-                return StoredSettings::None;
-            };
-            if let Some(base) = BaseConfiguration::new(configuration) {
-                return StoredSettings::Base(base);
-            }
-        }
-        StoredSettings::Full {
-            configuration: settings.configuration,
-            evacuated_zones: BTreeSet::clone(&settings.evacuated_zones),
+            },
+            false => StoredSettings::Second {
+                configuration,
+                evacuated_zones,
+            },
         }
     }
 }
@@ -106,24 +127,33 @@
     fn from(stored: StoredSettings) -> Self {
         match stored {
             StoredSettings::None => GroupSettings::default(),
-            StoredSettings::Base(base) => GroupSettings {
-                configuration: Some(Arc::new(base.into())),
+            StoredSettings::First(stored) => GroupSettings {
+                configuration: Some(Arc::new(stored.into())),
                 ..GroupSettings::default()
             },
-            StoredSettings::Full {
+            StoredSettings::Second {
                 configuration,
                 evacuated_zones,
             } => GroupSettings {
-                configuration,
+                configuration: configuration.map(|stored| Arc::new(stored.into())),
                 evacuated_zones: Arc::new(evacuated_zones),
                 quota_holders: Arc::default(),
             },
-            StoredSettings::WithHolders {
+            StoredSettings::SecondWithHolders {
                 configuration,
                 evacuated_zones,
                 quota_holders,
             } => GroupSettings {
+                configuration: configuration.map(|stored| Arc::new(stored.into())),
+                evacuated_zones: Arc::new(evacuated_zones),
+                quota_holders,
+            },
+            StoredSettings::Third {
                 configuration,
+                evacuated_zones,
+                quota_holders,
+            } => GroupSettings {
+                configuration: Some(configuration),
                 evacuated_zones: Arc::new(evacuated_zones),
                 quota_holders,
             },
--- a/components/wire/tests/stored_settings.rs
+++ b/components/wire/tests/stored_settings.rs
@@ -3,7 +3,7 @@
 
 use config::{
     ApiKey, CallerLimits, ColdLimit, Configuration, Customer, Destination, Quantity, Route,
-    Service, VirtualHost, Weight, WeightedService,
+    Service, VirtualHost, WeightedService,
 };
 use model::{AvailabilityZone, Revision, ServiceName};
 use registry::{Change, ChangeId, ChangeResult, Delta, HolderUpdate, Op, Registry};
@@ -15,6 +15,13 @@
 const REGISTRY: &str = "01010000000107010673636f726573072f6865616c7468840202683100808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa01010201010673636f726573d08c010100";
 const DELTA: &str = "000101848fb990bed3adb06800000107010673636f726573072f6865616c7468840202683100808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa01010201010673636f726573d08c0101";
 
+/// Encoded by a build that kept weights in thousandths, with customers and limits of cold instances.
+const SECOND_CHANGE: &str = "00000000000000000000000000000005000407020673636f726573072f6865616c746884020268310001010000000000000840010024056c6f616e73072f6865616c74688402026831000000808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa0101020101020673636f726573d08c01056c6f616e73e80701010a726967612d63686f69720200056b65792d310107070707070707070707070707070707070707070707070707070707070707070101010084040101000000000000044000";
+const SECOND_REGISTRY: &str = "0101000000020107020673636f726573072f6865616c746884020268310001010000000000000840010024056c6f616e73072f6865616c74688402026831000000808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa0101020101020673636f726573d08c01056c6f616e73e80701010a726967612d63686f69720200056b65792d3101070707070707070707070707070707070707070707070707070707070707070701010100840401010000000000000440000100";
+const SECOND_DELTA: &str = "000101848fb990bed3adb0680000020107020673636f726573072f6865616c746884020268310001010000000000000840010024056c6f616e73072f6865616c74688402026831000000808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa0101020101020673636f726573d08c01056c6f616e73e80701010a726967612d63686f69720200056b65792d31010707070707070707070707070707070707070707070707070707070707070707010101008404010100000000000004400001";
+/// As [`SECOND_REGISTRY`], after an evacuation and a record of the holders of quotas.
+const SECOND_HOLDERS: &str = "0102000000030107020673636f726573072f6865616c746884020268310001010000000000000840010024056c6f616e73072f6865616c74688402026831000000808001808040b8179875010d63686f69722e6578616d706c650103722d31062f737761702f00e807fa0101020101020673636f726573d08c01056c6f616e73e80701010a726967612d63686f69720200056b65792d3101070707070707070707070707070707070707070707070707070707070707070701010100840401010000000000000440010a65652d6e6f7274682d61030101000a000001d83602010200000000000000000000000000000006d7c595d407000102";
+
 fn service(name: &str) -> ServiceName {
     ServiceName::parse(name).unwrap()
 }
@@ -31,7 +38,7 @@
         is_public: false,
         destination: Destination::Split(vec![WeightedService {
             service: service("scores"),
-            weight: Weight::whole(9),
+            weight: Quantity::Whole(9),
         }]),
     };
     Configuration {
@@ -97,6 +104,103 @@
     assert_eq!(decode::<Delta>(bytes(DELTA)).unwrap(), delta);
 }
 
+/// A configuration that needs the second format.
+fn second_configuration() -> Configuration {
+    let customer = Customer {
+        name: "riga-choir".into(),
+        keys: vec![ApiKey::Plain("key-1".into()), ApiKey::Hashed([7; 32])],
+        rank: Some(1),
+        rate_per_s: Some(Quantity::Whole(258)),
+        burst: Some(Quantity::Fraction(2.5)),
+    };
+    let mut second = configuration();
+    second.services[0].cold = ColdLimit {
+        duration_s: Some(Quantity::Fraction(3.0)),
+        calls_per_s: Some(Quantity::Whole(18)),
+    };
+    second.services.push(Service {
+        name: service("loans"),
+        cold: ColdLimit::default(),
+        ..second.services[0].clone()
+    });
+    let route = &mut second.hosts[0].routes[0];
+    route.is_public = true;
+    let Destination::Split(parts) = &mut route.destination else {
+        panic!("{:?}", route.destination);
+    };
+    parts.push(WeightedService {
+        service: service("loans"),
+        weight: Quantity::Fraction(0.5),
+    });
+    second.customers = Some(vec![customer]);
+    second
+}
+
+/// Guards against stored configurations and messages of builds with weights in thousandths that can't
+/// be read, and against others that these builds can't read.
+#[test]
+fn second_format_unchanged() {
+    let configure = change(5, Op::Configure(Arc::new(second_configuration())));
+    assert_eq!(hex(&encode(&configure)), SECOND_CHANGE);
+    assert_eq!(decode::<Change>(bytes(SECOND_CHANGE)).unwrap(), configure);
+    let mut registry = Registry::default();
+    registry.apply(1, 1, &configure);
+    assert_eq!(hex(&encode(&registry)), SECOND_REGISTRY);
+    assert_eq!(
+        decode::<Registry>(bytes(SECOND_REGISTRY)).unwrap(),
+        registry
+    );
+    let delta = registry.delta_since(Revision::default());
+    assert_eq!(hex(&encode(&delta)), SECOND_DELTA);
+    assert_eq!(decode::<Delta>(bytes(SECOND_DELTA)).unwrap(), delta);
+
+    let zone = AvailabilityZone::parse("ee-north-a").unwrap();
+    registry.apply(1, 2, &change(6, Op::Evacuate(zone)));
+    let holders = HolderUpdate {
+        term: 3,
+        is_complete: true,
+        added: ["10.0.0.1:7000".parse().unwrap()].into(),
+        removed: [].into(),
+    };
+    registry.apply(3, 3, &change(11, Op::RecordQuotaHolders(holders)));
+    assert_eq!(hex(&encode(&registry)), SECOND_HOLDERS);
+    assert_eq!(decode::<Registry>(bytes(SECOND_HOLDERS)).unwrap(), registry);
+}
+
+/// Guards against a number that replicas or nodes have in another form than the operator sent.
+#[test]
+fn numbers_survive_storage() {
+    for weight in [
+        "0.0002",
+        "33.3333",
+        "90.0",
+        "1e-400",
+        "18446744073709551616",
+    ] {
+        let mut exact = second_configuration();
+        exact.hosts[0].routes[0].destination = Destination::Split(vec![WeightedService {
+            service: service("scores"),
+            weight: Quantity::parse(weight).unwrap(),
+        }]);
+        let configure = change(1, Op::Configure(Arc::new(exact.clone())));
+        assert_eq!(decode::<Change>(encode(&configure)).unwrap(), configure);
+        let mut registry = Registry::default();
+        registry.apply(1, 1, &configure);
+        let zone = AvailabilityZone::parse("ee-north-a").unwrap();
+        registry.apply(1, 2, &change(2, Op::Evacuate(zone.clone())));
+        let read: Registry = decode(encode(&registry)).unwrap();
+        assert_eq!(read, registry);
+        assert_eq!(*read.profiles().configuration().unwrap().as_ref(), exact);
+        assert!(read.profiles().evacuated_zones().contains(&zone));
+
+        let delta = registry.delta_since(Revision::default()).for_node();
+        let mut node = registry::ProfileSet::default();
+        assert!(node.apply(decode(encode(&delta)).unwrap()));
+        let routes = &node.configuration().unwrap().hosts[0].routes;
+        assert_eq!(routes, &exact.hosts[0].routes);
+    }
+}
+
 #[test]
 fn additions_round_trip() {
     let customer = Customer {
