Start splits anywhere, so that small shares get their calls at once

What callers saw: with the weights 1 and 999, entries that send few calls each never call the small part. 1,000 entries with 100 calls each sent it 0 of 100,000 calls; its share is 100. Each new configuration starts all splits anew, so with frequent changes the part may get nothing for good.

Cause: an entry started its split after 0 to 100 calls, while the first call of a part with one call in 1,000 comes after about 500.

Change: a split starts in the state after `seed` calls, computed directly: whole shares, with the calls that are missing given to the parts with the most left over. The seed is any number of 64 bits, so a part's chance of the next call is its share from the first call on.

--- a/components/config/src/weighted_round_robin.rs
+++ b/components/config/src/weighted_round_robin.rs
@@ -11,24 +11,21 @@
 /// part, so a part at capacity refuses its own share instead of changing the split.
 #[derive(Clone, Debug)]
 pub struct WeightedRoundRobin {
-    /// Proportions of the weights, below 10^18 each. Their sums have room in 128 bits.
+    /// Proportions of the weights, below 10^18 each. Their sums, and products with a number of calls,
+    /// have room in 128 bits.
     weights: Vec<i128>,
     credits: Vec<i128>,
 }
 
 impl WeightedRoundRobin {
-    /// A round robin in its initial state, advanced by a number of choices that depends on `seed`,
-    /// so that not all entries start with the same part.
+    /// A round robin after `seed` calls, so that entries with other seeds choose small parts at other
+    /// times. Otherwise none of them would choose such a part before many calls.
     pub fn new(parts: &[WeightedService], seed: u64) -> Self {
         let weights = proportions(parts);
-        let mut round_robin = WeightedRoundRobin {
-            credits: vec![0; weights.len()],
+        WeightedRoundRobin {
+            credits: credits_after(seed, &weights),
             weights,
-        };
-        for _ in 0..seed % 101 {
-            round_robin.next_part();
         }
-        round_robin
     }
 
     /// Takes the part that the next call goes to and returns its index; `None` if all weights are 0.
@@ -50,6 +47,24 @@
     }
 }
 
+/// Credits after this number of calls of which each part has had the whole number of its share, or
+/// one more. The parts with the most left over have one more, until the numbers add up.
+fn credits_after(calls: u64, weights: &[i128]) -> Vec<i128> {
+    let sum: i128 = weights.iter().sum();
+    if sum == 0 {
+        return vec![0; weights.len()];
+    }
+    let left_over = |weight: &i128| (weight * i128::from(calls)) % sum;
+    let mut credits: Vec<i128> = weights.iter().map(left_over).collect();
+    let missing_calls = credits.iter().sum::<i128>() / sum;
+    let mut order: Vec<usize> = (0..credits.len()).collect();
+    order.sort_by_key(|index| std::cmp::Reverse(credits[*index]));
+    for index in order.into_iter().take(missing_calls as usize) {
+        credits[index] -= sum;
+    }
+    credits
+}
+
 /// The weights as whole numbers in the same proportions, whatever their size.
 fn proportions(parts: &[WeightedService]) -> Vec<i128> {
     let weights: Vec<Decimal> = parts.iter().map(|part| part.weight.value()).collect();
--- a/components/config/tests/split_shares.rs
+++ b/components/config/tests/split_shares.rs
@@ -101,6 +101,19 @@
     assert_eq!(matched.next_service(), None);
 }
 
+/// Guards against a small part that gets no call while each entry sends few: all entries started a
+/// split within its first 101 calls, and a part with one call in 1,000 gets its first one after 500.
+#[test]
+fn small_share_of_many_entries() {
+    let entries = 1_000;
+    let mut small = 0;
+    for entry in 0..entries {
+        let seed = (entry as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        small += counts(&table(&["1", "999"], seed), 2, 100)[0];
+    }
+    assert!((70..=130).contains(&small), "{small} of 100,000 calls");
+}
+
 proptest! {
     /// The counts of a scaled split differ from the exact shares by less than the number of parts.
     #[test]
