Accept and keep every number of a configuration in its notation

The adapter converted each number to the type that calculations use, before anything kept the number itself. Numbers that don't fit were rounded or refused.

Change: all numbers of a configuration are quantities. Calculations take the value in their own type where they use it: times, sizes and attempts their whole part, at most the largest value of the type; amounts the nearest 64-bit value, but never 0 for a number that isn't 0; priorities, the check and splits the exact value. Counts, sizes and times below 0 can't be read, as before. The JSON of route queries and of customers' status writes ranks as it did, and with a fraction if they have one.

Tests: customer_keys::bounded_amounts required that amounts above 1e9 are refused, because quotas can't be calculated with them. The test now requires that they are accepted and count as 1e9, where it is as strict: no quota is calculated with a larger amount, and 0 and tiny rates are told apart. documents::weights_read_back became numbers_read_back, for each field of a document.

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -1,6 +1,7 @@
 //! JSON bodies of the operator port and of route queries, shared by the processes that answer and the
 //! operators' client.
 
+mod number;
 mod route;
 
 pub use route::{
@@ -222,7 +223,8 @@
     /// Number of its keys. The keys themselves are never sent.
     pub keys: usize,
     /// Rank of its calls, if it has one.
-    pub rank: Option<u32>,
+    #[serde(serialize_with = "number::serialize_option")]
+    pub rank: Option<f64>,
     /// Calls per second over all nodes; no limit if absent.
     pub rate_per_s: Option<f64>,
     /// Calls beyond the rate that may come at once.
--- a/components/api/src/route.rs
+++ b/components/api/src/route.rs
@@ -1,5 +1,6 @@
 //! JSON body of `GET /v1/route` on the platform port of a node: where a call would go now, and why.
 
+use crate::number;
 use model::{
     AvailabilityZone, LoadSignal, Priority, Revision, ServiceName, UpstreamName, UpstreamState,
 };
@@ -89,7 +90,7 @@
 }
 
 /// The route that matches a call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MatchedRouteInfo {
     /// Its name.
     pub name: String,
@@ -106,7 +107,8 @@
     /// Time within which an answer is fully useful, in milliseconds.
     pub latency_target_ms: u64,
     /// Its rank.
-    pub rank: u32,
+    #[serde(serialize_with = "number::serialize")]
+    pub rank: f64,
 }
 
 /// Part of a split.
--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     customer::{ApiKey, Customer},
+    decimal::Decimal,
     document::{Configuration, Destination, Route, Service},
 };
 use model::{FieldError, ServiceName};
@@ -17,9 +18,6 @@
 const MAX_CUSTOMER_NAME_BYTES: usize = 128;
 /// Longest key in bytes.
 const MAX_KEY_BYTES: usize = 1_024;
-/// Largest rate and burst of a customer, 2,000 times the calls of the largest deployment. Quotas can't
-/// divide more than 5e8 calls per second: a share is a number of eighths in 32 bits.
-const MAX_CUSTOMER_AMOUNT: f64 = 1e9;
 /// A latency target that exceeds its route's timeout by this much must be a mistake, in
 /// milliseconds.
 const MAX_TARGET_EXCESS_MS: u64 = 60_000;
@@ -58,16 +56,17 @@
             route.path_prefix
         ));
     }
-    if route.attempts == 0 {
+    if route.attempts.to_u64() == 0 {
         report("attempts must be at least 1".to_owned());
     }
-    if route.timeout_ms > MAX_TIMEOUT_MS {
+    let (timeout_ms, target_ms) = (route.timeout_ms.value(), route.latency_target_ms.value());
+    if timeout_ms > Decimal::from(MAX_TIMEOUT_MS) {
         report(format!(
             "timeout of {} ms is over {MAX_TIMEOUT_MS} ms",
             route.timeout_ms
         ));
     }
-    if route.latency_target_ms >= route.timeout_ms.saturating_add(MAX_TARGET_EXCESS_MS) {
+    if exceeds_by(&target_ms, &timeout_ms, MAX_TARGET_EXCESS_MS) {
         report(format!(
             "latency target of {} ms is {MAX_TARGET_EXCESS_MS} ms or more above the timeout",
             route.latency_target_ms
@@ -90,6 +89,15 @@
     }
 }
 
+/// Whether a number is larger than another by `excess` or more. Neither is negative.
+fn exceeds_by(number: &Decimal, other: &Decimal, excess: u64) -> bool {
+    let limit = other.whole().saturating_add(excess);
+    let order = number.whole().cmp(&limit);
+    order
+        .then_with(|| number.fraction().cmp(&other.fraction()))
+        .is_ge()
+}
+
 fn check_cold_limit(service: &Service, errors: &mut Vec<FieldError>) {
     let amounts = [&service.cold.duration_s, &service.cold.calls_per_s];
     if amounts
@@ -147,10 +155,12 @@
         if amounts
             .into_iter()
             .flatten()
-            .any(|amount| amount.value().is_negative() || amount.to_f64() > MAX_CUSTOMER_AMOUNT)
+            .any(|amount| amount.value().is_negative())
         {
-            let reason = format!("rate and burst must be between 0 and {MAX_CUSTOMER_AMOUNT}");
-            report(&customer.name, reason);
+            report(
+                &customer.name,
+                "rate and burst must be 0 or more".to_owned(),
+            );
         }
     }
 }
--- a/components/config/src/customer_table.rs
+++ b/components/config/src/customer_table.rs
@@ -1,6 +1,6 @@
 //! Lookup of the customer that a key belongs to.
 
-use crate::{customer::Customer, table::priority_of};
+use crate::{customer::Customer, decimal::Decimal, quantity::Quantity, table::priority_of};
 use model::Priority;
 use std::{
     collections::{BTreeSet, HashMap},
@@ -20,7 +20,7 @@
     /// Name that upstreams get with each call.
     pub name: Arc<str>,
     /// Rank of its calls in place of the route's, if it has one.
-    pub rank: Option<u32>,
+    pub rank: Option<Quantity>,
     /// Priority that follows from its rank.
     pub priority: Option<Priority>,
 }
@@ -36,13 +36,13 @@
 
 impl CustomerTable {
     /// Builds the table; `ranks` are all ranks in use, from which priorities follow.
-    pub(crate) fn new(customers: &[Customer], ranks: &BTreeSet<u32>) -> Self {
+    pub(crate) fn new(customers: &[Customer], ranks: &BTreeSet<Decimal>) -> Self {
         let mut table = CustomerTable::default();
         for customer in customers {
             let known = Arc::new(KnownCustomer {
                 name: Arc::clone(&customer.name),
-                rank: customer.rank,
-                priority: customer.rank.map(|rank| priority_of(rank, ranks)),
+                rank: customer.rank.clone(),
+                priority: customer.rank.as_ref().map(|rank| priority_of(rank, ranks)),
             });
             for key in &customer.keys {
                 let hash = key.hash();
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -29,7 +29,7 @@
     /// Path of the instances' health check.
     pub health_path: Arc<str>,
     /// Maximum number of connections that one instance accepts at once.
-    pub max_connections: u32,
+    pub max_connections: Quantity,
     /// Protocol that the instances speak, as named by the operator.
     pub protocol: Arc<str>,
     /// Whether the instances expect TLS.
@@ -48,16 +48,16 @@
 }
 
 /// Limits on what a caller may send, and on the time that it may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Maximum size of a request head in bytes.
-    pub max_head_bytes: u64,
+    pub max_head_bytes: Quantity,
     /// Maximum size of a request body in bytes.
-    pub max_body_bytes: u64,
+    pub max_body_bytes: Quantity,
     /// Longest time until a request head is complete, in milliseconds.
-    pub head_timeout_ms: u64,
+    pub head_timeout_ms: Quantity,
     /// Longest time that a connection may stay idle, in milliseconds.
-    pub idle_timeout_ms: u64,
+    pub idle_timeout_ms: Quantity,
 }
 
 /// The routes for one host name in the `Host` header.
@@ -79,13 +79,13 @@
     /// Whether running a call twice has the effect of running it once.
     pub idempotent: bool,
     /// Longest time that a call may wait for its answer, in milliseconds.
-    pub timeout_ms: u64,
+    pub timeout_ms: Quantity,
     /// Time within which an answer is fully useful, in milliseconds.
-    pub latency_target_ms: u64,
+    pub latency_target_ms: Quantity,
     /// Priority in queues; the lowest rank goes first.
-    pub rank: u32,
+    pub rank: Quantity,
     /// Maximum number of instances that one call may be sent to.
-    pub attempts: u16,
+    pub attempts: Quantity,
     /// Whether callers need no key of a customer.
     pub is_public: bool,
     /// Where the calls go.
--- a/components/config/src/stored/numbers.rs
+++ b/components/config/src/stored/numbers.rs
@@ -59,6 +59,28 @@
     }
 }
 
+/// Whole numbers without a sign, in the usual notation.
+macro_rules! stored_as_whole_number {
+    ($($whole:ty),*) => {$(
+        impl Stored<Quantity> for $whole {
+            fn store(value: &Quantity) -> Option<Self> {
+                match value {
+                    Quantity::Whole(whole) => <$whole>::try_from(*whole).ok(),
+                    Quantity::Text(text) => text.parse().ok(),
+                    Quantity::Fraction(_) => None,
+                }
+                .filter(|stored| Quantity::from(u64::from(*stored)) == *value)
+            }
+
+            fn restore(self) -> Quantity {
+                Quantity::from(u64::from(self))
+            }
+        }
+    )*};
+}
+
+stored_as_whole_number!(u16, u32, u64);
+
 /// The second format has no variant for text.
 impl Stored<Quantity> for Quantity {
     fn store(value: &Quantity) -> Option<Self> {
--- a/components/config/src/stored/parts.rs
+++ b/components/config/src/stored/parts.rs
@@ -19,7 +19,7 @@
 pub struct StoredDocument<Cold, Public, Customers> {
     version: u64,
     services: Vec<StoredService<Cold>>,
-    limits: CallerLimits,
+    limits: StoredLimits,
     hosts: Vec<StoredHost<Public>>,
     customers: Customers,
 }
@@ -34,6 +34,14 @@
     cold: Cold,
 }
 
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StoredLimits {
+    max_head_bytes: u64,
+    max_body_bytes: u64,
+    head_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
 /// The limit of cold instances in the second format.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StoredColdLimit {
@@ -92,7 +100,7 @@
         Some(StoredDocument {
             version: value.version,
             services: Stored::store(&value.services)?,
-            limits: value.limits,
+            limits: Stored::store(&value.limits)?,
             hosts: Stored::store(&value.hosts)?,
             customers: Stored::store(&value.customers)?,
         })
@@ -102,7 +110,7 @@
         Configuration {
             version: self.version,
             services: self.services.restore(),
-            limits: self.limits,
+            limits: self.limits.restore(),
             hosts: self.hosts.restore(),
             customers: self.customers.restore(),
         }
@@ -114,7 +122,7 @@
         Some(StoredService {
             name: value.name.clone(),
             health_path: Arc::clone(&value.health_path),
-            max_connections: value.max_connections,
+            max_connections: Stored::store(&value.max_connections)?,
             protocol: Arc::clone(&value.protocol),
             tls: value.tls,
             cold: Stored::store(&value.cold)?,
@@ -125,7 +133,7 @@
         Service {
             name: self.name,
             health_path: self.health_path,
-            max_connections: self.max_connections,
+            max_connections: self.max_connections.restore(),
             protocol: self.protocol,
             tls: self.tls,
             cold: self.cold.restore(),
@@ -133,6 +141,26 @@
     }
 }
 
+impl Stored<CallerLimits> for StoredLimits {
+    fn store(value: &CallerLimits) -> Option<Self> {
+        Some(StoredLimits {
+            max_head_bytes: Stored::store(&value.max_head_bytes)?,
+            max_body_bytes: Stored::store(&value.max_body_bytes)?,
+            head_timeout_ms: Stored::store(&value.head_timeout_ms)?,
+            idle_timeout_ms: Stored::store(&value.idle_timeout_ms)?,
+        })
+    }
+
+    fn restore(self) -> CallerLimits {
+        CallerLimits {
+            max_head_bytes: self.max_head_bytes.restore(),
+            max_body_bytes: self.max_body_bytes.restore(),
+            head_timeout_ms: self.head_timeout_ms.restore(),
+            idle_timeout_ms: self.idle_timeout_ms.restore(),
+        }
+    }
+}
+
 impl Stored<ColdLimit> for StoredColdLimit {
     fn store(value: &ColdLimit) -> Option<Self> {
         Some(StoredColdLimit {
@@ -171,10 +199,10 @@
             name: Arc::clone(&value.name),
             path_prefix: Arc::clone(&value.path_prefix),
             idempotent: value.idempotent,
-            timeout_ms: value.timeout_ms,
-            latency_target_ms: value.latency_target_ms,
-            rank: value.rank,
-            attempts: value.attempts,
+            timeout_ms: Stored::store(&value.timeout_ms)?,
+            latency_target_ms: Stored::store(&value.latency_target_ms)?,
+            rank: Stored::store(&value.rank)?,
+            attempts: Stored::store(&value.attempts)?,
             is_public: Stored::store(&value.is_public)?,
             destination: Stored::store(&value.destination)?,
         })
@@ -185,10 +213,10 @@
             name: self.name,
             path_prefix: self.path_prefix,
             idempotent: self.idempotent,
-            timeout_ms: self.timeout_ms,
-            latency_target_ms: self.latency_target_ms,
-            rank: self.rank,
-            attempts: self.attempts,
+            timeout_ms: self.timeout_ms.restore(),
+            latency_target_ms: self.latency_target_ms.restore(),
+            rank: self.rank.restore(),
+            attempts: self.attempts.restore(),
             is_public: self.is_public.restore(),
             destination: self.destination.restore(),
         }
@@ -232,7 +260,7 @@
         Some(StoredCustomer {
             name: Arc::clone(&value.name),
             keys: value.keys.clone(),
-            rank: value.rank,
+            rank: Stored::store(&value.rank)?,
             rate_per_s: Stored::store(&value.rate_per_s)?,
             burst: Stored::store(&value.burst)?,
         })
@@ -242,7 +270,7 @@
         Customer {
             name: self.name,
             keys: self.keys,
-            rank: self.rank,
+            rank: self.rank.restore(),
             rate_per_s: self.rate_per_s.restore(),
             burst: self.burst.restore(),
         }
--- a/components/config/src/table.rs
+++ b/components/config/src/table.rs
@@ -3,7 +3,9 @@
 use crate::{
     customer::Customer,
     customer_table::CustomerTable,
+    decimal::Decimal,
     document::{ColdLimit, Configuration, Destination, Route},
+    quantity::Quantity,
     weighted_round_robin::WeightedRoundRobin,
 };
 use model::{Priority, Profile, ProfileName, ServiceName};
@@ -119,7 +121,7 @@
     }
 
     /// Priority of calls with this rank, beside the ranks of the configuration.
-    pub fn priority_of_rank(&self, rank: u32) -> Priority {
+    pub fn priority_of_rank(&self, rank: &Quantity) -> Priority {
         priority_of(rank, &ranks(&self.configuration))
     }
 
@@ -146,16 +148,17 @@
 }
 
 /// The ranks that routes and customers use, in order.
-fn ranks(configuration: &Configuration) -> BTreeSet<u32> {
+fn ranks(configuration: &Configuration) -> BTreeSet<Decimal> {
     let routes = configuration.hosts.iter().flat_map(|host| &host.routes);
     let customers = configuration.customers.iter().flatten();
     routes
-        .map(|route| route.rank)
-        .chain(customers.filter_map(|customer| customer.rank))
+        .map(|route| &route.rank)
+        .chain(customers.filter_map(|customer| customer.rank.as_ref()))
+        .map(Quantity::value)
         .collect()
 }
 
-fn matched_route(route: &Route, ranks: &BTreeSet<u32>, seed: u64) -> MatchedRoute {
+fn matched_route(route: &Route, ranks: &BTreeSet<Decimal>, seed: u64) -> MatchedRoute {
     let split = match &route.destination {
         Destination::Service(_) => None,
         Destination::Split(parts) => Some(Mutex::new(WeightedRoundRobin::new(parts, seed))),
@@ -168,8 +171,8 @@
 }
 
 /// Priority of a rank: the lowest rank in use is high, the second normal, and all others are low.
-pub(crate) fn priority_of(rank: u32, ranks: &BTreeSet<u32>) -> Priority {
-    match ranks.range(..rank).count() {
+pub(crate) fn priority_of(rank: &Quantity, ranks: &BTreeSet<Decimal>) -> Priority {
+    match ranks.range(..rank.value()).count() {
         0 => Priority::High,
         1 => Priority::Normal,
         _ => Priority::Low,
@@ -177,15 +180,15 @@
 }
 
 /// The profile of a route.
-fn profile_of(route: &Route, ranks: &BTreeSet<u32>) -> Profile {
+fn profile_of(route: &Route, ranks: &BTreeSet<Decimal>) -> Profile {
     let name = ProfileName::parse(&route.name)
         .or_else(|_| ProfileName::parse(DEFAULT_PROFILE_NAME))
         .expect("the default is a valid name");
     Profile {
         idempotent: route.idempotent,
-        deadline_ms: u32::try_from(route.timeout_ms).unwrap_or(u32::MAX),
-        attempts: route.attempts,
-        priority: priority_of(route.rank, ranks),
+        deadline_ms: u32::try_from(route.timeout_ms.to_u64()).unwrap_or(u32::MAX),
+        attempts: u16::try_from(route.attempts.to_u64()).unwrap_or(u16::MAX),
+        priority: priority_of(&route.rank, ranks),
         ..Profile::with_defaults(name)
     }
 }
--- a/components/control/src/customers.rs
+++ b/components/control/src/customers.rs
@@ -74,13 +74,12 @@
 }
 
 fn status_without_use(customer: &Customer) -> CustomerStatus {
-    let rate_per_s = customer.rate_per_s.as_ref().map(Quantity::to_f64);
     CustomerStatus {
         name: customer.name.to_string(),
         keys: customer.keys.len(),
-        rank: customer.rank,
-        rate_per_s: rate_per_s.filter(|rate| *rate > 0.0),
-        burst: customer.burst.as_ref().map_or(0.0, Quantity::to_f64),
+        rank: customer.rank.as_ref().map(Quantity::to_f64),
+        rate_per_s: customer.limited_rate_per_s(),
+        burst: customer.burst_calls(),
         admitted: 0,
         over_limit: 0,
         unconfirmed: 0,
--- a/components/control/src/quotas.rs
+++ b/components/control/src/quotas.rs
@@ -4,7 +4,7 @@
     context::{ControlContext, SoleLeadership},
     replica::reply,
 };
-use config::{Configuration, Customer, Quantity};
+use config::{Configuration, Customer};
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use kernel::Clock;
 use mesh::Inbound;
@@ -260,8 +260,8 @@
 
 fn limit_of(customer: &Customer) -> (Arc<str>, CustomerLimit) {
     let limit = CustomerLimit {
-        rate_per_s: customer.rate_per_s.as_ref().map(Quantity::to_f64),
-        burst: customer.burst.as_ref().map_or(0.0, Quantity::to_f64),
+        rate_per_s: customer.limited_rate_per_s(),
+        burst: customer.burst_calls(),
     };
     (Arc::clone(&customer.name), limit)
 }
--- a/components/node/src/entry/call.rs
+++ b/components/node/src/entry/call.rs
@@ -118,7 +118,7 @@
             configuration: version,
             deadline_us: (now_us + deadline_ms * 1000).min(inherited_us),
             target_us: latency_target_ms.map_or(u64::MAX, |target_ms| {
-                now_us + target_ms.saturating_mul(1_000)
+                now_us.saturating_add(target_ms.saturating_mul(1_000))
             }),
             key,
             fingerprint,
@@ -180,7 +180,7 @@
                     credential.as_ref().and_then(|c| c.customer.priority),
                 ),
                 credential,
-                latency_target_ms: Some(matched.route.latency_target_ms),
+                latency_target_ms: Some(matched.route.latency_target_ms.to_u64()),
                 version: table.configuration().version,
             });
         }
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::{context::NodeContext, quotas::QuotaGate, refusal_log::RefusalLogs};
 use admin::server_memory;
+use config::Quantity;
 use decision::customer_note;
 use downstream::UnansweredCall;
 use driver::CallDriver;
@@ -179,12 +180,12 @@
             return;
         };
         let limits = &table.configuration().limits;
-        let bytes = |limit: u64| usize::try_from(limit).unwrap_or(usize::MAX);
+        let bytes = |limit: &Quantity| usize::try_from(limit.to_u64()).unwrap_or(usize::MAX);
         server.set_limits(RequestLimits {
-            max_head_bytes: bytes(limits.max_head_bytes),
-            max_body_bytes: bytes(limits.max_body_bytes).min(largest),
-            head_timeout_ms: limits.head_timeout_ms,
-            idle_timeout_ms: limits.idle_timeout_ms,
+            max_head_bytes: bytes(&limits.max_head_bytes),
+            max_body_bytes: bytes(&limits.max_body_bytes).min(largest),
+            head_timeout_ms: limits.head_timeout_ms.to_u64(),
+            idle_timeout_ms: limits.idle_timeout_ms.to_u64(),
         });
     };
     kernel
--- a/components/node/src/entry/preview/figures.rs
+++ b/components/node/src/entry/preview/figures.rs
@@ -5,7 +5,7 @@
     AdmissionInfo, ColdLimitInfo, LeftOut, MatchedRouteInfo, QuotaInfo, RouteCandidate, SplitPart,
     SuspectInfo,
 };
-use config::{Customer, Destination, Quantity, Route, RouteTable};
+use config::{Customer, Destination, MatchedRoute, Quantity, Route, RouteTable};
 use errors::ErrorKind;
 use model::{AvailabilityZone, ServiceName, Upstream};
 use quota::{Admission, QuotaPreview, Verdict as QuotaVerdict};
@@ -24,16 +24,17 @@
     text.unwrap_or_default().to_owned()
 }
 
-pub(super) fn matched_route(route: &Route) -> MatchedRouteInfo {
+pub(super) fn matched_route(matched: &MatchedRoute) -> MatchedRouteInfo {
+    let route = &matched.route;
     MatchedRouteInfo {
         name: route.name.to_string(),
         path_prefix: route.path_prefix.to_string(),
         public: route.is_public,
         idempotent: route.idempotent,
-        attempts: route.attempts,
-        timeout_ms: route.timeout_ms,
-        latency_target_ms: route.latency_target_ms,
-        rank: route.rank,
+        attempts: matched.profile.attempts,
+        timeout_ms: route.timeout_ms.to_u64(),
+        latency_target_ms: route.latency_target_ms.to_u64(),
+        rank: route.rank.to_f64(),
     }
 }
 
@@ -92,10 +93,9 @@
             ("unavailable", Some(retry_after_ms))
         }
     };
-    let value = |quantity: &Option<Quantity>| quantity.as_ref().map_or(0.0, Quantity::to_f64);
     QuotaInfo {
-        rate_per_s: value(&limits.rate_per_s),
-        burst: value(&limits.burst),
+        rate_per_s: limits.limited_rate_per_s().unwrap_or(0.0),
+        burst: limits.burst_calls(),
         verdict: verdict.to_owned(),
         retry_after_ms,
         share_per_s: preview.share_per_s,
--- a/components/node/src/entry/preview/mod.rs
+++ b/components/node/src/entry/preview/mod.rs
@@ -10,7 +10,7 @@
     driver::send::{QueueWait, queue_wait},
 };
 use api::{AdmissionInfo, RouteAnswer, RouteOutcome, RouteQuery};
-use config::{MatchedRoute, RouteTable};
+use config::{MatchedRoute, Quantity, RouteTable};
 use errors::ErrorKind;
 use figures::{candidates, cold_limit, left_out, matched_route, quota_info, split_parts};
 use http::{Headers, Request};
@@ -179,7 +179,7 @@
             };
             refuse(ErrorKind::NoRoute, detail)
         })?;
-        answer.route = Some(matched_route(&matched.route));
+        answer.route = Some(matched_route(matched));
         let upcoming = matched.upcoming_service();
         answer.split = split_parts(&matched.route, upcoming.as_ref());
         let customer = self.preview_customer(table, matched, may_accept_keys, answer)?;
@@ -188,12 +188,16 @@
             refuse(ErrorKind::NoUpstream, detail)
         })?;
         let rank = preview_rank(table, customer.as_deref(), answer);
-        let priority = rank.map(|rank| table.priority_of_rank(rank));
+        let priority = rank.as_ref().map(|rank| table.priority_of_rank(rank));
         answer.cold_limit = cold_limit(table, &service);
         Ok(Target {
             service,
             profile: self.route_profile(matched, priority),
-            target_us: matched.route.latency_target_ms.saturating_mul(1_000),
+            target_us: matched
+                .route
+                .latency_target_ms
+                .to_u64()
+                .saturating_mul(1_000),
             customer,
         })
     }
@@ -389,10 +393,10 @@
     table: &RouteTable,
     customer: Option<&str>,
     answer: &mut RouteAnswer,
-) -> Option<u32> {
-    let of_customer = customer.and_then(|name| table.customer(name)?.rank);
+) -> Option<Quantity> {
+    let of_customer = customer.and_then(|name| table.customer(name)?.rank.clone());
     let (rank, source) = match (answer.call.rank, of_customer) {
-        (Some(rank), _) => (rank, "query"),
+        (Some(rank), _) => (Quantity::from(u64::from(rank)), "query"),
         (None, Some(rank)) => (rank, "customer"),
         (None, None) => return None,
     };
--- a/components/node/src/owner/unanswered.rs
+++ b/components/node/src/owner/unanswered.rs
@@ -193,8 +193,10 @@
                 .iter()
                 .flat_map(|host| &host.routes)
                 .find(|route| *route.name == *name.as_str())
-                .map(|route| route.attempts),
-            None => profiles.resolve(name).map(|profile| profile.attempts),
+                .map(|route| route.attempts.to_u64()),
+            None => profiles
+                .resolve(name)
+                .map(|profile| u64::from(profile.attempts)),
         };
         attempts.is_some_and(|attempts| attempts > 1)
     }
--- a/components/node/src/quotas/mod.rs
+++ b/components/node/src/quotas/mod.rs
@@ -270,8 +270,8 @@
         let names = customers.iter().map(|customer| Arc::clone(&customer.name));
         state.quota.set_customers(Clock::boot_us(), names);
         let limited = customers.iter().filter_map(|customer| {
-            let rate_per_s = customer.rate_per_s.as_ref()?.to_f64();
-            (rate_per_s > 0.0).then(|| (Arc::clone(&customer.name), rate_per_s))
+            let rate_per_s = customer.limited_rate_per_s()?;
+            Some((Arc::clone(&customer.name), rate_per_s))
         });
         state.limited = limited.collect();
         if !state.limited.is_empty() {
