--- a/components/bench/tests/lost_service.rs
+++ b/components/bench/tests/lost_service.rs
@@ -62,6 +62,7 @@
     let service = ServiceName::parse(SERVICE).unwrap();
     Configuration {
         version: 1,
+        version_text: None,
         services: vec![Service {
             name: service.clone(),
             health_path: "/health".into(),
--- a/components/bench/tests/quotas.rs
+++ b/components/bench/tests/quotas.rs
@@ -40,6 +40,7 @@
 fn configuration(version: u64) -> Configuration {
     Configuration {
         version,
+        version_text: None,
         services: Vec::new(),
         limits: CallerLimits {
             max_head_bytes: Quantity::Whole(16_384),
--- a/components/bench/tests/route_queries.rs
+++ b/components/bench/tests/route_queries.rs
@@ -64,6 +64,7 @@
     let lending = Destination::Service(service("lending"));
     Configuration {
         version: 7,
+        version_text: None,
         services: ["catalogue", "lending"]
             .map(|name| Service {
                 name: service(name),
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -11,6 +11,8 @@
 pub struct Configuration {
     /// Version, set by the operator.
     pub version: u64,
+    /// The version as the operator wrote it, where that isn't the usual notation.
+    pub version_text: Option<Arc<str>>,
     /// Services that routes may name.
     pub services: Vec<Service>,
     /// Limits for callers.
--- a/components/config/src/stored/parts.rs
+++ b/components/config/src/stored/parts.rs
@@ -97,6 +97,9 @@
     Customers: Stored<Option<Vec<Customer>>>,
 {
     fn store(value: &Configuration) -> Option<Self> {
+        if value.version_text.is_some() {
+            return None;
+        }
         Some(StoredDocument {
             version: value.version,
             services: Stored::store(&value.services)?,
@@ -109,6 +112,7 @@
     fn restore(self) -> Configuration {
         Configuration {
             version: self.version,
+            version_text: None,
             services: self.services.restore(),
             limits: self.limits.restore(),
             hosts: self.hosts.restore(),
--- a/components/config/tests/customer_keys.rs
+++ b/components/config/tests/customer_keys.rs
@@ -35,6 +35,7 @@
     };
     let configuration = Configuration {
         version: 1,
+        version_text: None,
         services: Vec::new(),
         limits: CallerLimits {
             max_head_bytes: Quantity::Whole(16_384),
--- a/components/config/tests/route_match.rs
+++ b/components/config/tests/route_match.rs
@@ -29,6 +29,7 @@
 fn configuration(routes: Vec<Route>) -> Configuration {
     Configuration {
         version: 1,
+        version_text: None,
         services: ["catalogue", "lending"]
             .map(|name| Service {
                 name: service(name),
--- a/components/config/tests/split_shares.rs
+++ b/components/config/tests/split_shares.rs
@@ -43,6 +43,7 @@
     });
     let configuration = Configuration {
         version: 1,
+        version_text: None,
         services: services.collect(),
         limits: CallerLimits {
             max_head_bytes: Quantity::Whole(16_384),
--- a/components/wire/tests/stored_settings.rs
+++ b/components/wire/tests/stored_settings.rs
@@ -43,6 +43,7 @@
     };
     Configuration {
         version: 7,
+        version_text: None,
         services: vec![Service {
             name: service("scores"),
             health_path: "/health".into(),
