Take an answer without the status of a final one for a lost answer

What callers saw: an instance that sent "HTTP/1.1 000" had this passed on, as "HTTP/1.1 0", with its body and X-Server-Stamp, which is no HTTP. The same held for 001, 099, 600 and 999. With X-Not-Executed beside such a status, the call was even taken for refused and ran again.

Cause: the parser of heads asks for three digits only, and nothing after it looked at the number, apart from 100 to 199.

Change: a response head whose status is neither an interim one (100 to 199) nor a final one (200 to 599) is malformed, as one with two or four digits was already. The call ends as upstream-lost, 502, since the instance may have run it. An entry also refuses such an answer of an owner, since owners of earlier builds pass it on.

Evidence: response_status::no_final_status fails before (status 0 in place of an error, with either pool), odd_statuses on real processes too (the caller reads "the response is not valid HTTP/1.1"); it now gets 502 without a stamp, for eight statuses with and without X-Not-Executed, each run once. interim_statuses and final_statuses passed before and pass now.

--- a/components/http/src/exchange.rs
+++ b/components/http/src/exchange.rs
@@ -1,7 +1,9 @@
 //! Writing a request to a connection and reading its response.
 
 use crate::{
-    BodyDecoder, CallError, Framing, PoolConfig, Response, ResponseHead, parse_response_head,
+    BodyDecoder, CallError, Framing, PoolConfig, Response, ResponseHead,
+    message::is_interim_status,
+    parse_response_head,
     read_buffer::{ReadBuffer, is_timeout},
     response_budget::{BufferedResponse, ResponseBudget},
 };
@@ -133,7 +135,7 @@
     let mut has_started = false;
     for _ in 0..=MAX_INTERIM_RESPONSES {
         let head = read_head(config, stream, buffer, is_head, deadline, &mut has_started)?;
-        if !matches!(head.status, 100..=199) {
+        if !is_interim_status(head.status) {
             return Ok(head);
         }
     }
--- a/components/http/src/head.rs
+++ b/components/http/src/head.rs
@@ -1,6 +1,9 @@
 //! Parsing and validation of message heads.
 
-use crate::{Framing, Headers};
+use crate::{
+    Framing, Headers,
+    message::{has_no_body, is_final_status, is_interim_status},
+};
 use errors::ErrorKind;
 
 /// Most header fields of one message.
@@ -113,8 +116,11 @@
     };
     let minor_version = parsed.version.unwrap_or(1);
     let status = parsed.code.unwrap_or_default();
+    if !is_interim_status(status) && !is_final_status(status) {
+        return Err(ParseError::Malformed);
+    }
     let headers = to_headers(parsed.headers)?;
-    let framing = if is_head || crate::message::has_no_body(status) {
+    let framing = if is_head || has_no_body(status) {
         Framing::Empty
     } else {
         match declared_body(&headers, minor_version)? {
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -34,7 +34,7 @@
 pub use head::{ParseError, RequestHead, ResponseHead, parse_request_head, parse_response_head};
 pub use headers::{Headers, strip_hop_by_hop};
 pub use memory_budget::MemoryBudget;
-pub use message::{Request, Response, error_response};
+pub use message::{Request, Response, error_response, is_final_status};
 pub use pool::{CallError, Pool, PoolConfig};
 pub use reply_memory::ReplyMemory;
 pub use reply_queue::EarlyReply;
--- a/components/http/src/message.rs
+++ b/components/http/src/message.rs
@@ -66,9 +66,19 @@
         .with_header("x-gyard-outcome", info.outcome.header_value())
 }
 
+/// Whether responses of that status come before the final one.
+pub(crate) fn is_interim_status(status: u16) -> bool {
+    matches!(status, 100..=199)
+}
+
+/// Whether final responses have that status. Others are interim ones or not defined by HTTP.
+pub fn is_final_status(status: u16) -> bool {
+    matches!(status, 200..=599)
+}
+
 /// Whether responses of that status have no body.
 pub(crate) fn has_no_body(status: u16) -> bool {
-    matches!(status, 100..=199 | 204 | 304)
+    is_interim_status(status) || matches!(status, 204 | 304)
 }
 
 /// Header field that ends a connection after the message.
--- a/components/node/src/entry/driver/mod.rs
+++ b/components/node/src/entry/driver/mod.rs
@@ -4,13 +4,15 @@
 //! delivers an event also executes the resulting actions and sends the response, which saves the
 //! wake-up of another thread.
 
+mod answer;
 mod refusals;
 pub(super) mod send;
 
 use super::{Entry, call::PreparedCall, routes::ServiceRoutes};
+use answer::decode_answer;
 use calls::{Action, CallSpec, ClaimReply, ClaimRound, EntryCall, Event, RoundResult};
 use errors::ErrorKind;
-use http::{CallerConnection, EarlyReply, Headers, Response};
+use http::{CallerConnection, EarlyReply, Response};
 use limits::CapacitySearch;
 use model::{AttemptId, NodeId, Upstream};
 use refusals::LastRefusal;
@@ -24,7 +26,7 @@
     time::Instant,
 };
 use suspects::Verdict;
-use wire::{CallRequest, HttpMessage, decode};
+use wire::CallRequest;
 
 /// Time after the call's deadline for which a request to an owner still waits for its reply.
 const REPLY_GRACE_US: u64 = 200_000;
@@ -327,7 +329,7 @@
                 let now_us = self.now_us();
                 self.routes
                     .with_budgets(&self.call.profile, |b| b.retry.on_success(now_us));
-                self.finish(state, decode_response(&answer));
+                self.finish(state, decode_answer(&answer));
             }
             Action::Fail(kind) => self.finish(state, Err(kind)),
         }
@@ -478,22 +480,3 @@
         .router()
         .latency_quantile_us(call.profile.hedge.quantile_percent)
 }
-
-fn decode_response(answer: &[u8]) -> Result<Response, ErrorKind> {
-    let message: HttpMessage = decode(answer).map_err(|_| ErrorKind::Internal)?;
-    let status = message
-        .start_line
-        .0
-        .parse()
-        .map_err(|_| ErrorKind::Internal)?;
-    let mut headers = Headers::new();
-    for (name, value) in message.headers {
-        headers.append(name, value);
-    }
-    Ok(Response {
-        status,
-        reason: message.start_line.1,
-        headers,
-        body: message.body,
-    })
-}
