Form the control group also after kills at the first start

What callers saw: one control process was killed 0.25 s after the first start of the whole system and came back 0.75 s later.

Cause: only the replica with the lowest number proposes a formation, and only at a first start or with a formation on its disk. Killed before it had saved one, it came back with neither.

Change: a founder of an open group saves at its first start that it has accepted no formation, as one with ballot 0 and no members. Every founder must accept a formation before a group starts, so such a disk proves that no group has started, also after a restart. Announcements carry it already; a founder without it saves it as well when it hears it from another one. The formats of disk and messages stay the same.

--- a/components/consensus/src/formation.rs
+++ b/components/consensus/src/formation.rs
@@ -7,6 +7,11 @@
 //! accepted the same ballot. Because all of them must accept, at most one formation can start as
 //! long as not all disks are lost. If the coordinator or a member loses its disk, a formation with
 //! a higher ballot replaces the old one.
+//!
+//! Only the first start of a deployment may form an open group. A founder that starts then saves this
+//! as a formation without members, ballot 0, so that it still knows after a restart. While it holds
+//! that, it has accepted no formation, so no group has ever started. Its announcements tell this to
+//! founders that were killed before they had saved it.
 
 use crate::{
     log::Log,
@@ -48,11 +53,19 @@
 
     /// Whether this replica proposes formations.
     fn is_coordinator(&self) -> bool {
-        // With `may_form` unset, a replica may only continue a formation that is on its disk: that
-        // disk was in use when the group may have started.
-        let may_form = self.config.open.is_none_or(|open| open.may_form);
-        let was_forming = self.hard_state.formation.is_some();
-        self.config.group.first() == Some(&self.id.number) && (may_form || was_forming)
+        // A replica of an open group has a formation on its disk, or may form none: the group may have
+        // started without that disk.
+        let may_form = self.config.open.is_none() || self.hard_state.formation.is_some();
+        self.config.group.first() == Some(&self.id.number) && may_form
+    }
+
+    /// Saves that no group has started yet, unless this replica knows that one may have.
+    fn note_first_start(&mut self) {
+        let is_founder = self.config.group.contains(&self.id.number);
+        if is_founder && self.is_empty() && self.hard_state.formation.is_none() {
+            self.hard_state.formation = Some(Formation::before_first());
+            self.save_hard_state();
+        }
     }
 
     /// Replicas to announce this one to: the configured ones, and in an open group also the known
@@ -73,6 +86,9 @@
             return;
         }
         self.formation_state.hello_due_us = now_us + HELLO_INTERVAL_US;
+        if self.config.open.is_some_and(|open| open.may_form) {
+            self.note_first_start();
+        }
         let is_active = self.is_voter() && self.leader.is_some();
         if is_active {
             return;
@@ -118,6 +134,9 @@
             self.formation_state.announcements.remove(&from.number);
             return;
         }
+        if formation.as_ref() == Some(&Formation::before_first()) {
+            self.note_first_start();
+        }
         let announcement = Announcement {
             id: from,
             at_us: now_us,
--- a/components/consensus/src/state.rs
+++ b/components/consensus/src/state.rs
@@ -72,6 +72,16 @@
     pub members: Membership,
 }
 
+impl Formation {
+    /// What a founder of an open group holds from its first start until it accepts a formation.
+    pub(crate) fn before_first() -> Self {
+        Formation {
+            ballot: 0,
+            members: Membership::default(),
+        }
+    }
+}
+
 /// Term, vote and formation. They are saved before any message that depends on them is sent.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
--- a/components/consensus/tests/open_groups.rs
+++ b/components/consensus/tests/open_groups.rs
@@ -7,6 +7,8 @@
 use cluster::{Cluster, add, is_accepted, is_refused_as};
 use consensus::{OpenGroup, ReplicaConfig};
 use errors::ErrorKind;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 /// Number of voters of the full group, which survives the loss of two.
 const VOTERS: usize = 5;
@@ -241,3 +243,58 @@
         }
     }
 }
+
+/// Replicas are killed at random while they start for the first time, and come back within a second.
+#[test]
+fn random_first_starts() {
+    for seed in 0..300 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut group = Cluster::with_config(5, seed, open_group);
+        group.run(rng.random_range(20_000..300_000));
+        group.adjust_config = may_not_form;
+        for _ in 0..rng.random_range(1..8) {
+            let number = rng.random_range(1..=5);
+            group.crash(number);
+            group.run(rng.random_range(0..1_000_000));
+            group.restart(number);
+            group.run(rng.random_range(0..200_000));
+        }
+        group.run_until("five voters", 20_000_000, |c| voter_count(c) == VOTERS);
+        assert!(is_accepted(&group.commit(1, &add(1, "browse"))));
+        group.check_final_state();
+    }
+}
+
+/// Guards against a group that never forms: a founder was killed before it had saved a formation, the
+/// platform no longer reported a first start when it came back, and no other replica proposed one.
+#[test]
+fn founder_killed_at_first_start() {
+    for founder in 1..=3 {
+        for killed_at_us in (0..800_000).step_by(20_000) {
+            let mut group = Cluster::with_config(5, killed_at_us, open_group);
+            group.run(killed_at_us);
+            group.adjust_config = may_not_form;
+            group.crash(founder);
+            group.run(750_000);
+            group.restart(founder);
+            group.run_until("five voters", 20_000_000, |c| voter_count(c) == VOTERS);
+            assert!(is_accepted(&group.commit(1, &add(1, "browse"))));
+        }
+    }
+}
+
+/// As above, with a kill of all replicas.
+#[test]
+fn all_killed_at_first_start() {
+    for killed_at_us in (20_000..800_000).step_by(20_000) {
+        let mut group = Cluster::with_config(5, killed_at_us, open_group);
+        group.run(killed_at_us);
+        group.adjust_config = may_not_form;
+        let numbers: Vec<_> = group.numbers().into_iter().collect();
+        numbers.iter().for_each(|number| group.crash(*number));
+        group.run(750_000);
+        numbers.iter().for_each(|number| group.restart(*number));
+        group.run_until("five voters", 20_000_000, |c| voter_count(c) == VOTERS);
+        assert!(is_accepted(&group.commit(1, &add(1, "browse"))));
+    }
+}
