Follow only the node's own service before the first configuration

Cause: without a configuration a node took every service for known, announced the instance, and sent its service as the caller's; nothing looked at it again when the configuration came.

Change: while there is no configuration, the service in the node's settings is the only one that it knows. Nodes without that setting follow any, as before.

--- a/components/node/src/instance_api.rs
+++ b/components/node/src/instance_api.rs
@@ -4,7 +4,7 @@
 use crate::{announce::Announcement, context::NodeContext};
 use config::RouteTable;
 use kernel::Kernel;
-use model::UpstreamName;
+use model::{ServiceName, UpstreamName};
 use std::sync::Arc;
 
 /// Announces and withdraws the local instance, and answers its readiness check.
@@ -30,10 +30,17 @@
         self.context.local.withdraw_named(name)
     }
 
-    /// Whether the configuration lists the service; true while there is none.
-    pub fn has_service(&self, service: &model::ServiceName) -> bool {
-        let routes = self.context.kernel.profiles.routes();
-        routes.is_none_or(|table| table.has_service(service))
+    /// Whether the configuration lists the service. While there is none, the service in the settings
+    /// is the only known one; without such a setting each service is.
+    pub fn has_service(&self, service: &ServiceName) -> bool {
+        let kernel = &self.context.kernel;
+        match kernel.profiles.routes() {
+            Some(table) => table.has_service(service),
+            None => {
+                let own = &kernel.node_settings().service;
+                own.as_ref().is_none_or(|own| own == service)
+            }
+        }
     }
 
     /// Whether this node accepts calls: it has a configuration, it had a proof if it needs one to
