--- a/components/config/src/customer.rs
+++ b/components/config/src/customer.rs
@@ -50,7 +50,7 @@
     }
 }
 
-/// An amount for calculations. Limits above the largest one have no effect, and neither has it.
+/// An amount for calculations. No deployment has as many calls as the largest one allows.
 fn amount(quantity: &Quantity) -> f64 {
     quantity.to_f64().min(MAX_CUSTOMER_AMOUNT)
 }
