--- a/components/config/tests/split_shares.rs
+++ b/components/config/tests/split_shares.rs
@@ -130,7 +130,7 @@
         for (count, weight) in counts.iter().zip(&weights) {
             let share = 500.0 * f64::from(*weight) / f64::from(sum);
             let difference = (*count as f64 - share).abs();
-            prop_assert!(difference < weights.len() as f64 + 1.0, "{counts:?} for {weights:?}");
+            prop_assert!(difference < weights.len() as f64, "{counts:?} for {weights:?}");
         }
     }
 }
