--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 pub mod drain_notice;
+pub mod poison_memory;
 pub mod popular_read;
 pub mod tenant_burst;
 
--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -171,6 +171,21 @@
         }
     }
 
+    /// Kills all processes at once.
+    pub fn kill_all(&self) {
+        let mut children: Vec<Child> = {
+            let mut all = self.children.lock().unwrap();
+            all.drain().map(|(_, child)| child).collect()
+        };
+        for child in &mut children {
+            let _ = child.kill();
+        }
+        for child in &mut children {
+            let _ = child.wait();
+        }
+        self.record.add("platform: all processes are killed");
+    }
+
     /// The core machine whose process says last, in its log, that it leads.
     pub fn leader(&self) -> Option<Machine> {
         let term_of = |core: u8| {
--- a/review/standin-3/src/instance.rs
+++ b/review/standin-3/src/instance.rs
@@ -35,10 +35,13 @@
     Answered,
     /// The connection is reset in place of the answer.
     Reset,
+    /// The instance crashes.
+    Crash,
 }
 
 pub struct Instance {
     pub id: String,
+    pub side: u8,
     service: &'static str,
     address: SocketAddr,
     reports_to: SocketAddr,
@@ -73,6 +76,7 @@
             .unwrap_or_default();
         let instance = Arc::new(Instance {
             id: id.to_owned(),
+            side,
             service: deployment.services[usize::from(side)],
             address,
             reports_to: deployment.at(machine, deployment.ports.control),
@@ -93,7 +97,7 @@
         thread::spawn(move || serving.accept(&listener));
         let reporting = Arc::clone(&instance);
         thread::spawn(move || {
-            while !reporting.has_ended.load(Ordering::Acquire) {
+            while !reporting.has_ended() {
                 reporting.beat();
                 thread::sleep(BEAT_INTERVAL);
             }
@@ -153,9 +157,25 @@
         let _ = TcpStream::connect(self.address);
     }
 
+    /// Whether the instance has crashed or exited.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended.load(Ordering::Acquire)
+    }
+
+    /// Ends without a word: all connections are reset, and no further ones are accepted.
+    fn crash(&self) {
+        self.has_ended.store(true, Ordering::Release);
+        // Ends the accepting thread, and with it the listener.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = reset(&stream);
+        }
+        self.record.add(format!("instance {}: crashes", self.id));
+    }
+
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         for stream in listener.incoming() {
-            if self.has_ended.load(Ordering::Acquire) {
+            if self.has_ended() {
                 return;
             }
             let Ok(stream) = stream else { return };
@@ -208,7 +228,12 @@
             });
             thread::sleep(self.work);
             self.free_slot();
-            if (self.fate)(&request) == Fate::Reset {
+            let fate = (self.fate)(&request);
+            if fate == Fate::Crash {
+                self.crash();
+                return Ok(());
+            }
+            if fate == Fate::Reset {
                 self.record.add(format!(
                     "instance {}: the answer to {id} is lost, reset",
                     self.id
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -31,6 +31,7 @@
     record.say(format!("case {case}, trouble: {has_trouble}"));
     let outcome = match case.as_str() {
         "popular-read" => cases::popular_read::run(Path::new(root), &record, has_trouble),
+        "poison-memory" => cases::poison_memory::run(Path::new(root), &record, has_trouble),
         "tenant-burst" => cases::tenant_burst::run(Path::new(root), &record, has_trouble),
         "drain-notice" => cases::drain_notice::run(Path::new(root), &record, has_trouble),
         _ => Ok(Outcome::NotRun("no such case".to_owned())),
