Review: a drain notice is ignored after the time of day went back

Case 15: an instance goes down and up by turns, and its last start has an earlier time of day than the one before. Its drain notice is answered 200 and dropped; requests reach it until it exits.

--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+pub mod drain_clock;
 pub mod drain_notice;
 pub mod poison_memory;
 pub mod popular_read;
--- a/review/standin-3/src/instance.rs
+++ b/review/standin-3/src/instance.rs
@@ -67,6 +67,19 @@
         slots: usize,
         work: Duration,
         fate: impl Fn(&Message) -> Fate + Send + Sync + 'static,
+    ) -> io::Result<Arc<Self>> {
+        Instance::start_at(deployment, side, id, slots, work, 0, fate)
+    }
+
+    /// Like `start`, while the time of day is ahead by this.
+    pub fn start_at(
+        deployment: &Deployment,
+        side: u8,
+        id: &str,
+        slots: usize,
+        work: Duration,
+        ahead_ms: i64,
+        fate: impl Fn(&Message) -> Fate + Send + Sync + 'static,
     ) -> io::Result<Arc<Self>> {
         let machine = Machine::Side(side);
         let address = deployment.at(machine, deployment.ports.application);
@@ -82,7 +95,7 @@
             reports_to: deployment.at(machine, deployment.ports.control),
             slots,
             work,
-            born_ms: born.as_millis() as u64,
+            born_ms: (born.as_millis() as u64).saturating_add_signed(ahead_ms),
             sequence: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
@@ -163,7 +176,7 @@
     }
 
     /// Ends without a word: all connections are reset, and no further ones are accepted.
-    fn crash(&self) {
+    pub fn crash(&self) {
         self.has_ended.store(true, Ordering::Release);
         // Ends the accepting thread, and with it the listener.
         let _ = TcpStream::connect(self.address);
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -33,6 +33,7 @@
         "popular-read" => cases::popular_read::run(Path::new(root), &record, has_trouble),
         "poison-memory" => cases::poison_memory::run(Path::new(root), &record, has_trouble),
         "tenant-burst" => cases::tenant_burst::run(Path::new(root), &record, has_trouble),
+        "drain-clock" => cases::drain_clock::run(Path::new(root), &record, has_trouble),
         "drain-notice" => cases::drain_notice::run(Path::new(root), &record, has_trouble),
         _ => Ok(Outcome::NotRun("no such case".to_owned())),
     };
